--- /dev/null
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -0,0 +1,268 @@
+//! One replica's fetch of one version.
+//!
+//! The machine keeps a window of chunks under way, in rising order, so that every replica works
+//! on the same part of the version and the origin's link carries few chunks at a time. Each
+//! chunk has a deadline that moves on with progress and a last deadline that does not; where
+//! either passes, or the source fails or sends wrong bytes, the next source of the plan is taken.
+
+use {
+    crate::plan::{Plan, ReplicaKey, Source},
+    gingerpier_base::Instant,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How a fetch behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// Chunks under way at once; default 8.
+    pub window: usize,
+    /// Milliseconds without progress before the next source is taken; default 2,000.
+    pub stall_millis: u64,
+    /// Milliseconds that one source may take for one chunk; default 30,000.
+    pub patience_millis: u64,
+    /// Milliseconds before the first source is asked again once all have failed; default 1,000.
+    pub pause_millis: u64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self { window: 8, stall_millis: 2_000, patience_millis: 30_000, pause_millis: 1_000 }
+    }
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Ask `source` for `chunk`; answers carry `attempt`.
+    Ask {
+        /// Chunk wanted.
+        chunk: u32,
+        /// Whom to ask.
+        source: Source,
+        /// Number of the attempt.
+        attempt: u64,
+    },
+    /// Drop the attempt: it stalled.
+    Drop {
+        /// Chunk wanted.
+        chunk: u32,
+        /// Source that stalled.
+        source: Source,
+        /// Number of the attempt.
+        attempt: u64,
+    },
+    /// Every chunk is held.
+    Complete,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The chunk is held, and its digest is right.
+    Held,
+    /// The source can't give it.
+    Failed,
+    /// The source gave other bytes.
+    Corrupt,
+    /// The source asks to be left alone until the instant.
+    Refused(Instant),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    number: u64,
+    source: Source,
+    stall_deadline: Instant,
+    last_deadline: Instant,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Chunk {
+    /// Sources passed over so far in this round.
+    passed: usize,
+    /// No attempt before this.
+    not_before: Instant,
+    attempt: Option<Attempt>,
+}
+
+/// A fetch under way.
+#[derive(Debug)]
+pub struct Fetch {
+    terms: Terms,
+    plan: Plan,
+    replica: ReplicaKey,
+    held: Vec<bool>,
+    held_count: u32,
+    /// Lowest chunk that has not been started.
+    next: u32,
+    open: BTreeMap<u32, Chunk>,
+    /// Replicas that sent wrong bytes; they are passed over.
+    blamed: BTreeSet<ReplicaKey>,
+    attempts: u64,
+    scratch: Vec<Source>,
+}
+
+impl Fetch {
+    /// Fetch by `replica` of a version of `chunk_count` chunks.
+    pub fn new(terms: Terms, plan: Plan, replica: ReplicaKey, chunk_count: u32) -> Self {
+        Self {
+            terms,
+            plan,
+            replica,
+            held: vec![false; chunk_count as usize],
+            held_count: 0,
+            next: 0,
+            open: BTreeMap::new(),
+            blamed: BTreeSet::new(),
+            attempts: 0,
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Notes a chunk that is here already, shared with another version.
+    pub fn note_held(&mut self, chunk: u32) {
+        let held = &mut self.held[chunk as usize];
+        self.held_count += u32::from(!*held);
+        *held = true;
+    }
+
+    /// Chunks held.
+    pub const fn held_count(&self) -> u32 {
+        self.held_count
+    }
+
+    /// Chunks of the version.
+    pub fn chunk_count(&self) -> u32 {
+        self.held.len() as u32
+    }
+
+    /// True once every chunk is held.
+    pub fn is_complete(&self) -> bool {
+        self.held_count == self.chunk_count()
+    }
+
+    /// Replicas that sent wrong bytes.
+    pub fn blamed(&self) -> impl Iterator<Item = ReplicaKey> {
+        self.blamed.iter().copied()
+    }
+
+    /// Takes a new plan; attempts under way go on, and the next ones follow it.
+    ///
+    /// Keys of the old plan mean nothing in the new one, so blame is given anew.
+    pub fn replan(&mut self, plan: Plan, replica: ReplicaKey) {
+        self.plan = plan;
+        self.replica = replica;
+        self.blamed.clear();
+        for chunk in self.open.values_mut() {
+            chunk.passed = 0;
+        }
+    }
+
+    /// Opens chunks, takes next sources where deadlines passed, and writes what to do.
+    pub fn poll(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.open_window();
+        let open: Vec<u32> = self.open.keys().copied().collect();
+        for chunk in open {
+            self.drop_stalled(chunk, now, actions);
+            self.ask(chunk, now, actions);
+        }
+        if self.is_complete() {
+            actions.push(Action::Complete);
+        }
+    }
+
+    /// Starts `chunk` ahead of the window, because another replica waits for it here.
+    pub fn want(&mut self, chunk: u32) {
+        let known = (chunk as usize) < self.held.len();
+        if known && !self.held[chunk as usize] && self.open.len() < 4 * self.terms.window {
+            self.open.entry(chunk).or_default();
+        }
+    }
+
+    /// Notes that the source of `attempt` sent bytes, or said that it is still waiting itself.
+    pub fn progress(&mut self, chunk: u32, attempt: u64, now: Instant) {
+        let stall_deadline = now.after_millis(self.terms.stall_millis);
+        if let Some(under_way) = self.attempt_mut(chunk, attempt) {
+            under_way.stall_deadline = stall_deadline;
+        }
+    }
+
+    /// Notes the end of an attempt; a late one of a dropped attempt counts only where it brought
+    /// the chunk.
+    pub fn end(&mut self, chunk: u32, attempt: u64, outcome: Outcome, now: Instant) {
+        if outcome == Outcome::Held {
+            self.note_held(chunk);
+            self.open.remove(&chunk);
+            return;
+        }
+        let Some(under_way) = self.attempt_mut(chunk, attempt).copied() else { return };
+        if let (Outcome::Corrupt, Source::Replica(source) | Source::Holder(source)) =
+            (outcome, under_way.source)
+        {
+            self.blamed.insert(source);
+        }
+        let Some(state) = self.open.get_mut(&chunk) else { return };
+        state.attempt = None;
+        match outcome {
+            // The source is right but busy: it is asked again, not passed over.
+            Outcome::Refused(until) => state.not_before = until,
+            // The origin's bytes can be spoilt on the way; it is asked again after a pause.
+            Outcome::Corrupt if under_way.source == Source::Origin => {
+                state.not_before = now.after_millis(self.terms.pause_millis);
+            }
+            _ => state.passed += 1,
+        }
+    }
+
+    fn attempt_mut(&mut self, chunk: u32, number: u64) -> Option<&mut Attempt> {
+        let attempt = self.open.get_mut(&chunk)?.attempt.as_mut()?;
+        (attempt.number == number).then_some(attempt)
+    }
+
+    fn open_window(&mut self) {
+        while self.open.len() < self.terms.window && (self.next as usize) < self.held.len() {
+            if !self.held[self.next as usize] {
+                self.open.entry(self.next).or_default();
+            }
+            self.next += 1;
+        }
+    }
+
+    fn drop_stalled(&mut self, chunk: u32, now: Instant, actions: &mut Vec<Action>) {
+        let Some(state) = self.open.get_mut(&chunk) else { return };
+        let Some(attempt) = state.attempt else { return };
+        if attempt.stall_deadline.has_passed(now) || attempt.last_deadline.has_passed(now) {
+            state.attempt = None;
+            state.passed += 1;
+            let Attempt { number, source, .. } = attempt;
+            actions.push(Action::Drop { chunk, source, attempt: number });
+        }
+    }
+
+    fn ask(&mut self, chunk: u32, now: Instant, actions: &mut Vec<Action>) {
+        let Some(state) = self.open.get_mut(&chunk) else { return };
+        if state.attempt.is_some() || !state.not_before.has_passed(now) {
+            return;
+        }
+        self.plan.sources(self.replica, chunk, &mut self.scratch);
+        let blamed = &self.blamed;
+        let trusted = |source: &&Source| match source {
+            Source::Replica(key) | Source::Holder(key) => !blamed.contains(key),
+            Source::Origin => true,
+        };
+        let Some(source) = self.scratch.iter().filter(trusted).nth(state.passed).copied() else {
+            state.passed = 0;
+            state.not_before = now.after_millis(self.terms.pause_millis);
+            return;
+        };
+        self.attempts += 1;
+        let number = self.attempts;
+        state.attempt = Some(Attempt {
+            number,
+            source,
+            stall_deadline: now.after_millis(self.terms.stall_millis),
+            last_deadline: now.after_millis(self.terms.patience_millis),
+        });
+        actions.push(Action::Ask { chunk, source, attempt: number });
+    }
+}
