--- a/crates/gingerpier_base/src/digest.rs
+++ b/crates/gingerpier_base/src/digest.rs
@@ -69,7 +69,9 @@
         }
         let mut bytes = [0; LENGTH];
         for (index, digit) in digits.iter().enumerate() {
-            let value = (*digit as char).to_digit(16).ok_or(Error::Digit(index + 1))?;
+            let value = (*digit as char)
+                .to_digit(16)
+                .ok_or(Error::Digit(index + 1))?;
             bytes[index / 2] = bytes[index / 2] << 4 | value as u8;
         }
         Ok(Self(bytes))
--- a/crates/gingerpier_base/src/name.rs
+++ b/crates/gingerpier_base/src/name.rs
@@ -58,7 +58,11 @@
         }
         for (index, found) in text.chars().enumerate() {
             if !allowed(index, found) {
-                return Err(Error::Character { text: text.to_owned(), column: index + 1, found });
+                return Err(Error::Character {
+                    text: text.to_owned(),
+                    column: index + 1,
+                    found,
+                });
             }
         }
         Ok(Self(Arc::from(text)))
@@ -95,7 +99,10 @@
 
 impl<'b, C> Decode<'b, C> for Name {
     fn decode(decoder: &mut Decoder<'b>, _: &mut C) -> Result<Self, decode::Error> {
-        decoder.str()?.parse().map_err(|error: Error| decode::Error::message(error.to_string()))
+        decoder
+            .str()?
+            .parse()
+            .map_err(|error: Error| decode::Error::message(error.to_string()))
     }
 }
 
--- a/crates/gingerpier_base/src/place.rs
+++ b/crates/gingerpier_base/src/place.rs
@@ -33,7 +33,9 @@
 
     /// Role named by `word`.
     pub fn from_word(word: &str) -> Option<Self> {
-        [Self::Entry, Self::Backend, Self::Operator].into_iter().find(|role| role.as_str() == word)
+        [Self::Entry, Self::Backend, Self::Operator]
+            .into_iter()
+            .find(|role| role.as_str() == word)
     }
 }
 
--- a/crates/gingerpier_catalogue/src/error.rs
+++ b/crates/gingerpier_catalogue/src/error.rs
@@ -1,10 +1,6 @@
 //! Why a command is refused.
 
-use {
-    crate::key::Revision,
-    displaydoc::Display,
-    gingerpier_base::Name,
-};
+use {crate::key::Revision, displaydoc::Display, gingerpier_base::Name};
 
 /// A refused command; the catalogue is as it was.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
--- a/crates/gingerpier_catalogue/src/lib.rs
+++ b/crates/gingerpier_catalogue/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod error;
 pub mod key;
 pub mod model;
+pub mod proposal;
 pub mod record;
 pub mod state;
 
--- a/crates/gingerpier_catalogue/src/model.rs
+++ b/crates/gingerpier_catalogue/src/model.rs
@@ -100,8 +100,15 @@
     /// Share of the replicas that should hold the version now, in percent.
     pub fn wanted_percent(&self) -> u8 {
         let reached = self.reached as usize;
-        let index = if self.paused { reached.checked_sub(1) } else { Some(reached) };
-        index.and_then(|index| self.steps.get(index)).copied().unwrap_or(0)
+        let index = if self.paused {
+            reached.checked_sub(1)
+        } else {
+            Some(reached)
+        };
+        index
+            .and_then(|index| self.steps.get(index))
+            .copied()
+            .unwrap_or(0)
     }
 
     /// True once the version may take traffic.
--- a/crates/gingerpier_catalogue/src/record.rs
+++ b/crates/gingerpier_catalogue/src/record.rs
@@ -20,7 +20,10 @@
 impl Identity {
     /// Identity from a random number.
     pub const fn from_u128(value: u128) -> Self {
-        Self { high: (value >> 64) as u64, low: value as u64 }
+        Self {
+            high: (value >> 64) as u64,
+            low: value as u64,
+        }
     }
 
     /// Identity from 32 hexadecimal digits.
--- a/crates/gingerpier_catalogue/src/state.rs
+++ b/crates/gingerpier_catalogue/src/state.rs
@@ -63,7 +63,10 @@
 
     /// Models and adapters with their keys.
     pub fn models(&self) -> impl Iterator<Item = (ModelKey, &Model)> {
-        self.models.iter().enumerate().map(|(index, model)| (ModelKey(index as u32), model))
+        self.models
+            .iter()
+            .enumerate()
+            .map(|(index, model)| (ModelKey(index as u32), model))
     }
 
     /// Model of `key`.
@@ -109,16 +112,21 @@
     ///
     /// Where the model has none of that name.
     pub fn version_named(&self, model: ModelKey, name: &Name) -> Result<VersionKey, Error> {
-        let found =
-            self.versions().find(|(_, version)| version.model == model && version.name == *name);
-        let unknown =
-            || Error::UnknownVersion { model: self.model(model).name.clone(), version: name.clone() };
+        let found = self
+            .versions()
+            .find(|(_, version)| version.model == model && version.name == *name);
+        let unknown = || Error::UnknownVersion {
+            model: self.model(model).name.clone(),
+            version: name.clone(),
+        };
         found.map(|(key, _)| key).ok_or_else(unknown)
     }
 
     /// Version whose manifest has `digest`.
     pub fn version_of_digest(&self, digest: Digest) -> Option<VersionKey> {
-        self.versions().find(|(_, version)| version.manifest == digest).map(|(key, _)| key)
+        self.versions()
+            .find(|(_, version)| version.manifest == digest)
+            .map(|(key, _)| key)
     }
 
     /// `model@version`, for people.
@@ -154,15 +162,24 @@
 
     /// Revision at which the request of `identity` was accepted, among the last [`REMEMBERED`].
     pub fn accepted(&self, identity: Identity) -> Option<Revision> {
-        let found = self.remembered.iter().rev().find(|accepted| accepted.identity == identity);
+        let found = self
+            .remembered
+            .iter()
+            .rev()
+            .find(|accepted| accepted.identity == identity);
         found.map(|accepted| accepted.revision)
     }
 
     /// Versions of `model` that may take traffic.
     pub fn open_versions(&self, model: ModelKey) -> impl Iterator<Item = VersionKey> {
         let model = self.model(model);
-        let rolled = model.rollout.iter().filter(|rollout| rollout.takes_traffic());
-        let to = rolled.map(|rollout| rollout.to).filter(|to| !model.live.contains(to));
+        let rolled = model
+            .rollout
+            .iter()
+            .filter(|rollout| rollout.takes_traffic());
+        let to = rolled
+            .map(|rollout| rollout.to)
+            .filter(|to| !model.live.contains(to));
         model.live.iter().copied().chain(to)
     }
 
@@ -171,7 +188,10 @@
         let base_model = self.version(base).model;
         let served = |model: &&Model| {
             model.base == Some(base_model)
-                && model.contracts.iter().any(|contract| contract.zone == *zone)
+                && model
+                    .contracts
+                    .iter()
+                    .any(|contract| contract.zone == *zone)
         };
         let mut held = Vec::new();
         for model in self.models.iter().filter(served) {
@@ -214,7 +234,10 @@
     /// then as it was.
     pub fn apply(&mut self, record: &Record) -> Result<(), Error> {
         if record.revision != self.revision.next() {
-            return Err(Error::NotNext { have: self.revision, got: record.revision });
+            return Err(Error::NotNext {
+                have: self.revision,
+                got: record.revision,
+            });
         }
         let mut next = self.clone();
         next.revision = record.revision;
@@ -252,8 +275,10 @@
         for command in &entry.commands {
             self.execute(command)?;
         }
-        self.remembered
-            .push_back(Acceptance { identity: entry.identity, revision: self.revision });
+        self.remembered.push_back(Acceptance {
+            identity: entry.identity,
+            revision: self.revision,
+        });
         if self.remembered.len() > REMEMBERED {
             self.remembered.pop_front();
         }
@@ -264,11 +289,28 @@
         match command {
             Command::CreateModel { model, kind } => self.create_model(model, kind.clone(), None),
             Command::CreateAdapter { model, base } => self.create_adapter(model, base),
-            Command::CreateVersion { model, version, manifest, bytes, source, base } => {
-                let made = NewVersion { name: version, manifest: *manifest, bytes: *bytes, source };
+            Command::CreateVersion {
+                model,
+                version,
+                manifest,
+                bytes,
+                source,
+                base,
+            } => {
+                let made = NewVersion {
+                    name: version,
+                    manifest: *manifest,
+                    bytes: *bytes,
+                    source,
+                };
                 self.create_version(model, made, base)
             }
-            Command::SetAccount { account, key, rate, priority } => {
+            Command::SetAccount {
+                account,
+                key,
+                rate,
+                priority,
+            } => {
                 self.set_account(Account {
                     name: account.clone(),
                     key: *key,
@@ -277,27 +319,48 @@
                 });
                 Ok(())
             }
-            Command::Serve { model, zone, replicas, accounts } => {
-                self.serve(model, zone, *replicas, accounts)
-            }
-            Command::RollOut { model, version, steps, replacing } => {
-                self.roll_out(model, version, steps, *replacing)
-            }
+            Command::Serve {
+                model,
+                zone,
+                replicas,
+                accounts,
+            } => self.serve(model, zone, *replicas, accounts),
+            Command::RollOut {
+                model,
+                version,
+                steps,
+                replacing,
+            } => self.roll_out(model, version, steps, *replacing),
             Command::Pause { model } => self.set_paused(model, true),
             Command::Resume { model } => self.set_paused(model, false),
             Command::GoBack { model } => self.go_back(model),
             Command::Drain { server } => self.withdraw(server, Withdrawal::Drain),
             Command::Stop { server } => self.withdraw(server, Withdrawal::Stop),
             Command::Undrain { server } => self.undrain(server),
-            Command::Assign { engine, server, zone, model, version } => {
+            Command::Assign {
+                engine,
+                server,
+                zone,
+                model,
+                version,
+            } => {
                 let version = self.base_version(model, version)?;
                 let (server, zone) = (server.clone(), zone.clone());
-                let assignment = Assignment { version, fence: self.revision, server, zone };
+                let assignment = Assignment {
+                    version,
+                    fence: self.revision,
+                    server,
+                    zone,
+                };
                 self.assignments.insert(engine.clone(), assignment);
                 Ok(())
             }
             Command::Unassign { engine } => self.unassign(engine),
-            Command::Advance { model, version, reached } => self.advance(model, version, *reached),
+            Command::Advance {
+                model,
+                version,
+                reached,
+            } => self.advance(model, version, *reached),
             Command::DeleteVersion { model, version } => self.delete_version(model, version),
             Command::DeleteAccount { account } => self.delete_account(account),
         }
@@ -367,7 +430,11 @@
     }
 
     fn set_account(&mut self, account: Account) {
-        match self.accounts.iter_mut().find(|held| held.name == account.name) {
+        match self
+            .accounts
+            .iter_mut()
+            .find(|held| held.name == account.name)
+        {
             Some(held) => *held = account,
             None => self.accounts.push(account),
         }
@@ -389,7 +456,11 @@
         let contracts = &mut self.model_mut(key).contracts;
         contracts.retain(|contract| contract.zone != *zone);
         if replicas > 0 {
-            contracts.push(Contract { zone: zone.clone(), replicas, accounts: accounts.to_vec() });
+            contracts.push(Contract {
+                zone: zone.clone(),
+                replicas,
+                accounts: accounts.to_vec(),
+            });
         }
         Ok(())
     }
@@ -403,7 +474,11 @@
     ) -> Result<(), Error> {
         let key = self.model_named(model)?;
         let to = self.version_named(key, version)?;
-        let steps = if steps.is_empty() { &DEFAULT_STEPS } else { steps };
+        let steps = if steps.is_empty() {
+            &DEFAULT_STEPS
+        } else {
+            steps
+        };
         if !steps.is_sorted_by(|a, b| a < b) || steps[0] == 0 || steps.last() != Some(&100) {
             return Err(Error::Steps);
         }
@@ -416,12 +491,20 @@
             });
         }
         if held.live.contains(&to) && held.rollout.is_none() {
-            return Err(Error::AlreadyLive { model: model.clone(), version: version.clone() });
+            return Err(Error::AlreadyLive {
+                model: model.clone(),
+                version: version.clone(),
+            });
         }
         let steps = steps.to_vec();
         let since = self.revision;
-        self.model_mut(key).rollout =
-            Some(Rollout { to, steps, reached: 0, paused: false, since });
+        self.model_mut(key).rollout = Some(Rollout {
+            to,
+            steps,
+            reached: 0,
+            paused: false,
+            since,
+        });
         Ok(())
     }
 
@@ -464,7 +547,11 @@
 
     fn live_beside(&self, model: &Model, version: VersionKey) -> Option<VersionKey> {
         let base = self.version(version).base;
-        model.live.iter().copied().find(|live| self.version(*live).base == base)
+        model
+            .live
+            .iter()
+            .copied()
+            .find(|live| self.version(*live).base == base)
     }
 
     fn withdraw(&mut self, server: &Name, withdrawal: Withdrawal) -> Result<(), Error> {
@@ -497,7 +584,9 @@
 
     fn unassign(&mut self, engine: &Name) -> Result<(), Error> {
         let removed = self.assignments.remove(engine);
-        removed.map(|_| ()).ok_or_else(|| Error::NotAssigned(engine.clone()))
+        removed
+            .map(|_| ())
+            .ok_or_else(|| Error::NotAssigned(engine.clone()))
     }
 
     fn advance(&mut self, model: &Name, version: &Name, reached: u32) -> Result<(), Error> {
@@ -531,9 +620,17 @@
         let key = self.model_named(model)?;
         let version_key = self.version_named(key, version)?;
         let held = self.model(key);
-        let rolled = held.rollout.as_ref().is_some_and(|rollout| rollout.to == version_key);
-        let assigned = self.assignments.values().any(|held| held.version == version_key);
-        let based = self.versions().any(|(_, other)| other.base == Some(version_key));
+        let rolled = held
+            .rollout
+            .as_ref()
+            .is_some_and(|rollout| rollout.to == version_key);
+        let assigned = self
+            .assignments
+            .values()
+            .any(|held| held.version == version_key);
+        let based = self
+            .versions()
+            .any(|(_, other)| other.base == Some(version_key));
         if held.live.contains(&version_key) || rolled || assigned || based {
             return Err(Error::InUse(version.clone()));
         }
@@ -545,7 +642,11 @@
 
     fn delete_account(&mut self, account: &Name) -> Result<(), Error> {
         let named = |contract: &Contract| contract.accounts.contains(account);
-        if self.models.iter().any(|model| model.contracts.iter().any(named)) {
+        if self
+            .models
+            .iter()
+            .any(|model| model.contracts.iter().any(named))
+        {
             return Err(Error::InUse(account.clone()));
         }
         let before = self.accounts.len();
--- /dev/null
+++ b/crates/gingerpier_daemon/src/entry/mod.rs
@@ -0,0 +1,222 @@
+//! An entry box's process: callers, operators, routing, a share of control.
+
+pub mod callers;
+pub mod fleet;
+pub mod job;
+pub mod links;
+pub mod operators;
+pub mod peers;
+pub mod planning;
+pub mod queries;
+pub mod requests;
+pub mod spreading;
+pub mod store;
+pub mod tickets;
+
+use {
+    self::{fleet::Fleet, links::Links, store::Store},
+    crate::{
+        clock,
+        error::Error,
+        process::{Process, listen},
+    },
+    gingerpier_base::{Name, place::Role},
+    gingerpier_membership::{BoxKey, Membership, Standing},
+    gingerpier_once::Claims,
+    gingerpier_routing::{
+        Budget, Limits,
+        limits::{AccountKey, Demand},
+    },
+    gingerpier_settings::Entry as Settings,
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        rc::Rc,
+    },
+    tokio::sync::watch,
+};
+
+/// Milliseconds between looks at whether all requests have ended.
+const DRAIN_LOOK_MILLIS: u64 = 50;
+/// Milliseconds between sweeps of what is old.
+const SWEEP_MILLIS: u64 = 5_000;
+
+/// State that the subsystems of an entry box share.
+pub struct Entry {
+    /// What both roles share.
+    pub process: Rc<Process>,
+    /// Settings.
+    pub settings: Settings,
+    /// Boxes known.
+    pub members: RefCell<Membership>,
+    /// Links to them, and what is known of their revisions.
+    pub links: Links,
+    /// Engines known, and the router.
+    pub fleet: RefCell<Fleet>,
+    /// Tickets issued here.
+    pub claims: RefCell<Claims>,
+    /// Limits of client accounts.
+    pub limits: RefCell<Limits>,
+    accounts: RefCell<BTreeMap<Name, AccountKey>>,
+    /// Retry budget.
+    pub budget: RefCell<Budget>,
+    /// The way to the key-value service.
+    pub store: Store,
+    in_flight: Cell<u64>,
+    /// Rises whenever a box comes, goes or changes.
+    pub box_changes: watch::Sender<u64>,
+}
+
+impl Entry {
+    /// Runs an entry box until it is told to stop.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't start.
+    pub async fn run(settings: Settings) -> Result<(), Error> {
+        let process = Process::bind(Role::Entry, &settings.identity, settings.peers)?;
+        let entry = Rc::new(Self::new(Rc::new(process), settings));
+        let process = &entry.process;
+        let metrics = process.install_metrics(entry.settings.metrics)?;
+        process.install_signals();
+        entry.clone().install_peers();
+        entry.clone().install_links();
+        entry.clone().install_spreading();
+        entry.clone().install_store();
+        entry.clone().install_planning();
+        entry.clone().install_sweeps();
+        let operators = entry.clone().install_operators().await?;
+        let callers = listen(entry.settings.callers)?;
+        let callers_address = callers.address();
+        entry.clone().install_callers(callers);
+        println!(
+            "ready callers={callers_address} operators={operators} peers={} metrics={metrics}",
+            process.hello.address
+        );
+        tracing::info!(event = "started", role = "entry", name = %process.hello.name,
+            zone = %process.hello.zone.name, incarnation = %process.hello.incarnation,
+            address = process.hello.address);
+        process.left().await;
+        entry.drain().await;
+        process.close().await;
+        Ok(())
+    }
+
+    fn new(process: Rc<Process>, settings: Settings) -> Self {
+        let incarnation = process.hello.incarnation;
+        let life = settings.requests.ticket_life.0;
+        let store = Store::new(&settings.key_value, process.http.clone());
+        Self {
+            members: RefCell::default(),
+            links: Links::default(),
+            fleet: RefCell::new(Fleet::new(incarnation.0)),
+            claims: RefCell::new(Claims::new(incarnation, fastrand::u64(..), life)),
+            limits: RefCell::default(),
+            accounts: RefCell::default(),
+            budget: RefCell::default(),
+            store,
+            in_flight: Cell::new(0),
+            box_changes: watch::Sender::new(0),
+            process,
+            settings,
+        }
+    }
+
+    /// Notes that a box came, went or changed.
+    pub fn boxes_changed(&self) {
+        self.box_changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// Standing of a box, operators' word included.
+    pub fn standing(&self, key: BoxKey) -> Standing {
+        let members = self.members.borrow();
+        let Some(member) = members.get(key) else {
+            return Standing::Gone;
+        };
+        let catalogue = self.process.ledger.catalogue();
+        match members.standing(key, clock::now()) {
+            Standing::Alive if catalogue.withdrawal(&member.name).is_some() => Standing::Leaving,
+            standing => standing,
+        }
+    }
+
+    /// Names of the entry boxes that are alive, this one among them; of one zone, where given.
+    pub fn live_entries(&self, zone: Option<&Name>) -> Vec<Name> {
+        let members = self.members.borrow();
+        let now = clock::now();
+        let alive = members.iter().filter(|(key, member)| {
+            member.role == Role::Entry
+                && members.standing(*key, now) == Standing::Alive
+                && zone.is_none_or(|zone| member.zone.name == *zone)
+        });
+        let mut names: Vec<Name> = alive.map(|(_, member)| member.name.clone()).collect();
+        names.push(self.process.hello.name.clone());
+        names
+    }
+
+    /// Place of this entry box in the rendezvous order of live ones for `subject`.
+    pub fn rank(&self, subject: u64, zone: Option<&Name>) -> usize {
+        use gingerpier_base::order;
+        let mut names = self.live_entries(zone);
+        order::sort_by_score(subject, &mut names, order::hash);
+        names
+            .iter()
+            .position(|name| *name == self.process.hello.name)
+            .unwrap_or(0)
+    }
+
+    /// Key of an account's limits, with the rate that the catalogue gives it.
+    pub fn account_key(&self, name: &Name, rate: u32) -> AccountKey {
+        let mut limits = self.limits.borrow_mut();
+        let mut accounts = self.accounts.borrow_mut();
+        let key = accounts
+            .entry(name.clone())
+            .or_insert_with(|| limits.add(rate, clock::now()));
+        limits.set_rate(*key, rate);
+        *key
+    }
+
+    /// Engines' load and capacity, and how many entry boxes share it.
+    pub fn demand(&self) -> Demand {
+        let (load, capacity) = self.fleet.borrow().load_and_capacity();
+        Demand {
+            load,
+            capacity,
+            sharers: self.live_entries(None).len() as u32,
+        }
+    }
+
+    /// Notes a request that starts.
+    pub fn begin_request(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.process.metrics.in_flight.inc();
+    }
+
+    /// Notes a request that ended.
+    pub fn end_request(&self) {
+        self.in_flight.set(self.in_flight.get() - 1);
+        self.process.metrics.in_flight.dec();
+    }
+
+    fn install_sweeps(self: Rc<Self>) {
+        actix_rt::spawn(async move {
+            loop {
+                clock::sleep(SWEEP_MILLIS).await;
+                self.claims.borrow_mut().sweep(clock::now());
+                self.process
+                    .metrics
+                    .revision
+                    .set(self.process.ledger.revision().0 as i64);
+            }
+        });
+    }
+
+    /// Waits until all requests have ended, or would have been given up.
+    async fn drain(&self) {
+        let deadline = clock::now().after_millis(self.settings.requests.patience.0);
+        while self.in_flight.get() > 0 && !deadline.has_passed(clock::now()) {
+            clock::sleep(DRAIN_LOOK_MILLIS).await;
+        }
+        tracing::info!(event = "stopped", broken_off = self.in_flight.get());
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_daemon/src/entry/peers.rs
@@ -0,0 +1,119 @@
+//! Links at an entry box: what other entry boxes ask of it.
+
+use {
+    super::Entry,
+    crate::{backend::peers::end, clock, ledger::Origin},
+    gingerpier_base::place::{Role, Zone},
+    gingerpier_link::{Link, Stream},
+    gingerpier_membership::{BoxKey, Listing},
+    gingerpier_wire::{Reply, Request, frame::Hello},
+    std::rc::Rc,
+};
+
+impl Entry {
+    /// Serves links for as long as the process runs.
+    pub fn install_peers(self: Rc<Self>) {
+        actix_rt::spawn(async move {
+            let entry = self.clone();
+            self.process
+                .accept(move |link| entry.clone().serve_link(link))
+                .await;
+        });
+    }
+
+    async fn serve_link(self: Rc<Self>, link: Link) {
+        while let Ok(stream) = link.accept().await {
+            let entry = self.clone();
+            let link = link.clone();
+            actix_rt::spawn(async move { entry.serve_stream(stream, &link).await });
+        }
+    }
+
+    async fn serve_stream(self: Rc<Self>, mut stream: Stream, link: &Link) {
+        let request = match stream.receive::<Request>().await {
+            Ok(request) => request,
+            Err(error) => {
+                tracing::warn!(event = "request_refused", %error);
+                stream.reset();
+                return;
+            }
+        };
+        if link.peer().role != Role::Entry {
+            tracing::warn!(event = "request_refused", peer = %link.peer(),
+                why = "the peer's role may not ask this");
+            stream.reset();
+            return;
+        }
+        let reply = match request {
+            Request::Hello(hello) => {
+                self.greeted(&hello, link);
+                Reply::Hello(self.process.hello())
+            }
+            Request::Claim { ticket, holder } => {
+                let verdict = self.claims.borrow_mut().claim(ticket, holder, clock::now());
+                Reply::Claimed(verdict)
+            }
+            Request::Settle {
+                ticket,
+                grant,
+                settlement,
+            } => {
+                self.claims.borrow_mut().settle(ticket, grant, settlement);
+                Reply::Informed {
+                    revision: self.process.ledger.revision(),
+                }
+            }
+            Request::Sync { revision } => Reply::News(self.process.ledger.since(revision)),
+            Request::Inform(inform) => {
+                let zone = self.place_of(link).map(|(_, zone)| zone);
+                let own = zone.as_ref() == Some(&self.process.hello.zone);
+                let origin = if own {
+                    Origin::OwnZone
+                } else {
+                    Origin::OtherZone
+                };
+                self.process.ledger.take_inform(&inform, origin);
+                if self.process.ledger.revision() < inform.revision {
+                    self.fill_gap(link).await;
+                }
+                Reply::Informed {
+                    revision: self.process.ledger.revision(),
+                }
+            }
+            _ => {
+                stream.reset();
+                return;
+            }
+        };
+        let served = stream.send(&reply).await;
+        end(served, stream).await;
+    }
+
+    /// A box that greets is met before the box list tells of it.
+    fn greeted(self: &Rc<Self>, hello: &Hello, link: &Link) {
+        if hello.name != link.peer().name || hello.leaving {
+            return;
+        }
+        if self.members.borrow().named(&hello.name).is_none() {
+            self.meet(
+                &hello.name,
+                hello.role,
+                &hello.zone,
+                &hello.address,
+                Listing::Live,
+            );
+        }
+    }
+
+    async fn fill_gap(&self, link: &Link) {
+        if let Some((key, zone)) = self.place_of(link) {
+            self.sync_with(key, &zone).await;
+        }
+    }
+
+    fn place_of(&self, link: &Link) -> Option<(BoxKey, Zone)> {
+        let members = self.members.borrow();
+        let key = members.named(&link.peer().name)?;
+        Some((key, members.get(key)?.zone.clone()))
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_daemon/src/run.rs
@@ -0,0 +1,42 @@
+//! From a settings file to a running daemon.
+
+use {
+    crate::{backend::Backend, entry::Entry, error::Error, log},
+    gingerpier_settings::Settings,
+    std::path::Path,
+};
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Lists every mistake in it.
+pub fn settings(path: &Path) -> Result<Settings, Error> {
+    let text = std::fs::read_to_string(path).map_err(|what| Error::ReadSettings {
+        path: path.to_owned(),
+        what,
+    })?;
+    gingerpier_settings::read(&text).map_err(|problems| Error::Settings {
+        path: path.to_owned(),
+        problems,
+    })
+}
+
+/// Runs the daemon of a settings file until it is told to stop.
+///
+/// # Errors
+///
+/// Where it can't start.
+pub fn run(path: &Path) -> Result<(), Error> {
+    let settings = settings(path)?;
+    log::start();
+    actix_rt::System::new().block_on(async {
+        match settings {
+            Settings::Entry(settings) => Entry::run(*settings).await,
+            Settings::Backend(settings) => Backend::run(*settings).await,
+            Settings::Operator(_) => Err(Error::Role {
+                path: path.to_owned(),
+            }),
+        }
+    })
+}
--- a/crates/gingerpier_language/src/lib.rs
+++ b/crates/gingerpier_language/src/lib.rs
@@ -21,3 +21,6 @@
 pub use error::Error;
 pub use parser::parse;
 pub use statement::Statement;
+
+/// The grammar, as written.
+pub const GRAMMAR: &str = include_str!("grammar.pest");
--- a/crates/gingerpier_language/src/parser.rs
+++ b/crates/gingerpier_language/src/parser.rs
@@ -40,8 +40,12 @@
     match inner.as_rule() {
         Rule::show => Ok(Statement::Show(query(inner)?)),
         Rule::dry_run => {
-            let change = inner.into_inner().find(|pair| pair.as_rule() == Rule::change);
-            Ok(Statement::DryRun(change.map(commands).transpose()?.unwrap_or_default()))
+            let change = inner
+                .into_inner()
+                .find(|pair| pair.as_rule() == Rule::change);
+            Ok(Statement::DryRun(
+                change.map(commands).transpose()?.unwrap_or_default(),
+            ))
         }
         _ => Ok(Statement::Change(commands(inner)?)),
     }
@@ -55,12 +59,22 @@
         ErrorVariant::ParsingError { positives, .. } => expectation(positives),
         ErrorVariant::CustomError { message } => message.clone(),
     };
-    Error { line, column, found: word_at(text, line, column), expected }
+    Error {
+        line,
+        column,
+        found: word_at(text, line, column),
+        expected,
+    }
 }
 
 fn word_at(text: &str, line: usize, column: usize) -> String {
-    let rest: String =
-        text.lines().nth(line - 1).unwrap_or_default().chars().skip(column - 1).collect();
+    let rest: String = text
+        .lines()
+        .nth(line - 1)
+        .unwrap_or_default()
+        .chars()
+        .skip(column - 1)
+        .collect();
     match rest.split_whitespace().next() {
         Some(word) => format!("`{word}`"),
         None => "the end".to_owned(),
@@ -88,7 +102,7 @@
         Rule::name => "a name".to_owned(),
         Rule::number => "a number".to_owned(),
         Rule::digest => "a digest of 64 hexadecimal digits".to_owned(),
-        Rule::path | Rule::path_text => "a path in double quotes".to_owned(),
+        Rule::path | Rule::path_text | Rule::bare_path => "a path".to_owned(),
         Rule::create_model
         | Rule::create_adapter
         | Rule::create_version
@@ -109,7 +123,9 @@
 
 /// Next pair; the grammar guarantees that there is one.
 fn next<'a>(pairs: &mut Pairs<'a, Rule>) -> Pair<'a, Rule> {
-    pairs.next().unwrap_or_else(|| unreachable!("the grammar guarantees a further part"))
+    pairs
+        .next()
+        .unwrap_or_else(|| unreachable!("the grammar guarantees a further part"))
 }
 
 /// Parts of a statement that carry a value, without the words between them.
@@ -137,7 +153,9 @@
     }
 
     fn take(&mut self) -> Pair<'a, Rule> {
-        self.0.pop().unwrap_or_else(|| unreachable!("the grammar guarantees a further value"))
+        self.0
+            .pop()
+            .unwrap_or_else(|| unreachable!("the grammar guarantees a further value"))
     }
 
     fn read<T>(&mut self) -> Result<T, Error>
@@ -157,7 +175,9 @@
         T: FromStr,
         T::Err: Display,
     {
-        let Some(pair) = self.optional(rule) else { return Ok(Vec::new()) };
+        let Some(pair) = self.optional(rule) else {
+            return Ok(Vec::new());
+        };
         let mut inner = Self::of(pair);
         inner.0.reverse();
         inner.0.iter().map(read).collect()
@@ -189,12 +209,24 @@
 }
 
 fn query(pair: Pair<'_, Rule>) -> Result<Query, Error> {
-    let body = pair.into_inner().find(|pair| pair.as_rule() != Rule::show_word);
+    let body = pair
+        .into_inner()
+        .find(|pair| pair.as_rule() != Rule::show_word);
     let body = body.unwrap_or_else(|| unreachable!("the grammar guarantees a subject"));
     if body.as_rule() == Rule::audit_query {
-        let last = Values::of(body).0.pop().map(|pair| read(&pair)).transpose()?;
-        let filter = Filter { last: last.or(Some(DEFAULT_AUDIT_ENTRIES)), ..Filter::default() };
-        return Ok(Query { subject: Subject::Audit, filter });
+        let last = Values::of(body)
+            .0
+            .pop()
+            .map(|pair| read(&pair))
+            .transpose()?;
+        let filter = Filter {
+            last: last.or(Some(DEFAULT_AUDIT_ENTRIES)),
+            ..Filter::default()
+        };
+        return Ok(Query {
+            subject: Subject::Audit,
+            filter,
+        });
     }
     let mut parts = body.into_inner();
     let subject = subject(&next(&mut next(&mut parts).into_inner()));
@@ -230,32 +262,45 @@
 }
 
 fn commands(pair: Pair<'_, Rule>) -> Result<Vec<Command>, Error> {
-    let written = pair.into_inner().filter(|pair| pair.as_rule() == Rule::command);
-    written.map(|pair| command(next(&mut pair.into_inner()))).collect()
+    let written = pair
+        .into_inner()
+        .filter(|pair| pair.as_rule() == Rule::command);
+    written
+        .map(|pair| command(next(&mut pair.into_inner())))
+        .collect()
 }
 
 fn command(pair: Pair<'_, Rule>) -> Result<Command, Error> {
     let rule = pair.as_rule();
     let mut values = Values::of(pair);
     Ok(match rule {
-        Rule::create_model => {
-            Command::CreateModel { model: values.read()?, kind: values.read()? }
-        }
-        Rule::create_adapter => {
-            Command::CreateAdapter { model: values.read()?, base: values.read()? }
-        }
+        Rule::create_model => Command::CreateModel {
+            model: values.read()?,
+            kind: values.read()?,
+        },
+        Rule::create_adapter => Command::CreateAdapter {
+            model: values.read()?,
+            base: values.read()?,
+        },
         Rule::create_version => create_version(&mut values)?,
         Rule::set_account => Command::SetAccount {
             account: values.read()?,
             key: values.read::<Digest>()?,
             rate: values.read()?,
-            priority: values.optional_value(Rule::priority)?.unwrap_or(DEFAULT_PRIORITY),
+            priority: values
+                .optional_value(Rule::priority)?
+                .unwrap_or(DEFAULT_PRIORITY),
         },
         Rule::delete_version => {
             let version = values.read()?;
-            Command::DeleteVersion { version, model: values.read()? }
+            Command::DeleteVersion {
+                version,
+                model: values.read()?,
+            }
         }
-        Rule::delete_account => Command::DeleteAccount { account: values.read()? },
+        Rule::delete_account => Command::DeleteAccount {
+            account: values.read()?,
+        },
         Rule::serve => Command::Serve {
             model: values.read()?,
             zone: values.read()?,
@@ -268,12 +313,24 @@
             steps: values.list::<u8>(Rule::steps)?,
             replacing: values.optional(Rule::replacing).is_some(),
         },
-        Rule::pause => Command::Pause { model: values.read()? },
-        Rule::resume => Command::Resume { model: values.read()? },
-        Rule::go_back => Command::GoBack { model: values.read()? },
-        Rule::drain => Command::Drain { server: values.read()? },
-        Rule::undrain => Command::Undrain { server: values.read()? },
-        _ => Command::Stop { server: values.read()? },
+        Rule::pause => Command::Pause {
+            model: values.read()?,
+        },
+        Rule::resume => Command::Resume {
+            model: values.read()?,
+        },
+        Rule::go_back => Command::GoBack {
+            model: values.read()?,
+        },
+        Rule::drain => Command::Drain {
+            server: values.read()?,
+        },
+        Rule::undrain => Command::Undrain {
+            server: values.read()?,
+        },
+        _ => Command::Stop {
+            server: values.read()?,
+        },
     })
 }
 
--- a/crates/gingerpier_language/tests/language.rs
+++ b/crates/gingerpier_language/tests/language.rs
@@ -13,7 +13,9 @@
 #[test]
 fn commands_joined_by_semicolons_are_one_change() {
     let text = "create model plate-notes for lm; # comment\n serve plate-notes in kochi replicas 4 for students,staff";
-    let Ok(Statement::Change(commands)) = parse(text) else { panic!("no change: {text}") };
+    let Ok(Statement::Change(commands)) = parse(text) else {
+        panic!("no change: {text}")
+    };
     assert_eq!(commands.len(), 2);
 }
 
@@ -23,7 +25,10 @@
         panic!("no query")
     };
     assert_eq!(query.subject, Subject::Loaded);
-    assert_eq!(query.filter.zone.map(|zone| zone.to_string()), Some("kochi".to_owned()));
+    assert_eq!(
+        query.filter.zone.map(|zone| zone.to_string()),
+        Some("kochi".to_owned())
+    );
 }
 
 #[test]
@@ -57,7 +62,12 @@
     );
     check_error(
         "roll out m to v2 steps 10,300",
-        expect!["line 1, column 27: `300` where a number (number too large to fit in target type) was expected"],
+        expect![
+            "line 1, column 27: `300` where a number (number too large to fit in target type) was expected"
+        ],
+    );
+    check_error(
+        "pause",
+        expect!["line 1, column 6: the end where a name was expected"],
     );
-    check_error("pause", expect!["line 1, column 6: the end where a name was expected"]);
 }
--- a/crates/gingerpier_link/src/lib.rs
+++ b/crates/gingerpier_link/src/lib.rs
@@ -1,1 +1,30 @@
-//! .
+//! Authenticated QUIC links between gingerpier processes, and their keys.
+//!
+//! Every process has a certificate from the deployment's own authority that names its role and
+//! its box; both ends of every link check it. Keys are read again when their files change, and
+//! links made from then on use the new ones.
+//!
+//! ```
+//! use gingerpier_base::place::Role;
+//! use gingerpier_link::identity::Identity;
+//!
+//! let identity = Identity { role: Role::Backend, name: "kochi-b1".parse()? };
+//! assert_eq!(identity.server_name(), "backend.kochi-b1.gingerpier");
+//! assert_eq!(Identity::from_server_name("backend.kochi-b1.gingerpier"), Some(identity));
+//! # Ok::<(), gingerpier_base::name::Error>(())
+//! ```
+
+pub mod authority;
+pub mod credentials;
+pub mod endpoint;
+mod entry_verifier;
+pub mod error;
+pub mod identity;
+pub mod stream;
+
+pub use authority::Authority;
+pub use credentials::Credentials;
+pub use endpoint::{Endpoint, Link};
+pub use error::{Error, Step};
+pub use identity::Identity;
+pub use stream::Stream;
--- a/crates/gingerpier_membership/src/merge.rs
+++ b/crates/gingerpier_membership/src/merge.rs
@@ -36,7 +36,9 @@
 
     /// Box called `name`.
     pub fn named(&self, name: &Name) -> Option<BoxKey> {
-        self.iter().find(|(_, member)| member.name == *name).map(|(key, _)| key)
+        self.iter()
+            .find(|(_, member)| member.name == *name)
+            .map(|(key, _)| key)
     }
 
     /// Takes the box list's word on a box.
@@ -48,7 +50,9 @@
         address: &str,
         listing: Listing,
     ) -> BoxKey {
-        let key = self.named(name).unwrap_or_else(|| self.add(name, role, zone, address));
+        let key = self
+            .named(name)
+            .unwrap_or_else(|| self.add(name, role, zone, address));
         if let Some(member) = self.members.get_mut(&key) {
             // The list never takes back that a box leaves; only its absence ends it.
             if member.listing != Listing::Leaving || listing == Listing::Absent {
@@ -69,22 +73,33 @@
 
     /// Notes that the box answers, as the run `incarnation` of its process.
     pub fn link_up(&mut self, key: BoxKey, incarnation: Incarnation, now: Instant) {
-        let Some(member) = self.members.get_mut(&key) else { return };
+        let Some(member) = self.members.get_mut(&key) else {
+            return;
+        };
         if member.leaving.is_some_and(|leaving| leaving != incarnation) {
             member.leaving = None;
         }
         let trusted_from = now.after_millis(member.distrust_millis(now));
-        member.link = Link::Up { incarnation, trusted_from };
+        member.link = Link::Up {
+            incarnation,
+            trusted_from,
+        };
     }
 
     /// Notes that the box no longer answers.
     pub fn link_down(&mut self, key: BoxKey, now: Instant) {
-        let Some(member) = self.members.get_mut(&key) else { return };
+        let Some(member) = self.members.get_mut(&key) else {
+            return;
+        };
         if member.link == Link::Down {
             return;
         }
         let long_ago = now.millis_since(member.fell_at) > FALLS_FORGOTTEN_MILLIS;
-        member.falls = if long_ago { 1 } else { (member.falls + 1).min(MAX_FALLS) };
+        member.falls = if long_ago {
+            1
+        } else {
+            (member.falls + 1).min(MAX_FALLS)
+        };
         member.fell_at = now;
         member.link = Link::Down;
     }
@@ -98,15 +113,22 @@
 
     /// What the evidence on a box comes to.
     pub fn standing(&self, key: BoxKey, now: Instant) -> Standing {
-        self.members.get(&key).map_or(Standing::Gone, |member| member.standing(now))
+        self.members
+            .get(&key)
+            .map_or(Standing::Gone, |member| member.standing(now))
     }
 
     /// Forgets boxes that are gone, and names them.
     pub fn sweep(&mut self, now: Instant) -> Vec<Member> {
         let gone = |member: &Member| member.standing(now) == Standing::Gone;
-        let keys: Vec<BoxKey> =
-            self.iter().filter(|(_, member)| gone(member)).map(|(key, _)| key).collect();
-        keys.into_iter().filter_map(|key| self.members.remove(&key)).collect()
+        let keys: Vec<BoxKey> = self
+            .iter()
+            .filter(|(_, member)| gone(member))
+            .map(|(key, _)| key)
+            .collect();
+        keys.into_iter()
+            .filter_map(|key| self.members.remove(&key))
+            .collect()
     }
 
     fn add(&mut self, name: &Name, role: Role, zone: &Zone, address: &str) -> BoxKey {
@@ -135,7 +157,13 @@
             (Link::Down, Listing::Absent) => Standing::Gone,
             (_, Listing::Leaving) => Standing::Leaving,
             (Link::Down, Listing::Live) => Standing::Suspect,
-            (Link::Up { incarnation, trusted_from }, _) => {
+            (
+                Link::Up {
+                    incarnation,
+                    trusted_from,
+                },
+                _,
+            ) => {
                 if self.leaving == Some(incarnation) {
                     Standing::Leaving
                 } else if trusted_from.has_passed(now) {
@@ -157,6 +185,10 @@
 
     const fn distrust_millis(&self, now: Instant) -> u64 {
         let recent = now.millis_since(self.fell_at) <= FALLS_FORGOTTEN_MILLIS;
-        if self.falls < 2 || !recent { 0 } else { DISTRUST_MILLIS << (self.falls - 2) }
+        if self.falls < 2 || !recent {
+            0
+        } else {
+            DISTRUST_MILLIS << (self.falls - 2)
+        }
     }
 }
--- a/crates/gingerpier_once/src/claims.rs
+++ b/crates/gingerpier_once/src/claims.rs
@@ -47,7 +47,9 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    Running { holder: Incarnation },
+    Running {
+        holder: Incarnation,
+    },
     Answered,
     /// Proved not to have run; may be granted again.
     Open,
@@ -74,14 +76,25 @@
 impl Claims {
     /// Claims of `owner`, sealed with its `secret`.
     pub const fn new(owner: Incarnation, secret: u64, retention_millis: u64) -> Self {
-        Self { owner, secret, retention_millis, next: 0, held: BTreeMap::new() }
+        Self {
+            owner,
+            secret,
+            retention_millis,
+            next: 0,
+            held: BTreeMap::new(),
+        }
     }
 
     /// Issues a ticket.
     pub fn issue(&mut self, now: Instant) -> Ticket {
         self.next += 1;
         let number = self.next;
-        Ticket { owner: self.owner, issued: now, number, seal: self.seal(now, number) }
+        Ticket {
+            owner: self.owner,
+            issued: now,
+            number,
+            seal: self.seal(now, number),
+        }
     }
 
     /// Asks to run the request of `ticket` at the entry box process `holder`.
@@ -92,11 +105,18 @@
         if ticket.seal != self.seal(ticket.issued, ticket.number) {
             return Verdict::Forged;
         }
-        if ticket.issued.after_millis(self.retention_millis).has_passed(now) {
+        if ticket
+            .issued
+            .after_millis(self.retention_millis)
+            .has_passed(now)
+        {
             return Verdict::Unknown;
         }
         let key = (ticket.issued, ticket.number);
-        let held = self.held.entry(key).or_insert(Held { grant: 0, state: State::Open });
+        let held = self.held.entry(key).or_insert(Held {
+            grant: 0,
+            state: State::Open,
+        });
         match held.state {
             State::Running { .. } => Verdict::Running,
             State::Answered => Verdict::Answered,
@@ -111,7 +131,9 @@
 
     /// Notes what became of a grant; the word on an earlier grant changes nothing.
     pub fn settle(&mut self, ticket: Ticket, grant: u32, settlement: Settlement) {
-        let Some(held) = self.held.get_mut(&(ticket.issued, ticket.number)) else { return };
+        let Some(held) = self.held.get_mut(&(ticket.issued, ticket.number)) else {
+            return;
+        };
         if held.grant != grant || !matches!(held.state, State::Running { .. }) {
             return;
         }
--- a/crates/gingerpier_once/src/course.rs
+++ b/crates/gingerpier_once/src/course.rs
@@ -127,6 +127,11 @@
         self.may_have_run
     }
 
+    /// Notes that what came of the answer can't be gone on with elsewhere.
+    pub const fn forbid_resuming(&mut self) {
+        self.can_resume = false;
+    }
+
     /// Attempt under way.
     pub const fn attempt(&self) -> Option<AttemptKey> {
         match self.phase {
@@ -192,7 +197,14 @@
             return self.give_up_unsent(Reason::Retries);
         }
         self.phase = Phase::Choosing;
-        [Some(if self.begun { Action::Resume } else { Action::Choose }), None]
+        [
+            Some(if self.begun {
+                Action::Resume
+            } else {
+                Action::Choose
+            }),
+            None,
+        ]
     }
 
     /// The attempt may have run, or did in part.
@@ -201,14 +213,23 @@
         let may_repeat = self.repetition == Repetition::Harmless && self.tries_left > 0;
         if may_repeat && (!self.begun || self.can_resume) {
             self.phase = Phase::Choosing;
-            return [Some(if self.begun { Action::Resume } else { Action::Choose }), None];
+            return [
+                Some(if self.begun {
+                    Action::Resume
+                } else {
+                    Action::Choose
+                }),
+                None,
+            ];
         }
         self.give_up_unsent(reason)
     }
 
     /// Final word at once; a revocation goes out before it where an attempt is under way.
     fn give_up(&mut self, reason: Reason) -> [Option<Action>; 2] {
-        let Some(attempt) = self.attempt() else { return self.give_up_unsent(reason) };
+        let Some(attempt) = self.attempt() else {
+            return self.give_up_unsent(reason);
+        };
         self.may_have_run = true;
         let [last, _] = self.give_up_unsent(reason);
         [Some(Action::Revoke(attempt)), last]
--- a/crates/gingerpier_once/src/door.rs
+++ b/crates/gingerpier_once/src/door.rs
@@ -104,7 +104,11 @@
 impl Door {
     /// Door of the process run `incarnation`.
     pub const fn new(incarnation: Incarnation, retention_millis: u64) -> Self {
-        Self { incarnation, retention_millis, senders: BTreeMap::new() }
+        Self {
+            incarnation,
+            retention_millis,
+            senders: BTreeMap::new(),
+        }
     }
 
     /// Run of the process.
@@ -133,7 +137,9 @@
             (Some(_), _) => Admission::Duplicate,
             (None, Err(refusal)) => {
                 // A second copy of a refused attempt must not start once the engine is ready.
-                sender.attempts.insert(key.number, State::Revoked { forget_at });
+                sender
+                    .attempts
+                    .insert(key.number, State::Revoked { forget_at });
                 Admission::Refuse(refusal)
             }
             (None, Ok(())) => {
@@ -157,7 +163,9 @@
             Some(State::Running | State::Ended { .. }) => Revocation::Started,
             Some(State::Revoked { .. }) => Revocation::NotRun,
             None => {
-                sender.attempts.insert(key.number, State::Revoked { forget_at });
+                sender
+                    .attempts
+                    .insert(key.number, State::Revoked { forget_at });
                 Revocation::NotRun
             }
         }
@@ -167,7 +175,9 @@
     pub fn end(&mut self, key: AttemptKey, now: Instant) {
         let forget_at = now.after_millis(self.retention_millis);
         if let Some(sender) = self.senders.get_mut(&key.entry) {
-            sender.attempts.insert(key.number, State::Ended { forget_at });
+            sender
+                .attempts
+                .insert(key.number, State::Ended { forget_at });
         }
     }
 
@@ -175,7 +185,9 @@
     pub fn turn_back(&mut self, key: AttemptKey, now: Instant) {
         let forget_at = now.after_millis(self.retention_millis);
         if let Some(sender) = self.senders.get_mut(&key.entry) {
-            sender.attempts.insert(key.number, State::Revoked { forget_at });
+            sender
+                .attempts
+                .insert(key.number, State::Revoked { forget_at });
         }
     }
 
@@ -193,13 +205,19 @@
 
     /// Attempts remembered.
     pub fn remembered(&self) -> usize {
-        self.senders.values().map(|sender| sender.attempts.len()).sum()
+        self.senders
+            .values()
+            .map(|sender| sender.attempts.len())
+            .sum()
     }
 }
 
 impl Sender {
     fn running(&self) -> usize {
-        self.attempts.values().filter(|state| **state == State::Running).count()
+        self.attempts
+            .values()
+            .filter(|state| **state == State::Running)
+            .count()
     }
 
     fn sweep(&mut self, now: Instant) {
--- a/crates/gingerpier_once/src/ticket.rs
+++ b/crates/gingerpier_once/src/ticket.rs
@@ -33,8 +33,17 @@
 
 impl fmt::Display for Ticket {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { owner, issued, number, seal } = self;
-        write!(formatter, "{owner}-{:x}-{number:x}-{seal:016x}", issued.as_millis())
+        let Self {
+            owner,
+            issued,
+            number,
+            seal,
+        } = self;
+        write!(
+            formatter,
+            "{owner}-{:x}-{number:x}-{seal:016x}",
+            issued.as_millis()
+        )
     }
 }
 
@@ -42,7 +51,9 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        let mut parts = text.split('-').map(|part| u64::from_str_radix(part, 16).ok());
+        let mut parts = text
+            .split('-')
+            .map(|part| u64::from_str_radix(part, 16).ok());
         let mut part = || parts.next().flatten();
         let ticket = (|| {
             Some(Self {
--- a/crates/gingerpier_platform/src/lib.rs
+++ b/crates/gingerpier_platform/src/lib.rs
@@ -1,1 +1,21 @@
-//! .
+//! Edges to the platform: key-value service, weight sources, box list, engines.
+//!
+//! Each module speaks one published protocol and turns its answers into types of this crate; a
+//! different protocol is a change of one module. Nothing here decides anything. The protocols are
+//! written down in `docs/INTERFACES.md`.
+//!
+//! ```
+//! use gingerpier_platform::key_value::Change;
+//!
+//! let change = Change::default().guard("head", 7).put("head", b"8".to_vec());
+//! assert_eq!(change.puts.len(), 1);
+//! ```
+
+pub mod box_list;
+pub mod engine;
+pub mod error;
+pub mod http;
+pub mod key_value;
+pub mod weight_source;
+
+pub use error::{Error, Fault, Step};
--- a/crates/gingerpier_rollout/src/engine.rs
+++ b/crates/gingerpier_rollout/src/engine.rs
@@ -1,8 +1,6 @@
 //! What is known of an engine when the planner looks.
 
-use {
-    gingerpier_base::{Digest, Name},
-};
+use gingerpier_base::{Digest, Name};
 
 /// State of an engine, as its backend server's door reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/gingerpier_rollout/src/planner.rs
+++ b/crates/gingerpier_rollout/src/planner.rs
@@ -23,7 +23,10 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { missing_millis: 10_000, moving_percent: 34 }
+        Self {
+            missing_millis: 10_000,
+            moving_percent: 34,
+        }
     }
 }
 
@@ -48,7 +51,10 @@
 impl Planner {
     /// Planner that has seen nothing.
     pub const fn new(terms: Terms) -> Self {
-        Self { terms, missing: BTreeMap::new() }
+        Self {
+            terms,
+            missing: BTreeMap::new(),
+        }
     }
 
     /// Proposes commands; empty where nothing is to be done.
@@ -82,19 +88,28 @@
         now: Instant,
     ) -> Vec<Name> {
         let usable = |engine: &Name| views.get(engine).is_some_and(|view| view.usable);
-        self.missing.retain(|engine, _| {
-            catalogue.assignments().contains_key(engine) && !usable(engine)
-        });
-        let unusable = catalogue.assignments().iter().filter(|(engine, _)| !usable(engine));
+        self.missing
+            .retain(|engine, _| catalogue.assignments().contains_key(engine) && !usable(engine));
+        let unusable = catalogue
+            .assignments()
+            .iter()
+            .filter(|(engine, _)| !usable(engine));
         for (engine, held) in unusable {
             // An operator's word needs no waiting.
             let withdrawn = catalogue.withdrawal(&held.server).is_some();
-            let patience = if withdrawn { 0 } else { self.terms.missing_millis };
+            let patience = if withdrawn {
+                0
+            } else {
+                self.terms.missing_millis
+            };
             let deadline = now.after_millis(patience);
             let known = self.missing.entry(engine.clone()).or_insert(deadline);
             *known = (*known).min(deadline);
         }
-        let passed = self.missing.iter().filter(|(_, deadline)| deadline.has_passed(now));
+        let passed = self
+            .missing
+            .iter()
+            .filter(|(_, deadline)| deadline.has_passed(now));
         passed.map(|(engine, _)| engine.clone()).collect()
     }
 }
@@ -120,8 +135,15 @@
     /// Frees engines in zones that no longer serve the model, or all where no version is wanted.
     fn end_contracts(&mut self, key: ModelKey, model: &Model) {
         let idle = model.live.is_empty() && model.rollout.is_none();
-        let served = |zone: &Name| model.contracts.iter().any(|contract| contract.zone == *zone);
-        let ended = self.holders(key).filter(|(_, held)| idle || !served(&held.zone));
+        let served = |zone: &Name| {
+            model
+                .contracts
+                .iter()
+                .any(|contract| contract.zone == *zone)
+        };
+        let ended = self
+            .holders(key)
+            .filter(|(_, held)| idle || !served(&held.zone));
         let ended: Vec<Name> = ended.map(|(engine, _)| engine.clone()).collect();
         for engine in ended {
             self.unassign(&engine);
@@ -141,13 +163,19 @@
         let mut seats = self.seats(key, &contract.zone);
         let live = model.live.first().copied();
         let rollout = model.rollout.as_ref();
-        let Some(first) = live.or(rollout.map(|rollout| rollout.to)) else { return false };
+        let Some(first) = live.or(rollout.map(|rollout| rollout.to)) else {
+            return false;
+        };
         self.fill_seats(&mut seats, model, contract, first);
         let Some(rollout) = rollout else {
             self.switch(&seats, first, seats.engines.len());
             return false;
         };
-        let percent = if live.is_none() && !rollout.paused { 100 } else { rollout.wanted_percent() };
+        let percent = if live.is_none() && !rollout.paused {
+            100
+        } else {
+            rollout.wanted_percent()
+        };
         let wanted = (contract.replicas as usize * percent as usize).div_ceil(100);
         self.switch(&seats, rollout.to, wanted);
         let ready = seats.engines.iter().filter(|(engine, version)| {
@@ -158,7 +186,9 @@
 
     fn seats<'a>(&self, key: ModelKey, zone: &'a Name) -> Seats<'a> {
         let held = self.holders(key).filter(|(_, held)| held.zone == *zone);
-        let engines = held.map(|(engine, held)| (engine.clone(), held.version)).collect();
+        let engines = held
+            .map(|(engine, held)| (engine.clone(), held.version))
+            .collect();
         Seats { zone, engines }
     }
 
@@ -201,17 +231,26 @@
 
     /// Moves engines to `to` until `wanted` hold it, few at a time while others serve.
     fn switch(&mut self, seats: &Seats<'_>, to: VersionKey, wanted: usize) {
-        let on_target = seats.engines.iter().filter(|(_, version)| *version == to).count();
-        let moving = seats.engines.iter().filter(|(engine, version)| {
-            self.is_usable(engine) && !self.is_ready(engine, *version)
-        });
+        let on_target = seats
+            .engines
+            .iter()
+            .filter(|(_, version)| *version == to)
+            .count();
+        let moving = seats
+            .engines
+            .iter()
+            .filter(|(engine, version)| self.is_usable(engine) && !self.is_ready(engine, *version));
         let most = (seats.engines.len() * self.terms.moving_percent as usize).div_ceil(100);
         let room = most.saturating_sub(moving.count());
         let count = wanted.saturating_sub(on_target).min(room);
-        let others = seats.engines.iter().filter(|(engine, version)| {
-            *version != to && self.is_usable(engine)
-        });
-        let next: Vec<Name> = others.map(|(engine, _)| engine.clone()).take(count).collect();
+        let others = seats
+            .engines
+            .iter()
+            .filter(|(engine, version)| *version != to && self.is_usable(engine));
+        let next: Vec<Name> = others
+            .map(|(engine, _)| engine.clone())
+            .take(count)
+            .collect();
         for engine in next {
             self.assign(&engine, to);
         }
@@ -226,7 +265,9 @@
         let served = |zone: &Name| model.contracts.iter().any(|held| held.zone == *zone);
         let mut holders = 0;
         let mut ready = 0;
-        let on_base = self.holders(base).filter(|(_, held)| Some(held.version) == version.base);
+        let on_base = self
+            .holders(base)
+            .filter(|(_, held)| Some(held.version) == version.base);
         for (engine, held) in on_base.filter(|(_, held)| served(&held.zone)) {
             holders += 1;
             let adapted = |view: &&View| view.adapters.contains(&version.manifest);
@@ -244,22 +285,36 @@
         }
         let version = self.catalogue.version(rollout.to).name.clone();
         let reached = rollout.reached;
-        self.commands.push(Command::Advance { model: model.name.clone(), version, reached });
+        self.commands.push(Command::Advance {
+            model: model.name.clone(),
+            version,
+            reached,
+        });
     }
 
     fn assign(&mut self, engine: &Name, version: VersionKey) {
-        let Some(view) = self.views.get(engine) else { return };
+        let Some(view) = self.views.get(engine) else {
+            return;
+        };
         let (server, zone) = (view.server.clone(), view.zone.clone());
         let version = self.catalogue.version(version);
         let model = self.catalogue.model(version.model).name.clone();
         let version = version.name.clone();
         let engine = engine.clone();
-        self.commands.push(Command::Assign { engine, server, zone, model, version });
+        self.commands.push(Command::Assign {
+            engine,
+            server,
+            zone,
+            model,
+            version,
+        });
     }
 
     fn unassign(&mut self, engine: &Name) {
         if self.taken.remove(engine) {
-            self.commands.push(Command::Unassign { engine: engine.clone() });
+            self.commands.push(Command::Unassign {
+                engine: engine.clone(),
+            });
         }
     }
 
--- a/crates/gingerpier_routing/src/budget.rs
+++ b/crates/gingerpier_routing/src/budget.rs
@@ -13,7 +13,9 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { units: MOST_RETRIES * REQUESTS_A_RETRY }
+        Self {
+            units: MOST_RETRIES * REQUESTS_A_RETRY,
+        }
     }
 }
 
--- a/crates/gingerpier_routing/src/limits.rs
+++ b/crates/gingerpier_routing/src/limits.rs
@@ -50,7 +50,12 @@
     /// Adds an account of `rate` requests a second over all entry boxes.
     pub fn add(&mut self, rate: u32, now: Instant) -> AccountKey {
         let units = u64::from(rate) * BURST_SECONDS * REQUEST_UNITS;
-        self.buckets.push(Bucket { rate, units, filled_at: now, in_flight: 0 });
+        self.buckets.push(Bucket {
+            rate,
+            units,
+            filled_at: now,
+            in_flight: 0,
+        });
         AccountKey(self.buckets.len() as u32 - 1)
     }
 
--- a/crates/gingerpier_routing/src/router.rs
+++ b/crates/gingerpier_routing/src/router.rs
@@ -30,7 +30,12 @@
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { draws: 2, prefix_percent: 125, spill_percent: 80, wait_millis: 20 }
+        Self {
+            draws: 2,
+            prefix_percent: 125,
+            spill_percent: 80,
+            wait_millis: 20,
+        }
     }
 }
 
@@ -102,12 +107,20 @@
     /// Router whose random draws follow from `seed`; give each entry box its own.
     pub fn new(policy: Policy, seed: u64) -> Self {
         let random = fastrand::Rng::with_seed(seed);
-        Self { policy, engines: Vec::new(), pools: Vec::new(), random }
+        Self {
+            policy,
+            engines: Vec::new(),
+            pools: Vec::new(),
+            random,
+        }
     }
 
     /// Adds an engine that takes `capacity` requests at once.
     pub fn add_engine(&mut self, capacity: u32) -> EngineKey {
-        self.engines.push(Engine { capacity, ..Engine::default() });
+        self.engines.push(Engine {
+            capacity,
+            ..Engine::default()
+        });
         EngineKey(self.engines.len() as u32 - 1)
     }
 
@@ -138,11 +151,15 @@
     pub fn leave(&mut self, pool: PoolKey, engine: EngineKey) {
         let load = u64::from(self.engine(engine).load());
         let held = &mut self.pools[pool.0 as usize];
-        let Some(place) = held.members.iter().position(|member| *member == engine) else { return };
+        let Some(place) = held.members.iter().position(|member| *member == engine) else {
+            return;
+        };
         held.members.swap_remove(place);
         held.load -= load;
         held.ring.retain(|point| point.engine != engine);
-        self.engines[engine.0 as usize].pools.retain(|other| *other != pool);
+        self.engines[engine.0 as usize]
+            .pools
+            .retain(|other| *other != pool);
     }
 
     /// Pools that an engine is in.
@@ -206,8 +223,14 @@
     pub fn choose(&mut self, ask: Ask<'_>) -> Result<EngineKey, Refusal> {
         let mut least_excess = None;
         for (nearness, pool) in ask.pools.iter().enumerate() {
-            let percent = if nearness == 0 { 100 } else { self.policy.spill_percent };
-            let Some(best) = self.best_of(*pool, ask) else { continue };
+            let percent = if nearness == 0 {
+                100
+            } else {
+                self.policy.spill_percent
+            };
+            let Some(best) = self.best_of(*pool, ask) else {
+                continue;
+            };
             let engine = self.engine(best);
             let room = u64::from(engine.capacity) * u64::from(percent) / 100;
             if u64::from(engine.load()) < room.max(1) {
@@ -232,7 +255,9 @@
     }
 
     fn best_of(&mut self, pool: PoolKey, ask: Ask<'_>) -> Option<EngineKey> {
-        if let Some(engine) = ask.prefix.and_then(|prefix| self.by_prefix(pool, prefix, ask.tried))
+        if let Some(engine) = ask
+            .prefix
+            .and_then(|prefix| self.by_prefix(pool, prefix, ask.tried))
         {
             return Some(engine);
         }
@@ -245,7 +270,8 @@
             }
         }
         // Few engines, most of them tried: look at each once.
-        best.filter(|best| self.has_room(*best)).or_else(|| self.least_loaded(pool, ask.tried))
+        best.filter(|best| self.has_room(*best))
+            .or_else(|| self.least_loaded(pool, ask.tried))
     }
 
     fn has_room(&self, engine: EngineKey) -> bool {
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -26,7 +26,12 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { window: 8, stall_millis: 2_000, patience_millis: 30_000, pause_millis: 1_000 }
+        Self {
+            window: 8,
+            stall_millis: 2_000,
+            patience_millis: 30_000,
+            pause_millis: 1_000,
+        }
     }
 }
 
@@ -195,13 +200,17 @@
             self.open.remove(&chunk);
             return;
         }
-        let Some(under_way) = self.attempt_mut(chunk, attempt).copied() else { return };
+        let Some(under_way) = self.attempt_mut(chunk, attempt).copied() else {
+            return;
+        };
         if let (Outcome::Corrupt, Source::Replica(source) | Source::Holder(source)) =
             (outcome, under_way.source)
         {
             self.blamed.insert(source);
         }
-        let Some(state) = self.open.get_mut(&chunk) else { return };
+        let Some(state) = self.open.get_mut(&chunk) else {
+            return;
+        };
         state.attempt = None;
         match outcome {
             // The source is right but busy: it is asked again, not passed over.
@@ -229,18 +238,26 @@
     }
 
     fn drop_stalled(&mut self, chunk: u32, now: Instant, actions: &mut Vec<Action>) {
-        let Some(state) = self.open.get_mut(&chunk) else { return };
+        let Some(state) = self.open.get_mut(&chunk) else {
+            return;
+        };
         let Some(attempt) = state.attempt else { return };
         if attempt.stall_deadline.has_passed(now) || attempt.last_deadline.has_passed(now) {
             state.attempt = None;
             state.passed += 1;
             let Attempt { number, source, .. } = attempt;
-            actions.push(Action::Drop { chunk, source, attempt: number });
+            actions.push(Action::Drop {
+                chunk,
+                source,
+                attempt: number,
+            });
         }
     }
 
     fn ask(&mut self, chunk: u32, now: Instant, actions: &mut Vec<Action>) {
-        let Some(state) = self.open.get_mut(&chunk) else { return };
+        let Some(state) = self.open.get_mut(&chunk) else {
+            return;
+        };
         if state.attempt.is_some() || !state.not_before.has_passed(now) {
             return;
         }
@@ -250,7 +267,13 @@
             Source::Replica(key) | Source::Holder(key) => !blamed.contains(key),
             Source::Origin => true,
         };
-        let Some(source) = self.scratch.iter().filter(trusted).nth(state.passed).copied() else {
+        let Some(source) = self
+            .scratch
+            .iter()
+            .filter(trusted)
+            .nth(state.passed)
+            .copied()
+        else {
             state.passed = 0;
             state.not_before = now.after_millis(self.terms.pause_millis);
             return;
@@ -263,6 +286,10 @@
             stall_deadline: now.after_millis(self.terms.stall_millis),
             last_deadline: now.after_millis(self.terms.patience_millis),
         });
-        actions.push(Action::Ask { chunk, source, attempt: number });
+        actions.push(Action::Ask {
+            chunk,
+            source,
+            attempt: number,
+        });
     }
 }
--- a/crates/gingerpier_weights/src/manifest.rs
+++ b/crates/gingerpier_weights/src/manifest.rs
@@ -92,7 +92,9 @@
 impl Manifest {
     /// Size of the version, in bytes.
     pub fn bytes(&self) -> u64 {
-        self.files.iter().fold(0, |sum, file| sum.saturating_add(file.bytes))
+        self.files
+            .iter()
+            .fold(0, |sum, file| sum.saturating_add(file.bytes))
     }
 
     /// Size of chunk `index`, in bytes.
@@ -116,7 +118,11 @@
             if length == 0 {
                 break;
             }
-            spans.push(Span { file, offset: start, length });
+            spans.push(Span {
+                file,
+                offset: start,
+                length,
+            });
             left -= length;
             start = 0;
         }
@@ -177,7 +183,10 @@
 }
 
 fn is_inside(path: &str) -> bool {
-    !path.is_empty() && path.split('/').all(|part| !part.is_empty() && part != "." && part != "..")
+    !path.is_empty()
+        && path
+            .split('/')
+            .all(|part| !part.is_empty() && part != "." && part != "..")
 }
 
 /// Builds a manifest from a run of bytes of any length, holding one chunk's hash state.
@@ -192,14 +201,25 @@
     /// Builder with chunks of `chunk_bytes`, brought within the bounds.
     pub fn new(chunk_bytes: u32) -> Self {
         let chunk_bytes = chunk_bytes.clamp(1, MAX_CHUNK_BYTES);
-        let manifest =
-            Manifest { format: FORMAT, chunk_bytes, files: Vec::new(), chunks: Vec::new() };
-        Self { manifest, hasher: blake3::Hasher::new(), filled: 0 }
+        let manifest = Manifest {
+            format: FORMAT,
+            chunk_bytes,
+            files: Vec::new(),
+            chunks: Vec::new(),
+        };
+        Self {
+            manifest,
+            hasher: blake3::Hasher::new(),
+            filled: 0,
+        }
     }
 
     /// Starts the next file.
     pub fn start_file(&mut self, path: &str) {
-        self.manifest.files.push(File { path: path.to_owned(), bytes: 0 });
+        self.manifest.files.push(File {
+            path: path.to_owned(),
+            bytes: 0,
+        });
     }
 
     /// Adds bytes to the file started last.
@@ -231,7 +251,9 @@
     }
 
     fn close_chunk(&mut self) {
-        self.manifest.chunks.push(Digest::from_bytes(*self.hasher.finalize().as_bytes()));
+        self.manifest
+            .chunks
+            .push(Digest::from_bytes(*self.hasher.finalize().as_bytes()));
         self.hasher.reset();
         self.filled = 0;
     }
--- a/crates/gingerpier_weights/src/plan.rs
+++ b/crates/gingerpier_weights/src/plan.rs
@@ -76,7 +76,12 @@
         let rank = |key: &usize| {
             let replica = &replicas[*key];
             let score = order::score(subject, replica.identity);
-            (replica.region, replica.zone, std::cmp::Reverse(score), replica.identity)
+            (
+                replica.region,
+                replica.zone,
+                std::cmp::Reverse(score),
+                replica.identity,
+            )
         };
         keys.sort_by_key(rank);
         let mut zones: Vec<ZoneGroup> = Vec::new();
@@ -86,16 +91,27 @@
             let replica = &replicas[key];
             if last_zone != Some((replica.region, replica.zone)) {
                 last_zone = Some((replica.region, replica.zone));
-                zones.push(ZoneGroup { region: replica.region, members: Vec::new(), stride: 1 });
+                zones.push(ZoneGroup {
+                    region: replica.region,
+                    members: Vec::new(),
+                    stride: 1,
+                });
             }
             let zone = zones.len() - 1;
-            places[key] = Place { zone, index: zones[zone].members.len() };
+            places[key] = Place {
+                zone,
+                index: zones[zone].members.len(),
+            };
             zones[zone].members.push(ReplicaKey(key as u32));
         }
         for zone in &mut zones {
             zone.stride = stride(zone.members.len());
         }
-        Self { fan_out: fan_out.max(1) as usize, zones, places }
+        Self {
+            fan_out: fan_out.max(1) as usize,
+            zones,
+            places,
+        }
     }
 
     /// Number of replicas.
@@ -124,7 +140,10 @@
 
     fn climb_chain(&self, zone: usize, chunk: u32, sources: &mut Vec<Source>) {
         let chain = self.chain(chunk);
-        let link = chain.iter().position(|other| *other == zone).unwrap_or_default();
+        let link = chain
+            .iter()
+            .position(|other| *other == zone)
+            .unwrap_or_default();
         for zone in chain[..link].iter().rev() {
             sources.push(Source::Replica(self.zones[*zone].at(0, chunk)));
         }
@@ -184,7 +203,9 @@
 fn stride(count: usize) -> usize {
     const GOLDEN: f64 = 0.618_033_988_749_895;
     let near = ((count as f64 * GOLDEN) as usize).max(1);
-    (near..count.max(2)).find(|step| gcd(*step, count) == 1).unwrap_or(1)
+    (near..count.max(2))
+        .find(|step| gcd(*step, count) == 1)
+        .unwrap_or(1)
 }
 
 const fn gcd(mut a: usize, mut b: usize) -> usize {
--- a/crates/gingerpier_weights/src/room.rs
+++ b/crates/gingerpier_weights/src/room.rs
@@ -38,7 +38,11 @@
 impl Room {
     /// Room of `budget` bytes.
     pub const fn new(budget: u64) -> Self {
-        Self { budget, reservations: BTreeMap::new(), uses: 0 }
+        Self {
+            budget,
+            reservations: BTreeMap::new(),
+            uses: 0,
+        }
     }
 
     /// Bytes reserved.
@@ -60,9 +64,15 @@
             return Ok(Vec::new());
         }
         let assigned = self.reservations.values().filter(|held| held.assigned);
-        let free = self.budget.saturating_sub(assigned.map(|held| held.bytes).sum());
+        let free = self
+            .budget
+            .saturating_sub(assigned.map(|held| held.bytes).sum());
         if bytes > free {
-            return Err(Full { needed: bytes, free, budget: self.budget });
+            return Err(Full {
+                needed: bytes,
+                free,
+                budget: self.budget,
+            });
         }
         let mut dropped = Vec::new();
         while self.reserved() + bytes > self.budget {
@@ -73,7 +83,14 @@
             self.reservations.remove(&oldest);
             dropped.push(oldest);
         }
-        self.reservations.insert(version, Reservation { bytes, assigned: true, used });
+        self.reservations.insert(
+            version,
+            Reservation {
+                bytes,
+                assigned: true,
+                used,
+            },
+        );
         Ok(dropped)
     }
 
@@ -86,6 +103,9 @@
 
     /// Versions that no engine here is assigned.
     pub fn idle(&self) -> impl Iterator<Item = Digest> {
-        self.reservations.iter().filter(|(_, held)| !held.assigned).map(|(key, _)| *key)
+        self.reservations
+            .iter()
+            .filter(|(_, held)| !held.assigned)
+            .map(|(key, _)| *key)
     }
 }
--- a/crates/gingerpier_wire/src/codec.rs
+++ b/crates/gingerpier_wire/src/codec.rs
@@ -61,5 +61,9 @@
 }
 
 const fn check_length(length: usize) -> Result<(), Error> {
-    if length > MAX_FRAME_BYTES { Err(Error::TooLong(length)) } else { Ok(()) }
+    if length > MAX_FRAME_BYTES {
+        Err(Error::TooLong(length))
+    } else {
+        Ok(())
+    }
 }
--- a/crates/gingerpier_wire/src/frame.rs
+++ b/crates/gingerpier_wire/src/frame.rs
@@ -318,6 +318,10 @@
     /// Bytes of chunks held.
     #[n(3)]
     pub chunk_bytes: u64,
+    /// True once the key-value service has confirmed its revision through an entry box.
+    #[n(4)]
+    #[cbor(default)]
+    pub confirmed: bool,
 }
 
 /// What an engine is about.
