Send a request refused by one version's engines to the other version

The version was drawn by engines that report it, and reports lag: once the last engines of the old version had shut, a request could draw it again until its tries were used up. Ruled out: the doors (they refused rightly, before anything ran).

--- a/crates/gingerpier_daemon/src/entry/job.rs
+++ b/crates/gingerpier_daemon/src/entry/job.rs
@@ -6,7 +6,10 @@
     gingerpier_base::{Digest, Instant, Name},
     gingerpier_catalogue::{Catalogue, ModelKey, VersionKey, model::Contract},
     gingerpier_once::course::{Reason, Repetition},
-    gingerpier_routing::{limits::AccountKey, router::PoolKey},
+    gingerpier_routing::{
+        limits::AccountKey,
+        router::{EngineKey, PoolKey},
+    },
     std::time::Duration,
     tokio::sync::{mpsc, oneshot},
 };
@@ -165,23 +168,38 @@
 
     /// Pools that may serve a job, nearest first, and the version that it is admitted for.
     ///
-    /// Where two versions take traffic, each gets it in proportion to the engines that hold it.
-    pub fn pools_for(&self, job: &Job, held: Option<Admitted>) -> (Option<Admitted>, Vec<PoolKey>) {
-        let catalogue = self.process.ledger.catalogue();
-        match &job.target {
+    /// Where two versions take traffic, each gets it in proportion to the engines that hold it
+    /// and were not tried yet.
+    pub fn pools_for(
+        &self,
+        job: &Job,
+        held: Option<Admitted>,
+        tried: &[EngineKey],
+    ) -> (Option<Admitted>, Vec<PoolKey>) {
+        let key = match &job.target {
             Target::Service(name) => {
                 let offer = Offer::Service(name.clone());
-                (None, self.pools_of(&offer, &self.all_zones()))
-            }
-            Target::Model(key) => {
-                let admitted = held.or_else(|| self.admit_to_version(&catalogue, *key));
-                let Some(admitted) = admitted else {
-                    return (None, Vec::new());
-                };
-                let offer = Offer::Weights(admitted.adapter.unwrap_or(admitted.weights));
-                let zones = self.zones_for(&catalogue.model(*key).contracts, &job.account);
-                (Some(admitted), self.pools_of(&offer, &zones))
+                return (None, self.pools_of(&offer, &self.all_zones()));
             }
+            Target::Model(key) => *key,
+        };
+        let catalogue = self.process.ledger.catalogue();
+        let zones = self.zones_for(&catalogue.model(key).contracts, &job.account);
+        let mut admitted: Vec<Admitted> = match held {
+            Some(held) => vec![held],
+            None => catalogue
+                .open_versions(key)
+                .map(|open| admitted(&catalogue, open))
+                .collect(),
+        };
+        let pools = |admitted: &Admitted| {
+            let offer = Offer::Weights(admitted.adapter.unwrap_or(admitted.weights));
+            self.pools_of(&offer, &zones)
+        };
+        let mut sets: Vec<Vec<PoolKey>> = admitted.iter().map(pools).collect();
+        match self.fleet.borrow_mut().router().draw_pools(&sets, tried) {
+            Some(drawn) => (Some(admitted.swap_remove(drawn)), sets.swap_remove(drawn)),
+            None => (None, Vec::new()),
         }
     }
 
@@ -204,39 +222,21 @@
             .filter_map(|zone| fleet.pool(offer, zone))
             .collect()
     }
+}
 
-    fn admit_to_version(&self, catalogue: &Catalogue, model: ModelKey) -> Option<Admitted> {
-        let fleet = self.fleet.borrow();
-        let open = catalogue.open_versions(model).map(|version| {
-            let offer = Offer::Weights(catalogue.version(version).manifest);
-            (version, fleet.serving(&offer))
-        });
-        let open: Vec<(VersionKey, usize)> = open.collect();
-        let total: usize = open.iter().map(|(_, serving)| serving).sum();
-        let mut drawn = if total == 0 {
-            0
-        } else {
-            fastrand::usize(..total)
-        };
-        let chosen = open.iter().find(|(_, serving)| {
-            let found = drawn < *serving;
-            drawn = drawn.saturating_sub(*serving);
-            found
-        });
-        let (version, _) = chosen.or(open.first())?;
-        let held = catalogue.version(*version);
-        let base = held.base.map(|base| catalogue.version(base).manifest);
-        Some(match base {
-            None => Admitted {
-                version: *version,
-                weights: held.manifest,
-                adapter: None,
-            },
-            Some(weights) => Admitted {
-                version: *version,
-                weights,
-                adapter: Some(held.manifest),
-            },
-        })
+fn admitted(catalogue: &Catalogue, version: VersionKey) -> Admitted {
+    let held = catalogue.version(version);
+    let base = held.base.map(|base| catalogue.version(base).manifest);
+    match base {
+        None => Admitted {
+            version,
+            weights: held.manifest,
+            adapter: None,
+        },
+        Some(weights) => Admitted {
+            version,
+            weights,
+            adapter: Some(held.manifest),
+        },
     }
 }
--- a/crates/gingerpier_daemon/src/entry/requests.rs
+++ b/crates/gingerpier_daemon/src/entry/requests.rs
@@ -185,7 +185,7 @@
         // Once an answer has begun, only the same version may go on with it.
         let held = self.choice.as_ref().and_then(|choice| choice.admitted);
         let held = held.filter(|_| self.passed.head);
-        let (admitted, pools) = self.entry.pools_for(&self.job, held);
+        let (admitted, pools) = self.entry.pools_for(&self.job, held, &self.tried);
         let ask = Ask {
             pools: &pools,
             prefix: self.job.prefix,
--- a/crates/gingerpier_routing/src/router.rs
+++ b/crates/gingerpier_routing/src/router.rs
@@ -215,6 +215,29 @@
         members.map(|engine| self.engine(*engine).capacity).sum()
     }
 
+    /// Draws one of several sets of pools, each in proportion to its engines that were not tried
+    /// yet; none where there is no such engine.
+    ///
+    /// So versions that take traffic together get it by the engines that hold them, and a request
+    /// refused by the last engines of one version goes on to the other.
+    pub fn draw_pools(&mut self, sets: &[Vec<PoolKey>], tried: &[EngineKey]) -> Option<usize> {
+        let untried = |set: &Vec<PoolKey>| {
+            let members = set.iter().flat_map(|pool| self.members(*pool));
+            members.filter(|engine| !tried.contains(engine)).count()
+        };
+        let counts: Vec<usize> = sets.iter().map(untried).collect();
+        let total: usize = counts.iter().sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = self.random.usize(..total);
+        counts.iter().position(|count| {
+            let found = drawn < *count;
+            drawn = drawn.saturating_sub(*count);
+            found
+        })
+    }
+
     /// Chooses an engine.
     ///
     /// # Errors
