Wait for chunks and manifests that a peer will fetch, and not in a circle

A box asked for a chunk answered 'not held' until its own fetch had begun, a look later than its peer's, and the peer then went to the origin. A second fault showed in the test of a refusing origin: boxes asked each other for the manifest as a last resort and waited for each other for 25 s. Ruled out: differing views of the boxes (the logs showed one plan). Change: a box that is assigned the version, or has not heard of it, tells its peer to wait; last resorts are asked for what they hold and never waited for; a manifest's refusal is obeyed as told.

--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -8,6 +8,7 @@
     },
     bytes::{Bytes, BytesMut},
     gingerpier_base::{Digest, Instant, Name, order},
+    gingerpier_catalogue::model::Assignment,
     gingerpier_link::Stream,
     gingerpier_platform::{Error, Fault, weight_source},
     gingerpier_weights::{
@@ -316,6 +317,7 @@
             let mut sources = Vec::new();
             plan.sources(me, 0, &mut sources);
             let mut last = None;
+            let mut again_at = clock::now().after_millis(MANIFEST_PAUSE_MILLIS);
             for source in sources {
                 match self.manifest_from(version, source, &replicas, origin).await {
                     Ok(held) => {
@@ -323,11 +325,15 @@
                         self.weights.put_manifest(version, held.clone());
                         return Some(held.manifest);
                     }
-                    Err(trouble) => last = Some(trouble),
+                    Err(Failure::Failed(trouble)) => last = Some(trouble),
+                    Err(Failure::Busy(until)) => {
+                        again_at = until;
+                        last = Some("the origin asks to come back later".to_owned());
+                    }
                 }
             }
             weak.upgrade()?.trouble.replace(last);
-            clock::sleep(MANIFEST_PAUSE_MILLIS).await;
+            actix_rt::time::sleep(clock::left(again_at)).await;
         }
     }
 
@@ -337,13 +343,13 @@
         source: Source,
         replicas: &[Peer],
         origin: &Origin,
-    ) -> Result<HeldManifest, String> {
+    ) -> Result<HeldManifest, Failure> {
         let (Source::Replica(key) | Source::Holder(key)) = source else {
             let read = origin
                 .client
                 .manifest(&origin.folder, version, clock::now())
                 .await;
-            let (manifest, bytes) = read.map_err(|error| error.to_string())?;
+            let (manifest, bytes) = read?;
             return Ok(HeldManifest {
                 manifest: Rc::new(manifest),
                 bytes,
@@ -351,14 +357,12 @@
         };
         let peer = replicas
             .get(key.0 as usize)
-            .ok_or("the plan has moved on")?;
-        let link = self
-            .link_to(peer)
-            .await
-            .map_err(|error| error.to_string())?;
-        let mut stream = link.open().await.map_err(|error| error.to_string())?;
+            .ok_or_else(|| "the plan has moved on".to_owned())?;
+        let wait = matches!(source, Source::Replica(_));
+        let link = self.link_to(peer).await?;
+        let mut stream = link.open().await?;
         let bytes = async {
-            stream.send(&Request::ManifestOf { version }).await?;
+            stream.send(&Request::ManifestOf { version, wait }).await?;
             stream.finish();
             loop {
                 match stream.receive::<Reply>().await? {
@@ -372,7 +376,7 @@
         };
         let bytes = actix_rt::time::timeout(Duration::from_millis(WAIT_MILLIS), bytes).await;
         let bytes = bytes.map_err(|_| format!("{} gave no manifest in time", peer.name))?;
-        let bytes = bytes.map_err(|error: gingerpier_link::Error| error.to_string())?;
+        let bytes = bytes.map_err(|error: gingerpier_link::Error| Failure::from(error))?;
         let bytes = bytes.ok_or_else(|| format!("{} does not have the manifest", peer.name))?;
         let manifest = Manifest::from_bytes(&bytes, version).map_err(|error| error.to_string())?;
         Ok(HeldManifest {
@@ -382,10 +386,14 @@
     }
 
     /// Serves a manifest to a peer, which is told to wait while it is on its way here.
-    pub async fn serve_manifest(&self, mut stream: Stream, version: Digest) {
-        let found = self
-            .wait_for(&mut stream, version, |weights| weights.manifest(version))
-            .await;
+    pub async fn serve_manifest(&self, mut stream: Stream, version: Digest, wait: bool) {
+        let found = match self.weights.manifest(version) {
+            None if wait => {
+                self.wait_for(&mut stream, version, |weights| weights.manifest(version))
+                    .await
+            }
+            found => found,
+        };
         let served = async {
             let Some(held) = found else {
                 return stream.send(&Reply::NotHeld).await;
@@ -452,7 +460,20 @@
         Ok(())
     }
 
-    /// Waits until `look` finds something, as long as this box fetches the version itself.
+    /// True where this box fetches the version, or will as soon as it looks at its engines, or
+    /// has not yet heard of the version that its peer asks for.
+    fn expects(&self, version: Digest) -> bool {
+        let catalogue = self.process.ledger.catalogue();
+        let Some(key) = catalogue.version_of_digest(version) else {
+            return true;
+        };
+        let base = catalogue.version(key).base.unwrap_or(key);
+        let assigned =
+            |held: &Assignment| held.version == base && held.server == self.process.hello.name;
+        catalogue.assignments().values().any(assigned)
+    }
+
+    /// Waits until `look` finds something, as long as this box expects the version itself.
     async fn wait_for<T, F>(&self, stream: &mut Stream, version: Digest, look: F) -> Option<T>
     where
         F: Fn(&super::weights::Weights) -> Option<T>,
@@ -463,8 +484,7 @@
             if let Some(found) = look(&self.weights) {
                 return Some(found);
             }
-            let fetched = self.weights.fetching(version).is_some();
-            if !fetched || deadline.has_passed(clock::now()) {
+            if !self.expects(version) || deadline.has_passed(clock::now()) {
                 return None;
             }
             let arrival = arrivals.changed();
@@ -519,6 +539,12 @@
     Failed(String),
 }
 
+impl From<String> for Failure {
+    fn from(why: String) -> Self {
+        Self::Failed(why)
+    }
+}
+
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         match error.fault {
--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -100,7 +100,9 @@
             } => {
                 self.serve_chunk(stream, version, index, offset, wait).await;
             }
-            Request::ManifestOf { version } => self.serve_manifest(stream, version).await,
+            Request::ManifestOf { version, wait } => {
+                self.serve_manifest(stream, version, wait).await;
+            }
             Request::Attempt(attempt) if from_entry => {
                 self.serve_attempt(stream, attempt, &link).await;
             }
--- /dev/null
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -0,0 +1,203 @@
+//! Weights on real processes: what the origin is asked for, and what faults do.
+
+use {
+    gingerpier_fleet::{Caller, Error, Fleet, Spec, caller::Call, fleet::TOKEN, spec::Zone},
+    gingerpier_standins::{
+        engine::Ordered,
+        origin::{Control, Counts},
+    },
+};
+
+const MODEL: &str = "plate-notes";
+const MEGABYTES: usize = 2;
+
+/// Two zones with two backend servers each, one engine on each.
+fn spec() -> Spec {
+    let zone = |region, name| Zone {
+        region,
+        name,
+        entries: 1,
+        backends: 2,
+    };
+    Spec {
+        zones: vec![
+            zone("kerala-south", "trivandrum"),
+            zone("kerala-north", "kozhikode"),
+        ],
+        engines: 1,
+        services: Vec::new(),
+        ..Spec::small()
+    }
+}
+
+async fn origin_counts(fleet: &Fleet) -> Result<Counts, Error> {
+    fleet.read(fleet.origin.address("address"), "/counts").await
+}
+
+fn weights_bytes(fleet: &Fleet, version: &str) -> u64 {
+    let folder = fleet.folder.join("weights").join(MODEL).join(version);
+    let files = std::fs::read_dir(folder).expect("the weights were written");
+    let weights = files
+        .flatten()
+        .filter(|file| file.file_name() != "gingerpier.manifest");
+    weights
+        .map(|file| file.metadata().map_or(0, |metadata| metadata.len()))
+        .sum()
+}
+
+#[actix_rt::test]
+async fn the_origin_is_read_once_for_four_replicas() -> Result<(), Error> {
+    let fleet = Fleet::start(spec()).await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    let counts = origin_counts(&fleet).await?;
+    assert_eq!(counts.bytes, weights_bytes(&fleet, "v1"));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn spoilt_chunks_are_found_and_fetched_again() -> Result<(), Error> {
+    let fleet = Fleet::start(spec()).await?;
+    let origin = fleet.origin.address("address");
+    fleet
+        .control(
+            origin,
+            &Control {
+                corrupt: 3,
+                ..Control::default()
+            },
+        )
+        .await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    let caller = Caller::new(fleet.entries[0].child.address("callers"), TOKEN);
+    let answer = caller.call(Call::model(MODEL, "p", 4)).await?;
+    assert!(answer.whole && answer.tokens().1, "{answer:?}");
+    // Each spoilt chunk was read once more, and nothing else was.
+    let counts = origin_counts(&fleet).await?;
+    let extra = counts.bytes - weights_bytes(&fleet, "v1");
+    assert!(
+        extra > 0 && extra <= 3 * 262_144,
+        "{extra} bytes read again"
+    );
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_refusing_origin_is_left_alone_as_it_asks() -> Result<(), Error> {
+    let fleet = Fleet::start(spec()).await?;
+    let origin = fleet.origin.address("address");
+    fleet
+        .control(
+            origin,
+            &Control {
+                refuse: 6,
+                ..Control::default()
+            },
+        )
+        .await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    let counts = origin_counts(&fleet).await?;
+    assert_eq!(counts.refused, 6);
+    assert_eq!(counts.bytes, weights_bytes(&fleet, "v1"));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_version_too_large_for_the_memory_is_refused_before_anything_moves() -> Result<(), Error>
+{
+    let weights = "  chunk_memory: 1MB\n".to_owned();
+    let fleet = Fleet::start(Spec { weights, ..spec() }).await?;
+    let (_, digest) = fleet.gingerpier(&["token", TOKEN]).await?;
+    let account = format!("set account observatory key {} rate 100", digest.trim());
+    fleet
+        .command(&format!(
+            "{account}; create model {MODEL} for lm; serve {MODEL} in trivandrum replicas 1"
+        ))
+        .await?;
+    fleet
+        .create_version(MODEL, "v1", MEGABYTES, 1, None)
+        .await?;
+    fleet.command(&format!("roll out {MODEL} to v1")).await?;
+    fleet
+        .until("the refusal is told", || async {
+            let table = fleet.table("show engines in trivandrum").await?;
+            let told = table
+                .rows
+                .iter()
+                .any(|row| row[11].contains("chunk_memory"));
+            Ok(if told {
+                Ok(())
+            } else {
+                Err(format!("{:?}", table.rows))
+            })
+        })
+        .await?;
+    assert_eq!(origin_counts(&fleet).await?.calls, 0);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_receiver_killed_midway_and_started_anew_is_completed_by_its_peers() -> Result<(), Error>
+{
+    let weights = "  send: 2MB/s\n  receive: 2MB/s\n".to_owned();
+    let mut fleet = Fleet::start(Spec { weights, ..spec() }).await?;
+    let (_, digest) = fleet.gingerpier(&["token", TOKEN]).await?;
+    let account = format!("set account observatory key {} rate 100", digest.trim());
+    let serve =
+        "serve plate-notes in trivandrum replicas 2; serve plate-notes in kozhikode replicas 2";
+    fleet
+        .command(&format!("{account}; create model {MODEL} for lm; {serve}"))
+        .await?;
+    fleet.create_version(MODEL, "v1", 4, 1, None).await?;
+    fleet.command(&format!("roll out {MODEL} to v1")).await?;
+    fleet
+        .until("some chunks have moved", || async {
+            let table = fleet.table("show loading").await?;
+            let moved = table.rows.iter().any(|row| !row[7].starts_with("0/"));
+            Ok(if moved {
+                Ok(())
+            } else {
+                Err(format!("{:?}", table.rows))
+            })
+        })
+        .await?;
+    fleet.restart_server(0)?;
+    fleet.until_live(MODEL, "v1").await?;
+    for server in &fleet.servers {
+        let orders: Vec<Ordered> = fleet
+            .read(server.engines[0].address("address"), "/orders")
+            .await?;
+        assert!(
+            orders.iter().any(|order| order.order == "activate"),
+            "{}",
+            server.name
+        );
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_newer_version_takes_the_place_of_one_under_way() -> Result<(), Error> {
+    let weights = "  send: 2MB/s\n  receive: 2MB/s\n".to_owned();
+    let fleet = Fleet::start(Spec { weights, ..spec() }).await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    fleet.create_version(MODEL, "v2", 4, 2, None).await?;
+    fleet.create_version(MODEL, "v3", 4, 3, None).await?;
+    fleet
+        .command(&format!("roll out {MODEL} to v2 steps 50,100"))
+        .await?;
+    let refused = fleet.operate(&format!("roll out {MODEL} to v3")).await?;
+    assert!(
+        format!("{refused:?}").contains("is being rolled out to `v2`"),
+        "{refused:?}"
+    );
+    fleet
+        .command(&format!("roll out {MODEL} to v3 replacing"))
+        .await?;
+    fleet.until_live(MODEL, "v3").await?;
+    let caller = Caller::new(fleet.entries[1].child.address("callers"), TOKEN);
+    for _ in 0..8 {
+        let answer = caller.call(Call::model(MODEL, "p", 4)).await?;
+        assert_eq!(answer.version.as_deref(), Some("plate-notes@v3"));
+    }
+    Ok(())
+}
--- a/crates/gingerpier_wire/src/frame.rs
+++ b/crates/gingerpier_wire/src/frame.rs
@@ -67,6 +67,9 @@
         /// Digest of the manifest.
         #[n(0)]
         version: Digest,
+        /// Wait for it, where it is not held yet.
+        #[n(1)]
+        wait: bool,
     },
     /// The right to run the request of a ticket that the answerer issued.
     #[n(7)]
--- a/crates/gingerpier_wire/src/lib.rs
+++ b/crates/gingerpier_wire/src/lib.rs
@@ -10,7 +10,7 @@
 //! use gingerpier_base::place::Incarnation;
 //! use gingerpier_wire::{codec, frame::Request};
 //!
-//! let asked = Request::ManifestOf { version: gingerpier_base::Digest::of(b"m") };
+//! let asked = Request::ManifestOf { version: gingerpier_base::Digest::of(b"m"), wait: true };
 //! let bytes = codec::encode(&asked)?;
 //! let read: Request = codec::decode(&bytes[codec::LENGTH_BYTES..])?;
 //! assert_eq!(asked, read);
