Tell a broken answer from a whole one at the engine's door

Cause: the tests of broken answers failed: an answer that broke off after 5 of 24 tokens reached the caller as whole. The HTTP client of the edges takes a chunked body whose connection closed early for one that ended. Ruled out: the servers' side (it closes without the end mark, as it should) and the link between the processes (it counts bytes and names the end). Change: callers' requests go to engines by a client that gives an error there, tells a request never sent from one that may have run, and never repeats one by itself; answers without any mark of their end are refused.

--- a/crates/gingerpier_daemon/src/backend/attempts.rs
+++ b/crates/gingerpier_daemon/src/backend/attempts.rs
@@ -3,22 +3,20 @@
 use {
     super::{Backend, engines::Slot},
     crate::clock,
-    awc::{
-        ClientResponse,
-        http::{Method, StatusCode, header},
-    },
     bytes::Bytes,
-    futures_util::{StreamExt, future::Either},
+    futures_util::future::Either,
     gingerpier_base::{Digest, place::Incarnation},
     gingerpier_link::{Link, Stream},
     gingerpier_once::door::{Admission, AttemptKey, Door, Refusal, Revocation},
     gingerpier_platform::engine::{
         ADAPTER_HEADER, ATTEMPT_HEADER, PRIORITY_HEADER, RESUME_HEADER, Run, WEIGHTS_HEADER,
     },
+    gingerpier_platform::exchange::Answer,
     gingerpier_wire::{
         Reply,
         frame::{Attempt, Head},
     },
+    http::{Method, StatusCode, header},
     std::{cell::RefCell, collections::BTreeMap, pin::pin, rc::Rc, time::Duration},
     tokio::sync::oneshot,
 };
@@ -194,7 +192,7 @@
             return Outcome::TurnedBack(Refusal::NoEngine);
         };
         let patience = Duration::from_millis(attempt.millis_left);
-        let mut answer = match slot.client.run(run, patience, clock::now()).await {
+        let mut answer = match slot.client.run(run, patience).await {
             Ok(answer) => answer,
             Err(error) if error.had_no_effect() => {
                 tracing::warn!(event = "engine_unreachable", request = attempt.request, %error);
@@ -203,7 +201,7 @@
             Err(error) => return Outcome::Broken(error.to_string()),
         };
         let busy = matches!(
-            answer.status(),
+            answer.status,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
         );
         if busy && attempt.weights.is_some() {
@@ -216,8 +214,10 @@
             return Outcome::Broken("the engine's answer has no mark of its end".to_owned());
         }
         let head = Reply::Head(Head {
-            status: answer.status().as_u16(),
-            content_type: header_text(&answer, header::CONTENT_TYPE.as_str()),
+            status: answer.status.as_u16(),
+            content_type: answer
+                .header(header::CONTENT_TYPE.as_str())
+                .map(str::to_owned),
             weights: attempt.weights,
         });
         if let Err(error) = stream.send(&head).await {
@@ -261,16 +261,16 @@
     })
 }
 
-fn header_text(answer: &ClientResponse, name: &str) -> Option<String> {
-    Some(answer.headers().get(name)?.to_str().ok()?.to_owned())
-}
-
 /// An answer must come from the version that the request was admitted for.
-fn check_version(attempt: &Attempt, answer: &ClientResponse) -> Result<(), String> {
-    let Some(weights) = attempt.weights.filter(|_| answer.status().is_success()) else {
+fn check_version(attempt: &Attempt, answer: &Answer) -> Result<(), String> {
+    let Some(weights) = attempt.weights.filter(|_| answer.status.is_success()) else {
         return Ok(());
     };
-    let named = |name| header_text(answer, name).and_then(|text| text.parse::<Digest>().ok());
+    let named = |name| {
+        answer
+            .header(name)
+            .and_then(|text| text.parse::<Digest>().ok())
+    };
     if named(WEIGHTS_HEADER) != Some(weights) {
         return Err(format!("the answer is not of the version {weights}"));
     }
@@ -281,18 +281,18 @@
 }
 
 /// True where the answer's end can be told from a connection that broke.
-fn has_end_mark(answer: &ClientResponse) -> bool {
-    let headers = answer.headers();
-    headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || answer.status() == StatusCode::NO_CONTENT
+fn has_end_mark(answer: &Answer) -> bool {
+    answer.headers.contains_key(header::CONTENT_LENGTH)
+        || answer.headers.contains_key(header::TRANSFER_ENCODING)
+        || answer.status == StatusCode::NO_CONTENT
 }
 
-async fn pass_body(stream: &mut Stream, answer: &mut ClientResponse) -> Outcome {
+async fn pass_body(stream: &mut Stream, answer: &mut Answer) -> Outcome {
     let mut bytes = 0;
-    while let Some(part) = answer.next().await {
-        let part = match part {
-            Ok(part) => part,
+    loop {
+        let part = match answer.part().await {
+            Ok(Some(part)) => part,
+            Ok(None) => return Outcome::Whole(bytes),
             Err(error) => return Outcome::Broken(error.to_string()),
         };
         if part.is_empty() {
@@ -308,5 +308,4 @@
             return Outcome::Broken(error.to_string());
         }
     }
-    Outcome::Whole(bytes)
 }
--- a/crates/gingerpier_daemon/src/backend/engines.rs
+++ b/crates/gingerpier_daemon/src/backend/engines.rs
@@ -17,6 +17,7 @@
     gingerpier_platform::{
         Error,
         engine::{Client, Order, Status as Reported, What},
+        exchange,
     },
     gingerpier_settings::{Backend as Settings, backend},
     gingerpier_weights::Manifest,
@@ -112,27 +113,33 @@
 impl Slot {
     /// Slots of a box's settings.
     pub fn all(settings: &Settings, http: &Http) -> Vec<Rc<Self>> {
+        let exchange = exchange::Client::default();
         let engines = settings
             .engines
             .iter()
-            .map(|engine| Self::engine(engine, http));
+            .map(|engine| Self::engine(engine, http, &exchange));
         let services = settings
             .services
             .iter()
-            .map(|service| Self::service(service, http));
+            .map(|service| Self::service(service, http, &exchange));
         engines.chain(services).map(Rc::new).collect()
     }
 
-    fn engine(engine: &backend::Engine, http: &Http) -> Self {
-        let client = Client::new(http.clone(), engine.url.clone(), PATIENCE);
+    fn engine(engine: &backend::Engine, http: &Http, exchange: &exchange::Client) -> Self {
+        let client = Client::new(http.clone(), exchange.clone(), engine.url.clone(), PATIENCE);
         let kind = Kind::Model {
             checks_fences: engine.checks_fences,
         };
         Self::new(&engine.name, &engine.kind, kind, client, State::default())
     }
 
-    fn service(service: &backend::Service, http: &Http) -> Self {
-        let client = Client::new(http.clone(), service.url.clone(), PATIENCE);
+    fn service(service: &backend::Service, http: &Http, exchange: &exchange::Client) -> Self {
+        let client = Client::new(
+            http.clone(),
+            exchange.clone(),
+            service.url.clone(),
+            PATIENCE,
+        );
         let reported = Reported {
             capacity: service.capacity,
             ..Reported::default()
--- a/crates/gingerpier_fleet/src/caller.rs
+++ b/crates/gingerpier_fleet/src/caller.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::error::Error,
-    awc::{Client, http::Method},
-    futures_util::StreamExt,
+    bytes::Bytes,
+    gingerpier_platform::exchange::Client,
+    http::{Method, Request},
+    http_body_util::Full,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -105,9 +107,8 @@
 impl Caller {
     /// Caller of `entry`, with a client account's token.
     pub fn new(entry: SocketAddr, token: &str) -> Self {
-        let http = Client::builder().disable_timeout().finish();
         Self {
-            http,
+            http: Client::default(),
             entry,
             token: token.to_owned(),
         }
@@ -129,28 +130,24 @@
     /// Where there was no answer at all.
     pub async fn call(&self, call: Call) -> Result<Answer, Error> {
         let url = format!("http://{}{}", self.entry, call.path);
-        let mut request = self
-            .http
-            .request(call.method, &url)
-            .bearer_auth(&self.token);
+        let wrong = |what: String| Error::new("calling", &url, what);
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(&url)
+            .header("authorization", format!("Bearer {}", self.token));
         for (name, value) in &call.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
+            request = request.header(name, value);
         }
         if !call.body.is_empty() {
-            request = request.content_type("application/json");
+            request = request.header("content-type", "application/json");
         }
-        let sent = actix_rt::time::timeout(PATIENCE, request.send_body(call.body)).await;
-        let sent = sent.map_err(|_| Error::new("calling", &url, "no answer"))?;
-        let mut answer = sent.map_err(|what| Error::new("calling", &url, what))?;
-        let header = |name: &str| {
-            let value = answer
-                .headers()
-                .get(name)
-                .and_then(|value| value.to_str().ok());
-            value.map(str::to_owned)
-        };
+        let request = request.body(Full::new(Bytes::from(call.body)));
+        let request = request.map_err(|what| wrong(what.to_string()))?;
+        let sent = self.http.send(request, PATIENCE).await;
+        let mut answer = sent.map_err(|what| wrong(what.to_string()))?;
+        let header = |name: &str| answer.header(name).map(str::to_owned);
         let mut got = Answer {
-            status: answer.status().as_u16(),
+            status: answer.status.as_u16(),
             outcome: header("gingerpier-outcome"),
             version: header("gingerpier-version"),
             come_back_millis: header("gingerpier-retry-after-millis")
@@ -159,13 +156,13 @@
         };
         let mut body = Vec::new();
         loop {
-            match actix_rt::time::timeout(PATIENCE, answer.next()).await {
-                Ok(Some(Ok(part))) => body.extend_from_slice(&part),
-                Ok(None) => {
+            match actix_rt::time::timeout(PATIENCE, answer.part()).await {
+                Ok(Ok(Some(part))) => body.extend_from_slice(&part),
+                Ok(Ok(None)) => {
                     got.whole = true;
                     break;
                 }
-                Ok(Some(Err(_))) | Err(_) => break,
+                Ok(Err(_)) | Err(_) => break,
             }
         }
         got.body = String::from_utf8_lossy(&body).into_owned();
--- a/crates/gingerpier_fleet/src/fleet.rs
+++ b/crates/gingerpier_fleet/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        caller::Caller,
         child::{Child, binary},
         error::Error,
         spec::{Spec, Zone},
@@ -12,6 +13,7 @@
     gingerpier_daemon::{operate::Answered, table::Table},
     gingerpier_link::{Authority, Identity},
     gingerpier_platform::box_list::{Entry as ListedBox, Listed},
+    gingerpier_standins::{engine::Run, service::Call as ServiceCall},
     serde::{Serialize, de::DeserializeOwned},
     std::{
         cell::RefCell,
@@ -523,6 +525,55 @@
         serde_json::from_slice(&body).map_err(|what| wrong(what.to_string()))
     }
 
+    /// Caller at an entry box, of the client account that [`Fleet::deploy`] makes.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].child.address("callers"), TOKEN)
+    }
+
+    /// Runs that the engines of a server have in their histories.
+    ///
+    /// # Errors
+    ///
+    /// Where an engine does not answer.
+    pub async fn runs(&self, server: usize) -> Result<Vec<Run>, Error> {
+        let mut runs = Vec::new();
+        for engine in &self.servers[server].engines {
+            runs.extend(
+                self.read::<Vec<Run>>(engine.address("address"), "/history")
+                    .await?,
+            );
+        }
+        Ok(runs)
+    }
+
+    /// Runs of `prompt` that any engine has in its history.
+    ///
+    /// # Errors
+    ///
+    /// Where an engine does not answer.
+    pub async fn runs_of(&self, prompt: &str) -> Result<usize, Error> {
+        let mut count = 0;
+        for server in 0..self.servers.len() {
+            let runs = self.runs(server).await?;
+            count += runs.iter().filter(|run| run.prompt == prompt).count();
+        }
+        Ok(count)
+    }
+
+    /// Calls that plain services have run with `body`.
+    ///
+    /// # Errors
+    ///
+    /// Where a service does not answer.
+    pub async fn calls_with(&self, body: &str) -> Result<usize, Error> {
+        let mut count = 0;
+        for service in self.servers.iter().flat_map(|server| &server.services) {
+            let calls: Vec<ServiceCall> = self.read(service.address("address"), "/history").await?;
+            count += calls.iter().filter(|call| call.body == body).count();
+        }
+        Ok(count)
+    }
+
     /// Writes weights for a version, makes its manifest by the command line, and creates it.
     ///
     /// # Errors
--- a/crates/gingerpier_fleet/src/main.rs
+++ b/crates/gingerpier_fleet/src/main.rs
@@ -2,9 +2,9 @@
 //! machine, as separate processes, told in words and figures.
 
 use {
-    awc::http::Method,
     gingerpier_fleet::{Caller, Error, Fleet, Spec, caller::Call, fleet::TOKEN},
     gingerpier_standins::{engine::Run, origin::Counts},
+    http::Method,
     std::{env, process::ExitCode, time::Instant},
 };
 
--- a/crates/gingerpier_platform/src/engine.rs
+++ b/crates/gingerpier_platform/src/engine.rs
@@ -2,12 +2,15 @@
 
 use {
     crate::{
-        error::{Error, Step},
+        error::{Error, Fault, Step},
+        exchange::{self, Answer},
         http::Call,
     },
-    awc::{Client as Http, ClientResponse, http::Method},
+    awc::Client as Http,
     bytes::Bytes,
     gingerpier_base::Instant,
+    http::{Method, Request, header},
+    http_body_util::Full,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -97,15 +100,22 @@
 #[derive(Clone)]
 pub struct Client {
     http: Http,
+    exchange: exchange::Client,
     url: String,
     patience: Duration,
 }
 
 impl Client {
     /// Client of the engine at `url`; `patience` is for answers to orders and questions.
-    pub const fn new(http: Http, url: String, patience: Duration) -> Self {
+    pub const fn new(
+        http: Http,
+        exchange: exchange::Client,
+        url: String,
+        patience: Duration,
+    ) -> Self {
         Self {
             http,
+            exchange,
             url,
             patience,
         }
@@ -181,27 +191,19 @@
     /// # Errors
     ///
     /// Where no answer begins in `patience`; [`Error::had_no_effect`] tells whether it ran.
-    pub async fn run(
-        &self,
-        run: Run,
-        patience: Duration,
-        now: Instant,
-    ) -> Result<ClientResponse, Error> {
+    pub async fn run(&self, run: Run, patience: Duration) -> Result<Answer, Error> {
         let url = format!("{}{}", self.url, run.path);
-        let call = Call {
-            step: Step::Run,
-            url: &url,
-            now,
-            patience,
-        };
-        let mut asked = self.http.request(run.method, &url);
+        let mut asked = Request::builder().method(run.method).uri(&url);
         for (name, value) in run.headers {
-            asked = asked.insert_header((name, value));
+            asked = asked.header(name, value);
         }
         if let Some(content_type) = run.content_type {
-            asked = asked.content_type(content_type);
+            asked = asked.header(header::CONTENT_TYPE, content_type);
         }
-        call.any_answer(asked.send_body(run.body)).await
+        let wrong = |fault| Error::new(Step::Run, &url, fault);
+        let asked = asked.body(Full::new(run.body));
+        let asked = asked.map_err(|error| wrong(Fault::Refused(error.to_string())))?;
+        self.exchange.send(asked, patience).await.map_err(wrong)
     }
 
     /// Cancels a request.
--- a/crates/gingerpier_platform/src/lib.rs
+++ b/crates/gingerpier_platform/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod box_list;
 pub mod engine;
 pub mod error;
+pub mod exchange;
 pub mod http;
 pub mod key_value;
 pub mod weight_source;
