--- a/crates/gingerpier_cli/src/desk.rs
+++ b/crates/gingerpier_cli/src/desk.rs
@@ -47,6 +47,7 @@
         let tls = Credentials::read(&operator.keys)?.operator_client()?;
         let connector = Connector::new()
             .timeout(CONNECT_PATIENCE)
+            .handshake_timeout(CONNECT_PATIENCE)
             .rustls_0_23(Arc::new(tls));
         let http = Client::builder()
             .connector(connector)
--- /dev/null
+++ b/crates/gingerpier_fleet/tests/control.rs
@@ -0,0 +1,461 @@
+//! Configuration, authority and operators on real processes, through outages and races.
+
+use {
+    gingerpier_daemon::operate::Answered,
+    gingerpier_fleet::{Error, Fleet, Spec, caller::Call, spec::Zone},
+    gingerpier_standins::{
+        engine::Ordered,
+        key_value::{Control, Counts},
+        link,
+    },
+    std::{os::unix::fs::PermissionsExt, time::Duration},
+};
+
+const MODEL: &str = "pairing";
+
+async fn start(spec: Spec) -> Result<Fleet, Error> {
+    let fleet = Fleet::start(spec).await?;
+    fleet.deploy(MODEL, 1).await?;
+    Ok(fleet)
+}
+
+async fn sleep(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
+async fn key_value(fleet: &Fleet, control: Control) -> Result<(), Error> {
+    fleet
+        .control(fleet.key_value.address("address"), &control)
+        .await
+}
+
+async fn check_served(fleet: &Fleet, entry: usize) -> Result<(), Error> {
+    let answer = fleet.caller(entry).call(Call::model(MODEL, "p", 3)).await?;
+    assert!(answer.whole && answer.tokens().1, "{answer:?}");
+    Ok(())
+}
+
+/// Revision in force at each box, as an entry box knows it.
+async fn until_in_force(fleet: &Fleet, revision: u64) -> Result<(), Error> {
+    fleet
+        .until(
+            &format!("revision {revision} is in force everywhere"),
+            || async {
+                let table = fleet.table("show revisions").await?;
+                let late = table
+                    .rows
+                    .iter()
+                    .any(|row| row[2].parse::<u64>().unwrap_or(0) < revision);
+                Ok(if late {
+                    Err(format!("{:?}", table.rows))
+                } else {
+                    Ok(())
+                })
+            },
+        )
+        .await
+}
+
+#[actix_rt::test]
+async fn a_write_whose_answer_is_lost_takes_effect_once() -> Result<(), Error> {
+    let fleet = start(Spec::small()).await?;
+    key_value(
+        &fleet,
+        Control {
+            silent_writes: 1,
+            ..Control::default()
+        },
+    )
+    .await?;
+    let answered = fleet.operate("create model lost-answer for lm").await?;
+    assert!(
+        matches!(answered, Answered::Accepted { repeated: true, .. }),
+        "{answered:?}"
+    );
+    let table = fleet.table("show audit last 100").await?;
+    let count = table
+        .rows
+        .iter()
+        .filter(|row| row[4].contains("lost-answer"))
+        .count();
+    assert_eq!(count, 1, "{:?}", table.rows);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_request_repeated_under_its_identity_takes_effect_once() -> Result<(), Error> {
+    let fleet = start(Spec::small()).await?;
+    let identity = ["--identity", "000000000000000000000000000000aa"];
+    let statement = "create model repeated for lm";
+    let first = fleet.operate_with(&identity, statement).await?;
+    let Answered::Accepted {
+        revision,
+        repeated: false,
+        ..
+    } = first
+    else {
+        panic!("{first:?}")
+    };
+    let again = fleet.operate_with(&identity, statement).await?;
+    assert!(
+        matches!(again, Answered::Accepted { revision: same, repeated: true, .. } if same == revision),
+        "{again:?}"
+    );
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn of_two_operators_that_race_one_wins_and_the_other_is_told() -> Result<(), Error> {
+    let fleet = start(Spec::small()).await?;
+    for version in ["v2", "v3"] {
+        fleet.create_version(MODEL, version, 1, 7, None).await?;
+    }
+    let statement = |version| format!("roll out {MODEL} to {version}");
+    let (one, other) = (statement("v2"), statement("v3"));
+    let (one, other) = futures_util::join!(fleet.operate(&one), fleet.operate(&other));
+    let answers = [one?, other?];
+    let won = answers
+        .iter()
+        .filter(|answer| matches!(answer, Answered::Accepted { .. }))
+        .count();
+    assert_eq!(won, 1, "{answers:?}");
+    let told = answers.iter().any(|answer| {
+        matches!(answer, Answered::Refused { why, last_change: Some(change), .. }
+            if why.contains("is being rolled out") && change.contains("by "))
+    });
+    assert!(told, "{answers:?}");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn an_outage_of_the_service_stops_nothing_but_changes() -> Result<(), Error> {
+    let mut fleet = start(Spec::small()).await?;
+    let revision = fleet
+        .command("create model before-the-outage for lm")
+        .await?;
+    key_value(
+        &fleet,
+        Control {
+            outage: true,
+            ..Control::default()
+        },
+    )
+    .await?;
+    let (code, told) = fleet
+        .gingerpier(&["do", "create model during-the-outage for lm"])
+        .await?;
+    assert_eq!(code, 3, "{told}");
+    assert!(told.contains("nothing was changed"), "{told}");
+    check_served(&fleet, 0).await?;
+    // A box that is replaced meanwhile learns what is in force from its peers.
+    let zone = fleet.spec.zones[0].clone();
+    fleet.add_entry(&zone, 7)?;
+    fleet.publish().await?;
+    until_in_force(&fleet, revision).await?;
+    let newest = fleet.entries.len() - 1;
+    fleet
+        .until("the new entry box serves", || async {
+            let answer = fleet
+                .caller(newest)
+                .call(Call::model(MODEL, "p", 3))
+                .await?;
+            Ok(if answer.whole && answer.status == 200 {
+                Ok(())
+            } else {
+                Err(format!("{answer:?}"))
+            })
+        })
+        .await?;
+    key_value(&fleet, Control::default()).await?;
+    let after = fleet
+        .command("create model after-the-outage for lm")
+        .await?;
+    assert_eq!(after, revision + 1);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_planner_frozen_past_its_lease_does_no_harm_when_it_wakes() -> Result<(), Error> {
+    let zone = |region, name| Zone {
+        region,
+        name,
+        entries: 2,
+        backends: 1,
+    };
+    let zones = vec![
+        zone("kerala-south", "trivandrum"),
+        zone("kerala-north", "kozhikode"),
+    ];
+    let fleet = start(Spec {
+        zones,
+        ..Spec::small()
+    })
+    .await?;
+    let table = fleet.table("show audit last 100").await?;
+    let planner = table
+        .rows
+        .iter()
+        .find_map(|row| row[2].strip_prefix("planner/"));
+    let planner = planner.expect("a planner has planned").to_owned();
+    let frozen = fleet
+        .entries
+        .iter()
+        .find(|entry| entry.name == planner)
+        .expect("it is known");
+    fleet.create_version(MODEL, "v2", 1, 7, None).await?;
+    frozen.child.freeze();
+    let _ = fleet.operate(&format!("roll out {MODEL} to v2")).await?;
+    fleet.until_live(MODEL, "v2").await?;
+    let before = fleet.table("show audit last 100").await?.rows.len();
+    frozen.child.thaw();
+    sleep(3_000).await;
+    check_served(&fleet, 0).await?;
+    let rows = fleet.table("show audit last 100").await?.rows;
+    let by_frozen = rows[before..]
+        .iter()
+        .filter(|row| row[2].ends_with(&planner))
+        .count();
+    assert_eq!(by_frozen, 0, "{rows:?}");
+    for engine in fleet.servers.iter().flat_map(|server| &server.engines) {
+        let orders: Vec<Ordered> = fleet.read(engine.address("address"), "/orders").await?;
+        assert!(
+            orders
+                .iter()
+                .all(|order| order.fence >= order.highest_before),
+            "{orders:?}"
+        );
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_restarted_door_orders_nothing_until_the_service_has_confirmed_its_revision()
+-> Result<(), Error> {
+    // Weights take some seconds, so that the order to load them falls into the outage.
+    let weights = "  receive: 300kB/s\n".to_owned();
+    let mut fleet = start(Spec {
+        weights,
+        ..Spec::small()
+    })
+    .await?;
+    let engine = fleet.servers[0].engines[0].address("address");
+    let orders = async |fleet: &Fleet| -> Result<usize, Error> {
+        Ok(fleet.read::<Vec<Ordered>>(engine, "/orders").await?.len())
+    };
+    fleet.create_version(MODEL, "v2", 1, 7, None).await?;
+    fleet.command(&format!("roll out {MODEL} to v2")).await?;
+    fleet
+        .until("the first engine is assigned the new version", || async {
+            let name = fleet.servers[0].engines[0].name();
+            let table = fleet.table("show engines").await?;
+            let row = table
+                .rows
+                .iter()
+                .find(|row| row[0] == name)
+                .cloned()
+                .unwrap_or_default();
+            let assigned = row.get(6).is_some_and(|version| version.ends_with("@v2"));
+            Ok(if assigned {
+                Ok(())
+            } else {
+                Err(format!("{row:?}"))
+            })
+        })
+        .await?;
+    let before = orders(&fleet).await?;
+    key_value(
+        &fleet,
+        Control {
+            outage: true,
+            ..Control::default()
+        },
+    )
+    .await?;
+    fleet.restart_server(0)?;
+    fleet
+        .until("the door says why it gives no order", || async {
+            let table = fleet.table("show engines in trivandrum").await?;
+            let told = table
+                .rows
+                .iter()
+                .any(|row| row[11].contains("has not confirmed"));
+            Ok(if told {
+                Ok(())
+            } else {
+                Err(format!("{:?}", table.rows))
+            })
+        })
+        .await?;
+    assert_eq!(orders(&fleet).await?, before);
+    // The engine still holds what it held, and serves it.
+    check_served(&fleet, 0).await?;
+    key_value(&fleet, Control::default()).await?;
+    fleet.until_live(MODEL, "v2").await?;
+    assert!(orders(&fleet).await? > before);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_server_that_was_cut_off_catches_up_and_nothing_is_undone() -> Result<(), Error> {
+    let fleet = start(Spec {
+        links: true,
+        ..Spec::small()
+    })
+    .await?;
+    let control = fleet.servers[0]
+        .link
+        .as_ref()
+        .expect("there is a link")
+        .address("control");
+    let cut = link::Control {
+        state: link::Passage::Cut,
+        ..link::Control::default()
+    };
+    fleet.control(control, &cut).await?;
+    fleet
+        .until("the cut is noticed", || async {
+            let table = fleet.table("show boxes").await?;
+            let row = table
+                .rows
+                .iter()
+                .find(|row| row[0] == fleet.servers[0].name);
+            let standing = row.map(|row| row[4].clone()).unwrap_or_default();
+            Ok(if standing == "suspect" {
+                Ok(())
+            } else {
+                Err(standing)
+            })
+        })
+        .await?;
+    let answered = fleet
+        .operate_with(&["--wait-millis", "300"], "create model cut for lm")
+        .await?;
+    let Answered::Accepted {
+        revision, behind, ..
+    } = answered
+    else {
+        panic!("{answered:?}")
+    };
+    assert_eq!(behind, [fleet.servers[0].name.clone()]);
+    check_served(&fleet, 0).await?;
+    fleet.control(control, &link::Control::default()).await?;
+    until_in_force(&fleet, revision).await?;
+    check_served(&fleet, 0).await
+}
+
+#[actix_rt::test]
+async fn the_service_is_called_sparingly_when_nothing_changes() -> Result<(), Error> {
+    let fleet = start(Spec::small()).await?;
+    sleep(1_000).await;
+    let address = fleet.key_value.address("address");
+    let before: Counts = fleet.read(address, "/counts").await?;
+    sleep(5_000).await;
+    let after: Counts = fleet.read(address, "/counts").await?;
+    let calls = |counts: &Counts| counts.reads + counts.writes + counts.leases;
+    // The planner's lease every 2 s, and the other candidate's look for it.
+    assert!(calls(&after) - calls(&before) <= 8, "{before:?}, {after:?}");
+    assert_eq!(after.writes, before.writes);
+    assert!(
+        after.watches_open <= 2 * fleet.spec.zones.len() as u64,
+        "{after:?}"
+    );
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn only_operators_command_and_keys_are_replaced_without_a_restart() -> Result<(), Error> {
+    let fleet = start(Spec::small()).await?;
+    let keys = fleet.folder.join("keys");
+    let stranger = fleet.folder.join("stranger");
+    let settings = std::fs::read_to_string(fleet.operator_settings()).expect("it was written");
+    let entries = settings
+        .lines()
+        .find(|line| line.starts_with("entries"))
+        .expect("it names them");
+    let with_keys = |name: &str, keys: &std::path::Path| {
+        let path = fleet.folder.join(format!("{name}.yaml"));
+        let text = format!("role: operator\nkeys: {}\n{entries}\n", keys.display());
+        std::fs::write(&path, text).expect("the folder is writable");
+        path.display().to_string()
+    };
+    let stranger_folder = stranger.display().to_string();
+    fleet
+        .gingerpier(&["keys", &stranger_folder, "--operator", "mallory"])
+        .await?;
+    let backend = keys.join("backend").join(&fleet.servers[0].name);
+    let other = stranger.join("operator/mallory");
+    for (name, folder) in [("as-backend", backend), ("as-stranger", other)] {
+        let path = with_keys(name, &folder);
+        let (code, told) = fleet
+            .gingerpier(&["--settings", &path, "do", "show boxes"])
+            .await?;
+        assert_eq!(code, 3, "{name}: {told}");
+    }
+    // The same authority issues new keys for an entry box; the process takes them up.
+    let folder = keys.display().to_string();
+    let name = fleet.entries[0].name.clone();
+    fleet
+        .gingerpier(&["keys", &folder, "--entry", &name])
+        .await?;
+    let key = keys.join("entry").join(&name).join("key.pem");
+    let mode = std::fs::metadata(key)
+        .expect("the key was written")
+        .permissions()
+        .mode();
+    assert_eq!(mode & 0o077, 0, "others may read the key: {mode:o}");
+    let log = fleet.folder.join("logs").join(format!("{name}.log"));
+    fleet
+        .until("the new keys are in use", || async {
+            let log = std::fs::read_to_string(&log).unwrap_or_default();
+            Ok(if log.contains("keys_renewed") {
+                Ok(())
+            } else {
+                Err("not yet".to_owned())
+            })
+        })
+        .await?;
+    fleet.command("create model under-new-keys for lm").await?;
+    check_served(&fleet, 0).await
+}
+
+#[actix_rt::test]
+async fn adapters_are_served_on_their_base_and_go_back_goes_back() -> Result<(), Error> {
+    let fleet = start(Spec::small()).await?;
+    fleet
+        .command(&format!(
+            "create adapter stewards on {MODEL}; serve stewards in trivandrum replicas 2"
+        ))
+        .await?;
+    fleet
+        .create_version("stewards", "a1", 1, 11, Some("v1"))
+        .await?;
+    fleet.command("roll out stewards to a1").await?;
+    fleet.until_live("stewards", "a1").await?;
+    let answer = fleet
+        .caller(0)
+        .call(Call::model("stewards", "p", 3))
+        .await?;
+    assert!(
+        answer.whole && answer.version.as_deref() == Some("stewards@a1"),
+        "{answer:?}"
+    );
+    check_served(&fleet, 0).await?;
+    fleet.create_version(MODEL, "v2", 1, 7, None).await?;
+    fleet.command(&format!("roll out {MODEL} to v2")).await?;
+    fleet.until_live(MODEL, "v2").await?;
+    fleet.command(&format!("go back {MODEL}")).await?;
+    fleet.until_live(MODEL, "v1").await?;
+    fleet
+        .until("the adapter is served again on its base", || async {
+            let answer = fleet
+                .caller(0)
+                .call(Call::model("stewards", "p", 3))
+                .await?;
+            Ok(if answer.whole && answer.status == 200 {
+                Ok(())
+            } else {
+                Err(format!("{answer:?}"))
+            })
+        })
+        .await
+}
--- a/crates/gingerpier_link/src/authority.rs
+++ b/crates/gingerpier_link/src/authority.rs
@@ -6,7 +6,12 @@
         identity::Identity,
     },
     rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose},
-    std::{fs, path::Path},
+    std::{
+        fs::{self, File, Permissions},
+        io::{self, Write},
+        os::unix::fs::{OpenOptionsExt, PermissionsExt},
+        path::Path,
+    },
 };
 
 /// File of the authority's certificate, in every folder of keys.
@@ -32,6 +37,22 @@
     fs::write(path, text).map_err(|what| error(Step::WriteKeys, path)(what.to_string()))
 }
 
+/// Writes a private key, which only its owner may read.
+fn write_key(path: &Path, key: &KeyPair) -> Result<(), Error> {
+    let written = (|| {
+        let options = File::options()
+            .write(true)
+            .create(true)
+            .truncate(true)
+            .mode(0o600)
+            .open(path);
+        let mut file = options?;
+        file.set_permissions(Permissions::from_mode(0o600))?;
+        file.write_all(key.serialize_pem().as_bytes())
+    })();
+    written.map_err(|what: io::Error| error(Step::WriteKeys, path)(what.to_string()))
+}
+
 fn read(path: &Path) -> Result<String, Error> {
     fs::read_to_string(path).map_err(|what| error(Step::ReadKeys, path)(what.to_string()))
 }
@@ -66,7 +87,7 @@
             .self_signed(&key)
             .map_err(|what| wrong(what.to_string()))?;
         write(&folder.join(CA_FILE), &made.pem())?;
-        write(&folder.join(CA_KEY_FILE), &key.serialize_pem())
+        write_key(&folder.join(CA_KEY_FILE), &key)
     }
 
     /// Writes a certificate and key for `identity` into `folder`.
@@ -87,7 +108,7 @@
         let signed = signed.map_err(|what| wrong(what.to_string()))?;
         write(&folder.join(CA_FILE), &self.certificate)?;
         write(&folder.join(CERTIFICATE_FILE), &signed.pem())?;
-        write(&folder.join(KEY_FILE), &key.serialize_pem())
+        write_key(&folder.join(KEY_FILE), &key)
     }
 }
 
