Leave boxes that do not serve an adapter out of its plan

Cause: an adapter's rollout took 50 s for 1 MB. The plan counted every holder of the base version, also in zones where the adapter is not served; the box there was asked for chunks it would never fetch, and told its peers to wait. Ruled out: the engine's orders (the log shows none during the wait) and the planner (it advanced within a look of the engines being ready). Change: one rule in the catalogue says who holds a version; plan and door use it.

--- a/crates/gingerpier_catalogue/src/state.rs
+++ b/crates/gingerpier_catalogue/src/state.rs
@@ -205,6 +205,21 @@
         held
     }
 
+    /// Assignments of the engines that are to hold a version: an adapter's are those of its base
+    /// in the zones where the adapter is served.
+    pub fn holders(&self, version: VersionKey) -> impl Iterator<Item = &Assignment> {
+        let held = self.version(version);
+        let base = held.base.unwrap_or(version);
+        let contracts = &self.model(held.model).contracts;
+        let anywhere = held.base.is_none();
+        self.assignments.values().filter(move |assignment| {
+            let served = contracts
+                .iter()
+                .any(|contract| contract.zone == assignment.zone);
+            assignment.version == base && (anywhere || served)
+        })
+    }
+
     /// The catalogue as bytes: the snapshot kept in the key-value service and sent to peers.
     ///
     /// # Panics
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -8,7 +8,6 @@
     },
     bytes::{Bytes, BytesMut},
     gingerpier_base::{Digest, Instant, Name, order},
-    gingerpier_catalogue::model::Assignment,
     gingerpier_link::Stream,
     gingerpier_platform::{Error, Fault, weight_source},
     gingerpier_weights::{
@@ -263,12 +262,7 @@
         let Some(key) = catalogue.version_of_digest(version) else {
             return Vec::new();
         };
-        let base = catalogue.version(key).base.unwrap_or(key);
-        let holders = catalogue
-            .assignments()
-            .values()
-            .filter(|held| held.version == base);
-        let names: BTreeSet<&Name> = holders.map(|held| &held.server).collect();
+        let names: BTreeSet<&Name> = catalogue.holders(key).map(|held| &held.server).collect();
         let mut replicas = self.book.boxes_named(&names);
         let me = &self.process.hello;
         if !replicas.iter().any(|peer| peer.name == me.name) {
@@ -467,10 +461,8 @@
         let Some(key) = catalogue.version_of_digest(version) else {
             return true;
         };
-        let base = catalogue.version(key).base.unwrap_or(key);
-        let assigned =
-            |held: &Assignment| held.version == base && held.server == self.process.hello.name;
-        catalogue.assignments().values().any(assigned)
+        let mut holders = catalogue.holders(key);
+        holders.any(|held| held.server == self.process.hello.name)
     }
 
     /// Waits until `look` finds something, as long as this box expects the version itself.
