Let doors refuse what can't run at once, and let old reports fade

Change: a door refuses a first try that its engine could not run at once and tells the exact load, up to six times before a request is queued; answers tell it too; what was seen fades into the pool's mean over 400 ms; queues begin only where no zone has a free slot; shares of accounts tighten step by step instead of at once.

--- a/crates/gingerpier_daemon/src/backend/attempts.rs
+++ b/crates/gingerpier_daemon/src/backend/attempts.rs
@@ -100,8 +100,11 @@
     /// Serves an attempt; `link` is where it came from.
     pub async fn serve_attempt(&self, mut stream: Stream, attempt: Attempt, link: &Link) {
         if attempt.body_length > LONGEST_BODY {
-            self.reply(&mut stream, &Reply::Refused(Refusal::Full))
-                .await;
+            let refused = Reply::Refused {
+                refusal: Refusal::Full,
+                others: None,
+            };
+            self.reply(&mut stream, &refused).await;
             return;
         }
         let Ok(body) = stream.receive_exact(attempt.body_length as usize).await else {
@@ -111,7 +114,7 @@
         let ready = match &slot {
             None => Err(Refusal::NoEngine),
             Some(_) if self.takes_no_work() => Err(Refusal::Leaving),
-            Some(slot) => slot.readiness(attempt.weights, attempt.adapter),
+            Some(slot) => slot.readiness(&attempt),
         };
         match (self.attempts.admit(&attempt, ready), slot) {
             (Admission::Start, Some(slot)) => {
@@ -119,10 +122,12 @@
                     .await;
             }
             (Admission::Duplicate, _) => self.reply(&mut stream, &Reply::Duplicate).await,
-            (Admission::Refuse(refusal), _) => {
-                tracing::info!(event = "attempt_refused", request = attempt.request,
+            (Admission::Refuse(refusal), slot) => {
+                tracing::debug!(event = "attempt_refused", request = attempt.request,
                     engine = %attempt.engine, refusal = ?refusal);
-                self.reply(&mut stream, &Reply::Refused(refusal)).await;
+                let others = slot.map(|slot| slot.others(attempt.key.entry));
+                self.reply(&mut stream, &Reply::Refused { refusal, others })
+                    .await;
             }
             (Admission::Start, None) => unreachable!("an attempt starts only at an engine"),
         }
@@ -154,14 +159,15 @@
             }
         };
         drop(working);
+        let others = Some(slot.others(attempt.key.entry));
         let last = match outcome {
             Outcome::TurnedBack(refusal) => {
                 self.attempts.turn_back(attempt.key);
-                Reply::Refused(refusal)
+                Reply::Refused { refusal, others }
             }
             Outcome::Whole(bytes) => {
                 self.attempts.end(attempt.key);
-                Reply::End { bytes }
+                Reply::End { bytes, others }
             }
             Outcome::Broken(why) => {
                 self.attempts.end(attempt.key);
--- a/crates/gingerpier_daemon/src/backend/engines.rs
+++ b/crates/gingerpier_daemon/src/backend/engines.rs
@@ -21,7 +21,7 @@
     },
     gingerpier_settings::{Backend as Settings, backend},
     gingerpier_weights::Manifest,
-    gingerpier_wire::frame::{EngineStatus, Phase},
+    gingerpier_wire::frame::{Attempt, EngineStatus, Phase},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
@@ -177,16 +177,18 @@
         self.work.borrow().values().sum()
     }
 
-    /// Whether a request for `weights` with `adapter` may start now.
+    /// Whether an attempt may start now.
     ///
     /// # Errors
     ///
     /// Says why it may not.
-    pub fn readiness(
-        &self,
-        weights: Option<Digest>,
-        adapter: Option<Digest>,
-    ) -> Result<(), Refusal> {
+    pub fn readiness(&self, attempt: &Attempt) -> Result<(), Refusal> {
+        let Attempt {
+            weights,
+            adapter,
+            at_once,
+            ..
+        } = attempt;
         let state = self.state.borrow();
         if self.shut.get() {
             return Err(Refusal::Leaving);
@@ -196,11 +198,12 @@
         }
         if self.kind != Kind::Plain {
             let adapted = adapter.is_none_or(|adapter| state.adapters.contains(&adapter));
-            if weights.is_none() || state.weights != weights || !adapted {
+            if weights.is_none() || state.weights != *weights || !adapted {
                 return Err(Refusal::OtherVersion);
             }
         }
-        let most = state.reported.capacity * QUEUE_PERCENT / 100;
+        let percent = if *at_once { 100 } else { QUEUE_PERCENT };
+        let most = state.reported.capacity * percent / 100;
         if self.running() >= most.max(1) {
             Err(Refusal::Full)
         } else {
@@ -208,11 +211,18 @@
         }
     }
 
+    /// Requests at the engine that are not the asker's.
+    ///
+    /// Every request comes through this door, so the count is exact, and never late as the
+    /// engine's own report is.
+    pub fn others(&self, asker: Incarnation) -> u32 {
+        let own = self.work.borrow().get(&asker).copied().unwrap_or(0);
+        self.running() - own
+    }
+
     /// Status as the entry box process `asker` should see it.
     pub fn status(&self, asker: Incarnation) -> EngineStatus {
         let state = self.state.borrow();
-        let own = self.work.borrow().get(&asker).copied().unwrap_or(0);
-        let at_engine = state.reported.running + state.reported.waiting;
         EngineStatus {
             name: self.name.clone(),
             kind: self.class.clone(),
@@ -220,7 +230,7 @@
             phase: self.phase(&state),
             weights: state.weights,
             adapters: state.adapters.clone(),
-            others: at_engine.max(self.running()).saturating_sub(own),
+            others: self.others(asker),
             capacity: state.reported.capacity,
             chunks_held: state.progress.held,
             chunks_wanted: state.progress.wanted,
--- a/crates/gingerpier_daemon/src/entry/requests.rs
+++ b/crates/gingerpier_daemon/src/entry/requests.rs
@@ -13,7 +13,7 @@
     gingerpier_once::{
         claims::Settlement,
         course::{Action, Course, Event, Reason},
-        door::{AttemptKey, Revocation},
+        door::{self, AttemptKey, Revocation},
     },
     gingerpier_routing::router::{Ask, EngineKey, Refusal},
     gingerpier_wire::{
@@ -24,6 +24,8 @@
     tokio::sync::mpsc,
 };
 
+/// Engines that may refuse a request because they could not run it at once, before it is queued.
+const MOST_BOUNCES: usize = 6;
 /// Milliseconds for a door to answer a revocation.
 const REVOKE_MILLIS: u64 = 3_000;
 /// Milliseconds between looks for a link that is to come up again.
@@ -63,6 +65,10 @@
     outlet: Outlet,
     course: Course,
     tried: Vec<EngineKey>,
+    /// Engines that could not run it at once, while one is looked for that can.
+    bounced: Vec<EngineKey>,
+    /// True while an engine is looked for that runs it at once.
+    seeking: bool,
     choice: Option<Choice>,
     passed: Passed,
     attempts: u32,
@@ -82,6 +88,8 @@
             outlet,
             course,
             tried: Vec::new(),
+            bounced: Vec::new(),
+            seeking: true,
             choice: None,
             passed: Passed::default(),
             attempts: 0,
@@ -176,29 +184,43 @@
 
     fn choose(&mut self) -> Event {
         let now = clock::now();
-        if self.attempts > 0 {
+        // Only a request that may have run costs of the budget: a refusal at the door is cheap.
+        if self.course.may_have_run() {
             if !self.entry.budget.borrow_mut().spend() {
                 return Event::NoneFree(now.after_millis(NO_ENGINE_MILLIS));
             }
             self.entry.process.metrics.retries.inc();
         }
+        if self.seeking {
+            let excluded = [self.tried.as_slice(), &self.bounced].concat();
+            if let Ok(event) = self.choose_from(&excluded) {
+                return event;
+            }
+            self.seeking = false;
+        }
+        let tried = self.tried.clone();
+        match self.choose_from(&tried) {
+            Ok(event) => event,
+            Err(Refusal::Full(at)) => Event::NoneFree(at),
+            // All engines were tried: a second round is no better than coming back.
+            Err(Refusal::NoEngine) => Event::NoneFree(now.after_millis(NO_ENGINE_MILLIS)),
+        }
+    }
+
+    fn choose_from(&mut self, excluded: &[EngineKey]) -> Result<Event, Refusal> {
         // Once an answer has begun, only the same version may go on with it.
         let held = self.choice.as_ref().and_then(|choice| choice.admitted);
         let held = held.filter(|_| self.passed.head);
-        let (admitted, pools) = self.entry.pools_for(&self.job, held, &self.tried);
+        let (admitted, pools) = self.entry.pools_for(&self.job, held, excluded);
+        let now = clock::now();
         let ask = Ask {
             pools: &pools,
             prefix: self.job.prefix,
-            tried: &self.tried,
+            tried: excluded,
             now,
         };
-        let chosen = self.entry.fleet.borrow_mut().router().choose(ask);
-        match chosen {
-            Ok(engine) => self.take_choice(engine, admitted),
-            Err(Refusal::Full(at)) => Event::NoneFree(at),
-            // All engines were tried: a second round is no better than coming back.
-            Err(Refusal::NoEngine) => Event::NoneFree(now.after_millis(NO_ENGINE_MILLIS)),
-        }
+        let chosen = self.entry.fleet.borrow_mut().router().choose(ask)?;
+        Ok(self.take_choice(chosen, admitted))
     }
 
     fn take_choice(&mut self, engine: EngineKey, admitted: Option<Admitted>) -> Event {
@@ -219,7 +241,6 @@
             incarnation,
             admitted,
         });
-        self.tried.push(engine);
         Event::Chosen
     }
 
@@ -243,6 +264,12 @@
             .borrow_mut()
             .router()
             .finished(choice.engine);
+        if event == Event::Refused(door::Refusal::Full) && self.seeking {
+            self.bounced.push(choice.engine);
+            self.seeking = self.bounced.len() < MOST_BOUNCES;
+            return Event::Bounced;
+        }
+        self.tried.push(choice.engine);
         event
     }
 
@@ -282,6 +309,7 @@
             body_length: self.job.body.len() as u32,
             priority: self.job.priority,
             resume_after: self.passed.head.then_some(self.passed.events),
+            at_once: self.seeking,
         }
     }
 
@@ -297,6 +325,11 @@
                 Some(if gone { Event::CallerGone } else { Event::End })
             }
             Told::Event(event) => Some(event),
+            Told::Load(others) => {
+                let mut fleet = self.entry.fleet.borrow_mut();
+                fleet.router().observe(choice.engine, others, clock::now());
+                None
+            }
         }
     }
 
@@ -420,6 +453,8 @@
 
 /// What a door told.
 enum Told {
+    /// Others' work at the engine.
+    Load(u32),
     Head(Head),
     Bytes(Bytes),
     End,
@@ -478,19 +513,34 @@
     let mut bytes = 0;
     loop {
         match stream.receive::<Reply>().await? {
-            Reply::Refused(refusal) => return Ok(Told::Event(Event::Refused(refusal))),
+            Reply::Refused { refusal, others } => {
+                tell_load(told, others).await;
+                return Ok(Told::Event(Event::Refused(refusal)));
+            }
             Reply::Head(head) => drop(told.send(Told::Head(head)).await),
             Reply::Body { length } => {
                 bytes += u64::from(length);
                 pass_body(&mut stream, length as usize, told).await?;
             }
             // A door's count that differs from ours is no end.
-            Reply::End { bytes: sent } if sent == bytes => return Ok(Told::End),
+            Reply::End {
+                bytes: sent,
+                others,
+            } if sent == bytes => {
+                tell_load(told, others).await;
+                return Ok(Told::End);
+            }
             _ => return Ok(Told::Event(Event::Broken)),
         }
     }
 }
 
+async fn tell_load(told: &mpsc::Sender<Told>, others: Option<u32>) {
+    if let Some(others) = others {
+        drop(told.send(Told::Load(others)).await);
+    }
+}
+
 async fn pass_body(
     stream: &mut Stream,
     mut left: usize,
--- a/crates/gingerpier_once/src/course.rs
+++ b/crates/gingerpier_once/src/course.rs
@@ -27,6 +27,8 @@
     NoneFree(Instant),
     /// The door refused the attempt: it did not run.
     Refused(Refusal),
+    /// The door refused an attempt that was to run at once or not at all; it costs no try.
+    Bounced,
     /// The answer's first part came.
     Head,
     /// The answer came to its end.
@@ -158,6 +160,10 @@
             (Phase::Choosing, Event::Chosen) => self.send(key),
             (Phase::Choosing, Event::NoneFree(at)) => self.give_up(Reason::NoneFree(at)),
             (Phase::Sent(_), Event::Refused(_)) => self.try_again(),
+            (Phase::Sent(_), Event::Bounced) => {
+                self.tries_left += 1;
+                self.try_again()
+            }
             (Phase::Sent(sent), Event::Head) => {
                 self.may_have_run = true;
                 self.begun = true;
--- a/crates/gingerpier_routing/src/limits.rs
+++ b/crates/gingerpier_routing/src/limits.rs
@@ -17,6 +17,10 @@
 const REQUEST_UNITS: u64 = 1_000;
 /// Load of the engines, in percent of their capacity, from which shares are enforced.
 const CONTENDED_PERCENT: u64 = 90;
+/// Load, in percent, from which an account may hold one share only.
+const OVERRUN_PERCENT: u64 = 120;
+/// Shares that an account may hold where shares begin to be enforced.
+const MOST_SHARES: u64 = 4;
 /// Milliseconds to come back after where an account holds more than its share.
 const SHARE_WAIT_MILLIS: u64 = 100;
 
@@ -82,9 +86,8 @@
         if bucket.units < REQUEST_UNITS {
             return Err(now.after_millis(bucket.millis_to_fill(sharers)));
         }
-        let contended = demand.load * 100 >= demand.capacity * CONTENDED_PERCENT;
-        let share = (demand.capacity / sharers / active).max(1);
-        if contended && u64::from(bucket.in_flight) >= share {
+        let most = most_in_flight(demand.capacity / sharers / active, demand);
+        if u64::from(bucket.in_flight) >= most {
             return Err(now.after_millis(SHARE_WAIT_MILLIS));
         }
         bucket.units -= REQUEST_UNITS;
@@ -106,6 +109,20 @@
     }
 }
 
+/// Requests that an account may hold, given its even share: without bound while there is room,
+/// then several shares, and down to one share where the engines are overrun. An account that asks
+/// for less than its share is never refused for it.
+fn most_in_flight(share: u64, demand: Demand) -> u64 {
+    let percent = demand.load * 100 / demand.capacity.max(1);
+    if percent < CONTENDED_PERCENT {
+        return u64::MAX;
+    }
+    let over = (percent - CONTENDED_PERCENT).min(OVERRUN_PERCENT - CONTENDED_PERCENT);
+    let span = OVERRUN_PERCENT - CONTENDED_PERCENT;
+    let shares_tenths = MOST_SHARES * 10 - (MOST_SHARES - 1) * 10 * over / span;
+    (share.max(1) * shares_tenths / 10).max(1)
+}
+
 impl Bucket {
     fn fill(&mut self, sharers: u64, now: Instant) {
         let rate = u64::from(self.rate);
--- a/crates/gingerpier_routing/src/router.rs
+++ b/crates/gingerpier_routing/src/router.rs
@@ -1,9 +1,13 @@
 //! The choice of an engine.
 //!
 //! Within the nearest zone, the engine that a prompt's prefix hashes to is taken unless it is
-//! clearly busier than its pool; otherwise the less loaded of a few engines drawn at random. Two
+//! clearly busier than its pool; otherwise the least loaded of some engines drawn at random. Two
 //! thresholds keep zones from trading work back and forth: a zone takes its own requests up to
-//! its engines' full capacity, and another zone's only up to a part of it.
+//! its engines' full capacity and then queues them, and another zone's only up to a part of it.
+//!
+//! What others have at an engine is known from its door: exactly with each answer and each
+//! refusal, and from reports in between. As that grows old it counts for less, and the mean of
+//! the pool for more, so that entry boxes do not all run after one stale report.
 
 use gingerpier_base::{Instant, order};
 
@@ -18,12 +22,17 @@
 /// How the router chooses.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
-    /// Engines drawn at random; default 2.
+    /// Engines drawn at random; pools up to this size are looked at whole; default 16.
     pub draws: u32,
+    /// Milliseconds after which what was seen of others' work counts no more; default 400.
+    pub stale_millis: u64,
     /// Load over the pool's mean, in percent, up to which a prefix's engine is kept; default 125.
     pub prefix_percent: u32,
     /// Part of an engine's capacity open to other zones' requests, in percent; default 80.
     pub spill_percent: u32,
+    /// Requests that an engine may have, running and queued, in percent of what it runs at once;
+    /// default 200.
+    pub queue_percent: u32,
     /// Milliseconds to come back after, for each request too many; default 20.
     pub wait_millis: u64,
 }
@@ -31,14 +40,30 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            draws: 2,
+            draws: 16,
+            stale_millis: 400,
             prefix_percent: 125,
             spill_percent: 80,
+            queue_percent: 200,
             wait_millis: 20,
         }
     }
 }
 
+impl Policy {
+    /// Load up to which an engine takes a request, in percent of what it runs at once: first
+    /// wherever it would run at once, then where it queues.
+    const fn percent(&self, queueing: bool, own_zone: bool) -> u32 {
+        match (queueing, own_zone) {
+            (false, true) => 100,
+            (false, false) => self.spill_percent,
+            (true, true) => self.queue_percent,
+            // Queues of another zone are for its own requests.
+            (true, false) => 100,
+        }
+    }
+}
+
 /// A request to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -92,6 +117,8 @@
     /// Prefix points, by rising hash.
     ring: Vec<Point>,
     load: u64,
+    /// The part of the load that is others'.
+    others: u64,
 }
 
 /// Engines, pools and loads as one entry box sees them.
@@ -132,13 +159,14 @@
 
     /// Puts an engine into a pool.
     pub fn join(&mut self, pool: PoolKey, engine: EngineKey) {
-        let load = u64::from(self.engine(engine).load());
+        let Engine { own, others, .. } = *self.engine(engine);
         let held = &mut self.pools[pool.0 as usize];
         if held.members.contains(&engine) {
             return;
         }
         held.members.push(engine);
-        held.load += load;
+        held.load += u64::from(own + others);
+        held.others += u64::from(others);
         for point in 0..POINTS {
             let hash = order::mix(u64::from(engine.0) << 8 | point);
             let place = held.ring.partition_point(|other| other.hash < hash);
@@ -149,13 +177,14 @@
 
     /// Takes an engine out of a pool.
     pub fn leave(&mut self, pool: PoolKey, engine: EngineKey) {
-        let load = u64::from(self.engine(engine).load());
+        let Engine { own, others, .. } = *self.engine(engine);
         let held = &mut self.pools[pool.0 as usize];
         let Some(place) = held.members.iter().position(|member| *member == engine) else {
             return;
         };
         held.members.swap_remove(place);
-        held.load -= load;
+        held.load -= u64::from(own + others);
+        held.others -= u64::from(others);
         held.ring.retain(|point| point.engine != engine);
         self.engines[engine.0 as usize]
             .pools
@@ -184,7 +213,18 @@
         held.capacity = capacity;
         let before = held.others;
         held.others = others;
-        self.shift(engine, i64::from(others) - i64::from(before));
+        let change = i64::from(others) - i64::from(before);
+        self.shift(engine, change);
+        for pool in &self.engines[engine.0 as usize].pools {
+            let sum = &mut self.pools[pool.0 as usize].others;
+            *sum = sum.saturating_add_signed(change);
+        }
+    }
+
+    /// Takes what a door told with an answer or a refusal: others' work at this instant.
+    pub fn observe(&mut self, engine: EngineKey, others: u32, now: Instant) {
+        let capacity = self.engine(engine).capacity;
+        self.report(engine, others, capacity, now);
     }
 
     /// Notes a request sent to `engine` by this process.
@@ -245,22 +285,21 @@
     /// Where no engine holds the version, or all that do are full.
     pub fn choose(&mut self, ask: Ask<'_>) -> Result<EngineKey, Refusal> {
         let mut least_excess = None;
-        for (nearness, pool) in ask.pools.iter().enumerate() {
-            let percent = if nearness == 0 {
-                100
-            } else {
-                self.policy.spill_percent
-            };
-            let Some(best) = self.best_of(*pool, ask) else {
-                continue;
-            };
-            let engine = self.engine(best);
-            let room = u64::from(engine.capacity) * u64::from(percent) / 100;
-            if u64::from(engine.load()) < room.max(1) {
-                return Ok(best);
+        for queueing in [false, true] {
+            for (nearness, pool) in ask.pools.iter().enumerate() {
+                let Some(best) = self.best_of(*pool, ask) else {
+                    continue;
+                };
+                let engine = self.engine(best);
+                let percent = self.policy.percent(queueing, nearness == 0);
+                let room = (u64::from(engine.capacity) * u64::from(percent) / 100).max(1);
+                let load = u64::from(engine.load());
+                if load < room {
+                    return Ok(best);
+                }
+                let excess = load + 1 - room;
+                least_excess = Some(least_excess.unwrap_or(excess).min(excess));
             }
-            let excess = u64::from(engine.load()) + 1 - room.max(1);
-            least_excess = Some(least_excess.unwrap_or(excess).min(excess));
         }
         let wait = |excess: u64| ask.now.after_millis(self.policy.wait_millis * excess);
         Err(least_excess.map_or(Refusal::NoEngine, |excess| Refusal::Full(wait(excess))))
@@ -278,23 +317,57 @@
     }
 
     fn best_of(&mut self, pool: PoolKey, ask: Ask<'_>) -> Option<EngineKey> {
-        if let Some(engine) = ask
+        let by_prefix = ask
             .prefix
-            .and_then(|prefix| self.by_prefix(pool, prefix, ask.tried))
-        {
-            return Some(engine);
+            .and_then(|prefix| self.by_prefix(pool, prefix, ask.tried));
+        if by_prefix.is_some() {
+            return by_prefix;
         }
         let count = self.pools[pool.0 as usize].members.len();
-        let mut best = None;
-        for _ in 0..self.policy.draws.min(count as u32) {
-            let drawn = self.pools[pool.0 as usize].members[self.random.usize(..count)];
-            if !ask.tried.contains(&drawn) {
-                best = Some(self.less_loaded(best, drawn));
+        if count == 0 {
+            return None;
+        }
+        let start = self.random.usize(..count);
+        // A stride without common part with the count visits different engines.
+        let stride = if count <= self.policy.draws as usize {
+            1
+        } else {
+            self.stride(count)
+        };
+        let mean = self.mean_of_others(pool);
+        let mut best: Option<(u64, EngineKey)> = None;
+        for draw in 0..count.min(self.policy.draws as usize) {
+            let engine = self.pools[pool.0 as usize].members[(start + draw * stride) % count];
+            if ask.tried.contains(&engine) {
+                continue;
+            }
+            let estimate = self.estimate(engine, mean, ask.now);
+            if best.is_none_or(|(least, _)| estimate < least) {
+                best = Some((estimate, engine));
             }
         }
-        // Few engines, most of them tried: look at each once.
-        best.filter(|best| self.has_room(*best))
-            .or_else(|| self.least_loaded(pool, ask.tried))
+        let best = best.map(|(_, engine)| engine);
+        best.or_else(|| self.least_loaded(pool, ask.tried))
+    }
+
+    fn stride(&mut self, count: usize) -> usize {
+        const PRIMES: [usize; 4] = [7_919, 104_729, 15_485_863, 32_452_843];
+        PRIMES[self.random.usize(..PRIMES.len())] % count
+    }
+
+    /// Mean work of others at a pool's engines, in thousandths of a request.
+    fn mean_of_others(&self, pool: PoolKey) -> u64 {
+        let pool = &self.pools[pool.0 as usize];
+        pool.others * 1_000 / (pool.members.len() as u64).max(1)
+    }
+
+    /// Work at an engine, in thousandths of a request: our own exactly, others' by age.
+    fn estimate(&self, engine: EngineKey, mean: u64, now: Instant) -> u64 {
+        let engine = self.engine(engine);
+        let stale = self.policy.stale_millis.max(1);
+        let age = now.millis_since(engine.reported_at).min(stale);
+        let seen = u64::from(engine.others) * 1_000 * (stale - age) / stale;
+        u64::from(engine.own) * 1_000 + seen + mean * age / stale
     }
 
     fn has_room(&self, engine: EngineKey) -> bool {
@@ -308,13 +381,6 @@
         free.min_by_key(|engine| self.engine(*engine).load())
     }
 
-    fn less_loaded(&self, best: Option<EngineKey>, drawn: EngineKey) -> EngineKey {
-        match best {
-            Some(best) if self.engine(best).load() <= self.engine(drawn).load() => best,
-            _ => drawn,
-        }
-    }
-
     /// The engine that `prefix` hashes to, unless it is clearly busier than its pool.
     fn by_prefix(&self, pool: PoolKey, prefix: u64, tried: &[EngineKey]) -> Option<EngineKey> {
         let pool = &self.pools[pool.0 as usize];
--- a/crates/gingerpier_routing/tests/choice.rs
+++ b/crates/gingerpier_routing/tests/choice.rs
@@ -61,7 +61,15 @@
         router.started(engine);
         taken += 1;
     }
-    assert_eq!(taken, 10 + 8);
+    // Ten run near and eight far; then ten queue near, and two more run far.
+    assert_eq!(
+        (
+            taken,
+            router.in_flight(EngineKey(0)),
+            router.in_flight(EngineKey(1))
+        ),
+        (30, 20, 10)
+    );
     assert!(
         router.choose(ask(&[far], &[])).is_ok(),
         "the far zone's own requests find room"
@@ -73,6 +81,7 @@
     let mut router = Router::new(Policy::default(), 1);
     let (pool, engines) = pool_of(&mut router, 1, 1);
     router.started(engines[0]);
+    router.started(engines[0]);
     let Err(Refusal::Full(at)) = router.choose(ask(&[pool], &[])) else {
         panic!("not refused")
     };
@@ -104,3 +113,25 @@
     router.report(engines[0], 0, 4, Instant::from_millis(10));
     assert_eq!(router.load(engines[0]), 3);
 }
+
+#[test]
+fn what_a_door_told_counts_until_it_is_old() {
+    let mut router = Router::new(Policy::default(), 1);
+    let (pool, engines) = pool_of(&mut router, 2, 10);
+    router.observe(engines[0], 5, NOW);
+    router.observe(engines[1], 1, NOW);
+    let pools = [pool];
+    assert!((0..20).all(|_| router.choose(ask(&pools, &[])) == Ok(engines[1])));
+    // Long after, neither is known to be busier than the other.
+    let later = Ask {
+        now: NOW.after_millis(10_000),
+        ..ask(&pools, &[])
+    };
+    let first = (0..100)
+        .filter(|_| router.choose(later) == Ok(engines[0]))
+        .count();
+    assert!(
+        (20..80).contains(&first),
+        "{first} of 100 to the one that was busier"
+    );
+}
--- a/crates/gingerpier_wire/src/frame.rs
+++ b/crates/gingerpier_wire/src/frame.rs
@@ -112,7 +112,14 @@
     Hello(#[n(0)] Hello),
     /// The attempt did not start, and will not.
     #[n(1)]
-    Refused(#[n(0)] Refusal),
+    Refused {
+        /// Why.
+        #[n(0)]
+        refusal: Refusal,
+        /// Requests at the engine that are not the asker's.
+        #[n(1)]
+        others: Option<u32>,
+    },
     /// A second copy of an attempt that started; this stream carries no answer.
     #[n(2)]
     Duplicate,
@@ -132,6 +139,9 @@
         /// Bytes of all parts.
         #[n(0)]
         bytes: u64,
+        /// Requests at the engine that are not the asker's.
+        #[n(1)]
+        others: Option<u32>,
     },
     /// The answer broke off.
     #[n(6)]
@@ -241,6 +251,10 @@
     /// Parts of the answer that the caller has already.
     #[n(12)]
     pub resume_after: Option<u64>,
+    /// Refuse it where the engine could not run it at once.
+    #[n(13)]
+    #[cbor(default)]
+    pub at_once: bool,
 }
 
 /// First part of an answer.
