End an ask whose source was given up; serve whole chunks in turn

Cause: with 24 chunks under way at once at a slow pace, 0 of 48 boxes were complete after 160 s. A source that had stalled was given up, but its task went on and added its bytes to the same chunk as the next source's. Ruled out: the plan (at 8 under way the same fleet completes). Change: an ask that is dropped takes nothing any more; a box sends two chunks at a time and not all that are asked for at once.

--- a/crates/gingerpier_benches/src/routing.rs
+++ b/crates/gingerpier_benches/src/routing.rs
@@ -337,12 +337,7 @@
 
     /// Sends a request to an engine; one without a free slot refuses the first tries at once.
     fn try_once(&mut self, request: usize) {
-        let Seeking {
-            entry,
-            group,
-            since,
-            ..
-        } = self.seeking[request];
+        let Seeking { entry, group, .. } = self.seeking[request];
         let tried = std::mem::take(&mut self.seeking[request].tried);
         let shipped = matches!(self.choice, Choice::Shipped | Choice::ShippedWithPrefixes);
         let probing = shipped && tried.len() < PROBES.min(self.engines.len() - 1);
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -6,6 +6,7 @@
         clock,
         metrics::{PeerLabel, SourceLabel},
     },
+    actix_rt::task::JoinHandle,
     bytes::{Bytes, BytesMut},
     gingerpier_base::{Digest, Instant, Name, order},
     gingerpier_link::Stream,
@@ -65,6 +66,40 @@
     outcome: Outcome,
 }
 
+/// Asks under way; one that is dropped takes nothing any more.
+#[derive(Default)]
+struct Asks(BTreeMap<u64, JoinHandle<()>>);
+
+impl Asks {
+    fn start(&mut self, ask: Ask, ended: mpsc::UnboundedSender<Ended>) {
+        let (chunk, attempt) = (ask.chunk, ask.attempt);
+        let task = actix_rt::spawn(async move {
+            let outcome = ask.carry_out().await;
+            // The fetch may be over by now.
+            let _ = ended.send(Ended {
+                chunk,
+                attempt,
+                outcome,
+            });
+        });
+        self.0.insert(attempt, task);
+    }
+
+    fn drop(&mut self, attempt: u64) {
+        if let Some(task) = self.0.remove(&attempt) {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for Asks {
+    fn drop(&mut self) {
+        for task in self.0.values() {
+            task.abort();
+        }
+    }
+}
+
 /// Where a version's weights come from at the origin.
 struct Origin {
     client: weight_source::Client,
@@ -154,6 +189,7 @@
             return;
         };
         let (sender, mut ended) = mpsc::unbounded_channel();
+        let mut asks = Asks::default();
         let mut actions = Vec::new();
         loop {
             let Some(fetching) = weak.upgrade() else {
@@ -179,18 +215,14 @@
                             source,
                             attempt,
                         };
-                        let sender = sender.clone();
-                        actix_rt::spawn(async move {
-                            let outcome = ask.carry_out().await;
-                            // The fetch may be over by now.
-                            let _ = sender.send(Ended {
-                                chunk,
-                                attempt,
-                                outcome,
-                            });
-                        });
+                        asks.start(ask, sender.clone());
                     }
-                    Action::Drop { chunk, source, .. } => {
+                    Action::Drop {
+                        chunk,
+                        source,
+                        attempt,
+                    } => {
+                        asks.drop(attempt);
                         let source = fetching.describe(source);
                         tracing::warn!(event = "source_stalled", weights = %fetching.version, chunk, source);
                     }
@@ -212,6 +244,7 @@
                 outcome,
             })) = next.await
             {
+                asks.drop(attempt);
                 let Some(fetching) = weak.upgrade() else {
                     return;
                 };
@@ -440,6 +473,9 @@
         stream: &mut Stream,
         mut rest: Bytes,
     ) -> Result<(), gingerpier_link::Error> {
+        // Whole chunks one after another reach those who wait for them, and pass them on, sooner
+        // than many at once.
+        let _turn = self.send_turns.acquire().await;
         stream
             .send(&Reply::Chunk {
                 length: rest.len() as u32,
@@ -581,9 +617,12 @@
         self.backend.receive_pace.pass(part.len()).await;
         self.fetching.progress_at(self.chunk, self.attempt);
         let length = part.len() as u64;
-        let (source, count) = match self.source {
-            Source::Origin => ("origin", &self.fetching.origin_bytes),
-            Source::Replica(_) | Source::Holder(_) => ("peer", &self.fetching.peer_bytes),
+        let (source, count) = match self.fetching.peer(self.source) {
+            None => ("origin", &self.fetching.origin_bytes),
+            Some(peer) if peer.zone == self.backend.process.hello.zone => {
+                ("own_zone", &self.fetching.peer_bytes)
+            }
+            Some(_) => ("other_zone", &self.fetching.peer_bytes),
         };
         count.set(count.get() + length);
         let label = SourceLabel {
--- a/crates/gingerpier_daemon/src/backend/mod.rs
+++ b/crates/gingerpier_daemon/src/backend/mod.rs
@@ -15,9 +15,11 @@
     gingerpier_settings::{Backend as Settings, unit::Millis},
     gingerpier_wire::frame::Status,
     std::{cell::Cell, rc::Rc},
-    tokio::sync::watch,
+    tokio::sync::{Semaphore, watch},
 };
 
+/// Chunks sent to peers at the same time.
+const CHUNKS_AT_ONCE: usize = 2;
 /// Milliseconds between looks at whether all work has ended.
 const DRAIN_LOOK_MILLIS: u64 = 50;
 
@@ -35,6 +37,8 @@
     pub book: Book,
     /// Pace of sending to peers.
     pub send_pace: Pace,
+    /// Chunks sent at the same time.
+    pub send_turns: Semaphore,
     /// Pace of receiving weights.
     pub receive_pace: Pace,
     /// Settings.
@@ -82,6 +86,7 @@
             weights: Weights::new(settings.weights.chunk_memory.0),
             book: Book::default(),
             send_pace: Pace::new(settings.weights.send.0),
+            send_turns: Semaphore::new(CHUNKS_AT_ONCE),
             receive_pace: Pace::new(settings.weights.receive.0),
             confirmed: Cell::new(false),
             changes: watch::Sender::new(0),
--- a/crates/gingerpier_daemon/src/metrics.rs
+++ b/crates/gingerpier_daemon/src/metrics.rs
@@ -25,7 +25,7 @@
 /// Where bytes of weights came from.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct SourceLabel {
-    /// `origin` or `peer`.
+    /// `origin`, `own_zone` or `other_zone`.
     pub source: String,
 }
 
--- a/crates/gingerpier_fleet/src/fleet.rs
+++ b/crates/gingerpier_fleet/src/fleet.rs
@@ -11,9 +11,13 @@
     awc::Client,
     gingerpier_base::{Name, place::Role},
     gingerpier_daemon::{operate::Answered, table::Table},
+    gingerpier_http::Listener,
     gingerpier_link::{Authority, Identity},
     gingerpier_platform::box_list::{Entry as ListedBox, Listed},
-    gingerpier_standins::{engine::Run, service::Call as ServiceCall},
+    gingerpier_standins::{
+        engine::{self, Run},
+        service::Call as ServiceCall,
+    },
     serde::{Serialize, de::DeserializeOwned},
     std::{
         cell::RefCell,
@@ -234,13 +238,18 @@
         let mut engine_lines = String::new();
         for engine in 0..self.spec.engines {
             let engine = format!("{name}-e{engine}");
-            let child = self.engine(&engine)?;
+            let address = if self.spec.engines_here {
+                self.engine_here()?
+            } else {
+                let child = self.engine(&engine)?;
+                let address = child.address("address");
+                engines.push(child);
+                address
+            };
             engine_lines += &format!(
-                "  - name: {engine}\n    kind: {KIND}\n    url: http://{}\n    checks_fences: {}\n",
-                child.address("address"),
+                "  - name: {engine}\n    kind: {KIND}\n    url: http://{address}\n    checks_fences: {}\n",
                 self.spec.checks_fences,
             );
-            engines.push(child);
         }
         let mut services = Vec::new();
         let mut service_lines = String::new();
@@ -329,6 +338,22 @@
         self.child(name, "gingerpier-standin", &arguments)
     }
 
+    /// Serves an engine in this process.
+    fn engine_here(&self) -> Result<SocketAddr, Error> {
+        let Spec {
+            capacity,
+            token_millis,
+            checks_fences,
+            ..
+        } = self.spec;
+        let options = engine::Options::in_process(capacity, token_millis, checks_fences);
+        let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = listener.map_err(|what| Error::new("starting", "an engine", what))?;
+        let address = listener.address();
+        actix_rt::spawn(engine::serve(listener, options));
+        Ok(address)
+    }
+
     fn write_operator(&self) -> Result<(), Error> {
         let keys = self.keys(Role::Operator, "alice")?;
         let entries = self
@@ -503,16 +528,12 @@
             .map_err(|what| Error::new("controlling", url, what))
     }
 
-    /// Reads what a stand-in tells.
+    /// Reads what a process tells, as text.
     ///
     /// # Errors
     ///
     /// Where it does not answer.
-    pub async fn read<T: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        path: &str,
-    ) -> Result<T, Error> {
+    pub async fn read_text(&self, address: SocketAddr, path: &str) -> Result<String, Error> {
         let url = format!("http://{address}{path}");
         let wrong = |what: String| Error::new("reading", &url, what);
         let sent = self.http.get(&url).send().await;
@@ -522,7 +543,21 @@
             .limit(64 << 20)
             .await
             .map_err(|what| wrong(what.to_string()))?;
-        serde_json::from_slice(&body).map_err(|what| wrong(what.to_string()))
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Reads what a stand-in tells.
+    ///
+    /// # Errors
+    ///
+    /// Where it does not answer.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, Error> {
+        let text = self.read_text(address, path).await?;
+        serde_json::from_str(&text).map_err(|what| Error::new("reading", path, what))
     }
 
     /// Caller at an entry box, of the client account that [`Fleet::deploy`] makes.
@@ -591,7 +626,8 @@
         let folder = self.folder.join("weights").join(&source);
         weights::write(&folder, 2, megabytes * 500_000, seed)?;
         let path = folder.display().to_string();
-        let arguments = ["manifest", "--quiet", "--chunk-bytes", "262144", &path];
+        let chunk = self.spec.chunk_bytes.to_string();
+        let arguments = ["manifest", "--quiet", "--chunk-bytes", &chunk, &path];
         let (_, text) = self.gingerpier(&arguments).await?;
         let line = text.lines().next().unwrap_or_default().to_owned();
         let base = base.map_or_else(String::new, |base| format!(" base {base}"));
--- a/crates/gingerpier_fleet/src/spec.rs
+++ b/crates/gingerpier_fleet/src/spec.rs
@@ -36,6 +36,10 @@
     pub weights: String,
     /// Further lines of the entry boxes' settings.
     pub entry: String,
+    /// Size of a chunk, in bytes.
+    pub chunk_bytes: u32,
+    /// True where engines are served in the starter's own process, so that more servers fit.
+    pub engines_here: bool,
     /// True where each backend server is reached through a link that can be cut.
     pub links: bool,
 }
@@ -63,6 +67,8 @@
             origin_rate: 0,
             weights: String::new(),
             entry: String::new(),
+            chunk_bytes: 262_144,
+            engines_here: false,
             links: false,
         }
     }
--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -201,3 +201,25 @@
     }
     Ok(())
 }
+
+#[actix_rt::test]
+async fn a_source_that_was_given_up_adds_nothing_to_a_chunk() -> Result<(), Error> {
+    // So slow a pace, under so many chunks at once, that sources stall all the time.
+    let weights = "  send: 500kB/s\n  receive: 500kB/s\n  window: 24\n  stall: 300ms\n".to_owned();
+    let fleet = Fleet::start(Spec {
+        weights,
+        chunk_bytes: 65_536,
+        ..spec()
+    })
+    .await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    for server in &fleet.servers {
+        let log = fleet
+            .folder
+            .join("logs")
+            .join(format!("{}.log", server.name));
+        let log = std::fs::read_to_string(log).expect("there is a log");
+        assert!(!log.contains("chunk_corrupt"), "{}", server.name);
+    }
+    Ok(())
+}
--- a/crates/gingerpier_settings/src/backend.rs
+++ b/crates/gingerpier_settings/src/backend.rs
@@ -40,7 +40,8 @@
     pub send: Bytes,
     /// Bytes a second received from peers and the origin; default 1GB/s.
     pub receive: Bytes,
-    /// Children of one box in one chunk's tree; default 2. Must be the same on all boxes.
+    /// Children of one box in one chunk's tree; default 2; 0 takes all from the origin. Must be
+    /// the same on all boxes.
     pub fan_out: u32,
     /// Chunks under way at once; default 8.
     pub window: u32,
--- a/crates/gingerpier_standins/src/engine.rs
+++ b/crates/gingerpier_standins/src/engine.rs
@@ -52,6 +52,19 @@
     checks_fences: bool,
 }
 
+impl Options {
+    /// Options of an engine that is served in the starter's own process.
+    pub fn in_process(capacity: u32, token_millis: u64, checks_fences: bool) -> Self {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            listen,
+            capacity,
+            token_millis,
+            checks_fences,
+        }
+    }
+}
+
 /// One run of one request.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Run {
@@ -130,6 +143,12 @@
 pub async fn run(options: Options) -> io::Result<()> {
     let listener = Listener::bind(options.listen)?;
     crate::ready(listener.address());
+    serve(listener, options).await;
+    Ok(())
+}
+
+/// Serves an engine at `listener` until the future is dropped.
+pub async fn serve(listener: Listener, options: Options) {
     let slots = Semaphore::new(options.capacity as usize);
     let engine = Rc::new(Engine {
         options,
@@ -139,7 +158,6 @@
     listener
         .serve(move |request| handle(engine.clone(), request))
         .await;
-    Ok(())
 }
 
 async fn handle(engine: Rc<Engine>, mut request: Request) -> Answer {
--- a/crates/gingerpier_weights/src/plan.rs
+++ b/crates/gingerpier_weights/src/plan.rs
@@ -8,6 +8,8 @@
 //! Roots of the zones form a chain, region by region, so that each chunk crosses each zone and
 //! region link once; the first root of the chain takes it from the origin.
 //!
+//! A fan-out of 0 is the other end of the trade: every replica takes every chunk from the origin.
+//!
 //! Where a source fails, the next above it stands in, up to the origin; last, other replicas of
 //! the zone are asked for what they hold, which is how a zone that is cut off completes.
 
@@ -108,7 +110,7 @@
             zone.stride = stride(zone.members.len());
         }
         Self {
-            fan_out: fan_out.max(1) as usize,
+            fan_out: fan_out as usize,
             zones,
             places,
         }
@@ -122,6 +124,10 @@
     /// Writes the sources of `chunk` for `replica` into `sources`, best first.
     pub fn sources(&self, replica: ReplicaKey, chunk: u32, sources: &mut Vec<Source>) {
         sources.clear();
+        if self.fan_out == 0 {
+            sources.push(Source::Origin);
+            return;
+        }
         let place = self.places[replica.0 as usize];
         self.climb_zone(place, chunk, sources);
         self.climb_chain(place.zone, chunk, sources);
