Tell a waiting peer by the clock that its chunk will come

The logs of 24 boxes showed 1,330 of 5,880 asks given up as stalled: the word that a chunk is still awaited was sent only when no other chunk had come for half a second, which under load is never. Change: the word goes out by the clock, also while a chunk waits for its turn to be sent; chunks pass the receiver's pace whole, in the order they came. A test holds that nobody gives up a source that only waits itself; it failed before.

--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -20,16 +20,17 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet},
+        pin::pin,
         rc::{Rc, Weak},
         time::Duration,
     },
-    tokio::sync::mpsc,
+    tokio::sync::{SemaphorePermit, mpsc},
 };
 
 /// Milliseconds between looks at deadlines.
 const LOOK_MILLIS: u64 = 50;
 /// Milliseconds between words that a chunk is still awaited here too.
-const PENDING_MILLIS: u64 = 500;
+const PENDING_MILLIS: u64 = 300;
 /// Milliseconds for which another box's ask is kept waiting.
 const WAIT_MILLIS: u64 = 25_000;
 /// Milliseconds before a manifest is asked for again.
@@ -214,6 +215,7 @@
                             chunk,
                             source,
                             attempt,
+                            taken: Cell::new(0),
                         };
                         asks.start(ask, sender.clone());
                     }
@@ -475,7 +477,7 @@
     ) -> Result<(), gingerpier_link::Error> {
         // Whole chunks one after another reach those who wait for them, and pass them on, sooner
         // than many at once.
-        let _turn = self.send_turns.acquire().await;
+        let _turn = self.send_turn(stream).await?;
         stream
             .send(&Reply::Chunk {
                 length: rest.len() as u32,
@@ -490,6 +492,21 @@
         Ok(())
     }
 
+    /// Waits for a turn to send; the peer is told meanwhile that its chunk will come.
+    async fn send_turn(
+        &self,
+        stream: &mut Stream,
+    ) -> Result<Option<SemaphorePermit<'_>>, gingerpier_link::Error> {
+        let mut turn = pin!(self.send_turns.acquire());
+        loop {
+            let pause = Duration::from_millis(PENDING_MILLIS);
+            match actix_rt::time::timeout(pause, &mut turn).await {
+                Ok(turn) => return Ok(turn.ok()),
+                Err(_) => stream.send(&Reply::Pending).await?,
+            }
+        }
+    }
+
     /// True where this box fetches the version, or will as soon as it looks at its engines, or
     /// has not yet heard of the version that its peer asks for.
     fn expects(&self, version: Digest) -> bool {
@@ -508,6 +525,7 @@
     {
         let mut arrivals = self.weights.arrivals();
         let deadline: Instant = clock::now().after_millis(WAIT_MILLIS);
+        let mut tell_at = clock::now().after_millis(PENDING_MILLIS);
         loop {
             if let Some(found) = look(&self.weights) {
                 return Some(found);
@@ -515,11 +533,13 @@
             if !self.expects(version) || deadline.has_passed(clock::now()) {
                 return None;
             }
-            let arrival = arrivals.changed();
-            let pause = Duration::from_millis(PENDING_MILLIS);
-            if actix_rt::time::timeout(pause, arrival).await.is_err() {
+            // Other chunks come all the time; the peer is told by the clock, not by their pauses.
+            if tell_at.has_passed(clock::now()) {
                 stream.send(&Reply::Pending).await.ok()?;
+                tell_at = clock::now().after_millis(PENDING_MILLIS);
             }
+            // Without an arrival, the look is taken all the same.
+            let _ = actix_rt::time::timeout(clock::left(tell_at), arrivals.changed()).await;
         }
     }
 }
@@ -559,6 +579,8 @@
     chunk: u32,
     source: Source,
     attempt: u64,
+    /// Bytes that this ask has brought.
+    taken: Cell<usize>,
 }
 
 /// Why an ask brought no chunk.
@@ -596,7 +618,10 @@
             Source::Holder(_) => self.read_peer(false).await,
         };
         match read {
-            Ok(()) => self.check(),
+            Ok(()) => {
+                self.keep_pace().await;
+                self.check()
+            }
             Err(Failure::Busy(until)) => Outcome::Refused(until),
             Err(Failure::Failed(why)) => {
                 let source = self.fetching.describe(self.source);
@@ -613,8 +638,22 @@
             .map_or(0, |partial| partial.bytes.len() as u32)
     }
 
-    async fn take(&self, part: &[u8]) {
-        self.backend.receive_pace.pass(part.len()).await;
+    /// Lets whole chunks through one after another, in the order in which they came, so that the
+    /// first can be used and passed on while the rest waits.
+    async fn keep_pace(&self) {
+        let length = self.taken.get();
+        let mut passing = pin!(self.backend.receive_pace.pass(length));
+        loop {
+            let pause = Duration::from_millis(PENDING_MILLIS);
+            match actix_rt::time::timeout(pause, &mut passing).await {
+                Ok(()) => return,
+                Err(_) => self.fetching.progress_at(self.chunk, self.attempt),
+            }
+        }
+    }
+
+    fn take(&self, part: &[u8]) {
+        self.taken.set(self.taken.get() + part.len());
         self.fetching.progress_at(self.chunk, self.attempt);
         let length = part.len() as u64;
         let (source, count) = match self.fetching.peer(self.source) {
@@ -646,7 +685,7 @@
     async fn read_origin(&self) -> Result<(), Failure> {
         let Origin { client, folder } = &*self.origin;
         let offset = self.held();
-        let take = async |part: Bytes| self.take(&part).await;
+        let take = async |part: Bytes| self.take(&part);
         let now = clock::now();
         client
             .chunk(folder, &self.manifest, self.chunk, offset, now, take)
@@ -673,14 +712,17 @@
         let mut left = loop {
             match stream.receive::<Reply>().await? {
                 Reply::Pending => self.fetching.progress_at(self.chunk, self.attempt),
-                Reply::Chunk { length } => break length as usize,
+                Reply::Chunk { length } => {
+                    self.fetching.progress_at(self.chunk, self.attempt);
+                    break length as usize;
+                }
                 other => return Err(Failure::Failed(format!("{other:?}"))),
             }
         };
         while left > 0 {
             let part = stream.receive_some(left.min(PART_BYTES)).await?;
             left -= part.len();
-            self.take(&part).await;
+            self.take(&part);
         }
         Ok(())
     }
--- a/crates/gingerpier_fleet/src/fleet.rs
+++ b/crates/gingerpier_fleet/src/fleet.rs
@@ -29,6 +29,8 @@
     tokio::process::Command,
 };
 
+/// Environment variable under which a fleet's folder, logs among it, is kept.
+const KEEP_VARIABLE: &str = "GINGERPIER_KEEP";
 /// Time for anything that is waited for.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Time between two looks.
@@ -108,7 +110,8 @@
     /// Where a process does not start.
     pub async fn start(spec: Spec) -> Result<Self, Error> {
         let name = format!("gingerpier-{:016x}", fastrand::u64(..));
-        Self::start_in(env::temp_dir().join(name), spec, false).await
+        let keep = env::var_os(KEEP_VARIABLE).is_some();
+        Self::start_in(env::temp_dir().join(name), spec, keep).await
     }
 
     /// Starts a fleet in `folder`, which is kept where asked for.
--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -223,3 +223,29 @@
     }
     Ok(())
 }
+
+#[actix_rt::test]
+async fn nobody_gives_up_a_source_that_is_only_waiting_itself() -> Result<(), Error> {
+    // At this pace a chunk is awaited for longer than a stall may last, while others come.
+    let weights = "  send: 500kB/s\n  receive: 500kB/s\n  stall: 1s\n".to_owned();
+    let fleet = Fleet::start(Spec {
+        weights,
+        chunk_bytes: 65_536,
+        ..spec()
+    })
+    .await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    for server in &fleet.servers {
+        let log = fleet
+            .folder
+            .join("logs")
+            .join(format!("{}.log", server.name));
+        let log = std::fs::read_to_string(log).expect("there is a log");
+        assert!(!log.contains("source_stalled"), "{}", server.name);
+    }
+    assert_eq!(
+        origin_counts(&fleet).await?.bytes,
+        weights_bytes(&fleet, "v1")
+    );
+    Ok(())
+}
