--- a/crates/gingerpier_daemon/src/backend/mod.rs
+++ b/crates/gingerpier_daemon/src/backend/mod.rs
@@ -1,10 +1,12 @@
 //! A backend server's process: the only door to the engines and plain services of its box.
 
+pub mod asks;
 pub mod attempts;
 pub mod engines;
 pub mod fetches;
 pub mod pace;
 pub mod peers;
+pub mod serving;
 pub mod weights;
 
 use {
--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -14,7 +14,7 @@
         frame::{Inform, Peer},
     },
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet},
         rc::{Rc, Weak},
         time::Duration,
@@ -31,6 +31,8 @@
 #[derive(Default)]
 pub struct Book {
     boxes: RefCell<BTreeMap<Name, Peer>>,
+    /// Rises whenever the boxes change.
+    generation: Cell<u64>,
     links: RefCell<BTreeMap<Name, Link>>,
     this: RefCell<Weak<Backend>>,
 }
@@ -46,7 +48,13 @@
             .collect()
     }
 
+    /// Number that rises whenever the boxes change.
+    pub fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
     fn take(&self, peers: &[Peer]) {
+        self.generation.set(self.generation.get() + 1);
         let mut boxes = self.boxes.borrow_mut();
         boxes.clear();
         boxes.extend(peers.iter().map(|peer| (peer.name.clone(), peer.clone())));
