Merge what entry boxes know of backend servers; tidy what was unused

A backend server took the list of boxes from whichever entry box spoke last, and one that had not yet met a box made it leave the plan for a while. Change: lists are kept for each link and merged; a box that one entry box knows is known.

--- a/crates/gingerpier_daemon/src/backend/asks.rs
+++ b/crates/gingerpier_daemon/src/backend/asks.rs
@@ -5,6 +5,7 @@
         Backend,
         fetches::{Fetching, Origin},
         pace::PART_BYTES,
+        serving::PENDING_MILLIS,
     },
     crate::{
         clock,
@@ -20,9 +21,6 @@
     tokio::sync::mpsc,
 };
 
-/// Milliseconds between words that a chunk waits for the pace here.
-const PENDING_MILLIS: u64 = 300;
-
 pub(super) struct Ended {
     pub(super) chunk: u32,
     pub(super) attempt: u64,
--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -31,6 +31,8 @@
 #[derive(Default)]
 pub struct Book {
     boxes: RefCell<BTreeMap<Name, Peer>>,
+    /// What each entry box in reach knows, by its link.
+    lists: RefCell<BTreeMap<usize, Vec<Peer>>>,
     /// Rises whenever the boxes change.
     generation: Cell<u64>,
     links: RefCell<BTreeMap<Name, Link>>,
@@ -53,11 +55,34 @@
         self.generation.get()
     }
 
-    fn take(&self, peers: &[Peer]) {
-        self.generation.set(self.generation.get() + 1);
-        let mut boxes = self.boxes.borrow_mut();
-        boxes.clear();
-        boxes.extend(peers.iter().map(|peer| (peer.name.clone(), peer.clone())));
+    /// Takes what an entry box knows of boxes.
+    ///
+    /// Entry boxes learn of a box at different times, so a box that one of them knows is known;
+    /// that one of them knows it to leave counts too.
+    fn take(&self, link: &Link, peers: &[Peer]) {
+        self.lists.borrow_mut().insert(link.id(), peers.to_vec());
+        self.merge();
+    }
+
+    /// Forgets what an entry box told on a link that is down.
+    fn forget(&self, link: &Link) {
+        if self.lists.borrow_mut().remove(&link.id()).is_some() {
+            self.merge();
+        }
+    }
+
+    fn merge(&self) {
+        let mut merged: BTreeMap<Name, Peer> = BTreeMap::new();
+        for peer in self.lists.borrow().values().flatten() {
+            let held = merged
+                .entry(peer.name.clone())
+                .or_insert_with(|| peer.clone());
+            held.listing = held.listing.max(peer.listing);
+        }
+        if *self.boxes.borrow() != merged {
+            self.boxes.replace(merged);
+            self.generation.set(self.generation.get() + 1);
+        }
     }
 }
 
@@ -84,6 +109,7 @@
             let link = link.clone();
             actix_rt::spawn(async move { backend.serve_stream(stream, link).await });
         }
+        self.book.forget(&link);
     }
 
     async fn serve_stream(&self, mut stream: Stream, link: Link) {
@@ -121,7 +147,7 @@
                 end(served, stream).await;
             }
             Request::Follow { entry } if from_entry => self.report(stream, entry).await,
-            Request::Inform(inform) if from_entry => self.take_inform(stream, &inform).await,
+            Request::Inform(inform) if from_entry => self.take_inform(stream, &inform, &link).await,
             _ => {
                 tracing::warn!(event = "request_refused", peer = %link.peer(),
                     why = "the peer's role may not ask this");
@@ -130,10 +156,10 @@
         }
     }
 
-    async fn take_inform(&self, mut stream: Stream, inform: &Inform) {
+    async fn take_inform(&self, mut stream: Stream, inform: &Inform, link: &Link) {
         self.process.ledger.take_inform(inform, Origin::OwnZone);
         if !inform.boxes.is_empty() {
-            self.book.take(&inform.boxes);
+            self.book.take(link, &inform.boxes);
         }
         let revision = self.process.ledger.revision();
         if inform
--- a/crates/gingerpier_daemon/src/backend/serving.rs
+++ b/crates/gingerpier_daemon/src/backend/serving.rs
@@ -11,8 +11,8 @@
     tokio::sync::SemaphorePermit,
 };
 
-/// Milliseconds between words that a chunk is still awaited here too.
-const PENDING_MILLIS: u64 = 300;
+/// Milliseconds between words, to a peer or to the fetch here, that a chunk will still come.
+pub(super) const PENDING_MILLIS: u64 = 300;
 /// Milliseconds for which another box's ask is kept waiting.
 pub(super) const WAIT_MILLIS: u64 = 25_000;
 
--- a/crates/gingerpier_fleet/src/fleet.rs
+++ b/crates/gingerpier_fleet/src/fleet.rs
@@ -563,6 +563,12 @@
         serde_json::from_str(&text).map_err(|what| Error::new("reading", path, what))
     }
 
+    /// Log of a process of the fleet, as far as it has come.
+    pub fn log(&self, name: &str) -> String {
+        let path = self.folder.join("logs").join(format!("{name}.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Caller at an entry box, of the client account that [`Fleet::deploy`] makes.
     pub fn caller(&self, entry: usize) -> Caller {
         Caller::new(self.entries[entry].child.address("callers"), TOKEN)
--- a/crates/gingerpier_fleet/tests/control.rs
+++ b/crates/gingerpier_fleet/tests/control.rs
@@ -403,11 +403,9 @@
         .permissions()
         .mode();
     assert_eq!(mode & 0o077, 0, "others may read the key: {mode:o}");
-    let log = fleet.folder.join("logs").join(format!("{name}.log"));
     fleet
         .until("the new keys are in use", || async {
-            let log = std::fs::read_to_string(&log).unwrap_or_default();
-            Ok(if log.contains("keys_renewed") {
+            Ok(if fleet.log(&name).contains("keys_renewed") {
                 Ok(())
             } else {
                 Err("not yet".to_owned())
--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -214,11 +214,8 @@
     .await?;
     fleet.deploy(MODEL, MEGABYTES).await?;
     for server in &fleet.servers {
-        let log = fleet
-            .folder
-            .join("logs")
-            .join(format!("{}.log", server.name));
-        let log = std::fs::read_to_string(log).expect("there is a log");
+        let log = fleet.log(&server.name);
+        assert!(log.contains("event=started"), "{} has no log", server.name);
         assert!(!log.contains("chunk_corrupt"), "{}", server.name);
     }
     Ok(())
@@ -236,11 +233,8 @@
     .await?;
     fleet.deploy(MODEL, MEGABYTES).await?;
     for server in &fleet.servers {
-        let log = fleet
-            .folder
-            .join("logs")
-            .join(format!("{}.log", server.name));
-        let log = std::fs::read_to_string(log).expect("there is a log");
+        let log = fleet.log(&server.name);
+        assert!(log.contains("event=started"), "{} has no log", server.name);
         assert!(!log.contains("source_stalled"), "{}", server.name);
     }
     assert_eq!(
--- a/crates/gingerpier_link/src/endpoint.rs
+++ b/crates/gingerpier_link/src/endpoint.rs
@@ -170,6 +170,11 @@
         Ok(Stream::new(send, receive, self.peer.clone()))
     }
 
+    /// Number of the link, unique in its process.
+    pub fn id(&self) -> usize {
+        self.inner.stable_id()
+    }
+
     /// True once the link is down.
     pub fn is_closed(&self) -> bool {
         self.inner.close_reason().is_some()
--- a/crates/gingerpier_settings/tests/examples.rs
+++ b/crates/gingerpier_settings/tests/examples.rs
@@ -17,5 +17,5 @@
         );
         count += 1;
     }
-    assert_eq!(count, 5);
+    assert_eq!(count, 7);
 }
