Let one piece of code serve where logic stood twice

Read as a whole, the change had the reading of lists in settings, the reading of callers' bodies and the start of a slow fleet in two tests each written twice, and a sum of capacities in the router that nothing called.

--- a/crates/gingerpier_daemon/src/entry/callers.rs
+++ b/crates/gingerpier_daemon/src/entry/callers.rs
@@ -196,16 +196,18 @@
         answer::json(200, &json!({ "object": "list", "data": data }))
     }
 
+    async fn read_body(&self, request: &mut Request) -> Result<Bytes, Refusal> {
+        let longest = self.settings.requests.longest_body.0 as usize;
+        body::read(request, longest).await.map_err(refuse_body)
+    }
+
     async fn serve_model(
         self: Rc<Self>,
         mut request: Request,
         account: &Account,
         id: &str,
     ) -> Result<Answer, Refusal> {
-        let longest = self.settings.requests.longest_body.0 as usize;
-        let read = body::read(&mut request, longest)
-            .await
-            .map_err(refuse_body)?;
+        let read = self.read_body(&mut request).await?;
         let asked: Asked = serde_json::from_slice(&read)
             .map_err(|error| Refusal::not_run(400, format!("the body: {error}")))?;
         let catalogue = self.process.ledger.catalogue();
@@ -235,10 +237,7 @@
         account: &Account,
         id: &str,
     ) -> Result<Answer, Refusal> {
-        let longest = self.settings.requests.longest_body.0 as usize;
-        let read = body::read(&mut request, longest)
-            .await
-            .map_err(refuse_body)?;
+        let read = self.read_body(&mut request).await?;
         let asked = request.uri().to_string();
         let rest = &asked[SERVICES.len()..];
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -202,44 +202,36 @@
     Ok(())
 }
 
-#[actix_rt::test]
-async fn a_source_that_was_given_up_adds_nothing_to_a_chunk() -> Result<(), Error> {
-    // So slow a pace, under so many chunks at once, that sources stall all the time.
-    let weights = "  send: 500kB/s\n  receive: 500kB/s\n  window: 24\n  stall: 300ms\n".to_owned();
-    let fleet = Fleet::start(Spec {
+/// Starts a fleet at a slow pace, deploys, and checks that no backend server logged `event`.
+async fn deploy_slowly_without(event: &str, terms: &str) -> Result<Fleet, Error> {
+    let weights = format!("  send: 500kB/s\n  receive: 500kB/s\n{terms}");
+    let spec = Spec {
         weights,
         chunk_bytes: 65_536,
         ..spec()
-    })
-    .await?;
+    };
+    let fleet = Fleet::start(spec).await?;
     fleet.deploy(MODEL, MEGABYTES).await?;
     for server in &fleet.servers {
         let log = fleet.log(&server.name);
         assert!(log.contains("event=started"), "{} has no log", server.name);
-        assert!(!log.contains("chunk_corrupt"), "{}", server.name);
+        assert!(!log.contains(event), "{}", server.name);
     }
+    Ok(fleet)
+}
+
+#[actix_rt::test]
+async fn a_source_that_was_given_up_adds_nothing_to_a_chunk() -> Result<(), Error> {
+    // So slow a pace, under so many chunks at once, that sources stall all the time.
+    deploy_slowly_without("chunk_corrupt", "  window: 24\n  stall: 300ms\n").await?;
     Ok(())
 }
 
 #[actix_rt::test]
 async fn nobody_gives_up_a_source_that_is_only_waiting_itself() -> Result<(), Error> {
     // At this pace a chunk is awaited for longer than a stall may last, while others come.
-    let weights = "  send: 500kB/s\n  receive: 500kB/s\n  stall: 1s\n".to_owned();
-    let fleet = Fleet::start(Spec {
-        weights,
-        chunk_bytes: 65_536,
-        ..spec()
-    })
-    .await?;
-    fleet.deploy(MODEL, MEGABYTES).await?;
-    for server in &fleet.servers {
-        let log = fleet.log(&server.name);
-        assert!(log.contains("event=started"), "{} has no log", server.name);
-        assert!(!log.contains("source_stalled"), "{}", server.name);
-    }
-    assert_eq!(
-        origin_counts(&fleet).await?.bytes,
-        weights_bytes(&fleet, "v1")
-    );
+    let fleet = deploy_slowly_without("source_stalled", "  stall: 1s\n").await?;
+    let counts = origin_counts(&fleet).await?;
+    assert_eq!(counts.bytes, weights_bytes(&fleet, "v1"));
     Ok(())
 }
--- a/crates/gingerpier_routing/src/router.rs
+++ b/crates/gingerpier_routing/src/router.rs
@@ -249,12 +249,6 @@
         self.engine(engine).load()
     }
 
-    /// Sum of capacities in `pools`.
-    pub fn capacity(&self, pools: &[PoolKey]) -> u32 {
-        let members = pools.iter().flat_map(|pool| self.members(*pool));
-        members.map(|engine| self.engine(*engine).capacity).sum()
-    }
-
     /// Draws one of several sets of pools, each in proportion to its engines that were not tried
     /// yet; none where there is no such engine.
     ///
--- a/crates/gingerpier_settings/src/reader.rs
+++ b/crates/gingerpier_settings/src/reader.rs
@@ -116,13 +116,8 @@
             self.missing(key, what);
             return None;
         };
-        let Some(sequence) = node.as_sequence() else {
-            let (line, column) = place(node.span());
-            self.problems
-                .push(line, column, format!("`{key}` is a list: {what}"));
-            return None;
-        };
-        let read: Vec<_> = sequence
+        let read: Vec<_> = self
+            .sequence(node, key, what)?
             .iter()
             .map(|node| self.parse(node, &parse))
             .collect();
@@ -160,19 +155,24 @@
         let Some(node) = self.node(key) else {
             return Some(Vec::new());
         };
-        let Some(sequence) = node.as_sequence() else {
-            let (line, column) = place(node.span());
-            self.problems
-                .push(line, column, format!("`{key}` is a list: {what}"));
-            return None;
-        };
-        let read: Vec<_> = sequence
+        let read: Vec<_> = self
+            .sequence(node, key, what)?
             .iter()
             .map(|node| self.read_section(node, &read))
             .collect();
         read.into_iter().collect()
     }
 
+    fn sequence(&mut self, node: &'a Node, key: &str, what: &str) -> Option<&'a [Node]> {
+        let sequence = node.as_sequence();
+        if sequence.is_none() {
+            let (line, column) = place(node.span());
+            self.problems
+                .push(line, column, format!("`{key}` is a list: {what}"));
+        }
+        sequence.map(|sequence| sequence.as_slice())
+    }
+
     /// Notes keys that no setting has.
     pub fn finish(self) {
         let Some(mapping) = self.mapping else { return };
