--- a/crates/gingerpier_cli/src/desk.rs
+++ b/crates/gingerpier_cli/src/desk.rs
@@ -34,7 +34,10 @@
     pub fn open(settings: &Path) -> Result<Self, Error> {
         match run::settings(settings)? {
             Settings::Operator(operator) => Self::of(&operator),
-            Settings::Entry(_) | Settings::Backend(_) => Err(Error::Role(settings.to_owned())),
+            Settings::Entry(_)
+            | Settings::Backend(_)
+            | Settings::Gateway(_)
+            | Settings::Loader(_) => Err(Error::Role(settings.to_owned())),
         }
     }
 
--- a/crates/gingerpier_daemon/src/backend/asks.rs
+++ b/crates/gingerpier_daemon/src/backend/asks.rs
@@ -14,7 +14,7 @@
     actix_rt::task::JoinHandle,
     bytes::Bytes,
     gingerpier_base::{Digest, Instant},
-    gingerpier_platform::{Error, Fault},
+    gingerpier_services::{Error, Fault},
     gingerpier_weights::{Manifest, fetch::Outcome, plan::Source},
     gingerpier_wire::{Reply, Request},
     std::{cell::Cell, collections::BTreeMap, pin::pin, rc::Rc, time::Duration},
--- a/crates/gingerpier_daemon/src/backend/attempts.rs
+++ b/crates/gingerpier_daemon/src/backend/attempts.rs
@@ -8,10 +8,10 @@
     gingerpier_base::{Digest, place::Incarnation},
     gingerpier_link::{Link, Stream},
     gingerpier_once::door::{Admission, AttemptKey, Door, Refusal, Revocation},
-    gingerpier_platform::engine::{
+    gingerpier_services::engine::{
         ADAPTER_HEADER, ATTEMPT_HEADER, PRIORITY_HEADER, RESUME_HEADER, Run, WEIGHTS_HEADER,
     },
-    gingerpier_platform::exchange::Answer,
+    gingerpier_services::exchange::Answer,
     gingerpier_wire::{
         Reply,
         frame::{Attempt, Head},
--- a/crates/gingerpier_daemon/src/backend/engines.rs
+++ b/crates/gingerpier_daemon/src/backend/engines.rs
@@ -14,7 +14,7 @@
     gingerpier_base::{Digest, Instant, Name, place::Incarnation},
     gingerpier_catalogue::VersionKey,
     gingerpier_once::door::Refusal,
-    gingerpier_platform::{
+    gingerpier_services::{
         Error,
         engine::{Client, Order, Status as Reported, What},
         exchange,
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -12,7 +12,7 @@
     bytes::BytesMut,
     gingerpier_base::{Digest, Name, order},
     gingerpier_catalogue::Revision,
-    gingerpier_platform::weight_source,
+    gingerpier_services::weight_source,
     gingerpier_weights::{
         Fetch, Manifest, Plan,
         fetch::{Action, Terms},
--- a/crates/gingerpier_daemon/src/entry/links.rs
+++ b/crates/gingerpier_daemon/src/entry/links.rs
@@ -11,7 +11,7 @@
     gingerpier_catalogue::Revision,
     gingerpier_link::{Error, Identity, Link, Step},
     gingerpier_membership::{BoxKey, Listing, Member, Standing},
-    gingerpier_platform::box_list,
+    gingerpier_services::box_list,
     gingerpier_wire::{
         Reply, Request,
         frame::{Hello, Status},
--- a/crates/gingerpier_daemon/src/entry/planning.rs
+++ b/crates/gingerpier_daemon/src/entry/planning.rs
@@ -14,8 +14,8 @@
     gingerpier_base::order,
     gingerpier_catalogue::{Command, Entry as LogEntry, Identity},
     gingerpier_membership::Standing,
-    gingerpier_platform::{Error, key_value::Change},
     gingerpier_rollout::{Planner, View, planner::Terms},
+    gingerpier_services::{Error, key_value::Change},
     gingerpier_wire::frame::Phase,
     std::rc::Rc,
 };
--- a/crates/gingerpier_daemon/src/entry/store.rs
+++ b/crates/gingerpier_daemon/src/entry/store.rs
@@ -13,7 +13,7 @@
         Catalogue, Entry as LogEntry, Error as Refusal, Record, Revision,
         proposal::{Action, Event, Proposal},
     },
-    gingerpier_platform::{
+    gingerpier_services::{
         Error, Fault,
         key_value::{Change, Client, Item, Range},
     },
@@ -211,7 +211,7 @@
         if stand.revision > self.process.ledger.revision() {
             let key = self.store.key("record/");
             let fault = Fault::Unreadable(format!("records up to {} are missing", stand.revision));
-            return Err(Error::new(gingerpier_platform::Step::ReadKey, &key, fault));
+            return Err(Error::new(gingerpier_services::Step::ReadKey, &key, fault));
         }
         Ok(stand)
     }
@@ -532,7 +532,7 @@
 fn decode<T: for<'b> Decode<'b, ()>>(item: &Item) -> Result<T, Error> {
     let unreadable = |what: minicbor::decode::Error| {
         let fault = Fault::Unreadable(what.to_string());
-        Error::new(gingerpier_platform::Step::ReadKey, &item.key, fault)
+        Error::new(gingerpier_services::Step::ReadKey, &item.key, fault)
     };
     minicbor::decode(&item.value).map_err(unreadable)
 }
--- a/crates/gingerpier_daemon/src/error.rs
+++ b/crates/gingerpier_daemon/src/error.rs
@@ -35,6 +35,8 @@
         wanted: String,
     },
     /// {0}
+    Hosted(gingerpier_gateway::error::Error),
+    /// {0}
     Link(gingerpier_link::Error),
     /// listening on {address}: {what}
     Listen {
--- a/crates/gingerpier_daemon/src/process.rs
+++ b/crates/gingerpier_daemon/src/process.rs
@@ -64,7 +64,7 @@
             hello,
             ledger: Ledger::default(),
             metrics: Rc::default(),
-            http: gingerpier_platform::http::client(),
+            http: gingerpier_services::http::client(),
             endpoint: RefCell::new(endpoint),
             credentials: RefCell::new(Rc::new(credentials)),
             keys: identity.keys.clone(),
--- a/crates/gingerpier_daemon/src/run.rs
+++ b/crates/gingerpier_daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{backend::Backend, entry::Entry, error::Error, log},
+    gingerpier_platform::Platform,
     gingerpier_settings::Settings,
     std::path::Path,
 };
@@ -29,14 +30,26 @@
 /// Where it can't start.
 pub fn run(path: &Path) -> Result<(), Error> {
     let settings = settings(path)?;
-    log::start();
     actix_rt::System::new().block_on(async {
         match settings {
-            Settings::Entry(settings) => Entry::run(*settings).await,
-            Settings::Backend(settings) => Backend::run(*settings).await,
-            Settings::Operator(_) => Err(Error::Role {
-                path: path.to_owned(),
-            }),
+            Settings::Gateway(settings) => gingerpier_gateway::gateway::run(*settings, &Platform)
+                .await
+                .map_err(Error::Hosted),
+            Settings::Loader(settings) => gingerpier_gateway::loader::run(*settings, &Platform)
+                .await
+                .map_err(Error::Hosted),
+            other => run_own(path, other).await,
         }
     })
 }
+
+async fn run_own(path: &Path, settings: Settings) -> Result<(), Error> {
+    log::start();
+    match settings {
+        Settings::Entry(settings) => Entry::run(*settings).await,
+        Settings::Backend(settings) => Backend::run(*settings).await,
+        Settings::Operator(_) | Settings::Gateway(_) | Settings::Loader(_) => Err(Error::Role {
+            path: path.to_owned(),
+        }),
+    }
+}
--- a/crates/gingerpier_fleet/src/caller.rs
+++ b/crates/gingerpier_fleet/src/caller.rs
@@ -3,7 +3,7 @@
 use {
     crate::error::Error,
     bytes::Bytes,
-    gingerpier_platform::exchange::Client,
+    gingerpier_services::exchange::Client,
     http::{Method, Request},
     http_body_util::Full,
     std::{net::SocketAddr, time::Duration},
--- a/crates/gingerpier_fleet/src/fleet.rs
+++ b/crates/gingerpier_fleet/src/fleet.rs
@@ -13,7 +13,7 @@
     gingerpier_daemon::{operate::Answered, table::Table},
     gingerpier_http::Listener,
     gingerpier_link::{Authority, Identity},
-    gingerpier_platform::box_list::{Entry as ListedBox, Listed},
+    gingerpier_services::box_list::{Entry as ListedBox, Listed},
     gingerpier_standins::{
         engine::{self, Run},
         service::Call as ServiceCall,
--- /dev/null
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -0,0 +1,137 @@
+//! The gateway: listeners, tasks, signals and a planned stop.
+
+use {
+    crate::{
+        callers, clock,
+        error::{Error, Step},
+        log, relay, reports,
+        state::State,
+        store,
+    },
+    gingerpier_http1::{connection::Connection, writer::Message},
+    gingerpier_serving::dialect::Dialect,
+    gingerpier_settings::Gateway as Settings,
+    std::{net::SocketAddr, rc::Rc},
+    tokio::{
+        net::{TcpListener, TcpStream, UdpSocket},
+        signal::unix::{Signal, SignalKind, signal},
+    },
+};
+
+/// Milliseconds for which a stopping gateway takes new connections: the balancer has to look
+/// twice first.
+const LEAVE_MILLIS: u64 = 3_500;
+
+/// Milliseconds before the end of a planned stop by which everything has ended.
+const STOP_MARGIN_MILLIS: u64 = 600;
+
+/// Milliseconds between looks at whether work is left.
+const LOOK_MILLIS: u64 = 50;
+
+/// Milliseconds between sweeps of resting connections.
+const SWEEP_MILLIS: u64 = 1_000;
+
+async fn listen(step: Step, peer: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(peer).await;
+    listener.map_err(|what| Error::Io { step, peer, what })
+}
+
+fn take_signal(kind: SignalKind, peer: SocketAddr) -> Result<Signal, Error> {
+    signal(kind).map_err(|what| Error::Io {
+        step: Step::Signals,
+        peer,
+        what,
+    })
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Where it can't start.
+pub async fn run(settings: Settings, dialect: &'static dyn Dialect) -> Result<(), Error> {
+    let lines = log::start();
+    let callers = listen(Step::ListenCallers, settings.callers).await?;
+    let readiness = listen(Step::ListenReadiness, settings.readiness).await?;
+    let control = listen(Step::ListenControl, settings.control).await?;
+    let peers = settings.peers;
+    let socket = UdpSocket::bind(peers).await.map_err(|what| Error::Io {
+        step: Step::ListenPeers,
+        peer: peers,
+        what,
+    })?;
+    let mut terminate = take_signal(SignalKind::terminate(), settings.callers)?;
+    let hangup = take_signal(SignalKind::hangup(), settings.callers)?;
+    tracing::info!(name = settings.name, zone = settings.zone, callers = %settings.callers, "gateway starts");
+    let state = Rc::new(State::new(settings, dialect));
+    let socket = Rc::new(socket);
+    actix_rt::spawn(store::follow(state.clone()));
+    actix_rt::spawn(relay::serve(state.clone(), control));
+    actix_rt::spawn(relay::follow(state.clone()));
+    actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
+    actix_rt::spawn(reports::take(state.clone(), socket));
+    actix_rt::spawn(answer_readiness(state.clone(), readiness));
+    actix_rt::spawn(callers::accept(state.clone(), callers));
+    actix_rt::spawn(sweep(state.clone()));
+    actix_rt::spawn(note_hangups(hangup));
+    terminate.recv().await;
+    stop(&state).await;
+    log::flush(&lines);
+    Ok(())
+}
+
+async fn note_hangups(mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        tracing::info!("settings changed; they hold from the next start");
+    }
+}
+
+async fn sweep(state: Rc<State>) {
+    loop {
+        clock::pause(SWEEP_MILLIS).await;
+        let fleet = state.fleet.borrow();
+        let keep = |key: &_| !fleet.engine(*key).is_gone;
+        state.pool.borrow_mut().sweep(keep);
+    }
+}
+
+async fn stop(state: &State) {
+    let started = clock::now();
+    state.is_stopping.set(true);
+    tracing::info!(active = state.active.get(), "gateway stops");
+    let settings = &state.settings;
+    let last = started.after_millis(settings.drain_within.0.saturating_sub(STOP_MARGIN_MILLIS));
+    clock::until(started.after_millis(LEAVE_MILLIS)).await;
+    while state.active.get() > 0 && !last.has_passed(clock::now()) {
+        clock::pause(LOOK_MILLIS).await;
+    }
+    tracing::info!(active = state.active.get(), "gateway stopped");
+}
+
+async fn answer_readiness(state: Rc<State>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let state = state.clone();
+                actix_rt::spawn(async move { say_ready(&state, stream).await });
+            }
+            Err(_) => clock::pause(LOOK_MILLIS).await,
+        }
+    }
+}
+
+async fn say_ready(state: &State, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    while let Some(request) = relay::read_head(&mut connection).await {
+        let target = std::str::from_utf8(request.target()).unwrap_or_default();
+        let status = match (state.dialect.asks_ready(target), state.is_ready()) {
+            (true, true) => 200,
+            (true, false) => 503,
+            (false, _) => 404,
+        };
+        let answer = Message::response(status).body(b"");
+        if connection.write(&answer).await.is_err() || !request.keeps_alive() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -0,0 +1,190 @@
+//! Brings the engine to the weights that operators named.
+
+use {
+    super::{Loader, fetch, follow, holding},
+    crate::{clock, store::Client},
+    gingerpier_serving::{
+        bringing::{self, Place, Terms},
+        dialect::{Named, Started},
+        report::Version,
+    },
+    std::rc::Rc,
+};
+
+/// Milliseconds between looks at what the engine holds.
+const LOOK_MILLIS: u64 = 50;
+
+/// Milliseconds between the word that an order is coming and the order, so that gateways hear it.
+const NOTICE_MILLIS: u64 = 80;
+
+/// Milliseconds before which no weights can be there: one copy over one link.
+const EARLIEST_MILLIS: u64 = 2_700;
+
+/// Milliseconds kept free before the operators' bound.
+const MARGIN_MILLIS: u64 = 1_900;
+
+/// Milliseconds that the engine may take for one chunk or order.
+const ENGINE_MILLIS: u64 = 1_000;
+
+/// Looks at a chunk before it is left for the next round.
+const LAY_TRIES: u32 = 3;
+
+/// Milliseconds after a failed round.
+const PAUSE_MILLIS: u64 = 200;
+
+/// Keeps the engine at the weights that are wanted.
+pub async fn keep(loader: Rc<Loader>) {
+    let mut work: Option<(Named, actix_rt::task::JoinHandle<()>)> = None;
+    loop {
+        clock::pause(LOOK_MILLIS).await;
+        let is_there = loader.report.borrow().is_some();
+        let wanted = loader.wanted().filter(|_| is_there);
+        let Some(wanted) = wanted else { continue };
+        let held = loader.held(&wanted.model);
+        if held.is_some_and(|held| held >= wanted.version) {
+            continue;
+        }
+        if let Some((named, task)) = &work {
+            let is_under_way = !task.is_finished();
+            if is_under_way && (*named == wanted || loader.is_ordering.get()) {
+                continue;
+            }
+            task.abort();
+        }
+        tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
+        let task = actix_rt::spawn(bring(loader.clone(), wanted.clone()));
+        work = Some((wanted, task));
+    }
+}
+
+async fn bring(loader: Rc<Loader>, wanted: Named) {
+    follow::refresh(&loader).await;
+    let named = fetch::fetch(&loader, &wanted).await;
+    loop {
+        wait_for_turn(&loader, &named).await;
+        if !loader.is_engine_free() {
+            clock::pause(LOOK_MILLIS).await;
+            continue;
+        }
+        if loader
+            .held(&named.model)
+            .is_some_and(|held| held >= named.version)
+        {
+            return;
+        }
+        if lay(&loader, &named).await && order(&loader, &named).await {
+            return;
+        }
+        clock::pause(PAUSE_MILLIS).await;
+    }
+}
+
+async fn wait_for_turn(loader: &Loader, named: &Named) {
+    loop {
+        let terms = Terms {
+            within_millis: loader.settings.version_within.0,
+            earliest_millis: EARLIEST_MILLIS,
+            margin_millis: MARGIN_MILLIS,
+        };
+        let held = loader.held(&named.model);
+        let known = loader.named(&named.model);
+        let place = place(loader, named.version);
+        let turn = bringing::order_at(held, &known, place, &terms);
+        let now = clock::now();
+        if turn.is_none_or(|turn| turn.has_passed(now)) {
+            return;
+        }
+        clock::pause(LOOK_MILLIS).await;
+    }
+}
+
+fn place(loader: &Loader, version: Version) -> Place {
+    let peers = loader.peers();
+    let zone = peers
+        .iter()
+        .filter(|peer| peer.zone == loader.settings.zone);
+    let members: Vec<u64> = zone.map(super::Peer::identity).collect();
+    // This process is first among the peers it knows.
+    bringing::place(peers[0].identity(), &members, version)
+}
+
+/// Lays every chunk at the engine and reads each back right before the order; true where all of
+/// them lie there as they should.
+async fn lay(loader: &Loader, named: &Named) -> bool {
+    let mut client = Client::new(loader.settings.engine);
+    let holding = {
+        let holdings = loader.holdings.borrow();
+        holdings.get(&named.model, named.version).cloned()
+    };
+    let Some(holding) = holding else { return false };
+    let mut laid = 0;
+    for chunk in 0..holding.manifest.digests.len() as u32 {
+        let Some(bytes) = holding.chunk(chunk) else {
+            return false;
+        };
+        let mut is_right = false;
+        for _ in 0..LAY_TRIES {
+            let question = loader.dialect.laid_chunk(&named.model, chunk);
+            let Ok(whole) = client.call(&question, ENGINE_MILLIS).await else {
+                return false;
+            };
+            let is_here = whole.head.status == 200;
+            if is_here && holding::is_right(&holding.manifest, chunk, &whole.body) {
+                is_right = true;
+                break;
+            }
+            let mut call = loader.dialect.lay_chunk(&named.model, chunk);
+            call.body = bytes.to_vec();
+            laid += 1;
+            if client.call(&call, ENGINE_MILLIS).await.is_err() {
+                return false;
+            }
+        }
+        if !is_right {
+            tracing::warn!(chunk, "chunk does not lie at the engine as it should");
+            return false;
+        }
+    }
+    tracing::info!(
+        version = named.version.0,
+        laid,
+        "weights laid and read back"
+    );
+    true
+}
+
+/// Orders the engine to take what lies there; true once it holds it.
+async fn order(loader: &Loader, named: &Named) -> bool {
+    loader.is_ordering.set(true);
+    clock::pause(NOTICE_MILLIS).await;
+    let sequence = loader
+        .report
+        .borrow()
+        .as_ref()
+        .map_or(0, |report| report.sequence);
+    let call = loader.dialect.start(named, sequence);
+    let mut client = Client::new(loader.settings.engine);
+    let answer = client.call(&call, ENGINE_MILLIS).await;
+    let outcome = match &answer {
+        Ok(whole) => Some(loader.dialect.read_start(whole.head.status)),
+        // The order may have been taken: the engine's next reports tell.
+        Err(_) => None,
+    };
+    tracing::info!(
+        version = named.version.0,
+        sequence,
+        ?outcome,
+        "start ordered"
+    );
+    clock::pause(NOTICE_MILLIS).await;
+    loader.is_ordering.set(false);
+    if outcome == Some(Started::Refused) {
+        return false;
+    }
+    while !loader.is_engine_free() && loader.report.borrow().is_some() {
+        clock::pause(LOOK_MILLIS).await;
+    }
+    loader
+        .held(&named.model)
+        .is_some_and(|held| held >= named.version)
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/loader/fetch.rs
@@ -0,0 +1,491 @@
+//! Brings the chunks of a version here, from other loaders and the origin.
+
+use {
+    super::{
+        Loader, Peer,
+        holding::{self, Holding},
+        peers::Question,
+    },
+    crate::{
+        clock,
+        error::{Error, Step},
+        pool::Pool,
+        store,
+    },
+    bytes::{Bytes, BytesMut},
+    gingerpier_base::order,
+    gingerpier_http1::{
+        body::{Decoder, Part},
+        connection::{Connection, Whole},
+        head::Response,
+    },
+    gingerpier_serving::dialect::{Call, Manifest, Named},
+    gingerpier_weights::{
+        fetch::{Action, Fetch, Outcome, Terms},
+        plan::{Plan, Replica, ReplicaKey, Source},
+    },
+    std::{cell::RefCell, net::SocketAddr, rc::Rc},
+    tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+};
+
+/// Children of one replica in one chunk's tree: few replicas, so each root feeds its whole zone.
+const FAN_OUT: u32 = 16;
+
+/// How chunks are fetched.
+const TERMS: Terms = Terms {
+    window: 24,
+    stall_millis: 700,
+    patience_millis: 4_000,
+    pause_millis: 100,
+};
+
+/// Milliseconds between looks at stalled attempts.
+const TICK_MILLIS: u64 = 50;
+
+/// Milliseconds that a manifest may take from one source.
+const MANIFEST_MILLIS: u64 = 700;
+
+/// Reads of a manifest at the origin before the next source is asked.
+const MANIFEST_READS: u32 = 4;
+
+/// Milliseconds that a connection may take to come up.
+const CONNECT_MILLIS: u64 = 300;
+
+/// Wrong chunks from the origin after which its manifest is doubted.
+const DOUBTS: u32 = 6;
+
+/// What happened to an attempt.
+enum Event {
+    Progress {
+        chunk: u32,
+        attempt: u64,
+    },
+    End {
+        chunk: u32,
+        attempt: u64,
+        outcome: Outcome,
+        source: Source,
+    },
+}
+
+/// Replicas and how they are reached.
+struct Sources {
+    peers: Vec<Peer>,
+    port: u16,
+    origin: Option<SocketAddr>,
+}
+
+impl Sources {
+    fn address(&self, source: Source) -> Option<SocketAddr> {
+        match source {
+            Source::Origin => self.origin,
+            Source::Replica(key) | Source::Holder(key) => {
+                let peer = self.peers.get(key.0 as usize)?;
+                Some(SocketAddr::new(peer.ip, self.port))
+            }
+        }
+    }
+}
+
+fn region_of(loader: &Loader, zone: &str) -> u64 {
+    let regions = &loader.settings.regions;
+    let region = regions.iter().find(|one| one.zone == zone);
+    order::hash(region.map_or(zone, |one| one.region.as_str()))
+}
+
+fn plan_of(loader: &Loader, peers: &[Peer], named: &Named) -> Plan {
+    let replicas: Vec<Replica> = peers
+        .iter()
+        .map(|peer| Replica {
+            identity: peer.identity(),
+            region: region_of(loader, &peer.zone),
+            zone: order::hash(peer.zone.as_str()),
+        })
+        .collect();
+    Plan::new(order::mix(named.version.0), &replicas, FAN_OUT)
+}
+
+/// Brings a whole version here; gives the version that it turned out to be.
+pub async fn fetch(loader: &Rc<Loader>, named: &Named) -> Named {
+    let sources = Rc::new(Sources {
+        peers: loader.peers(),
+        port: loader.settings.peers.port(),
+        origin: loader.origin(),
+    });
+    let plan = plan_of(loader, &sources.peers, named);
+    let named = hold_manifest(loader, &sources, &plan, named).await;
+    take_laid(loader, &named).await;
+    let work = Work::new(loader.clone(), sources, plan, named.clone());
+    work.run().await;
+    named
+}
+
+async fn hold_manifest(
+    loader: &Rc<Loader>,
+    sources: &Rc<Sources>,
+    plan: &Plan,
+    named: &Named,
+) -> Named {
+    let mut order = Vec::new();
+    // This process is first among the peers it knows.
+    plan.sources(ReplicaKey(0), 0, &mut order);
+    loop {
+        if loader
+            .holdings
+            .borrow()
+            .get(&named.model, named.version)
+            .is_some()
+        {
+            return named.clone();
+        }
+        for source in &order {
+            let Some(address) = sources.address(*source) else {
+                continue;
+            };
+            let bytes = match source {
+                Source::Origin => origin_manifest(loader, address, named).await,
+                _ => peer_manifest(address, named).await,
+            };
+            let manifest = bytes.and_then(|bytes| {
+                let manifest = loader.dialect.read_manifest(200, &bytes).ok()?;
+                Some((manifest, bytes))
+            });
+            if let Some((manifest, bytes)) = manifest {
+                return note_manifest(loader, manifest, bytes, address);
+            }
+        }
+        clock::pause(TERMS.pause_millis).await;
+    }
+}
+
+fn note_manifest(loader: &Loader, manifest: Manifest, bytes: Bytes, source: SocketAddr) -> Named {
+    let named = Named {
+        model: manifest.model.clone(),
+        version: manifest.version,
+    };
+    let chunks = manifest.digests.len();
+    tracing::info!(model = named.model, version = named.version.0, chunks, %source, "manifest taken");
+    let holding = Holding::new(manifest, bytes);
+    loader.holdings.borrow_mut().add(holding);
+    named
+}
+
+async fn call(address: SocketAddr, call: &Call, millis: u64) -> Option<Whole> {
+    store::Client::new(address).call(call, millis).await.ok()
+}
+
+/// Manifest of the origin, read until it came twice the same: it may be spoilt on its way, and
+/// everything else is checked against it.
+async fn origin_manifest(loader: &Loader, address: SocketAddr, named: &Named) -> Option<Bytes> {
+    let question = loader.dialect.manifest(named);
+    let mut seen: Vec<Bytes> = Vec::new();
+    for _ in 0..MANIFEST_READS {
+        let Some(whole) = call(address, &question, MANIFEST_MILLIS).await else {
+            continue;
+        };
+        if loader
+            .dialect
+            .read_manifest(whole.head.status, &whole.body)
+            .is_err()
+        {
+            continue;
+        }
+        if seen.contains(&whole.body) {
+            return Some(whole.body);
+        }
+        seen.push(whole.body);
+    }
+    None
+}
+
+async fn peer_manifest(address: SocketAddr, named: &Named) -> Option<Bytes> {
+    let question = Question {
+        named: named.clone(),
+        chunk: None,
+        at_once: false,
+    };
+    let whole = call(address, &Call::get(question.target()), MANIFEST_MILLIS).await?;
+    (whole.head.status == 200).then_some(whole.body)
+}
+
+/// Takes what lies at the engine already.
+async fn take_laid(loader: &Rc<Loader>, named: &Named) {
+    let Some(manifest) = manifest_of(loader, named) else {
+        return;
+    };
+    if loader
+        .held(&named.model)
+        .is_some_and(|held| held != named.version)
+    {
+        // What lies there is what the engine was last given: another version.
+        return;
+    }
+    let mut client = store::Client::new(loader.settings.engine);
+    for chunk in 0..manifest.digests.len() as u32 {
+        let question = loader.dialect.laid_chunk(&named.model, chunk);
+        let Ok(whole) = client.call(&question, MANIFEST_MILLIS).await else {
+            return;
+        };
+        let is_here = whole.head.status == 200;
+        if is_here && holding::is_right(&manifest, chunk, &whole.body) {
+            put(loader, named, chunk, whole.body);
+        } else if chunk == 0 {
+            return;
+        }
+    }
+}
+
+fn manifest_of(loader: &Loader, named: &Named) -> Option<Rc<Manifest>> {
+    let holdings = loader.holdings.borrow();
+    let holding = holdings.get(&named.model, named.version)?;
+    Some(holding.manifest.clone())
+}
+
+fn put(loader: &Loader, named: &Named, chunk: u32, bytes: Bytes) {
+    let mut holdings = loader.holdings.borrow_mut();
+    if let Some(holding) = holdings.get_mut(&named.model, named.version) {
+        holding.put(chunk, bytes);
+    }
+}
+
+/// A fetch under way.
+struct Work {
+    loader: Rc<Loader>,
+    sources: Rc<Sources>,
+    named: Named,
+    fetch: Fetch,
+    pool: Rc<RefCell<Pool<SocketAddr>>>,
+    sender: UnboundedSender<Event>,
+    events: UnboundedReceiver<Event>,
+    doubts: u32,
+    from_origin: u32,
+}
+
+impl Work {
+    fn new(loader: Rc<Loader>, sources: Rc<Sources>, plan: Plan, named: Named) -> Self {
+        let manifest = manifest_of(&loader, &named);
+        let count = manifest.map_or(0, |manifest| manifest.digests.len());
+        let mut fetch = Fetch::new(TERMS, plan, ReplicaKey(0), count as u32);
+        let holdings = loader.holdings.borrow();
+        if let Some(holding) = holdings.get(&named.model, named.version) {
+            for chunk in 0..count as u32 {
+                if holding.chunk(chunk).is_some() {
+                    fetch.note_held(chunk);
+                }
+            }
+        }
+        drop(holdings);
+        let (sender, events) = unbounded_channel();
+        Self {
+            loader,
+            sources,
+            named,
+            fetch,
+            pool: Rc::default(),
+            sender,
+            events,
+            doubts: 0,
+            from_origin: 0,
+        }
+    }
+
+    async fn run(mut self) {
+        let started = clock::now();
+        let mut actions = Vec::new();
+        loop {
+            self.fetch.poll(clock::now(), &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Ask {
+                        chunk,
+                        source,
+                        attempt,
+                    } => self.ask(chunk, source, attempt),
+                    Action::Drop { chunk, source, .. } => {
+                        tracing::warn!(chunk, ?source, "chunk stalled");
+                    }
+                    Action::Complete => {
+                        let took = clock::now().millis_since(started);
+                        tracing::info!(
+                            version = self.named.version.0,
+                            took,
+                            from_origin = self.from_origin,
+                            "weights complete"
+                        );
+                        return;
+                    }
+                }
+            }
+            let tick = clock::now().after_millis(TICK_MILLIS);
+            if let Some(Some(event)) = clock::before(tick, self.events.recv()).await {
+                self.note(event);
+                while let Ok(event) = self.events.try_recv() {
+                    self.note(event);
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, event: Event) {
+        let now = clock::now();
+        match event {
+            Event::Progress { chunk, attempt } => self.fetch.progress(chunk, attempt, now),
+            Event::End {
+                chunk,
+                attempt,
+                outcome,
+                source,
+            } => {
+                if outcome == Outcome::Corrupt {
+                    tracing::warn!(chunk, ?source, "chunk has another digest");
+                    self.doubts += u32::from(source == Source::Origin);
+                }
+                self.from_origin += u32::from(outcome == Outcome::Held && source == Source::Origin);
+                self.fetch.end(chunk, attempt, outcome, now);
+                if self.doubts > DOUBTS {
+                    tracing::error!("many chunks of the origin do not fit the manifest");
+                    self.doubts = 0;
+                }
+            }
+        }
+    }
+
+    fn ask(&self, chunk: u32, source: Source, attempt: u64) {
+        let Some(address) = self.sources.address(source) else {
+            let outcome = Outcome::Failed;
+            let end = Event::End {
+                chunk,
+                attempt,
+                outcome,
+                source,
+            };
+            // The receiver is this fetch itself.
+            let _ = self.sender.send(end);
+            return;
+        };
+        let asking = Asking {
+            loader: self.loader.clone(),
+            named: self.named.clone(),
+            pool: self.pool.clone(),
+            sender: self.sender.clone(),
+            chunk,
+            source,
+            attempt,
+            address,
+        };
+        actix_rt::spawn(asking.run());
+    }
+}
+
+/// One question for one chunk.
+struct Asking {
+    loader: Rc<Loader>,
+    named: Named,
+    pool: Rc<RefCell<Pool<SocketAddr>>>,
+    sender: UnboundedSender<Event>,
+    chunk: u32,
+    source: Source,
+    attempt: u64,
+    address: SocketAddr,
+}
+
+impl Asking {
+    async fn run(self) {
+        let deadline = clock::now().after_millis(TERMS.patience_millis);
+        let outcome = clock::before(deadline, self.bring()).await;
+        let end = Event::End {
+            chunk: self.chunk,
+            attempt: self.attempt,
+            outcome: outcome.unwrap_or(Outcome::Failed),
+            source: self.source,
+        };
+        // A fetch that is over needs nothing more.
+        let _ = self.sender.send(end);
+    }
+
+    fn question(&self) -> Call {
+        match self.source {
+            Source::Origin => self.loader.dialect.chunk(&self.named, self.chunk),
+            Source::Replica(_) | Source::Holder(_) => {
+                let question = Question {
+                    named: self.named.clone(),
+                    chunk: Some(self.chunk),
+                    at_once: matches!(self.source, Source::Holder(_)),
+                };
+                Call::get(question.target())
+            }
+        }
+    }
+
+    async fn bring(&self) -> Outcome {
+        let question = self.question();
+        loop {
+            let Ok((head, body)) = self.exchange(&question).await else {
+                return Outcome::Failed;
+            };
+            match head.status {
+                200 => return self.check(body),
+                202 if !self.sender.is_closed() => {}
+                429 | 503 => return Outcome::Refused(clock::now().after_millis(300)),
+                _ => return Outcome::Failed,
+            }
+        }
+    }
+
+    fn check(&self, body: Bytes) -> Outcome {
+        let Some(manifest) = manifest_of(&self.loader, &self.named) else {
+            return Outcome::Failed;
+        };
+        if !holding::is_right(&manifest, self.chunk, &body) {
+            return Outcome::Corrupt;
+        }
+        put(&self.loader, &self.named, self.chunk, body);
+        Outcome::Held
+    }
+
+    async fn connect(&self) -> Result<Connection, Error> {
+        let resting = self.pool.borrow_mut().take(&self.address);
+        if let Some(connection) = resting {
+            return Ok(connection);
+        }
+        let peer = self.address;
+        let step = Step::Connect;
+        let deadline = clock::now().after_millis(CONNECT_MILLIS);
+        let connected = clock::before(deadline, Connection::connect(peer)).await;
+        let connected = connected.ok_or(Error::Late { step, peer })?;
+        connected.map_err(|what| Error::Io { step, peer, what })
+    }
+
+    async fn exchange(&self, question: &Call) -> Result<(Response, Bytes), Error> {
+        let peer = self.address;
+        let http = |what| Error::Http {
+            step: Step::Exchange,
+            peer,
+            what,
+        };
+        let mut connection = self.connect().await?;
+        let request = store::bytes_of(question, peer);
+        connection.write(&request).await.map_err(|what| Error::Io {
+            step: Step::Exchange,
+            peer,
+            what,
+        })?;
+        let head = connection.response().await.map_err(http)?;
+        let mut decoder = Decoder::new(head.framing().map_err(http)?);
+        let mut body = BytesMut::new();
+        loop {
+            let part = connection.part(&mut decoder).await.map_err(http)?;
+            let progress = Event::Progress {
+                chunk: self.chunk,
+                attempt: self.attempt,
+            };
+            let _ = self.sender.send(progress);
+            match part {
+                Part::Data(data) => body.extend_from_slice(&data),
+                Part::End => break,
+            }
+        }
+        self.pool.borrow_mut().put(peer, connection, &head);
+        Ok((head, body.freeze()))
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/loader/holding.rs
@@ -0,0 +1,98 @@
+//! Chunks that a loader holds in memory, for its engine and for other loaders.
+
+use {
+    bytes::Bytes,
+    gingerpier_serving::{dialect::Manifest, report::Version},
+    sha2::{Digest, Sha256},
+    std::rc::Rc,
+};
+
+/// Versions held at once.
+const MAX_HELD: usize = 2;
+
+/// Chunks of one version.
+#[derive(Debug, Clone)]
+pub struct Holding {
+    /// Manifest.
+    pub manifest: Rc<Manifest>,
+    /// Manifest as the origin gave it.
+    pub manifest_bytes: Bytes,
+    chunks: Vec<Option<Bytes>>,
+}
+
+/// True where `bytes` have the digest that the manifest tells for `chunk`.
+pub fn is_right(manifest: &Manifest, chunk: u32, bytes: &[u8]) -> bool {
+    let wanted = manifest.digests.get(chunk as usize);
+    wanted.is_some_and(|wanted| Sha256::digest(bytes)[..] == wanted[..])
+}
+
+impl Holding {
+    /// Holding without chunks.
+    pub fn new(manifest: Manifest, manifest_bytes: Bytes) -> Self {
+        let count = manifest.digests.len();
+        Self {
+            manifest: Rc::new(manifest),
+            manifest_bytes,
+            chunks: vec![None; count],
+        }
+    }
+
+    /// A chunk, where it is here.
+    pub fn chunk(&self, chunk: u32) -> Option<&Bytes> {
+        self.chunks.get(chunk as usize)?.as_ref()
+    }
+
+    /// Takes a chunk whose digest was found right.
+    pub fn put(&mut self, chunk: u32, bytes: Bytes) {
+        if let Some(place) = self.chunks.get_mut(chunk as usize) {
+            *place = Some(bytes);
+        }
+    }
+
+    /// True once every chunk is here.
+    pub fn is_complete(&self) -> bool {
+        self.chunks.iter().all(Option::is_some)
+    }
+}
+
+/// Versions held.
+#[derive(Debug, Default)]
+pub struct Holdings(Vec<Holding>);
+
+impl Holdings {
+    /// Holding of a version.
+    pub fn get(&self, model: &str, version: Version) -> Option<&Holding> {
+        let is = |holding: &&Holding| {
+            holding.manifest.model == model && holding.manifest.version == version
+        };
+        self.0.iter().find(is)
+    }
+
+    /// Holding of a version, to be changed.
+    pub fn get_mut(&mut self, model: &str, version: Version) -> Option<&mut Holding> {
+        let is = |holding: &&mut Holding| {
+            holding.manifest.model == model && holding.manifest.version == version
+        };
+        self.0.iter_mut().find(is)
+    }
+
+    /// Starts to hold a version; the oldest one goes where there are too many.
+    pub fn add(&mut self, holding: Holding) {
+        let Holding { manifest, .. } = &holding;
+        if self.get(&manifest.model, manifest.version).is_some() {
+            return;
+        }
+        self.0.push(holding);
+        if self.0.len() > MAX_HELD {
+            self.0.sort_by_key(|holding| holding.manifest.version);
+            self.0.remove(0);
+        }
+    }
+
+    /// Forgets a version.
+    pub fn remove(&mut self, model: &str, version: Version) {
+        self.0.retain(|holding| {
+            holding.manifest.model != model || holding.manifest.version != version
+        });
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -0,0 +1,252 @@
+//! The loader: weights for the engine of its own machine, and reports of its load.
+
+pub mod bring;
+pub mod fetch;
+pub mod follow;
+pub mod holding;
+pub mod peers;
+pub mod report;
+
+use {
+    crate::{
+        clock,
+        error::{Error, Step},
+        log,
+    },
+    gingerpier_base::{Instant, order},
+    gingerpier_serving::{
+        bringing::NamedAt,
+        configuration::{Configuration, ServiceKind},
+        dialect::{Dialect, Named},
+        fleet::Fleet,
+        mirror::Mirror,
+        report::{Report, Version},
+    },
+    gingerpier_settings::Loader as Settings,
+    holding::Holdings,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, BTreeSet, HashMap},
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+    },
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        signal::unix::{SignalKind, signal},
+    },
+};
+
+/// A gateway that wants reports.
+#[derive(Debug, Clone)]
+pub struct Subscriber {
+    /// Its zone.
+    pub zone: String,
+    /// When it last asked.
+    pub at: Instant,
+}
+
+/// A machine with an engine of the same service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Address of its machine.
+    pub ip: IpAddr,
+    /// Zone.
+    pub zone: String,
+}
+
+impl Peer {
+    /// Number that names it in plans.
+    pub fn identity(&self) -> u64 {
+        order::hash(&self.ip)
+    }
+}
+
+/// What a loader knows.
+pub struct Loader {
+    /// Settings.
+    pub settings: Settings,
+    /// Words of the platform.
+    pub dialect: &'static dyn Dialect,
+    /// Chunks held.
+    pub holdings: RefCell<Holdings>,
+    /// Gateways that want reports.
+    pub subscribers: RefCell<BTreeMap<SocketAddr, Subscriber>>,
+    /// Last report of the engine.
+    pub report: RefCell<Option<Report>>,
+    /// True while an order is about to be given.
+    pub is_ordering: Cell<bool>,
+    mirror: RefCell<Mirror>,
+    fleet: RefCell<Fleet>,
+    configuration: RefCell<Option<Configuration>>,
+    named: RefCell<HashMap<String, Vec<NamedAt>>>,
+}
+
+impl Loader {
+    /// Loader that starts now.
+    pub fn new(settings: Settings, dialect: &'static dyn Dialect) -> Self {
+        Self {
+            settings,
+            dialect,
+            holdings: RefCell::default(),
+            subscribers: RefCell::default(),
+            report: RefCell::default(),
+            is_ordering: Cell::new(false),
+            mirror: RefCell::default(),
+            fleet: RefCell::default(),
+            configuration: RefCell::default(),
+            named: RefCell::default(),
+        }
+    }
+
+    /// Model that the engine is for.
+    pub fn model(&self) -> Option<String> {
+        let fleet = self.fleet.borrow();
+        let configuration = self.configuration.borrow();
+        let configuration = configuration.as_ref()?;
+        let own = fleet.at_address(self.settings.engine);
+        let service = own.map(|key| fleet.engine(key).record.service.clone());
+        let mut services = configuration.services().iter();
+        let of_engines = |kind: &ServiceKind| match kind {
+            ServiceKind::Engines(engines) => engines.models.first().cloned(),
+            _ => None,
+        };
+        services.find_map(|entry| {
+            let fits = service.as_ref().is_none_or(|name| *name == entry.name);
+            of_engines(&entry.kind).filter(|_| fits)
+        })
+    }
+
+    /// Address of the origin.
+    pub fn origin(&self) -> Option<SocketAddr> {
+        let configuration = self.configuration.borrow();
+        self.dialect.origin(configuration.as_ref()?)
+    }
+
+    /// Machines with engines for the same model, this one included.
+    pub fn peers(&self) -> Vec<Peer> {
+        let fleet = self.fleet.borrow();
+        let own = self.settings.engine;
+        let service = fleet
+            .at_address(own)
+            .map(|key| fleet.engine(key).record.service.clone());
+        let mut known = BTreeSet::new();
+        let mut peers = vec![Peer {
+            ip: own.ip(),
+            zone: self.settings.zone.clone(),
+        }];
+        known.insert(own.ip());
+        let service = service.or_else(|| self.engine_service());
+        let Some(service) = service else { return peers };
+        for (_, engine) in fleet.of_service(&service) {
+            let ip = engine.record.address.ip();
+            if known.insert(ip) {
+                let zone = engine.record.zone.clone();
+                peers.push(Peer { ip, zone });
+            }
+        }
+        peers
+    }
+
+    fn engine_service(&self) -> Option<String> {
+        let configuration = self.configuration.borrow();
+        let mut services = configuration.as_ref()?.services().iter();
+        services
+            .find(|service| matches!(service.kind, ServiceKind::Engines(_)))
+            .map(|service| service.name.clone())
+    }
+
+    /// Notes weights that operators named.
+    pub fn note_named(&self, named: &Named) {
+        let mut all = self.named.borrow_mut();
+        let known = all.entry(named.model.clone()).or_default();
+        if known.iter().any(|known| known.version >= named.version) {
+            return;
+        }
+        tracing::info!(
+            model = named.model,
+            version = named.version.0,
+            "weights named"
+        );
+        known.push(NamedAt {
+            version: named.version,
+            at: clock::now(),
+        });
+    }
+
+    /// Weights of `model` that operators named, as far as known.
+    pub fn named(&self, model: &str) -> Vec<NamedAt> {
+        self.named.borrow().get(model).cloned().unwrap_or_default()
+    }
+
+    /// Weights that the engine should hold; nothing where none are known to be wanted.
+    pub fn wanted(&self) -> Option<Named> {
+        let model = self.model()?;
+        let named = self.named(&model);
+        let newest = named.iter().map(|named| named.version).max();
+        let version = match newest {
+            Some(version) => version,
+            // Nothing was named: what other engines hold, or else what the origin has.
+            None => self.held_elsewhere(&model),
+        };
+        Some(Named { model, version })
+    }
+
+    fn held_elsewhere(&self, model: &str) -> Version {
+        let fleet = self.fleet.borrow();
+        let now = clock::now();
+        let versions = fleet
+            .listed()
+            .filter_map(|(_, engine)| engine.version_of(model, now));
+        versions.max().unwrap_or_default()
+    }
+
+    /// Version of `model` that the engine holds.
+    pub fn held(&self, model: &str) -> Option<Version> {
+        let report = self.report.borrow();
+        let held = report.as_ref()?.held.iter();
+        held.filter(|held| held.model == model)
+            .map(|held| held.version)
+            .max()
+    }
+
+    /// True where the engine answers and carries out no order.
+    pub fn is_engine_free(&self) -> bool {
+        let report = self.report.borrow();
+        report.as_ref().is_some_and(|report| !report.is_busy)
+    }
+}
+
+/// Runs a loader until it is told to stop.
+///
+/// # Errors
+///
+/// Where it can't start.
+pub async fn run(settings: Settings, dialect: &'static dyn Dialect) -> Result<(), Error> {
+    let lines = log::start();
+    let peer = settings.peers;
+    let at = |step| move |what| Error::Io { step, peer, what };
+    let listener = TcpListener::bind(peer).await;
+    let listener = listener.map_err(at(Step::ListenPeers))?;
+    let socket = UdpSocket::bind(peer).await;
+    let socket = Rc::new(socket.map_err(at(Step::ListenPeers))?);
+    let terminate = signal(SignalKind::terminate());
+    let mut terminate = terminate.map_err(at(Step::Signals))?;
+    let hangup = signal(SignalKind::hangup());
+    let mut hangup = hangup.map_err(at(Step::Signals))?;
+    tracing::info!(name = settings.name, zone = settings.zone, engine = %settings.engine, "loader starts");
+    let loader = Rc::new(Loader::new(settings, dialect));
+    actix_rt::spawn(follow::follow(loader.clone()));
+    actix_rt::spawn(peers::serve(loader.clone(), listener));
+    actix_rt::spawn(report::take(loader.clone(), socket.clone()));
+    actix_rt::spawn(report::send(loader.clone(), socket));
+    actix_rt::spawn(bring::keep(loader));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => tracing::info!("settings changed; they hold from the next start"),
+        }
+    }
+    tracing::info!("loader stops");
+    log::flush(&lines);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/loader/peers.rs
@@ -0,0 +1,114 @@
+//! Chunks for other loaders.
+
+use {
+    super::Loader,
+    crate::{clock, relay},
+    bytes::Bytes,
+    gingerpier_http1::{connection::Connection, head::Request, writer::Message},
+    gingerpier_serving::{dialect::Named, report::Version},
+    std::rc::Rc,
+    tokio::net::TcpListener,
+};
+
+/// Milliseconds for which a question is held while what it asks for is not here.
+const HOLD_MILLIS: u64 = 250;
+
+/// Milliseconds between looks.
+const LOOK_MILLIS: u64 = 10;
+
+/// Milliseconds that a connection may rest.
+const REST_MILLIS: u64 = 5_000;
+
+/// What a loader asks another for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Question {
+    /// Weights.
+    pub named: Named,
+    /// Chunk; the manifest where there is none.
+    pub chunk: Option<u32>,
+    /// True where an answer is wanted only from what is here now.
+    pub at_once: bool,
+}
+
+impl Question {
+    /// Path and query of the question.
+    pub fn target(&self) -> String {
+        let Named { model, version } = &self.named;
+        let chunk = self
+            .chunk
+            .map_or_else(|| "m".to_owned(), |chunk| chunk.to_string());
+        let at_once = u8::from(self.at_once);
+        format!("/weights/{model}/{}/{chunk}/{at_once}", version.0)
+    }
+
+    /// Question of a path.
+    pub fn parse(target: &str) -> Option<Self> {
+        let mut parts = target.strip_prefix("/weights/")?.split('/');
+        let model = parts.next()?.to_owned();
+        let version = Version(parts.next()?.parse().ok()?);
+        let chunk = match parts.next()? {
+            "m" => None,
+            text => Some(text.parse().ok()?),
+        };
+        let at_once = parts.next()? == "1";
+        Some(Self {
+            named: Named { model, version },
+            chunk,
+            at_once,
+        })
+    }
+}
+
+/// Serves chunks.
+pub async fn serve(loader: Rc<Loader>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let loader = loader.clone();
+                actix_rt::spawn(async move { answer(&loader, Connection::new(stream)).await });
+            }
+            Err(_) => clock::pause(LOOK_MILLIS).await,
+        }
+    }
+}
+
+async fn answer(loader: &Loader, mut connection: Connection) {
+    loop {
+        let rest = clock::now().after_millis(REST_MILLIS);
+        let head = clock::before(rest, relay::read_head(&mut connection)).await;
+        let Some(Some(request)) = head else { return };
+        let reply = reply(loader, &request).await;
+        if connection.write(&reply).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn reply(loader: &Loader, request: &Request) -> Vec<u8> {
+    let target = std::str::from_utf8(request.target()).unwrap_or_default();
+    let Some(question) = Question::parse(target) else {
+        return Message::response(404).body(b"");
+    };
+    let deadline = clock::now().after_millis(HOLD_MILLIS);
+    loop {
+        if let Some(bytes) = find(loader, &question) {
+            return Message::response(200).body(&bytes);
+        }
+        if question.at_once {
+            return Message::response(404).body(b"");
+        }
+        if deadline.has_passed(clock::now()) {
+            return Message::response(202).body(b"");
+        }
+        clock::pause(LOOK_MILLIS).await;
+    }
+}
+
+fn find(loader: &Loader, question: &Question) -> Option<Bytes> {
+    let holdings = loader.holdings.borrow();
+    let holding = holdings.get(&question.named.model, question.named.version)?;
+    match question.chunk {
+        None => Some(holding.manifest_bytes.clone()),
+        Some(chunk) => holding.chunk(chunk).cloned(),
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/log.rs
@@ -0,0 +1,141 @@
+//! Logs: one line of key=value pairs for each event, on standard output.
+//!
+//! Lines go into a bounded buffer that a task empties, so that a reader who does not keep up never
+//! blocks a request; lines left out are counted and the count is logged.
+
+use {
+    crate::clock,
+    std::{
+        cell::RefCell,
+        io::Write,
+        sync::{Arc, Mutex, PoisonError},
+    },
+    tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt},
+};
+
+/// Environment variable that sets the level, as in `debug`.
+const LEVEL_VARIABLE: &str = "GINGERPIER_LOG";
+
+/// Most bytes that wait to be written.
+const MAX_WAITING_BYTES: usize = 256 * 1024;
+
+/// Milliseconds between writes.
+const WRITE_EVERY_MILLIS: u64 = 200;
+
+/// Lines about single requests in one second; more are counted and left out.
+const REQUEST_LINES_PER_SECOND: u32 = 400;
+
+#[derive(Debug, Default)]
+struct Buffer {
+    waiting: Vec<u8>,
+    left_out: u64,
+}
+
+/// Where lines wait to be written.
+#[derive(Debug, Clone, Default)]
+pub struct Lines(Arc<Mutex<Buffer>>);
+
+impl Lines {
+    fn change<T>(&self, change: impl FnOnce(&mut Buffer) -> T) -> T {
+        change(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn take(&self) -> Vec<u8> {
+        self.change(|buffer| {
+            if buffer.left_out > 0 {
+                let _ = writeln!(
+                    buffer.waiting,
+                    "level=warn message=\"log lines left out\" count={}",
+                    buffer.left_out
+                );
+                buffer.left_out = 0;
+            }
+            std::mem::take(&mut buffer.waiting)
+        })
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        self.change(|buffer| {
+            if buffer.waiting.len() + line.len() > MAX_WAITING_BYTES {
+                buffer.left_out += 1;
+            } else {
+                buffer.waiting.extend_from_slice(line);
+            }
+        });
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging; must be called within a runtime.
+pub fn start() -> Lines {
+    let lines = Lines::default();
+    let level = EnvFilter::try_from_env(LEVEL_VARIABLE).unwrap_or_else(|_| EnvFilter::new("info"));
+    let writer = lines.clone();
+    let layer = tracing_logfmt::builder()
+        .with_target(false)
+        .layer()
+        .with_writer(move || writer.clone())
+        .with_filter(level);
+    // A process that embeds the daemon may log already; its choice stands.
+    let _ = tracing_subscriber::registry().with(layer).try_init();
+    actix_rt::spawn(write_on(lines.clone()));
+    lines
+}
+
+async fn write_on(lines: Lines) {
+    loop {
+        clock::pause(WRITE_EVERY_MILLIS).await;
+        flush(&lines);
+    }
+}
+
+/// Writes what waits.
+pub fn flush(lines: &Lines) {
+    let waiting = lines.take();
+    if !waiting.is_empty() {
+        // Nothing can be done about a closed standard output.
+        let _ = std::io::stdout().write_all(&waiting);
+    }
+}
+
+#[derive(Debug, Default)]
+struct Allowance {
+    second: u64,
+    used: u32,
+    left_out: u64,
+}
+
+thread_local! {
+    static ALLOWANCE: RefCell<Allowance> = RefCell::default();
+}
+
+/// True where one more line about a request may be written in this second.
+pub fn allows_request_line() -> bool {
+    let second = clock::now().as_millis() / 1_000;
+    ALLOWANCE.with_borrow_mut(|allowance| {
+        if allowance.second != second {
+            if allowance.left_out > 0 {
+                tracing::warn!(
+                    count = allowance.left_out,
+                    "lines about requests left out in one second"
+                );
+            }
+            *allowance = Allowance {
+                second,
+                ..Allowance::default()
+            };
+        }
+        if allowance.used < REQUEST_LINES_PER_SECOND {
+            allowance.used += 1;
+            return true;
+        }
+        allowance.left_out += 1;
+        false
+    })
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -0,0 +1,151 @@
+//! Messages between gateways and loaders, in CBOR with numbered fields.
+
+use {
+    gingerpier_serving::report::{Held, Report, Version},
+    minicbor::{Decode, Encode},
+};
+
+/// Weights of a model.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Weights {
+    /// Model.
+    #[n(0)]
+    pub model: String,
+    /// Version.
+    #[n(1)]
+    pub version: u64,
+}
+
+/// A gateway asks a loader for reports, and tells what weights are named.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Subscribe {
+    /// Zone of the gateway.
+    #[n(0)]
+    pub zone: String,
+    /// Weights that operators named, as far as the gateway knows.
+    #[n(1)]
+    pub named: Vec<Weights>,
+}
+
+/// A loader reports its engine's state.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct Load {
+    /// Address of the engine.
+    #[n(0)]
+    pub engine: String,
+    /// Weights that it holds.
+    #[n(1)]
+    pub held: Vec<Weights>,
+    /// True while it carries out an order, or is about to get one.
+    #[n(2)]
+    pub is_busy: bool,
+    /// Requests that wait.
+    #[n(3)]
+    pub queued: u32,
+    /// Requests that run.
+    #[n(4)]
+    pub active: u32,
+    /// Tokens in its memory, times layers.
+    #[n(5)]
+    pub memory_used: u64,
+    /// Tokens that its memory holds, times layers.
+    #[n(6)]
+    pub memory_total: u64,
+    /// How slow it is, in thousandths; 1,000 is usual.
+    #[n(7)]
+    pub pace: u32,
+    /// Addresses of gateways that the loader heard from.
+    #[n(8)]
+    pub gateways: Vec<String>,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum Datagram {
+    /// From a gateway.
+    #[n(0)]
+    Subscribe(#[n(0)] Subscribe),
+    /// From a loader.
+    #[n(1)]
+    Load(#[n(0)] Load),
+}
+
+/// An item of the store, as a peer knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct SharedItem {
+    /// Key.
+    #[n(0)]
+    pub key: String,
+    /// Revision.
+    #[n(1)]
+    pub revision: u64,
+    /// Value.
+    #[cbor(n(2), with = "minicbor::bytes")]
+    pub value: Vec<u8>,
+}
+
+/// What a gateway knows of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Snapshot {
+    /// Revision up to which it is known.
+    #[n(0)]
+    pub at: u64,
+    /// Items.
+    #[n(1)]
+    pub items: Vec<SharedItem>,
+}
+
+impl Load {
+    /// Load of the engine at `engine`, from its report.
+    pub fn new(engine: String, report: &Report, gateways: Vec<String>) -> Self {
+        let held = report.held.iter().map(|held| Weights {
+            model: held.model.clone(),
+            version: held.version.0,
+        });
+        Self {
+            engine,
+            held: held.collect(),
+            is_busy: report.is_busy,
+            queued: report.queued,
+            active: report.active,
+            memory_used: report.memory_used,
+            memory_total: report.memory_total,
+            pace: (report.pace * 1_000.0) as u32,
+            gateways,
+        }
+    }
+
+    /// The report in it.
+    pub fn report(&self) -> Report {
+        let held = self.held.iter().map(|weights| Held {
+            model: weights.model.clone(),
+            version: Version(weights.version),
+        });
+        Report {
+            held: held.collect(),
+            is_busy: self.is_busy,
+            sequence: 0,
+            queued: self.queued,
+            active: self.active,
+            memory_used: self.memory_used,
+            memory_total: self.memory_total,
+            pace: f64::from(self.pace) / 1_000.0,
+        }
+    }
+}
+
+/// Bytes of a message.
+pub fn encode<T: Encode<()>>(message: &T) -> Vec<u8> {
+    // Writing into memory can't fail.
+    minicbor::to_vec(message).unwrap_or_default()
+}
+
+/// Message in `bytes`; nothing where it is none.
+pub fn decode<T: for<'b> Decode<'b, ()>>(bytes: &[u8]) -> Option<T> {
+    minicbor::decode(bytes).ok()
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -0,0 +1,90 @@
+//! Counters and histograms, served as text.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Ending {
+    /// An engine's whole answer went to the caller.
+    Answered,
+    /// It was refused before it ran.
+    Refused,
+    /// It failed, and may have run.
+    Failed,
+    /// Its time was up.
+    TimedOut,
+    /// Its caller left.
+    Left,
+    /// It is not allowed.
+    Denied,
+}
+
+/// Label of an ending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Ended {
+    /// Ending.
+    pub ending: Ending,
+}
+
+/// Metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by ending.
+    pub requests: Family<Ended, Counter>,
+    /// Attempts at engines beyond the first.
+    pub retries: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Revision of the store that is in force.
+    pub revision: Gauge,
+    /// Version of the configuration in force.
+    pub configuration: Gauge,
+    /// Milliseconds to the first bytes of an answer.
+    pub first: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("gingerpier");
+        let requests = Family::<Ended, Counter>::default();
+        let retries = Counter::default();
+        let store_calls = Counter::default();
+        let revision = Gauge::default();
+        let configuration = Gauge::default();
+        let bounds = [25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0];
+        let first = Histogram::new(bounds);
+        registry.register("requests", "Requests by ending", requests.clone());
+        registry.register("retries", "Attempts beyond the first", retries.clone());
+        registry.register("store_calls", "Calls to the store", store_calls.clone());
+        registry.register("revision", "Revision in force", revision.clone());
+        registry.register(
+            "configuration",
+            "Configuration in force",
+            configuration.clone(),
+        );
+        registry.register("first_millis", "Time to first bytes", first.clone());
+        Self {
+            registry,
+            requests,
+            retries,
+            store_calls,
+            revision,
+            configuration,
+            first,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing into a text can't fail.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -0,0 +1,88 @@
+//! Reports of engines' load, as datagrams from loaders.
+
+use {
+    crate::{
+        clock,
+        message::{self, Datagram, Load, Subscribe, Weights},
+        state::State,
+    },
+    gingerpier_serving::configuration::ServiceKind,
+    std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
+    tokio::net::UdpSocket,
+};
+
+/// Milliseconds between subscriptions.
+const SUBSCRIBE_EVERY_MILLIS: u64 = 500;
+
+/// Longest datagram.
+const MAX_DATAGRAM: usize = 1400;
+
+/// Subscribes at the loaders of all engines, again and again.
+pub async fn subscribe(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let port = state.settings.peers.port();
+    loop {
+        let message = message::encode(&Datagram::Subscribe(subscription(&state)));
+        for loader in loaders(&state, port) {
+            // A datagram that can't be sent is as good as lost; the next one follows.
+            let _ = socket.try_send_to(&message, loader);
+        }
+        clock::pause(SUBSCRIBE_EVERY_MILLIS).await;
+    }
+}
+
+fn subscription(state: &State) -> Subscribe {
+    let named = state.named().into_iter().map(|named| Weights {
+        model: named.model,
+        version: named.version.0,
+    });
+    Subscribe {
+        zone: state.settings.zone.clone(),
+        named: named.collect(),
+    }
+}
+
+fn loaders(state: &State, port: u16) -> BTreeSet<SocketAddr> {
+    let Some(configuration) = state.configuration() else {
+        return BTreeSet::new();
+    };
+    let fleet = state.fleet.borrow();
+    let services = configuration.services().iter();
+    let engines = services.filter(|service| matches!(service.kind, ServiceKind::Engines(_)));
+    engines
+        .flat_map(|service| fleet.of_service(&service.name))
+        .map(|(_, engine)| SocketAddr::new(engine.record.address.ip(), port))
+        .collect()
+}
+
+/// Takes reports.
+pub async fn take(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut bytes = [0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
+            clock::pause(1).await;
+            continue;
+        };
+        if let Some(Datagram::Load(load)) = message::decode(&bytes[..length]) {
+            note(&state, &load);
+        }
+    }
+}
+
+fn note(state: &State, load: &Load) {
+    if !load.gateways.is_empty() {
+        let heard = load
+            .gateways
+            .iter()
+            .filter_map(|text| text.parse::<SocketAddr>().ok());
+        state.gateways.borrow_mut().extend(heard);
+    }
+    let Ok(address) = load.engine.parse() else {
+        return;
+    };
+    let mut fleet = state.fleet.borrow_mut();
+    if let Some(key) = fleet.at_address(address) {
+        fleet
+            .engine_mut(key)
+            .note_report(load.report(), clock::now());
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -0,0 +1,274 @@
+//! What a gateway knows, shared by its tasks on one thread.
+
+use {
+    crate::{clock, metrics::Metrics, pool::Pool},
+    gingerpier_base::Instant,
+    gingerpier_serving::{
+        budget::{Budget, Terms},
+        configuration::Configuration,
+        dialect::{Dialect, Fact, Named, Subject},
+        fleet::{EngineKey, Fleet},
+        mirror::{Changes, Item, Mirror, Revision},
+        report::Version,
+    },
+    gingerpier_settings::Gateway as Settings,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// Milliseconds before the operators' bound at which older weights serve no more.
+const VERSION_MARGIN_MILLIS: u64 = 1_500;
+
+/// Milliseconds after the start within which older weights may serve.
+const START_GRACE_MILLIS: u64 = 3_000;
+
+/// Milliseconds without word from the store after which peers are asked.
+const CONTACT_MILLIS: u64 = 900;
+
+/// Named weights and since when older ones are out of date.
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    version: Version,
+    since: Instant,
+}
+
+/// What a gateway knows.
+pub struct State {
+    /// Settings.
+    pub settings: Settings,
+    /// Words of the platform.
+    pub dialect: &'static dyn Dialect,
+    /// Store as far as known.
+    pub mirror: RefCell<Mirror>,
+    /// Engines.
+    pub fleet: RefCell<Fleet>,
+    /// Retries.
+    pub budget: RefCell<HashMap<String, Budget>>,
+    /// Connections to engines.
+    pub pool: RefCell<Pool<EngineKey>>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Other gateways heard of.
+    pub gateways: RefCell<BTreeSet<SocketAddr>>,
+    /// True once the process is to stop.
+    pub is_stopping: Cell<bool>,
+    /// Requests under way.
+    pub active: Cell<u32>,
+    /// Number that differs by process.
+    pub identity: f64,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    due: RefCell<HashMap<String, Vec<Due>>>,
+    contact: Cell<Option<Instant>>,
+    started: Instant,
+}
+
+impl State {
+    /// State of a process that starts now.
+    pub fn new(settings: Settings, dialect: &'static dyn Dialect) -> Self {
+        Self {
+            settings,
+            dialect,
+            mirror: RefCell::default(),
+            fleet: RefCell::default(),
+            budget: RefCell::default(),
+            pool: RefCell::default(),
+            metrics: Metrics::default(),
+            gateways: RefCell::default(),
+            is_stopping: Cell::new(false),
+            active: Cell::new(0),
+            identity: fastrand::f64(),
+            configuration: RefCell::default(),
+            due: RefCell::default(),
+            contact: Cell::new(None),
+            started: clock::now(),
+        }
+    }
+
+    /// Configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// True where new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.configuration.borrow().is_some();
+        knows && !self.is_stopping.get()
+    }
+
+    /// Notes an answer of the store.
+    pub fn note_contact(&self) {
+        if self.contact.replace(Some(clock::now())).is_none() {
+            tracing::info!(store = %self.settings.store, "store reached");
+        }
+    }
+
+    /// Notes that the store did not answer as it should.
+    pub fn note_store_failure(&self, what: &dyn std::fmt::Display) {
+        let age = self.contact_age();
+        tracing::warn!(store = %self.settings.store, cause = %what, ?age, "store does not answer");
+    }
+
+    fn contact_age(&self) -> Option<u64> {
+        self.contact.get().map(|at| clock::now().millis_since(at))
+    }
+
+    /// True where the store has been silent for too long.
+    pub fn lacks_contact(&self) -> bool {
+        self.contact_age().is_none_or(|age| age > CONTACT_MILLIS)
+    }
+
+    /// Takes changes of the store up to `at`.
+    pub fn apply(&self, changes: Changes, at: Revision) {
+        let news = self.mirror.borrow_mut().apply(changes, at);
+        self.take(news);
+    }
+
+    /// Takes a whole copy of the store as of `at`.
+    pub fn replace(&self, items: Vec<Item>, at: Revision) {
+        let news = self.mirror.borrow_mut().replace(items, at);
+        self.take(news);
+    }
+
+    fn take(&self, news: Changes) {
+        for item in news {
+            self.take_item(&item);
+        }
+        let at = self.mirror.borrow().at();
+        self.metrics.revision.set(at.0 as i64);
+    }
+
+    fn take_item(&self, item: &Item) {
+        let subject = self.dialect.subject(&item.key);
+        let Some(value) = &item.value else {
+            if let Subject::Engine(id) = subject {
+                self.fleet.borrow_mut().unlist(&id);
+                tracing::info!(engine = id, revision = item.revision.0, "engine unlisted");
+            }
+            return;
+        };
+        match self.dialect.fact(&item.key, value) {
+            Ok(Fact::Configuration(configuration)) => self.configure(*configuration),
+            Ok(Fact::Engine(record)) => self.list(*record),
+            Ok(Fact::Weights(named)) => self.note_named(&named),
+            Ok(Fact::Other) => {}
+            Err(error) => {
+                let revision = item.revision.0;
+                tracing::error!(key = item.key, revision, cause = %error, "item not understood");
+            }
+        }
+    }
+
+    fn configure(&self, configuration: Configuration) {
+        let mut current = self.configuration.borrow_mut();
+        let old = current.as_ref().map(|current| current.version);
+        if old.is_some_and(|old| old >= configuration.version) {
+            return;
+        }
+        tracing::info!(version = configuration.version, ?old, "configuration taken");
+        self.metrics.configuration.set(configuration.version as i64);
+        *current = Some(Rc::new(configuration));
+    }
+
+    fn list(&self, record: gingerpier_serving::fleet::Record) {
+        let mut fleet = self.fleet.borrow_mut();
+        let id = record.id.clone();
+        let state = record.state;
+        let known = fleet.find(&id).map(|key| fleet.engine(key).record.state);
+        if known != Some(state) {
+            let address = record.address;
+            tracing::info!(engine = id, %address, service = record.service, ?state, "engine listed");
+        }
+        fleet.list(record);
+    }
+
+    /// Notes weights that operators named.
+    pub fn note_named(&self, named: &Named) {
+        let now = clock::now();
+        let mut due = self.due.borrow_mut();
+        let known = due.entry(named.model.clone()).or_default();
+        if known.iter().any(|known| known.version >= named.version) {
+            return;
+        }
+        let bound = self.settings.version_within.0;
+        let patience = if now.millis_since(self.started) < 1_000 {
+            START_GRACE_MILLIS
+        } else {
+            bound.saturating_sub(VERSION_MARGIN_MILLIS)
+        };
+        let since = now.after_millis(patience);
+        tracing::info!(
+            model = named.model,
+            version = named.version.0,
+            "weights named"
+        );
+        known.push(Due {
+            version: named.version,
+            since,
+        });
+    }
+
+    /// Newest weights named of each model.
+    pub fn named(&self) -> Vec<Named> {
+        let due = self.due.borrow();
+        let newest = |(model, known): (&String, &Vec<Due>)| {
+            let version = known.iter().map(|known| known.version).max()?;
+            Some(Named {
+                model: model.clone(),
+                version,
+            })
+        };
+        due.iter().filter_map(newest).collect()
+    }
+
+    /// Oldest version of `model` that may still serve.
+    pub fn least_version(&self, model: &str, now: Instant) -> Version {
+        let due = self.due.borrow();
+        let known = due.get(model).map_or(&[][..], Vec::as_slice);
+        let passed = known.iter().filter(|known| known.since.has_passed(now));
+        passed.map(|known| known.version).max().unwrap_or_default()
+    }
+
+    /// Notes a request for `service` that is sent for the first time.
+    pub fn note_request(&self, service: &str, now: Instant) {
+        self.with_budget(service, |budget| budget.note_request(now));
+    }
+
+    /// Takes one retry for `service`; false where none is left.
+    pub fn take_retry(&self, service: &str, now: Instant) -> bool {
+        let paid = self.with_budget(service, |budget| budget.take(now));
+        if paid {
+            self.metrics.retries.inc();
+        }
+        paid
+    }
+
+    fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budget.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.note_members(self.gateway_count());
+            return change(budget);
+        }
+        let terms = Terms {
+            ratio: self.settings.retry_ratio,
+            extra: self.settings.retry_extra,
+            window_millis: self.settings.retry_window.0,
+            members: self.gateway_count(),
+        };
+        change(
+            budgets
+                .entry(service.to_owned())
+                .or_insert_with(|| Budget::new(terms)),
+        )
+    }
+
+    /// Gateways to count on when shares are made, on the safe side.
+    fn gateway_count(&self) -> u32 {
+        /// Gateways to expect where fewer have been heard of.
+        const LEAST: u32 = 12;
+        (self.gateways.borrow().len() as u32 + 2).max(LEAST)
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -0,0 +1,206 @@
+//! A connection that says nothing about its messages but where their bytes are.
+
+use {
+    crate::{
+        body::{Decoder, Part},
+        error::Error,
+        head::Response,
+    },
+    bytes::{Bytes, BytesMut},
+    socket2::{SockRef, TcpKeepalive},
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// Bytes asked of the kernel at once.
+const READ_SIZE: usize = 4096;
+
+/// Milliseconds after which bytes without acknowledgement end a connection.
+const SILENCE_MILLIS: u64 = 2_000;
+
+/// Longest head of a response, in bytes.
+const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+
+/// A stream with the bytes that were read and not yet taken.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    /// Bytes read and not taken.
+    pub input: BytesMut,
+}
+
+/// A response with its whole body.
+#[derive(Debug, Clone)]
+pub struct Whole {
+    /// Head.
+    pub head: Response,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Connection {
+    /// Takes over an accepted stream.
+    pub fn new(stream: TcpStream) -> Self {
+        // A link that is cut says nothing: the kernel has to notice that no byte gets through.
+        // Where an option can't be set the connection still serves.
+        let socket = SockRef::from(&stream);
+        let _ = socket.set_tcp_nodelay(true);
+        let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(SILENCE_MILLIS)));
+        let probes = TcpKeepalive::new()
+            .with_time(Duration::from_secs(2))
+            .with_interval(Duration::from_secs(1));
+        let _ = socket.set_tcp_keepalive(&probes);
+        Self {
+            stream,
+            input: BytesMut::new(),
+        }
+    }
+
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// Where the peer refuses or can't be reached.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        TcpStream::connect(address).await.map(Self::new)
+    }
+
+    /// Reads more bytes; false where the peer has ended its side.
+    ///
+    /// # Errors
+    ///
+    /// Where the connection broke.
+    pub async fn read(&mut self) -> io::Result<bool> {
+        self.input.reserve(READ_SIZE);
+        Ok(self.stream.read_buf(&mut self.input).await? > 0)
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Where the connection broke.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Writes `bytes` while it reads what comes meanwhile; true once all are written, false where
+    /// a whole response head came first.
+    ///
+    /// # Errors
+    ///
+    /// Where the connection broke.
+    pub async fn write_while_reading(&mut self, bytes: &[u8]) -> io::Result<bool> {
+        let Self { stream, input } = self;
+        let (mut reader, mut writer) = stream.split();
+        let mut written = 0;
+        while written < bytes.len() {
+            input.reserve(READ_SIZE);
+            tokio::select! {
+                biased;
+                count = writer.write(&bytes[written..]) => written += count?,
+                count = reader.read_buf(input) => {
+                    if count? == 0 || input.windows(4).any(|end| end == b"\r\n\r\n") {
+                        return Ok(false);
+                    }
+                }
+            }
+        }
+        Ok(true)
+    }
+
+    /// Ends the writing side.
+    pub async fn shutdown(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
+    /// True where nothing has come and the peer has not ended: fit for one more request.
+    pub fn is_idle(&self) -> bool {
+        let mut probe = [0; 1];
+        let quiet = matches!(
+            self.stream.try_read(&mut probe),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock
+        );
+        quiet && self.input.is_empty()
+    }
+
+    /// Reads the head of a response.
+    ///
+    /// # Errors
+    ///
+    /// Where the connection ended or something else came.
+    pub async fn response(&mut self) -> Result<Response, Error> {
+        loop {
+            if !self.input.is_empty() {
+                if let Some(response) = Response::parse(&mut self.input, MAX_RESPONSE_HEAD)? {
+                    return Ok(response);
+                }
+            }
+            if !self.read().await.map_err(|_| Error::Cut)? {
+                return Err(Error::Cut);
+            }
+        }
+    }
+
+    /// Reads the next part of a body.
+    ///
+    /// # Errors
+    ///
+    /// Where the body was cut or malformed.
+    pub async fn part(&mut self, decoder: &mut Decoder) -> Result<Part, Error> {
+        loop {
+            if let Some(part) = decoder.decode(&mut self.input)? {
+                return Ok(part);
+            }
+            if !self.read().await.map_err(|_| Error::Cut)? {
+                decoder.close()?;
+                return Ok(Part::End);
+            }
+        }
+    }
+
+    /// Reads a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Where it was cut, malformed or too long.
+    pub async fn body(&mut self, mut decoder: Decoder, limit: usize) -> Result<Bytes, Error> {
+        let mut first: Option<Bytes> = None;
+        let mut rest = BytesMut::new();
+        loop {
+            match self.part(&mut decoder).await? {
+                Part::End => break,
+                Part::Data(data) if first.is_none() => first = Some(data),
+                Part::Data(data) => {
+                    if rest.is_empty() {
+                        rest.extend_from_slice(first.as_deref().unwrap_or_default());
+                    }
+                    rest.extend_from_slice(&data);
+                }
+            }
+            if rest.len() > limit {
+                return Err(Error::BodyTooLong);
+            }
+        }
+        if rest.is_empty() {
+            return Ok(first.unwrap_or_default());
+        }
+        Ok(rest.freeze())
+    }
+
+    /// Sends a request and reads its whole response.
+    ///
+    /// # Errors
+    ///
+    /// Where the connection broke or the response is malformed.
+    pub async fn exchange(&mut self, request: &[u8], limit: usize) -> Result<Whole, Error> {
+        self.write(request).await.map_err(|_| Error::Cut)?;
+        let head = self.response().await?;
+        let decoder = Decoder::new(head.framing()?);
+        let body = self.body(decoder, limit).await?;
+        Ok(Whole { head, body })
+    }
+}
--- a/crates/gingerpier_platform/src/lib.rs
+++ b/crates/gingerpier_services/src/lib.rs
@@ -5,7 +5,7 @@
 //! written down in `docs/INTERFACES.md`.
 //!
 //! ```
-//! use gingerpier_platform::key_value::Change;
+//! use gingerpier_services::key_value::Change;
 //!
 //! let change = Change::default().guard("head", 7).put("head", b"8".to_vec());
 //! assert_eq!(change.puts.len(), 1);
--- /dev/null
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -0,0 +1,187 @@
+//! Whether a request is taken, and by which engine.
+//!
+//! Engines batch: a pass gives every running request some tokens and reads the prompts that came
+//! in meanwhile. Past its slots an engine lets requests wait. The time to the first event is
+//! predicted from what each engine runs; a request that would come too late everywhere is refused
+//! at once, with a time to come back, instead of making others late.
+
+use {
+    crate::{
+        configuration::EngineModel,
+        fleet::{Engine, EngineKey, Fleet},
+        report::Version,
+    },
+    gingerpier_base::Instant,
+};
+
+/// How much of its target a first event may be predicted to take.
+const TARGET_SHARE: f64 = 0.85;
+
+/// The same for a caller that came back after a refusal.
+const RETURN_SHARE: f64 = 1.0;
+
+/// Milliseconds that another zone must be better by.
+const OTHER_ZONE_MILLIS: f64 = 25.0;
+
+/// Milliseconds that a share of failures of 1 counts as.
+const FAILURE_MILLIS: f64 = 400.0;
+
+/// Milliseconds of work of an ordinary service, where nothing is measured.
+const PLAIN_WORK_MILLIS: f64 = 60.0;
+
+/// Requests of this gateway for each slot of an engine of an ordinary service.
+const PLAIN_DEPTH: f64 = 2.0;
+
+/// What counts of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// How engines of the service work; none for ordinary services.
+    pub engines: Option<&'a EngineModel>,
+    /// Model, where one is named.
+    pub model: Option<&'a str>,
+    /// Oldest version that may run it.
+    pub least_version: Version,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Time within which an answer has its full worth, in milliseconds.
+    pub target_millis: u64,
+    /// True where its caller was refused before.
+    pub has_returned: bool,
+    /// Zone of this gateway.
+    pub zone: &'a str,
+    /// Engines that it went to already.
+    pub tried: &'a [EngineKey],
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Choice {
+    /// It goes to an engine.
+    Send {
+        /// Engine.
+        engine: EngineKey,
+        /// Predicted milliseconds to the first event.
+        predicted_millis: f64,
+    },
+    /// All engines are too full.
+    Full {
+        /// Predicted milliseconds at the best engine.
+        predicted_millis: f64,
+    },
+    /// No engine can run it.
+    NoEngine,
+}
+
+/// Milliseconds of a pass with `running` requests.
+pub fn pass_millis(model: &EngineModel, running: f64) -> f64 {
+    let context = f64::from(model.usual_prompt + model.usual_answer / 2) / 1_000.0;
+    let each = model.per_request_millis + model.per_thousand_tokens_millis * context;
+    f64::from(model.stride) * (model.step_millis + each * running)
+}
+
+/// Milliseconds of an engine's work that a usual request takes when its slots are full.
+pub fn work_millis(model: &EngineModel) -> f64 {
+    let slots = f64::from(model.slots.max(1));
+    let passes = f64::from(model.usual_answer) / f64::from(model.stride.max(1));
+    let reading = f64::from(model.usual_prompt) / model.read_per_milli;
+    passes * pass_millis(model, slots) / slots + reading
+}
+
+/// Predicted milliseconds to the first event at `engine`.
+pub fn first_event_millis(
+    engine: &Engine,
+    model: &EngineModel,
+    prompt_tokens: u64,
+    now: Instant,
+) -> f64 {
+    let slots = f64::from(model.slots);
+    let occupancy = engine.occupancy(now);
+    let running = occupancy.min(slots);
+    let pace = engine.latest(now).pace.max(1.0);
+    let behind = (occupancy + 1.0 - slots).max(0.0);
+    let queue = behind * work_millis(model);
+    let waiting = engine
+        .load
+        .waiting_tokens
+        .min(4 * u64::from(model.usual_prompt));
+    let reading = (prompt_tokens + waiting) as f64 / model.read_per_milli;
+    let pass = pass_millis(model, running);
+    (queue + 1.5 * pass * running.min(1.0) + reading) * pace
+}
+
+/// Decides where a request goes.
+pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: f64) -> Choice {
+    let mut best: Option<(f64, f64, EngineKey)> = None;
+    for (key, engine) in fleet.of_service(demand.service) {
+        if !fits(engine, demand, now) || demand.tried.contains(&key) {
+            continue;
+        }
+        let predicted = predict(engine, demand, now);
+        let cost = predicted + penalty(engine, demand) + draw_of(key, draw);
+        if best.is_none_or(|(least, _, _)| cost < least) {
+            best = Some((cost, predicted, key));
+        }
+    }
+    let Some((_, predicted_millis, engine)) = best else {
+        return Choice::NoEngine;
+    };
+    if predicted_millis > bound(demand) {
+        return Choice::Full { predicted_millis };
+    }
+    Choice::Send {
+        engine,
+        predicted_millis,
+    }
+}
+
+fn fits(engine: &Engine, demand: &Demand<'_>, now: Instant) -> bool {
+    if !engine.is_open(now) {
+        return false;
+    }
+    let (Some(_), Some(model)) = (demand.engines, demand.model) else {
+        return true;
+    };
+    let version = engine.version_of(model, now);
+    version.is_some_and(|version| version >= demand.least_version) && !engine.latest(now).is_busy
+}
+
+fn predict(engine: &Engine, demand: &Demand<'_>, now: Instant) -> f64 {
+    match demand.engines {
+        Some(model) => first_event_millis(engine, model, demand.prompt_tokens, now),
+        None => {
+            let slots = f64::from(engine.record.slots.max(1));
+            let behind = (f64::from(engine.load.in_flight) / slots).max(0.0);
+            PLAIN_WORK_MILLIS * (1.0 + behind)
+        }
+    }
+}
+
+fn penalty(engine: &Engine, demand: &Demand<'_>) -> f64 {
+    let away = if engine.record.zone == demand.zone {
+        0.0
+    } else {
+        OTHER_ZONE_MILLIS
+    };
+    away + FAILURE_MILLIS * engine.failure_share()
+}
+
+fn bound(demand: &Demand<'_>) -> f64 {
+    if demand.engines.is_none() {
+        return PLAIN_WORK_MILLIS * (1.0 + PLAIN_DEPTH);
+    }
+    let share = if demand.has_returned {
+        RETURN_SHARE
+    } else {
+        TARGET_SHARE
+    };
+    demand.target_millis as f64 * share
+}
+
+/// A few milliseconds that differ by gateway and engine, against herds.
+fn draw_of(key: EngineKey, draw: f64) -> f64 {
+    const SPREAD_MILLIS: f64 = 12.0;
+    let mixed = gingerpier_base::order::mix(u64::from(key.0) ^ draw.to_bits());
+    (mixed % 1_000) as f64 / 1_000.0 * SPREAD_MILLIS
+}
--- /dev/null
+++ b/crates/gingerpier_serving/src/dialect.rs
@@ -0,0 +1,257 @@
+//! The edge to a platform: its names and messages, as calls and typed answers.
+//!
+//! An adapter implements [`Dialect`] and nothing else. It holds no state, does no I/O and decides
+//! nothing; whoever calls it sends the calls and reads the answers.
+
+use {
+    crate::{
+        configuration::Configuration,
+        fleet::Record,
+        mirror::{Item, Revision},
+        report::{Report, Version},
+    },
+    displaydoc::Display,
+    std::net::SocketAddr,
+};
+
+/// Names of header fields, in lower case.
+#[derive(Debug, Clone, Copy)]
+pub struct Names {
+    /// Id of one attempt of a caller.
+    pub attempt: &'static str,
+    /// Milliseconds that a caller will wait.
+    pub deadline: &'static str,
+    /// Key of a caller.
+    pub key: &'static str,
+    /// Name of the tenant, for engines.
+    pub tenant: &'static str,
+    /// Model that is asked for.
+    pub model: &'static str,
+    /// Tokens of a prompt, and most tokens of an answer.
+    pub tokens: &'static str,
+    /// Last event that the caller has.
+    pub last_event: &'static str,
+    /// Incarnation that alone may run a request.
+    pub expect_engine: &'static str,
+    /// Version that alone may run a request.
+    pub expect_version: &'static str,
+    /// Proof of an engine that it did not run a request.
+    pub not_run: &'static str,
+    /// Signature of an engine.
+    pub seal: &'static str,
+    /// Version that answers.
+    pub version: &'static str,
+    /// Seconds after which to come again.
+    pub retry_after: &'static str,
+}
+
+/// A call without its connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Method.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// Body; JSON unless the call is known to carry bytes.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// Call without a body.
+    pub const fn get(target: String) -> Self {
+        Self {
+            method: "GET",
+            target,
+            body: Vec::new(),
+        }
+    }
+}
+
+/// What an item of the store says.
+#[derive(Debug, Clone)]
+pub enum Fact {
+    /// The operators' configuration.
+    Configuration(Box<Configuration>),
+    /// An engine is listed.
+    Engine(Box<Record>),
+    /// New weights are named.
+    Weights(Named),
+    /// Nothing that matters here.
+    Other,
+}
+
+/// What the key of an item stands for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Subject {
+    /// The operators' configuration.
+    Configuration,
+    /// The engine with an id.
+    Engine(String),
+    /// Weights of a model.
+    Weights(String),
+    /// Nothing that matters here.
+    Other,
+}
+
+/// Weights that operators named.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Named {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: Version,
+}
+
+/// A page of items.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Items.
+    pub items: Vec<Item>,
+    /// True where more follow.
+    pub has_more: bool,
+    /// Revision of the store.
+    pub at: Revision,
+}
+
+/// What a watch brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes up to a revision.
+    Changes(Page),
+    /// The history asked for is gone.
+    HistoryGone,
+}
+
+/// What the origin says of a version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Manifest {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: Version,
+    /// Digest of each chunk, by SHA-256.
+    pub digests: Vec<[u8; 32]>,
+}
+
+/// A message that does not say what it should.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// status {0}
+    Status(u16),
+    /// {place}: {what}
+    Malformed {
+        /// Where in the message.
+        place: String,
+        /// What is wrong.
+        what: String,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Messages of a platform.
+pub trait Dialect {
+    /// Names of header fields.
+    fn names(&self) -> &'static Names;
+
+    /// True where `target` asks whether this process is ready.
+    fn asks_ready(&self, target: &str) -> bool;
+
+    /// Call for a page of all items, behind `after`; `stale` where an old answer will do.
+    fn list(&self, after: &str, stale: bool) -> Call;
+
+    /// Answer to [`Dialect::list`].
+    ///
+    /// # Errors
+    ///
+    /// Where it is refused or malformed.
+    fn read_list(&self, status: u16, body: &[u8]) -> Result<Page, Error>;
+
+    /// Call for changes behind `after`, which waits at most `wait_millis`; of everything, or of
+    /// what operators write.
+    fn watch(&self, scope: Scope, after: Revision, wait_millis: u64) -> Call;
+
+    /// Answer to [`Dialect::watch`].
+    ///
+    /// # Errors
+    ///
+    /// Where it is refused or malformed.
+    fn read_watch(&self, status: u16, body: &[u8]) -> Result<Watched, Error>;
+
+    /// What the key of an item stands for.
+    fn subject(&self, key: &str) -> Subject;
+
+    /// What an item says.
+    ///
+    /// # Errors
+    ///
+    /// Where the value is malformed.
+    fn fact(&self, key: &str, value: &[u8]) -> Result<Fact, Error>;
+
+    /// Call for the state of an engine.
+    fn report(&self) -> Call;
+
+    /// Answer to [`Dialect::report`].
+    ///
+    /// # Errors
+    ///
+    /// Where it is refused or malformed.
+    fn read_report(&self, status: u16, body: &[u8]) -> Result<Report, Error>;
+
+    /// Order to an engine to take the weights that lie there, if it has taken `sequence` orders.
+    fn start(&self, named: &Named, sequence: u64) -> Call;
+
+    /// Answer to [`Dialect::start`].
+    fn read_start(&self, status: u16) -> Started;
+
+    /// Call for the manifest of a version; of the newest where it is 0.
+    fn manifest(&self, named: &Named) -> Call;
+
+    /// Answer to [`Dialect::manifest`].
+    ///
+    /// # Errors
+    ///
+    /// Where it is refused or malformed.
+    fn read_manifest(&self, status: u16, body: &[u8]) -> Result<Manifest, Error>;
+
+    /// Call for a chunk at the origin.
+    fn chunk(&self, named: &Named, chunk: u32) -> Call;
+
+    /// Call that lays a chunk at an engine.
+    fn lay_chunk(&self, model: &str, chunk: u32) -> Call;
+
+    /// Call for a chunk that lies at an engine.
+    fn laid_chunk(&self, model: &str, chunk: u32) -> Call;
+
+    /// Address of an origin in a configuration.
+    fn origin(&self, configuration: &Configuration) -> Option<SocketAddr> {
+        use crate::configuration::ServiceKind;
+        configuration
+            .services()
+            .iter()
+            .find_map(|service| match &service.kind {
+                ServiceKind::Origin(address) => Some(*address),
+                _ => None,
+            })
+    }
+}
+
+/// What a watch covers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All items.
+    Everything,
+    /// What operators write.
+    Operators,
+}
+
+/// What an engine made of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Started {
+    /// It has begun.
+    Begun,
+    /// It holds the weights already.
+    Done,
+    /// It does not fit its state.
+    Refused,
+}
--- /dev/null
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -0,0 +1,299 @@
+//! Engines, who they are and how loaded.
+//!
+//! An engine is known by the id of its incarnation, never by its address. What it says of its
+//! load is a hint with an age; this gateway's own requests are counted exactly.
+
+use {
+    crate::report::{Report, Version},
+    gingerpier_base::Instant,
+    std::{
+        collections::{HashMap, VecDeque},
+        net::SocketAddr,
+    },
+};
+
+/// Key of an engine within its [`Fleet`]; keys are not reused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineKey(pub u32);
+
+/// Whether an engine takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// What the platform lists of an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Record {
+    /// Id of this incarnation.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Zone.
+    pub zone: String,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// What it held and did when it was listed.
+    pub report: Report,
+}
+
+/// Milliseconds that a report may have been under way.
+const TRANSIT_MILLIS: u64 = 4;
+
+/// Milliseconds after which a report no longer counts.
+const REPORT_LIFE_MILLIS: u64 = 1_500;
+
+/// Gateways of a zone, where reports are missing.
+const USUAL_GATEWAYS: f64 = 2.5;
+
+/// Milliseconds that an engine rests after its first failure.
+const FIRST_REST_MILLIS: u64 = 250;
+
+/// Failures in a row after which the rest grows no more.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// Weight of one outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// Requests of this gateway at one engine.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    /// Requests under way.
+    pub in_flight: u32,
+    /// Requests without a first event.
+    pub waiting: u32,
+    /// Prompt tokens of those.
+    pub waiting_tokens: u64,
+    sent: VecDeque<Instant>,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// What is listed of it.
+    pub record: Record,
+    /// This gateway's requests there.
+    pub load: Load,
+    /// Last word from the engine's own machine, and when it came.
+    pub report: Option<(Report, Instant)>,
+    /// True once it is no longer listed.
+    pub is_gone: bool,
+    rests_until: Instant,
+    failures_in_row: u32,
+    failure_share: f64,
+}
+
+impl Engine {
+    /// The newest report that still counts.
+    pub fn fresh_report(&self, now: Instant) -> Option<&Report> {
+        let (report, at) = self.report.as_ref()?;
+        (now.millis_since(*at) <= REPORT_LIFE_MILLIS).then_some(report)
+    }
+
+    /// Age of the newest report in milliseconds.
+    pub fn report_age(&self, now: Instant) -> Option<u64> {
+        self.report.as_ref().map(|(_, at)| now.millis_since(*at))
+    }
+
+    /// What is known of its weights and orders.
+    pub fn latest(&self, now: Instant) -> &Report {
+        self.fresh_report(now).unwrap_or(&self.record.report)
+    }
+
+    /// Version of `model` that it holds.
+    pub fn version_of(&self, model: &str, now: Instant) -> Option<Version> {
+        let held = self.latest(now).held.iter();
+        held.filter(|held| held.model == model)
+            .map(|held| held.version)
+            .max()
+    }
+
+    /// True where it may be sent new work.
+    pub fn is_open(&self, now: Instant) -> bool {
+        !self.is_gone && self.record.state == State::Ready && self.rests_until.has_passed(now)
+    }
+
+    /// Requests of all gateways that run or wait there, as far as known.
+    pub fn occupancy(&self, now: Instant) -> f64 {
+        match self.fresh_report(now) {
+            Some(report) => {
+                let reported = report.active + report.queued + self.load.sent.len() as u32;
+                f64::from(reported.max(self.load.in_flight))
+            }
+            None => f64::from(self.load.in_flight) * USUAL_GATEWAYS,
+        }
+    }
+
+    /// Share of recent requests that failed there, from 0 to 1.
+    pub const fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Takes a report from the engine's machine.
+    pub fn note_report(&mut self, report: Report, now: Instant) {
+        let sent = &mut self.load.sent;
+        while sent
+            .front()
+            .is_some_and(|at| now.millis_since(*at) > TRANSIT_MILLIS)
+        {
+            sent.pop_front();
+        }
+        self.report = Some((report, now));
+    }
+
+    /// Notes a request sent there with `tokens` of prompt.
+    pub fn note_sent(&mut self, tokens: u64, now: Instant) {
+        self.load.in_flight += 1;
+        self.load.waiting += 1;
+        self.load.waiting_tokens += tokens;
+        self.load.sent.push_back(now);
+        while self
+            .load
+            .sent
+            .front()
+            .is_some_and(|at| now.millis_since(*at) > REPORT_LIFE_MILLIS)
+        {
+            self.load.sent.pop_front();
+        }
+    }
+
+    /// Notes the first event of a request sent with `tokens`.
+    pub fn note_first(&mut self, tokens: u64) {
+        self.load.waiting = self.load.waiting.saturating_sub(1);
+        self.load.waiting_tokens = self.load.waiting_tokens.saturating_sub(tokens);
+    }
+
+    /// Notes the end of a request; `waiting` where it had no first event.
+    pub fn note_end(&mut self, tokens: u64, waiting: bool) {
+        self.load.in_flight = self.load.in_flight.saturating_sub(1);
+        if waiting {
+            self.note_first(tokens);
+        }
+    }
+
+    /// Notes that it answered as it should.
+    pub fn note_success(&mut self) {
+        self.failures_in_row = 0;
+        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+    }
+
+    /// Notes that it could not be reached or broke an answer off: it rests.
+    pub fn note_failure(&mut self, now: Instant) {
+        let rest = FIRST_REST_MILLIS << self.failures_in_row.min(MOST_DOUBLINGS);
+        self.rests_until = now.after_millis(rest);
+        self.failures_in_row += 1;
+        self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
+    }
+
+    /// Notes an answer that tells of trouble, while the engine is well otherwise.
+    pub fn note_trouble(&mut self) {
+        self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
+    }
+
+    /// Notes that it takes nothing for now.
+    pub fn rest(&mut self, until: Instant) {
+        self.rests_until = self.rests_until.max(until);
+    }
+}
+
+/// All engines known.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    engines: Vec<Engine>,
+    by_id: HashMap<String, EngineKey>,
+    by_service: HashMap<String, Vec<EngineKey>>,
+}
+
+impl Fleet {
+    /// Takes what the platform lists of an engine.
+    pub fn list(&mut self, record: Record) -> EngineKey {
+        if let Some(key) = self.by_id.get(&record.id).copied() {
+            let engine = &mut self.engines[key.0 as usize];
+            // Leaving is a one-way state.
+            let state = match engine.record.state {
+                State::Draining => State::Draining,
+                State::Ready => record.state,
+            };
+            engine.record = Record { state, ..record };
+            if engine.is_gone {
+                engine.is_gone = false;
+                let service = engine.record.service.clone();
+                self.by_service.entry(service).or_default().push(key);
+            }
+            return key;
+        }
+        let key = EngineKey(self.engines.len() as u32);
+        self.by_id.insert(record.id.clone(), key);
+        self.by_service
+            .entry(record.service.clone())
+            .or_default()
+            .push(key);
+        self.engines.push(Engine {
+            record,
+            load: Load::default(),
+            report: None,
+            is_gone: false,
+            rests_until: Instant::default(),
+            failures_in_row: 0,
+            failure_share: 0.0,
+        });
+        key
+    }
+
+    /// Takes an engine off the list.
+    pub fn unlist(&mut self, id: &str) -> Option<EngineKey> {
+        let key = self.by_id.get(id).copied()?;
+        let engine = &mut self.engines[key.0 as usize];
+        engine.is_gone = true;
+        if let Some(keys) = self.by_service.get_mut(&engine.record.service) {
+            keys.retain(|other| *other != key);
+        }
+        Some(key)
+    }
+
+    /// Key of the engine with `id`.
+    pub fn find(&self, id: &str) -> Option<EngineKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// An engine.
+    pub fn engine(&self, key: EngineKey) -> &Engine {
+        &self.engines[key.0 as usize]
+    }
+
+    /// An engine, to be changed.
+    pub fn engine_mut(&mut self, key: EngineKey) -> &mut Engine {
+        &mut self.engines[key.0 as usize]
+    }
+
+    /// Engines of `service` that are listed.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (EngineKey, &'a Engine)> + use<'a> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|key| (*key, self.engine(*key)))
+    }
+
+    /// All engines that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = (EngineKey, &Engine)> {
+        let all = self.engines.iter().enumerate();
+        all.filter(|(_, engine)| !engine.is_gone)
+            .map(|(index, engine)| (EngineKey(index as u32), engine))
+    }
+
+    /// The listed engine at `address`; the newest, where an address was reused.
+    pub fn at_address(&self, address: SocketAddr) -> Option<EngineKey> {
+        let at = self
+            .listed()
+            .filter(|(_, engine)| engine.record.address == address);
+        at.map(|(key, _)| key).max()
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decisions of a gateway before engines: configuration, membership, admission, retries.
+//!
+//! Where the platform already keeps the configuration and lists the engines, a gateway needs no
+//! log of its own. It keeps a [`mirror`] of what the platform holds, reads a [`configuration`] and
+//! a [`fleet`] of engines out of it, and decides for each request whether to take it and where it
+//! goes ([`admission`]), and what follows a failed attempt ([`course`], [`budget`]). Everything
+//! here is plain data with functions on it: time and events come in as arguments.
+//!
+//! ```
+//! use {
+//!     gingerpier_base::Instant,
+//!     gingerpier_serving::budget::{Budget, Terms},
+//! };
+//!
+//! let terms = Terms { ratio: 0.2, extra: 1, window_millis: 10_000, members: 1 };
+//! let mut budget = Budget::new(terms);
+//! let now = Instant::from_millis(0);
+//! assert!(budget.take(now), "one retry is free");
+//! assert!(!budget.take(now), "a second one needs requests that pay for it");
+//! ```
+
+pub mod admission;
+pub mod bringing;
+pub mod budget;
+pub mod configuration;
+pub mod course;
+pub mod dialect;
+pub mod events;
+pub mod fleet;
+pub mod mirror;
+pub mod report;
--- /dev/null
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -0,0 +1,110 @@
+//! A mirror of what the platform's store holds, whose revision only rises.
+//!
+//! Items come from a full read, from changes, or from a peer. Whatever is older than what is
+//! here changes nothing, so a read that lags or a peer that was cut off can't take back what was
+//! in force.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+/// A revision of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Revision(pub u64);
+
+/// One item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Revision of its last change.
+    pub revision: Revision,
+    /// Value; none where the key is gone.
+    pub value: Option<Rc<[u8]>>,
+}
+
+/// What changed.
+pub type Changes = Vec<Item>;
+
+#[derive(Debug, Clone)]
+struct Held {
+    revision: Revision,
+    value: Rc<[u8]>,
+}
+
+/// What is known of the store.
+#[derive(Debug, Clone, Default)]
+pub struct Mirror {
+    at: Revision,
+    items: BTreeMap<String, Held>,
+    /// Revisions at which keys went.
+    gone: BTreeMap<String, Revision>,
+}
+
+impl Mirror {
+    /// Revision up to which everything is known.
+    pub const fn at(&self) -> Revision {
+        self.at
+    }
+
+    /// Items held.
+    pub fn items(&self) -> impl Iterator<Item = Item> {
+        self.items.iter().map(|(key, held)| Item {
+            key: key.clone(),
+            revision: held.revision,
+            value: Some(held.value.clone()),
+        })
+    }
+
+    /// Takes changes that reach to `at`; gives those that were news.
+    pub fn apply(&mut self, changes: Changes, at: Revision) -> Changes {
+        let news = changes.into_iter().filter(|item| self.take(item)).collect();
+        self.at = self.at.max(at);
+        news
+    }
+
+    /// Takes a whole copy as of `at`; gives what was news, items that have gone included. An
+    /// older copy than what is here changes nothing.
+    pub fn replace(&mut self, items: Vec<Item>, at: Revision) -> Changes {
+        if at < self.at {
+            return Vec::new();
+        }
+        let missing: Vec<String> = {
+            let present: std::collections::BTreeSet<&str> =
+                items.iter().map(|item| item.key.as_str()).collect();
+            let absent = |key: &&String| !present.contains(key.as_str());
+            self.items.keys().filter(absent).cloned().collect()
+        };
+        let gone = missing.into_iter().map(|key| Item {
+            key,
+            revision: at,
+            value: None,
+        });
+        let changes = items.into_iter().chain(gone).collect();
+        self.apply(changes, at)
+    }
+
+    fn take(&mut self, item: &Item) -> bool {
+        let held = self.items.get(&item.key).map(|held| held.revision);
+        let gone = self.gone.get(&item.key).copied();
+        let newest = held.max(gone).unwrap_or_default();
+        // A key may go at the very revision up to which a copy was read.
+        let is_news = item.revision > newest || (item.value.is_none() && item.revision == newest);
+        if !is_news || (item.value.is_none() && held.is_none()) {
+            return false;
+        }
+        match &item.value {
+            Some(value) => {
+                let held = Held {
+                    revision: item.revision,
+                    value: value.clone(),
+                };
+                self.gone.remove(&item.key);
+                self.items.insert(item.key.clone(), held);
+            }
+            None => {
+                self.items.remove(&item.key);
+                self.gone.insert(item.key.clone(), item.revision);
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -0,0 +1,152 @@
+//! Settings of a process on a platform that lists engines and keeps the configuration.
+
+use {
+    crate::{
+        reader::Section,
+        unit::{self, Millis},
+    },
+    std::net::SocketAddr,
+};
+
+/// Settings of a gateway: callers' requests, routed to engines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Gateway {
+    /// Name, for logs.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address that is asked whether this process is ready.
+    pub readiness: SocketAddr,
+    /// Address where other gateways ask for the configuration.
+    pub control: SocketAddr,
+    /// Address for reports of engines' load.
+    pub peers: SocketAddr,
+    /// Gateways to ask where the store does not answer; may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time for a planned stop; default 8s.
+    pub drain_within: Millis,
+    /// Time after which a leaving engine takes nothing new; default 2s.
+    pub leave_within: Millis,
+    /// Time after which only named weights serve; default 8s.
+    pub version_within: Millis,
+    /// Retries for each request, of all gateways together; default 0.1.
+    pub retry_ratio: f64,
+    /// Retries of all gateways beyond the ratio in one window; default 10.
+    pub retry_extra: u32,
+    /// Window of the retry budget; default 10s.
+    pub retry_window: Millis,
+}
+
+/// Settings of a loader: weights for the engine of its own machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Loader {
+    /// Name, for logs.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Region of each zone.
+    pub regions: Vec<ZoneRegion>,
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Address for other loaders and for gateways.
+    pub peers: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time after which only named weights serve; default 8s.
+    pub version_within: Millis,
+}
+
+/// A zone and its region, written `ZONE=REGION`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneRegion {
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+}
+
+fn zone_region(text: &str) -> Result<ZoneRegion, String> {
+    let parts = text.split_once('=');
+    let (zone, region) = parts.ok_or_else(|| "a zone is written ZONE=REGION".to_owned())?;
+    Ok(ZoneRegion {
+        zone: zone.to_owned(),
+        region: region.to_owned(),
+    })
+}
+
+fn text(text: &str) -> Result<String, String> {
+    if text.is_empty() {
+        return Err("a name is expected here".to_owned());
+    }
+    Ok(text.to_owned())
+}
+
+fn ratio(text: &str) -> Result<f64, String> {
+    let ratio: f64 = unit::parse(text)?;
+    if (0.0..=1.0).contains(&ratio) {
+        return Ok(ratio);
+    }
+    Err("a ratio is a number from 0 to 1".to_owned())
+}
+
+const STORE: &str = "address of the platform's store";
+
+impl Gateway {
+    pub(crate) fn read(section: &mut Section<'_, '_>) -> Option<Self> {
+        let name = section.required("name", "name of this process, for logs", text);
+        let zone = section.required("zone", "zone of this process", text);
+        let callers = section.required("callers", "address for callers", unit::address);
+        let readiness = section.required("readiness", "address for readiness", unit::address);
+        let control = section.required("control", "address for other gateways", unit::address);
+        let peers = section.required("peers", "address for reports of load", unit::address);
+        let seeds = section.list("seeds", "gateways to ask", unit::address);
+        let store = section.required("store", STORE, unit::address);
+        let drain_within = section.or("drain_within", Millis(8_000), unit::millis);
+        let leave_within = section.or("leave_within", Millis(2_000), unit::millis);
+        let version_within = section.or("version_within", Millis(8_000), unit::millis);
+        let retry_ratio = section.or("retry_ratio", 0.1, ratio);
+        let retry_extra = section.or("retry_extra", 10, unit::parse);
+        let retry_window = section.or("retry_window", Millis(10_000), unit::millis);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            callers: callers?,
+            readiness: readiness?,
+            control: control?,
+            peers: peers?,
+            seeds: seeds?,
+            store: store?,
+            drain_within: drain_within?,
+            leave_within: leave_within?,
+            version_within: version_within?,
+            retry_ratio: retry_ratio?,
+            retry_extra: retry_extra?,
+            retry_window: retry_window?,
+        })
+    }
+}
+
+impl Loader {
+    pub(crate) fn read(section: &mut Section<'_, '_>) -> Option<Self> {
+        let name = section.required("name", "name of this process, for logs", text);
+        let zone = section.required("zone", "zone of this process", text);
+        let regions = section.list("regions", "zones, as ZONE=REGION", zone_region);
+        let engine = section.required("engine", "address of the engine", unit::address);
+        let peers = section.required("peers", "address for other processes", unit::address);
+        let store = section.required("store", STORE, unit::address);
+        let version_within = section.or("version_within", Millis(8_000), unit::millis);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            regions: regions?,
+            engine: engine?,
+            peers: peers?,
+            store: store?,
+            version_within: version_within?,
+        })
+    }
+}
--- a/crates/gingerpier_settings/src/lib.rs
+++ b/crates/gingerpier_settings/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod backend;
 pub mod entry;
+pub mod gateway;
 pub mod operator;
 pub mod problem;
 pub mod reader;
@@ -25,13 +26,14 @@
 
 pub use backend::Backend;
 pub use entry::Entry;
+pub use gateway::{Gateway, Loader};
 pub use operator::Operator;
 pub use problem::Problems;
 
-use {crate::reader::Section, gingerpier_base::place::Role};
+use crate::reader::Section;
 
 /// Settings of one process.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Settings {
     /// Of an entry box.
     Entry(Box<Entry>),
@@ -39,6 +41,31 @@
     Backend(Box<Backend>),
     /// Of an operator's desk.
     Operator(Operator),
+    /// Of a gateway on a platform.
+    Gateway(Box<Gateway>),
+    /// Of a loader on a platform.
+    Loader(Box<Loader>),
+}
+
+/// What a process does.
+#[derive(Debug, Clone, Copy)]
+enum Role {
+    Entry,
+    Backend,
+    Operator,
+    Gateway,
+    Loader,
+}
+
+fn role(word: &str) -> Result<Role, String> {
+    match word {
+        "entry" => Ok(Role::Entry),
+        "backend" => Ok(Role::Backend),
+        "operator" => Ok(Role::Operator),
+        "gateway" => Ok(Role::Gateway),
+        "loader" => Ok(Role::Loader),
+        _ => Err("a role is entry, backend, operator, gateway or loader".to_owned()),
+    }
 }
 
 /// Reads and checks settings.
@@ -52,10 +79,8 @@
     let mut section = Section::root(&node, &mut problems);
     let role = section.required(
         "role",
-        "what the process does: entry, backend or operator",
-        |word| {
-            Role::from_word(word).ok_or_else(|| "a role is entry, backend or operator".to_owned())
-        },
+        "what the process does: entry, backend, operator, gateway or loader",
+        role,
     );
     let settings = match role {
         Some(Role::Entry) => Entry::read(&mut section).map(Box::new).map(Settings::Entry),
@@ -63,6 +88,12 @@
             .map(Box::new)
             .map(Settings::Backend),
         Some(Role::Operator) => Operator::read(&mut section).map(Settings::Operator),
+        Some(Role::Gateway) => Gateway::read(&mut section)
+            .map(Box::new)
+            .map(Settings::Gateway),
+        Some(Role::Loader) => Loader::read(&mut section)
+            .map(Box::new)
+            .map(Settings::Loader),
         None => return Err(problems),
     };
     section.finish();
