Bring weights from engines that hold them and keep turns at the origin

Cause: loaders knew few engines (an old list was refused as older than the watch), so every loader asked the origin for everything, beyond its 48 connections; holders had nothing in memory to give. Ruled out: wrong digests (none seen), stalls (none before the origin was choked).

--- a/crates/gingerpier_gateway/src/loader/fetch.rs
+++ b/crates/gingerpier_gateway/src/loader/fetch.rs
@@ -25,7 +25,10 @@
         plan::{Plan, Replica, ReplicaKey, Source},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
-    tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    tokio::sync::{
+        Semaphore, SemaphorePermit,
+        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    },
 };
 
 /// Children of one replica in one chunk's tree: few replicas, so each root feeds its whole zone.
@@ -33,8 +36,8 @@
 
 /// How chunks are fetched.
 const TERMS: Terms = Terms {
-    window: 24,
-    stall_millis: 700,
+    window: 16,
+    stall_millis: 1_200,
     patience_millis: 4_000,
     pause_millis: 100,
 };
@@ -45,6 +48,15 @@
 /// Milliseconds that a manifest may take from one source.
 const MANIFEST_MILLIS: u64 = 700;
 
+/// Milliseconds for which a peer that waits for the manifest itself is waited for.
+const MANIFEST_WAIT_MILLIS: u64 = 900;
+
+/// Most questions to the origin at once.
+const MAX_ORIGIN_TURNS: usize = 4;
+
+/// Milliseconds for which a turn at the origin is waited for at once.
+const TURN_MILLIS: u64 = 300;
+
 /// Reads of a manifest at the origin before the next source is asked.
 const MANIFEST_READS: u32 = 4;
 
@@ -73,6 +85,8 @@
     peers: Vec<Peer>,
     port: u16,
     origin: Option<SocketAddr>,
+    /// Questions that the origin takes from this process at once.
+    origin_turns: Semaphore,
 }
 
 impl Sources {
@@ -87,6 +101,11 @@
     }
 }
 
+/// This process's part of the connections that the origin takes.
+fn origin_turns(loader: &Loader, peers: usize) -> usize {
+    (loader.origin_connections() / peers.max(1)).clamp(1, MAX_ORIGIN_TURNS)
+}
+
 fn region_of(loader: &Loader, zone: &str) -> u64 {
     let regions = &loader.settings.regions;
     let region = regions.iter().find(|one| one.zone == zone);
@@ -107,13 +126,16 @@
 
 /// Brings a whole version here; gives the version that it turned out to be.
 pub async fn fetch(loader: &Rc<Loader>, named: &Named) -> Named {
+    let peers = loader.peers();
     let sources = Rc::new(Sources {
-        peers: loader.peers(),
         port: loader.settings.peers.port(),
         origin: loader.origin(),
+        origin_turns: Semaphore::new(origin_turns(loader, peers.len())),
+        peers,
     });
     let plan = plan_of(loader, &sources.peers, named);
     let named = hold_manifest(loader, &sources, &plan, named).await;
+    take_shared(loader, &named);
     take_laid(loader, &named).await;
     let work = Work::new(loader.clone(), sources, plan, named.clone());
     work.run().await;
@@ -204,8 +226,23 @@
         chunk: None,
         at_once: false,
     };
-    let whole = call(address, &Call::get(question.target()), MANIFEST_MILLIS).await?;
-    (whole.head.status == 200).then_some(whole.body)
+    let deadline = clock::now().after_millis(MANIFEST_WAIT_MILLIS);
+    loop {
+        let whole = call(address, &Call::get(question.target()), MANIFEST_MILLIS).await?;
+        match whole.head.status {
+            200 => return Some(whole.body),
+            202 if !deadline.has_passed(clock::now()) => {}
+            _ => return None,
+        }
+    }
+}
+
+/// Takes chunks that another version here has, too.
+fn take_shared(loader: &Loader, named: &Named) {
+    let shared = loader.holdings.borrow_mut().share(&named.model, named.version);
+    if shared > 0 {
+        tracing::info!(version = named.version.0, shared, "chunks of another version taken");
+    }
 }
 
 /// Takes what lies at the engine already.
@@ -340,6 +377,9 @@
                     tracing::warn!(chunk, ?source, "chunk has another digest");
                     self.doubts += u32::from(source == Source::Origin);
                 }
+                if !matches!(outcome, Outcome::Held | Outcome::Corrupt) {
+                    tracing::info!(chunk, ?source, ?outcome, "chunk not had");
+                }
                 self.from_origin += u32::from(outcome == Outcome::Held && source == Source::Origin);
                 self.fetch.end(chunk, attempt, outcome, now);
                 if self.doubts > DOUBTS {
@@ -366,6 +406,7 @@
         let asking = Asking {
             loader: self.loader.clone(),
             named: self.named.clone(),
+            sources: self.sources.clone(),
             pool: self.pool.clone(),
             sender: self.sender.clone(),
             chunk,
@@ -380,6 +421,7 @@
 /// One question for one chunk.
 struct Asking {
     loader: Rc<Loader>,
+    sources: Rc<Sources>,
     named: Named,
     pool: Rc<RefCell<Pool<SocketAddr>>>,
     sender: UnboundedSender<Event>,
@@ -417,8 +459,33 @@
         }
     }
 
+    fn note_progress(&self) {
+        let progress = Event::Progress {
+            chunk: self.chunk,
+            attempt: self.attempt,
+        };
+        // A fetch that is over needs nothing more.
+        let _ = self.sender.send(progress);
+    }
+
+    /// A turn at the origin; nothing is needed elsewhere.
+    async fn turn(&self) -> Option<SemaphorePermit<'_>> {
+        if self.source != Source::Origin {
+            return None;
+        }
+        loop {
+            let deadline = clock::now().after_millis(TURN_MILLIS);
+            let turn = clock::before(deadline, self.sources.origin_turns.acquire()).await;
+            if let Some(turn) = turn {
+                return turn.ok();
+            }
+            self.note_progress();
+        }
+    }
+
     async fn bring(&self) -> Outcome {
         let question = self.question();
+        let _turn = self.turn().await;
         loop {
             let Ok((head, body)) = self.exchange(&question).await else {
                 return Outcome::Failed;
@@ -475,11 +542,7 @@
         let mut body = BytesMut::new();
         loop {
             let part = connection.part(&mut decoder).await.map_err(http)?;
-            let progress = Event::Progress {
-                chunk: self.chunk,
-                attempt: self.attempt,
-            };
-            let _ = self.sender.send(progress);
+            self.note_progress();
             match part {
                 Part::Data(data) => body.extend_from_slice(&data),
                 Part::End => break,
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -9,6 +9,7 @@
     },
     gingerpier_serving::{
         dialect::{Fact, Scope, Subject, Watched},
+        fleet::Fleet,
         mirror::{Changes, Item},
     },
     std::rc::Rc,
@@ -28,9 +29,7 @@
         let step = if in_step {
             watch(&loader, &mut client).await
         } else {
-            refresh_with(&loader, &mut client, false)
-                .await
-                .map(|()| true)
+            read(&loader, &mut client).await.map(|()| true)
         };
         match step {
             Ok(next) => in_step = next,
@@ -43,16 +42,31 @@
     }
 }
 
-/// Reads engines anew; an old answer will do.
+/// Reads engines anew. An old answer will do, and may be older than what the watch has brought:
+/// only the list of engines is taken from it.
 pub async fn refresh(loader: &Loader) {
     let mut client = Client::new(loader.settings.store);
-    if let Err(error) = refresh_with(loader, &mut client, true).await {
-        tracing::warn!(cause = %error, "engines not read anew");
+    match store::read_all(&mut client, loader.dialect, true).await {
+        Ok(copy) => {
+            let mut fleet = Fleet::default();
+            for item in &copy.items {
+                list(loader, &mut fleet, item);
+            }
+            *loader.fleet.borrow_mut() = fleet;
+        }
+        Err(error) => tracing::warn!(cause = %error, "engines not read anew"),
+    }
+}
+
+fn list(loader: &Loader, fleet: &mut Fleet, item: &Item) {
+    let Some(value) = &item.value else { return };
+    if let Ok(Fact::Engine(record)) = loader.dialect.fact(&item.key, value) {
+        fleet.list(*record);
     }
 }
 
-async fn refresh_with(loader: &Loader, client: &mut Client, stale: bool) -> Result<(), Error> {
-    let copy = store::read_all(client, loader.dialect, stale).await?;
+async fn read(loader: &Loader, client: &mut Client) -> Result<(), Error> {
+    let copy = store::read_all(client, loader.dialect, false).await?;
     let news = loader.mirror.borrow_mut().replace(copy.items, copy.at);
     take(loader, news);
     Ok(())
--- a/crates/gingerpier_gateway/src/loader/holding.rs
+++ b/crates/gingerpier_gateway/src/loader/holding.rs
@@ -89,6 +89,31 @@
         }
     }
 
+    /// Gives a version the chunks that other versions here share with it, and counts them.
+    pub fn share(&mut self, model: &str, version: Version) -> u32 {
+        let Some(target) = self.get(model, version).cloned() else {
+            return 0;
+        };
+        let mut shared = Vec::new();
+        for (index, digest) in target.manifest.digests.iter().enumerate() {
+            let same = |holding: &Holding| {
+                let others = &holding.manifest.digests;
+                let place = others.iter().position(|other| other == digest)?;
+                holding.chunk(place as u32).cloned()
+            };
+            if target.chunk(index as u32).is_none() {
+                shared.extend(self.0.iter().find_map(same).map(|bytes| (index as u32, bytes)));
+            }
+        }
+        let count = shared.len() as u32;
+        if let Some(target) = self.get_mut(model, version) {
+            for (chunk, bytes) in shared {
+                target.put(chunk, bytes);
+            }
+        }
+        count
+    }
+
     /// Forgets a version.
     pub fn remove(&mut self, model: &str, version: Version) {
         self.0.retain(|holding| {
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -122,6 +122,17 @@
         self.dialect.origin(configuration.as_ref()?)
     }
 
+    /// Connections that the origin takes from all loaders.
+    pub fn origin_connections(&self) -> usize {
+        let configuration = self.configuration.borrow();
+        let services = configuration.as_ref().map(Configuration::services);
+        let origin = services.unwrap_or_default().iter();
+        origin
+            .filter(|service| matches!(service.kind, ServiceKind::Origin(_)))
+            .map(|service| service.max_connections as usize)
+            .sum()
+    }
+
     /// Machines with engines for the same model, this one included.
     pub fn peers(&self) -> Vec<Peer> {
         let fleet = self.fleet.borrow();
--- a/crates/gingerpier_gateway/src/loader/peers.rs
+++ b/crates/gingerpier_gateway/src/loader/peers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Loader,
-    crate::{clock, relay},
+    crate::{clock, relay, store::Client},
     bytes::Bytes,
     gingerpier_http1::{connection::Connection, head::Request, writer::Message},
     gingerpier_serving::{dialect::Named, report::Version},
@@ -16,6 +16,9 @@
 /// Milliseconds between looks.
 const LOOK_MILLIS: u64 = 10;
 
+/// Milliseconds that the engine may take for a chunk that lies there.
+const ENGINE_MILLIS: u64 = 300;
+
 /// Milliseconds that a connection may rest.
 const REST_MILLIS: u64 = 5_000;
 
@@ -94,7 +97,10 @@
         if let Some(bytes) = find(loader, &question) {
             return Message::response(200).body(&bytes);
         }
-        if question.at_once {
+        if let Some(bytes) = laid(loader, &question).await {
+            return Message::response(200).body(&bytes);
+        }
+        if question.at_once || !will_have(loader, &question.named) {
             return Message::response(404).body(b"");
         }
         if deadline.has_passed(clock::now()) {
@@ -112,3 +118,25 @@
         Some(chunk) => holding.chunk(chunk).cloned(),
     }
 }
+
+/// A chunk that lies at the engine which serves this version. It goes out unchecked: whoever asked
+/// checks it against the manifest.
+async fn laid(loader: &Loader, question: &Question) -> Option<Bytes> {
+    let Named { model, version } = &question.named;
+    let chunk = question.chunk?;
+    if loader.held(model) != Some(*version) {
+        return None;
+    }
+    let call = loader.dialect.laid_chunk(model, chunk);
+    let mut client = Client::new(loader.settings.engine);
+    let whole = client.call(&call, ENGINE_MILLIS).await.ok()?;
+    (whole.head.status == 200).then_some(whole.body)
+}
+
+/// True where what is not here yet will come.
+fn will_have(loader: &Loader, named: &Named) -> bool {
+    let held = loader.held(&named.model);
+    let wanted = loader.wanted();
+    held.is_none_or(|held| held < named.version)
+        && wanted.is_none_or(|wanted| wanted.version <= named.version)
+}
