Order engines in waves, half of them by way of weights that come due before newer ones are there

Cause: two versions named 4 s apart; all engines skipped the older one, so nobody could serve once it came due (252 of 276 refused in seconds 28-30).

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -17,8 +17,11 @@
 /// Milliseconds between the word that an order is coming and the order, so that gateways hear it.
 const NOTICE_MILLIS: u64 = 80;
 
-/// Milliseconds before which no weights can be there: one copy over one link.
-const EARLIEST_MILLIS: u64 = 2_700;
+/// Milliseconds before which weights are seldom there: a copy over one link, and going round.
+const EARLIEST_MILLIS: u64 = 3_500;
+
+/// Milliseconds that an engine's work takes to end.
+const DRAIN_MILLIS: u64 = 1_500;
 
 /// Milliseconds kept free before the operators' bound.
 const MARGIN_MILLIS: u64 = 1_900;
@@ -32,11 +35,24 @@
 /// Milliseconds after a failed round.
 const PAUSE_MILLIS: u64 = 200;
 
+/// Weights on their way to the engine.
+struct Work {
+    named: Named,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Work {
+    fn is_under_way(&self) -> bool {
+        !self.task.is_finished()
+    }
+}
+
 /// Keeps the engine at the weights that are wanted.
 pub async fn keep(loader: Rc<Loader>) {
-    let mut work: Option<(Named, actix_rt::task::JoinHandle<()>)> = None;
+    let mut works: Vec<Work> = Vec::new();
     loop {
         clock::pause(LOOK_MILLIS).await;
+        works.retain(Work::is_under_way);
         let is_there = loader.report.borrow().is_some();
         let wanted = loader.wanted().filter(|_| is_there);
         let Some(wanted) = wanted else { continue };
@@ -44,16 +60,43 @@
         if held.is_some_and(|held| held >= wanted.version) {
             continue;
         }
-        if let Some((named, task)) = &work {
-            let is_under_way = !task.is_finished();
-            if is_under_way && (*named == wanted || loader.is_ordering.get()) {
-                continue;
+        if works.iter().any(|work| work.named == wanted) {
+            continue;
+        }
+        for work in &works {
+            if !goes_on(&loader, &work.named, &wanted) {
+                work.task.abort();
             }
-            task.abort();
         }
         tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
         let task = actix_rt::spawn(bring(loader.clone(), wanted.clone()));
-        work = Some((wanted, task));
+        works.push(Work {
+            named: wanted,
+            task,
+        });
+    }
+}
+
+/// True where older weights are still brought although newer ones are wanted.
+fn goes_on(loader: &Loader, older: &Named, newer: &Named) -> bool {
+    if loader.is_ordering.get() {
+        return true;
+    }
+    let named = loader.named(&newer.model);
+    let find = |version| named.iter().find(|named| named.version == version).copied();
+    let (Some(older_at), Some(newer_at)) = (find(older.version), find(newer.version)) else {
+        return false;
+    };
+    let place = place(loader, older.version);
+    bringing::goes_by_way_of(older_at, newer_at, place, &terms(loader))
+}
+
+fn terms(loader: &Loader) -> Terms {
+    Terms {
+        within_millis: loader.settings.version_within.0,
+        earliest_millis: EARLIEST_MILLIS,
+        drain_millis: DRAIN_MILLIS,
+        margin_millis: MARGIN_MILLIS,
     }
 }
 
@@ -62,16 +105,18 @@
     let named = fetch::fetch(&loader, &wanted).await;
     loop {
         wait_for_turn(&loader, &named).await;
-        if !loader.is_engine_free() {
-            clock::pause(LOOK_MILLIS).await;
-            continue;
-        }
+        // Chunks of one version at a time lie at the engine, until it has taken them.
+        let _turn = loader.engine_turn.lock().await;
         if loader
             .held(&named.model)
             .is_some_and(|held| held >= named.version)
         {
             return;
         }
+        if !loader.is_engine_free() {
+            clock::pause(LOOK_MILLIS).await;
+            continue;
+        }
         if lay(&loader, &named).await && order(&loader, &named).await {
             return;
         }
@@ -81,17 +126,15 @@
 
 async fn wait_for_turn(loader: &Loader, named: &Named) {
     loop {
-        let terms = Terms {
-            within_millis: loader.settings.version_within.0,
-            earliest_millis: EARLIEST_MILLIS,
-            margin_millis: MARGIN_MILLIS,
+        let known = loader.named(&named.model);
+        let target = known.iter().find(|known| known.version == named.version);
+        let Some(target) = target.copied() else {
+            return;
         };
         let held = loader.held(&named.model);
-        let known = loader.named(&named.model);
         let place = place(loader, named.version);
-        let turn = bringing::order_at(held, &known, place, &terms);
-        let now = clock::now();
-        if turn.is_none_or(|turn| turn.has_passed(now)) {
+        let turn = bringing::order_at(held, target, &known, place, &terms(loader));
+        if turn.has_passed(clock::now()) {
             return;
         }
         clock::pause(LOOK_MILLIS).await;
--- a/crates/gingerpier_gateway/src/loader/fetch.rs
+++ b/crates/gingerpier_gateway/src/loader/fetch.rs
@@ -13,13 +13,16 @@
         store,
     },
     bytes::{Bytes, BytesMut},
-    gingerpier_base::order,
+    gingerpier_base::{Instant, order},
     gingerpier_http1::{
         body::{Decoder, Part},
         connection::{Connection, Whole},
         head::Response,
     },
-    gingerpier_serving::dialect::{Call, Manifest, Named},
+    gingerpier_serving::{
+        configuration::Origin,
+        dialect::{Call, Manifest, Named},
+    },
     gingerpier_weights::{
         fetch::{Action, Fetch, Outcome, Terms},
         plan::{Plan, Replica, ReplicaKey, Source},
@@ -36,7 +39,7 @@
 
 /// How chunks are fetched.
 const TERMS: Terms = Terms {
-    window: 16,
+    window: 24,
     stall_millis: 1_200,
     patience_millis: 4_000,
     pause_millis: 100,
@@ -52,7 +55,13 @@
 const MANIFEST_WAIT_MILLIS: u64 = 900;
 
 /// Most questions to the origin at once.
-const MAX_ORIGIN_TURNS: usize = 4;
+const MAX_ORIGIN_TURNS: usize = 2;
+
+/// Milliseconds after weights were named by which manifests are there.
+const MANIFEST_LEAD_MILLIS: u64 = 300;
+
+/// Part of the time of a chunk on the origin's link after which the next one is asked for.
+const ORIGIN_PACE: f64 = 0.94;
 
 /// Milliseconds for which a turn at the origin is waited for at once.
 const TURN_MILLIS: u64 = 300;
@@ -84,7 +93,9 @@
 struct Sources {
     peers: Vec<Peer>,
     port: u16,
-    origin: Option<SocketAddr>,
+    origin: Option<Origin>,
+    /// When the origin's link is free for the first chunk, where all loaders begin together.
+    begins: Option<Instant>,
     /// Questions that the origin takes from this process at once.
     origin_turns: Semaphore,
 }
@@ -92,7 +103,7 @@
 impl Sources {
     fn address(&self, source: Source) -> Option<SocketAddr> {
         match source {
-            Source::Origin => self.origin,
+            Source::Origin => self.origin.map(|origin| origin.address),
             Source::Replica(key) | Source::Holder(key) => {
                 let peer = self.peers.get(key.0 as usize)?;
                 Some(SocketAddr::new(peer.ip, self.port))
@@ -103,7 +114,29 @@
 
 /// This process's part of the connections that the origin takes.
 fn origin_turns(loader: &Loader, peers: usize) -> usize {
-    (loader.origin_connections() / peers.max(1)).clamp(1, MAX_ORIGIN_TURNS)
+    let connections = loader.origin().map_or(0, |origin| origin.max_connections);
+    (connections as usize / peers.max(1)).clamp(1, MAX_ORIGIN_TURNS)
+}
+
+/// When the first chunk of weights that were just named is to be asked for at the origin.
+fn begins(loader: &Loader, named: &Named) -> Option<Instant> {
+    let known = loader.named(&named.model);
+    let own = known.iter().find(|known| known.version == named.version)?;
+    let begins = own.at.after_millis(MANIFEST_LEAD_MILLIS);
+    (clock::now().millis_since(own.at) < MANIFEST_LEAD_MILLIS).then_some(begins)
+}
+
+impl Sources {
+    /// Milliseconds until `chunk` is to be asked for at the origin. Whoever is first to take a
+    /// chunk asks at the time when the link is free for it, so that early chunks come soon and
+    /// go round while later ones are still on their way in.
+    fn wait_for(&self, chunk: u32, bytes: u64) -> Option<u64> {
+        let (begins, origin) = self.begins.zip(self.origin)?;
+        let each = (bytes * 8_000) as f64 / origin.link_bits_per_second.max(1) as f64;
+        let at = begins.after_millis((f64::from(chunk) * each * ORIGIN_PACE) as u64);
+        let wait = at.millis_since(clock::now());
+        (origin.link_bits_per_second > 0 && wait > 0).then_some(wait)
+    }
 }
 
 fn region_of(loader: &Loader, zone: &str) -> u64 {
@@ -130,6 +163,7 @@
     let sources = Rc::new(Sources {
         port: loader.settings.peers.port(),
         origin: loader.origin(),
+        begins: begins(loader, named),
         origin_turns: Semaphore::new(origin_turns(loader, peers.len())),
         peers,
     });
@@ -142,6 +176,16 @@
     named
 }
 
+/// Chunks that this process is the first to take.
+fn entries(plan: &Plan, count: u32) -> Vec<u32> {
+    let mut sources = Vec::new();
+    let mut enters = |chunk: &u32| {
+        plan.sources(ReplicaKey(0), *chunk, &mut sources);
+        sources.first() == Some(&Source::Origin)
+    };
+    (0..count).filter(|chunk| enters(chunk)).collect()
+}
+
 async fn hold_manifest(
     loader: &Rc<Loader>,
     sources: &Rc<Sources>,
@@ -239,9 +283,16 @@
 
 /// Takes chunks that another version here has, too.
 fn take_shared(loader: &Loader, named: &Named) {
-    let shared = loader.holdings.borrow_mut().share(&named.model, named.version);
+    let shared = loader
+        .holdings
+        .borrow_mut()
+        .share(&named.model, named.version);
     if shared > 0 {
-        tracing::info!(version = named.version.0, shared, "chunks of another version taken");
+        tracing::info!(
+            version = named.version.0,
+            shared,
+            "chunks of another version taken"
+        );
     }
 }
 
@@ -302,6 +353,7 @@
     fn new(loader: Rc<Loader>, sources: Rc<Sources>, plan: Plan, named: Named) -> Self {
         let manifest = manifest_of(&loader, &named);
         let count = manifest.map_or(0, |manifest| manifest.digests.len());
+        let own = entries(&plan, count as u32);
         let mut fetch = Fetch::new(TERMS, plan, ReplicaKey(0), count as u32);
         let holdings = loader.holdings.borrow();
         if let Some(holding) = holdings.get(&named.model, named.version) {
@@ -312,6 +364,11 @@
             }
         }
         drop(holdings);
+        // What enters here is asked for ahead of the window: the origin's link must not rest while
+        // everyone waits for the chunks of one window to go round.
+        for chunk in own {
+            fetch.want(chunk);
+        }
         let (sender, events) = unbounded_channel();
         Self {
             loader,
@@ -459,6 +516,13 @@
         }
     }
 
+    /// Bytes of a usual chunk.
+    fn chunk_bytes(&self) -> u64 {
+        let holdings = self.loader.holdings.borrow();
+        let holding = holdings.get(&self.named.model, self.named.version);
+        holding.map_or(0, |holding| holding.manifest.chunk_bytes)
+    }
+
     fn note_progress(&self) {
         let progress = Event::Progress {
             chunk: self.chunk,
@@ -473,6 +537,10 @@
         if self.source != Source::Origin {
             return None;
         }
+        while let Some(wait) = self.sources.wait_for(self.chunk, self.chunk_bytes()) {
+            clock::pause(wait.min(TURN_MILLIS)).await;
+            self.note_progress();
+        }
         loop {
             let deadline = clock::now().after_millis(TURN_MILLIS);
             let turn = clock::before(deadline, self.sources.origin_turns.acquire()).await;
--- a/crates/gingerpier_gateway/src/loader/holding.rs
+++ b/crates/gingerpier_gateway/src/loader/holding.rs
@@ -102,7 +102,12 @@
                 holding.chunk(place as u32).cloned()
             };
             if target.chunk(index as u32).is_none() {
-                shared.extend(self.0.iter().find_map(same).map(|bytes| (index as u32, bytes)));
+                shared.extend(
+                    self.0
+                        .iter()
+                        .find_map(same)
+                        .map(|bytes| (index as u32, bytes)),
+                );
             }
         }
         let count = shared.len() as u32;
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -16,7 +16,7 @@
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
         bringing::NamedAt,
-        configuration::{Configuration, ServiceKind},
+        configuration::{Configuration, Origin, ServiceKind},
         dialect::{Dialect, Named},
         fleet::Fleet,
         mirror::Mirror,
@@ -34,6 +34,7 @@
     tokio::{
         net::{TcpListener, UdpSocket},
         signal::unix::{SignalKind, signal},
+        sync::Mutex,
     },
 };
 
@@ -76,6 +77,8 @@
     pub report: RefCell<Option<Report>>,
     /// Link's share for chunks.
     pub pace: RefCell<Pace>,
+    /// Held while chunks are laid at the engine and until it has taken them.
+    pub engine_turn: Mutex<()>,
     /// True while an order is about to be given.
     pub is_ordering: Cell<bool>,
     mirror: RefCell<Mirror>,
@@ -92,6 +95,7 @@
             settings,
             dialect,
             pace: RefCell::new(pace),
+            engine_turn: Mutex::new(()),
             holdings: RefCell::default(),
             subscribers: RefCell::default(),
             report: RefCell::default(),
@@ -121,21 +125,10 @@
         })
     }
 
-    /// Address of the origin.
-    pub fn origin(&self) -> Option<SocketAddr> {
+    /// Where weights come from.
+    pub fn origin(&self) -> Option<Origin> {
         let configuration = self.configuration.borrow();
-        self.dialect.origin(configuration.as_ref()?)
-    }
-
-    /// Connections that the origin takes from all loaders.
-    pub fn origin_connections(&self) -> usize {
-        let configuration = self.configuration.borrow();
-        let services = configuration.as_ref().map(Configuration::services);
-        let origin = services.unwrap_or_default().iter();
-        origin
-            .filter(|service| matches!(service.kind, ServiceKind::Origin(_)))
-            .map(|service| service.max_connections as usize)
-            .sum()
+        configuration.as_ref().and_then(Configuration::origin)
     }
 
     /// Machines with engines for the same model, this one included.
--- a/crates/gingerpier_serving/src/bringing.rs
+++ b/crates/gingerpier_serving/src/bringing.rs
@@ -23,8 +23,10 @@
 pub struct Terms {
     /// Milliseconds from the naming within which every engine must have been ordered.
     pub within_millis: u64,
-    /// Milliseconds from the naming before which no weights can be there.
+    /// Milliseconds from the naming before which weights are seldom there.
     pub earliest_millis: u64,
+    /// Milliseconds that an engine's work takes to end.
+    pub drain_millis: u64,
     /// Milliseconds kept free at the end.
     pub margin_millis: u64,
 }
@@ -52,26 +54,42 @@
     }
 }
 
-/// When an engine that holds `held` is ordered to take the newest of `named`.
+/// When an engine that holds `held` is ordered to take `target`, one of `named`.
+///
+/// Where versions were named so close together that the older one is still due, the engines that
+/// went by way of the older one come last: the others have nothing that may serve.
 pub fn order_at(
     held: Option<Version>,
+    target: NamedAt,
     named: &[NamedAt],
     place: Place,
     terms: &Terms,
-) -> Option<Instant> {
-    let newest = named.iter().max_by_key(|named| named.version)?;
+) -> Instant {
     let Some(held) = held else {
-        return Some(newest.at);
+        return target.at;
     };
     let unmet = named.iter().filter(|named| named.version > held);
-    let oldest = unmet.min_by_key(|named| named.at)?;
-    let spread = terms
-        .within_millis
-        .saturating_sub(terms.margin_millis + terms.earliest_millis);
+    let oldest = unmet.map(|named| named.at).min().unwrap_or(target.at);
+    let last = terms.within_millis.saturating_sub(terms.margin_millis);
+    let is_between = |named: &&NamedAt| named.version == held;
+    let came_by_way = named
+        .iter()
+        .find(is_between)
+        .is_some_and(|between| between.at.after_millis(last) > target.at);
+    let later = if came_by_way { place.count / 2 } else { 0 };
+    let rank = (place.rank + later).min(place.count.saturating_sub(1));
+    let spread = last.saturating_sub(terms.earliest_millis);
     let step = spread / u64::from(place.count.max(1));
-    let wave = newest
+    let wave = terms.earliest_millis + step * u64::from(rank);
+    target.at.after_millis(wave).min(oldest.after_millis(last))
+}
+
+/// True where an engine still takes `older` although `newer` was named meanwhile: half of the
+/// engines do, where `newer` can't be there long enough before `older` is due.
+pub fn goes_by_way_of(older: NamedAt, newer: NamedAt, place: Place, terms: &Terms) -> bool {
+    let there = newer
         .at
-        .after_millis(terms.earliest_millis + step * u64::from(place.rank));
-    let last = terms.within_millis.saturating_sub(terms.margin_millis);
-    Some(wave.min(oldest.at.after_millis(last)))
+        .after_millis(terms.earliest_millis + terms.drain_millis);
+    let due = older.at.after_millis(terms.within_millis);
+    there > due && place.rank < place.count.div_ceil(2)
 }
--- a/crates/gingerpier_serving/src/configuration.rs
+++ b/crates/gingerpier_serving/src/configuration.rs
@@ -81,7 +81,18 @@
     /// Model engines.
     Engines(Box<EngineModel>),
     /// Origin of weights.
-    Origin(SocketAddr),
+    Origin(Origin),
+}
+
+/// Where weights come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// Address.
+    pub address: SocketAddr,
+    /// Bits a second that its link carries; 0 where that is not known.
+    pub link_bits_per_second: u64,
+    /// Connections that it takes from all loaders.
+    pub max_connections: u32,
 }
 
 /// A service.
@@ -235,6 +246,14 @@
         &self.services
     }
 
+    /// Where weights come from, if anywhere.
+    pub fn origin(&self) -> Option<Origin> {
+        self.services.iter().find_map(|service| match service.kind {
+            ServiceKind::Origin(origin) => Some(origin),
+            _ => None,
+        })
+    }
+
     /// True where requests need a key.
     pub fn needs_keys(&self) -> bool {
         !self.tenants.is_empty()
--- a/crates/gingerpier_serving/src/dialect.rs
+++ b/crates/gingerpier_serving/src/dialect.rs
@@ -11,7 +11,6 @@
         report::{Report, Version},
     },
     displaydoc::Display,
-    std::net::SocketAddr,
 };
 
 /// Names of header fields, in lower case.
@@ -129,6 +128,8 @@
     pub model: String,
     /// Version.
     pub version: Version,
+    /// Bytes of a chunk.
+    pub chunk_bytes: u64,
     /// Digest of each chunk, by SHA-256.
     pub digests: Vec<[u8; 32]>,
 }
@@ -222,18 +223,6 @@
 
     /// Call for a chunk that lies at an engine.
     fn laid_chunk(&self, model: &str, chunk: u32) -> Call;
-
-    /// Address of an origin in a configuration.
-    fn origin(&self, configuration: &Configuration) -> Option<SocketAddr> {
-        use crate::configuration::ServiceKind;
-        configuration
-            .services()
-            .iter()
-            .find_map(|service| match &service.kind {
-                ServiceKind::Origin(address) => Some(*address),
-                _ => None,
-            })
-    }
 }
 
 /// What a watch covers.
