No late requests in a planned stop; streams keep their version; versions come due by predicted start

Cause: LOST: kept connections brought requests 6 s after SIGTERM. VERSION: resumed streams and slow links began requests on weights that were due; Expect-Version named the oldest allowed version.

--- a/crates/gingerpier_gateway/src/callers/answer.rs
+++ b/crates/gingerpier_gateway/src/callers/answer.rs
@@ -22,6 +22,8 @@
     NoKey,
     /// This process knows no configuration yet.
     NoConfiguration,
+    /// This process is stopping and takes no more requests.
+    Leaving,
     /// It has not run and never will; it may come again after so many seconds.
     NotRun {
         /// Seconds.
@@ -45,7 +47,7 @@
             Self::BodyTooLong => 413,
             Self::NoRoute => 404,
             Self::NoKey => 401,
-            Self::NoConfiguration | Self::NotRun { .. } => 503,
+            Self::NoConfiguration | Self::Leaving | Self::NotRun { .. } => 503,
             Self::Failed => 502,
             Self::TimedOut => 504,
         }
@@ -55,6 +57,7 @@
     pub const fn retry_after(self) -> Option<f64> {
         match self {
             Self::NoConfiguration => Some(UNCONFIGURED_SECONDS),
+            Self::Leaving => Some(0.0),
             Self::NotRun { retry_after } => Some(retry_after),
             _ => None,
         }
--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -73,6 +73,9 @@
         received: Instant,
     ) -> Result<Self, Refusal> {
         let names = state.dialect.names();
+        if state.has_left.get() {
+            return Err(Refusal::Leaving);
+        }
         let configuration = state.configuration().ok_or(Refusal::NoConfiguration)?;
         let fields = &request.fields;
         let target = std::str::from_utf8(request.target()).map_err(|_| Refusal::Malformed)?;
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -21,7 +21,7 @@
         writer::Message,
     },
     gingerpier_serving::{
-        admission::{self, Choice, Demand},
+        admission::{self, Choice, Demand, Due},
         course::{Failure, Next, Standing},
         fleet::EngineKey,
         report::Version,
@@ -91,6 +91,7 @@
     standing: Standing,
     tried: Vec<EngineKey>,
     predicted_millis: f64,
+    sent_at: Option<Instant>,
     cause: Option<Cause>,
 }
 
@@ -109,6 +110,7 @@
         },
         tried: Vec::new(),
         predicted_millis: 0.0,
+        sent_at: None,
         cause: None,
     };
     course.run(caller).await
@@ -119,7 +121,7 @@
         let mut progress = Progress::default();
         let mut fallback = None;
         loop {
-            let Some(engine) = self.choose() else {
+            let Some(engine) = self.choose(&progress) else {
                 let next = self.standing.give_up();
                 return self.finish(caller, next, &progress, fallback).await;
             };
@@ -144,7 +146,7 @@
             };
             self.note_failed(engine, failed);
             let now = clock::now();
-            let can_move = self.choose().is_some();
+            let can_move = self.choose(&progress).is_some();
             let pay = || can_move && self.state.take_retry(&self.call.target().name, now);
             let mut standing = self.standing;
             let next = standing.after(failed.failure, now, pay);
@@ -161,27 +163,32 @@
             self.state.note_request(service, clock::now());
         }
         self.standing.attempts += 1;
+        self.sent_at = Some(clock::now());
         self.tried.push(engine);
     }
 
     /// True where another engine could take the request now.
-    pub fn can_move(&mut self) -> bool {
+    pub fn can_move(&mut self, progress: &Progress) -> bool {
         let repeat = self.standing.repeat.is_idempotent();
-        repeat && self.standing.attempts < self.standing.max_attempts && self.choose().is_some()
+        let has_attempts = self.standing.attempts < self.standing.max_attempts;
+        repeat && has_attempts && self.choose(progress).is_some()
     }
 
-    fn choose(&mut self) -> Option<EngineKey> {
+    fn due(&self) -> Vec<Due> {
+        let model = self.call.model.as_deref();
+        model.map_or_else(Vec::new, |model| self.state.due(model))
+    }
+
+    fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
         let call = self.call;
         let now = clock::now();
-        let model = call.model.as_deref();
-        let least_version = model.map_or(Version::default(), |model| {
-            self.state.least_version(model, now)
-        });
+        let due = self.due();
         let demand = Demand {
             service: &call.target().name,
             engines: call.engines(),
-            model,
-            least_version,
+            model: call.model.as_deref(),
+            due: &due,
+            goes_on_with: progress.has_begun().then(|| progress.version()),
             prompt_tokens: call.prompt_tokens,
             target_millis: call.rules().target_millis,
             has_returned: call.has_returned || self.standing.attempts > 0,
@@ -217,7 +224,7 @@
         let last_event = progress.last_event().cloned();
         let sending = Sending {
             now: clock::now(),
-            expect_version: self.expect_version(progress),
+            expect_version: self.expect_version(engine, progress),
             last_event: last_event.as_deref(),
         };
         let mut patience = stream::first_patience(call, sending.now);
@@ -230,7 +237,7 @@
                 () = left(caller) => return Ended::Left,
                 () = clock::until(call.deadline) => return Ended::TimedOut,
                 () = clock::until(patience) => {
-                    if self.can_move() {
+                    if self.can_move(progress) {
                         return Ended::Failed(stream::SILENT);
                     }
                     patience = stream::next_patience();
@@ -243,15 +250,19 @@
         }
     }
 
-    /// Version that alone may go on with the stream, or that is due.
-    fn expect_version(&self, progress: &Progress) -> Version {
+    /// Version that alone may run the request: that of the stream which goes on, or that which
+    /// the engine is known to hold once some version came due.
+    fn expect_version(&self, engine: EngineKey, progress: &Progress) -> Version {
         if progress.has_begun() {
             return progress.version();
         }
+        let now = clock::now();
+        let least = admission::least_version(&self.due(), now);
+        let fleet = self.state.fleet.borrow();
         let model = self.call.model.as_deref();
-        model.map_or(Version::default(), |model| {
-            self.state.least_version(model, clock::now())
-        })
+        let held = model.and_then(|model| fleet.engine(engine).version_of(model, now));
+        held.filter(|held| least > Version::default() && *held >= least)
+            .unwrap_or_default()
     }
 
     async fn take(
@@ -355,10 +366,16 @@
         self.state.is_stopping.get() || !self.call.request.keeps_alive()
     }
 
-    /// Notes the first bytes of an answer.
+    /// Notes the first bytes of an answer, and whether they came as predicted.
     pub fn note_first(&self) {
-        let millis = clock::now().millis_since(self.call.received);
+        let now = clock::now();
+        let millis = now.millis_since(self.call.received);
         self.state.metrics.first.observe(millis as f64);
+        if let (Some(engine), Some(sent)) = (self.tried.last(), self.sent_at) {
+            let late = now.millis_since(sent) as f64 - self.predicted_millis;
+            let mut fleet = self.state.fleet.borrow_mut();
+            fleet.engine_mut(*engine).note_lateness(late);
+        }
     }
 
     fn note_failed(&mut self, engine: EngineKey, failed: Failed) {
@@ -496,7 +513,7 @@
 ) -> After {
     let names = state.dialect.names();
     let ending = match refusal {
-        Refusal::NoConfiguration => Ending::Refused,
+        Refusal::NoConfiguration | Refusal::Leaving => Ending::Refused,
         _ => Ending::Denied,
     };
     state
--- a/crates/gingerpier_gateway/src/callers/mod.rs
+++ b/crates/gingerpier_gateway/src/callers/mod.rs
@@ -63,7 +63,12 @@
         let limits = state
             .configuration()
             .map_or_else(Limits::default, |configuration| configuration.limits);
-        let request = match read_head(&mut connection, &limits).await {
+        let head = tokio::select! {
+            biased;
+            head = read_head(&mut connection, &limits) => head,
+            () = left(state), if connection.input.is_empty() => return,
+        };
+        let request = match head {
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(error) => {
@@ -80,6 +85,14 @@
     }
 }
 
+/// Waits until a stopping process takes no more requests: connections at rest end then.
+async fn left(state: &State) {
+    let leaving = state.leaving.notified();
+    if !state.has_left.get() {
+        leaving.await;
+    }
+}
+
 async fn read_head(connection: &mut Connection, limits: &Limits) -> Result<Option<Request>, Error> {
     let mut deadline = clock::now().after_millis(limits.idle_timeout_millis);
     let mut has_begun = false;
--- a/crates/gingerpier_gateway/src/callers/stream.rs
+++ b/crates/gingerpier_gateway/src/callers/stream.rs
@@ -158,7 +158,7 @@
             () = left(caller) => return Ended::Left,
             () = clock::until(course.call.deadline) => return Ended::TimedOut,
             () = clock::until(patience) => {
-                if course.can_move() {
+                if course.can_move(progress) {
                     progress.splitter.discard();
                     return Ended::Failed(SILENT);
                 }
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -18,9 +18,12 @@
     },
 };
 
-/// Milliseconds for which a stopping gateway takes new connections: the balancer has to look
-/// twice first.
-const LEAVE_MILLIS: u64 = 3_500;
+/// Milliseconds for which a stopping gateway takes requests: the balancer has to look twice first,
+/// and what was taken has to end in time.
+const LEAVE_MILLIS: u64 = 2_800;
+
+/// Milliseconds for which late requests are refused rather than met by a closed port.
+const LATE_MILLIS: u64 = 1_200;
 
 /// Milliseconds before the end of a planned stop by which everything has ended.
 const STOP_MARGIN_MILLIS: u64 = 600;
@@ -102,6 +105,11 @@
     let settings = &state.settings;
     let last = started.after_millis(settings.drain_within.0.saturating_sub(STOP_MARGIN_MILLIS));
     clock::until(started.after_millis(LEAVE_MILLIS)).await;
+    state.has_left.set(true);
+    state.leaving.notify_waiters();
+    tracing::info!(active = state.active.get(), "no more requests taken");
+    // Refusals still go out to whoever comes late.
+    clock::pause(LATE_MILLIS).await;
     while state.active.get() > 0 && !last.has_passed(clock::now()) {
         clock::pause(LOOK_MILLIS).await;
     }
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -4,12 +4,12 @@
     crate::{clock, metrics::Metrics, pool::Pool},
     gingerpier_base::Instant,
     gingerpier_serving::{
+        admission::Due,
         budget::{Budget, Terms},
         configuration::Configuration,
         dialect::{Dialect, Fact, Named, Subject},
         fleet::{EngineKey, Fleet},
         mirror::{Changes, Item, Mirror, Revision},
-        report::Version,
     },
     gingerpier_settings::Gateway as Settings,
     std::{
@@ -18,10 +18,11 @@
         net::SocketAddr,
         rc::Rc,
     },
+    tokio::sync::Notify,
 };
 
 /// Milliseconds before the operators' bound at which older weights serve no more.
-const VERSION_MARGIN_MILLIS: u64 = 1_100;
+const VERSION_MARGIN_MILLIS: u64 = 700;
 
 /// Milliseconds after the start within which older weights may serve.
 const START_GRACE_MILLIS: u64 = 3_000;
@@ -29,13 +30,6 @@
 /// Milliseconds without word from the store after which peers are asked.
 const CONTACT_MILLIS: u64 = 900;
 
-/// Named weights and since when older ones are out of date.
-#[derive(Debug, Clone, Copy)]
-struct Due {
-    version: Version,
-    since: Instant,
-}
-
 /// What a gateway knows.
 pub struct State {
     /// Settings.
@@ -56,6 +50,10 @@
     pub gateways: RefCell<BTreeSet<SocketAddr>>,
     /// True once the process is to stop.
     pub is_stopping: Cell<bool>,
+    /// True once a stopping process takes no more requests.
+    pub has_left: Cell<bool>,
+    /// Tells connections at rest that no more requests are taken.
+    pub leaving: Notify,
     /// Requests under way.
     pub active: Cell<u32>,
     /// Number that differs by process.
@@ -79,6 +77,8 @@
             metrics: Metrics::default(),
             gateways: RefCell::default(),
             is_stopping: Cell::new(false),
+            has_left: Cell::new(false),
+            leaving: Notify::new(),
             active: Cell::new(0),
             identity: fastrand::f64(),
             configuration: RefCell::default(),
@@ -199,7 +199,7 @@
         } else {
             bound.saturating_sub(VERSION_MARGIN_MILLIS)
         };
-        let since = now.after_millis(patience);
+        let at = now.after_millis(patience);
         tracing::info!(
             model = named.model,
             version = named.version.0,
@@ -207,7 +207,7 @@
         );
         known.push(Due {
             version: named.version,
-            since,
+            at,
         });
     }
 
@@ -224,12 +224,9 @@
         due.iter().filter_map(newest).collect()
     }
 
-    /// Oldest version of `model` that may still serve.
-    pub fn least_version(&self, model: &str, now: Instant) -> Version {
-        let due = self.due.borrow();
-        let known = due.get(model).map_or(&[][..], Vec::as_slice);
-        let passed = known.iter().filter(|known| known.since.has_passed(now));
-        passed.map(|known| known.version).max().unwrap_or_default()
+    /// Versions of `model` that come due, or came due already.
+    pub fn due(&self, model: &str) -> Vec<Due> {
+        self.due.borrow().get(model).cloned().unwrap_or_default()
     }
 
     /// Notes a request for `service` that is sent for the first time.
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -32,6 +32,18 @@
 /// Requests of this gateway for each slot of an engine of an ordinary service.
 const PLAIN_DEPTH: f64 = 2.0;
 
+/// Milliseconds that a request may start later than predicted.
+const START_SLACK_MILLIS: u64 = 400;
+
+/// Weights that operators named, and from when on older ones may start nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Due {
+    /// Version.
+    pub version: Version,
+    /// From when on.
+    pub at: Instant,
+}
+
 /// What counts of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'a> {
@@ -41,8 +53,10 @@
     pub engines: Option<&'a EngineModel>,
     /// Model, where one is named.
     pub model: Option<&'a str>,
-    /// Oldest version that may run it.
-    pub least_version: Version,
+    /// Versions that come due, or came due already.
+    pub due: &'a [Due],
+    /// Version that a stream began with, where it is to go on.
+    pub goes_on_with: Option<Version>,
     /// Tokens of its prompt.
     pub prompt_tokens: u64,
     /// Time within which an answer has its full worth, in milliseconds.
@@ -115,10 +129,14 @@
 pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: f64) -> Choice {
     let mut best: Option<(f64, f64, EngineKey)> = None;
     for (key, engine) in fleet.of_service(demand.service) {
-        if !fits(engine, demand, now) || demand.tried.contains(&key) {
+        if demand.tried.contains(&key) || !engine.is_open(now) {
+            continue;
+        }
+        let predicted = predict(engine, demand, now) + engine.lateness();
+        let starts = now.after_millis(predicted as u64 + START_SLACK_MILLIS);
+        if !fits(engine, demand, now, starts) {
             continue;
         }
-        let predicted = predict(engine, demand, now);
         let cost = predicted + penalty(engine, demand) + draw_of(key, draw);
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, predicted, key));
@@ -136,15 +154,21 @@
     }
 }
 
-fn fits(engine: &Engine, demand: &Demand<'_>, now: Instant) -> bool {
-    if !engine.is_open(now) {
-        return false;
-    }
+/// Oldest version that may start something at `starts`.
+pub fn least_version(due: &[Due], starts: Instant) -> Version {
+    let passed = due.iter().filter(|due| due.at.has_passed(starts));
+    passed.map(|due| due.version).max().unwrap_or_default()
+}
+
+fn fits(engine: &Engine, demand: &Demand<'_>, now: Instant, starts: Instant) -> bool {
     let (Some(_), Some(model)) = (demand.engines, demand.model) else {
         return true;
     };
-    let version = engine.version_of(model, now);
-    version.is_some_and(|version| version >= demand.least_version) && !engine.latest(now).is_busy
+    let Some(version) = engine.version_of(model, now) else {
+        return false;
+    };
+    let goes_on = demand.goes_on_with.is_none_or(|wanted| wanted == version);
+    goes_on && version >= least_version(demand.due, starts) && !engine.latest(now).is_busy
 }
 
 fn predict(engine: &Engine, demand: &Demand<'_>, now: Instant) -> f64 {
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -62,6 +62,15 @@
 /// Weight of one outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
+/// Weight of one first event in the lateness of its engine.
+const LATENESS_WEIGHT: f64 = 0.2;
+
+/// Milliseconds of lateness that predictions may be wrong by.
+const LATENESS_FREE_MILLIS: f64 = 120.0;
+
+/// Most milliseconds of lateness that count of one first event.
+const MOST_LATENESS_MILLIS: f64 = 1_500.0;
+
 /// Requests of this gateway at one engine.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -88,6 +97,7 @@
     rests_until: Instant,
     failures_in_row: u32,
     failure_share: f64,
+    lateness: f64,
 }
 
 impl Engine {
@@ -136,6 +146,17 @@
         self.failure_share
     }
 
+    /// Milliseconds by which first events came later than predicted, lately.
+    pub const fn lateness(&self) -> f64 {
+        self.lateness
+    }
+
+    /// Notes by how many milliseconds a first event came later than predicted.
+    pub fn note_lateness(&mut self, millis: f64) {
+        let late = (millis - LATENESS_FREE_MILLIS).clamp(0.0, MOST_LATENESS_MILLIS);
+        self.lateness += (late - self.lateness) * LATENESS_WEIGHT;
+    }
+
     /// Takes a report from the engine's machine.
     pub fn note_report(&mut self, report: Report, now: Instant) {
         let sent = &mut self.load.sent;
@@ -243,6 +264,7 @@
             rests_until: Instant::default(),
             failures_in_row: 0,
             failure_share: 0.0,
+            lateness: 0.0,
         });
         key
     }
