Halve questions on stalls, end dropped ones; gateways hear whether loaders hear them

Cause: a narrow link's queue fills with chunks that were asked for; requests behind them begin on weights that are due. Stalled questions went on in the background.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -14,8 +14,12 @@
 /// Milliseconds between looks at what the engine holds.
 const LOOK_MILLIS: u64 = 50;
 
-/// Milliseconds between the word that an order is coming and the order, so that gateways hear it.
-const NOTICE_MILLIS: u64 = 80;
+/// Milliseconds between the word that an order is coming and the order: gateways hear it, and what
+/// waits at the engine begins, rather than wait until the order is carried out.
+const NOTICE_MILLIS: u64 = 300;
+
+/// Milliseconds after an order by which a report tells of it.
+const REPORTED_MILLIS: u64 = 100;
 
 /// Milliseconds before which weights are seldom there: a copy over one link, and going round.
 const EARLIEST_MILLIS: u64 = 3_500;
--- a/crates/gingerpier_gateway/src/loader/fetch.rs
+++ b/crates/gingerpier_gateway/src/loader/fetch.rs
@@ -12,6 +12,7 @@
         pool::Pool,
         store,
     },
+    actix_rt::task::JoinHandle,
     bytes::{Bytes, BytesMut},
     gingerpier_base::{Instant, order},
     gingerpier_http1::{
@@ -27,7 +28,7 @@
         fetch::{Action, Fetch, Outcome, Terms},
         plan::{Plan, Replica, ReplicaKey, Source},
     },
-    std::{cell::RefCell, net::SocketAddr, rc::Rc},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
     tokio::sync::{
         Semaphore, SemaphorePermit,
         mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -345,10 +346,21 @@
     pool: Rc<RefCell<Pool<SocketAddr>>>,
     sender: UnboundedSender<Event>,
     events: UnboundedReceiver<Event>,
+    /// Questions under way, by attempt.
+    asking: HashMap<u64, JoinHandle<()>>,
     doubts: u32,
     from_origin: u32,
 }
 
+impl Drop for Work {
+    fn drop(&mut self) {
+        // A fetch that was given up must not go on taking the link.
+        for task in self.asking.values() {
+            task.abort();
+        }
+    }
+}
+
 impl Work {
     fn new(loader: Rc<Loader>, sources: Rc<Sources>, plan: Plan, named: Named) -> Self {
         let manifest = manifest_of(&loader, &named);
@@ -378,6 +390,7 @@
             pool: Rc::default(),
             sender,
             events,
+            asking: HashMap::new(),
             doubts: 0,
             from_origin: 0,
         }
@@ -395,8 +408,15 @@
                         source,
                         attempt,
                     } => self.ask(chunk, source, attempt),
-                    Action::Drop { chunk, source, .. } => {
+                    Action::Drop {
+                        chunk,
+                        source,
+                        attempt,
+                    } => {
                         tracing::warn!(chunk, ?source, "chunk stalled");
+                        if let Some(task) = self.asking.remove(&attempt) {
+                            task.abort();
+                        }
                     }
                     Action::Complete => {
                         let took = clock::now().millis_since(started);
@@ -430,6 +450,7 @@
                 outcome,
                 source,
             } => {
+                self.asking.remove(&attempt);
                 if outcome == Outcome::Corrupt {
                     tracing::warn!(chunk, ?source, "chunk has another digest");
                     self.doubts += u32::from(source == Source::Origin);
@@ -447,7 +468,7 @@
         }
     }
 
-    fn ask(&self, chunk: u32, source: Source, attempt: u64) {
+    fn ask(&mut self, chunk: u32, source: Source, attempt: u64) {
         let Some(address) = self.sources.address(source) else {
             let outcome = Outcome::Failed;
             let end = Event::End {
@@ -471,7 +492,7 @@
             attempt,
             address,
         };
-        actix_rt::spawn(asking.run());
+        self.asking.insert(attempt, actix_rt::spawn(asking.run()));
     }
 }
 
@@ -588,7 +609,9 @@
         let deadline = clock::now().after_millis(CONNECT_MILLIS);
         let connected = clock::before(deadline, Connection::connect(peer)).await;
         let connected = connected.ok_or(Error::Late { step, peer })?;
-        connected.map_err(|what| Error::Io { step, peer, what })
+        let connection = connected.map_err(|what| Error::Io { step, peer, what })?;
+        connection.use_small_buffers();
+        Ok(connection)
     }
 
     async fn exchange(&self, question: &Call) -> Result<(Response, Bytes), Error> {
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -43,6 +43,8 @@
 pub struct Subscriber {
     /// Its zone.
     pub zone: String,
+    /// Stamp of its last word, by its own clock.
+    pub stamp: u64,
     /// When it last asked.
     pub at: Instant,
 }
@@ -77,6 +79,8 @@
     pub report: RefCell<Option<Report>>,
     /// Link's share for chunks.
     pub pace: RefCell<Pace>,
+    /// Held while an answer to another loader is written.
+    pub upload_turn: Mutex<()>,
     /// Held while chunks are laid at the engine and until it has taken them.
     pub engine_turn: Mutex<()>,
     /// True while an order is about to be given.
@@ -95,6 +99,7 @@
             settings,
             dialect,
             pace: RefCell::new(pace),
+            upload_turn: Mutex::new(()),
             engine_turn: Mutex::new(()),
             holdings: RefCell::default(),
             subscribers: RefCell::default(),
--- a/crates/gingerpier_gateway/src/loader/peers.rs
+++ b/crates/gingerpier_gateway/src/loader/peers.rs
@@ -19,6 +19,9 @@
 /// Milliseconds that the engine may take for a chunk that lies there.
 const ENGINE_MILLIS: u64 = 300;
 
+/// Milliseconds that one answer may take on its way.
+const WRITE_MILLIS: u64 = 700;
+
 /// Milliseconds that a connection may rest.
 const REST_MILLIS: u64 = 5_000;
 
@@ -76,6 +79,7 @@
 }
 
 async fn answer(loader: &Loader, mut connection: Connection) {
+    connection.use_small_buffers();
     loop {
         let rest = clock::now().after_millis(REST_MILLIS);
         let head = clock::before(rest, relay::read_head(&mut connection)).await;
@@ -83,9 +87,12 @@
         let reply = reply(loader, &request).await;
         // The engine's answers leave over the same link: chunks go one after the other, and
         // leave some of it free.
-        let turn = loader.pace.borrow_mut().reserve(reply.len(), clock::now());
-        clock::until(turn).await;
-        if connection.write(&reply).await.is_err() {
+        let _turn = loader.upload_turn.lock().await;
+        let pace = loader.pace.borrow_mut().reserve(reply.len(), clock::now());
+        clock::until(pace).await;
+        let deadline = clock::now().after_millis(WRITE_MILLIS);
+        let written = clock::before(deadline, connection.write(&reply)).await;
+        if !matches!(written, Some(Ok(()))) {
             return;
         }
     }
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -56,6 +56,7 @@
     }
     let subscriber = Subscriber {
         zone: subscribe.zone,
+        stamp: subscribe.stamp,
         at: clock::now(),
     };
     loader.subscribers.borrow_mut().insert(from, subscriber);
@@ -118,11 +119,14 @@
     };
     let mut load = Load::new(loader.settings.engine.to_string(), report, gateways);
     load.is_busy |= loader.is_ordering.get();
-    let message = message::encode(&Datagram::Load(load));
+    let mut message = Datagram::Load(load);
     for (address, subscriber) in subscribers.iter() {
         if subscriber.zone == loader.settings.zone || turn % AFAR_EVERY == 0 {
+            if let Datagram::Load(load) = &mut message {
+                load.echo = subscriber.stamp;
+            }
             // A datagram that can't be sent is as good as lost; the next one follows.
-            let _ = socket.try_send_to(&message, *address);
+            let _ = socket.try_send_to(&message::encode(&message), *address);
         }
     }
 }
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -27,6 +27,9 @@
     /// Weights that operators named, as far as the gateway knows.
     #[n(1)]
     pub named: Vec<Weights>,
+    /// When the gateway sent this, in milliseconds of its own clock.
+    #[cbor(n(2), default)]
+    pub stamp: u64,
 }
 
 /// A loader reports its engine's state.
@@ -60,6 +63,9 @@
     /// Addresses of gateways that the loader heard from.
     #[n(8)]
     pub gateways: Vec<String>,
+    /// Stamp of the last word that came from the gateway which gets this; 0 for none.
+    #[cbor(n(9), default)]
+    pub echo: u64,
 }
 
 /// One datagram.
@@ -117,6 +123,7 @@
             memory_total: report.memory_total,
             pace: (report.pace * 1_000.0) as u32,
             gateways,
+            echo: 0,
         }
     }
 
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -6,6 +6,7 @@
         message::{self, Datagram, Load, Subscribe, Weights},
         state::State,
     },
+    gingerpier_base::Instant,
     gingerpier_serving::configuration::ServiceKind,
     std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
@@ -38,6 +39,7 @@
     Subscribe {
         zone: state.settings.zone.clone(),
         named: named.collect(),
+        stamp: clock::now().as_millis(),
     }
 }
 
@@ -81,8 +83,10 @@
     };
     let mut fleet = state.fleet.borrow_mut();
     if let Some(key) = fleet.at_address(address) {
-        fleet
-            .engine_mut(key)
-            .note_report(load.report(), clock::now());
+        let engine = fleet.engine_mut(key);
+        engine.note_report(load.report(), clock::now());
+        if load.echo > 0 {
+            engine.note_echo(Instant::from_millis(load.echo));
+        }
     }
 }
--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -18,6 +18,9 @@
 /// Bytes asked of the kernel at once.
 const READ_SIZE: usize = 4096;
 
+/// Bytes of the kernel's buffers of a bulk transfer; the kernel doubles them.
+const SMALL_BUFFER: usize = 8 * 1024;
+
 /// Milliseconds after which bytes without acknowledgement end a connection.
 const SILENCE_MILLIS: u64 = 2_000;
 
@@ -68,6 +71,15 @@
         TcpStream::connect(address).await.map(Self::new)
     }
 
+    /// Keeps little in the kernel's buffers, so that a bulk transfer does not fill the link's
+    /// queue ahead of everything else, and what is written tells what the link takes.
+    pub fn use_small_buffers(&self) {
+        let socket = SockRef::from(&self.stream);
+        // Where an option can't be set the connection still serves.
+        let _ = socket.set_send_buffer_size(SMALL_BUFFER);
+        let _ = socket.set_recv_buffer_size(SMALL_BUFFER);
+    }
+
     /// Reads more bytes; false where the peer has ended its side.
     ///
     /// # Errors
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -132,7 +132,7 @@
         if demand.tried.contains(&key) || !engine.is_open(now) {
             continue;
         }
-        let predicted = predict(engine, demand, now) + engine.lateness();
+        let predicted = predict(engine, demand, now) + engine.lateness(now);
         let starts = now.after_millis(predicted as u64 + START_SLACK_MILLIS);
         if !fits(engine, demand, now, starts) {
             continue;
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -71,6 +71,13 @@
 /// Most milliseconds of lateness that count of one first event.
 const MOST_LATENESS_MILLIS: f64 = 1_500.0;
 
+/// Age of a report, in milliseconds, up to which the next one is not overdue.
+const REPORT_DUE_MILLIS: u64 = 350;
+
+/// Milliseconds since a gateway's last word that its hearer told of, up to which nothing is amiss:
+/// two turns of subscriptions, of which one may be lost.
+const HEARD_DUE_MILLIS: u64 = 1_100;
+
 /// Requests of this gateway at one engine.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -98,6 +105,8 @@
     failures_in_row: u32,
     failure_share: f64,
     lateness: f64,
+    /// When this gateway said what its machine heard last.
+    heard: Option<Instant>,
 }
 
 impl Engine {
@@ -146,9 +155,19 @@
         self.failure_share
     }
 
-    /// Milliseconds by which first events came later than predicted, lately.
-    pub const fn lateness(&self) -> f64 {
-        self.lateness
+    /// Milliseconds by which first events came later than predicted, lately, and by which reports
+    /// are overdue: a machine that stands still or whose link is choked is silent first.
+    pub fn lateness(&self, now: Instant) -> f64 {
+        let age = self.report_age(now).unwrap_or_default();
+        let overdue = age.saturating_sub(REPORT_DUE_MILLIS);
+        let unheard = self.heard.map_or(0, |heard| now.millis_since(heard));
+        let unheard = unheard.saturating_sub(HEARD_DUE_MILLIS);
+        self.lateness + overdue.max(unheard) as f64
+    }
+
+    /// Notes that the engine's machine has heard what this gateway said at `heard`.
+    pub fn note_echo(&mut self, heard: Instant) {
+        self.heard = self.heard.max(Some(heard));
     }
 
     /// Notes by how many milliseconds a first event came later than predicted.
@@ -265,6 +284,7 @@
             failures_in_row: 0,
             failure_share: 0.0,
             lateness: 0.0,
+            heard: None,
         });
         key
     }
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -35,6 +35,12 @@
     }
 }
 
+/// Attempts at once, for each chunk of the window: what others wait for here comes on top.
+const WIDTHS: usize = 4;
+
+/// Least attempts at once.
+const LEAST_WIDTH: usize = 2;
+
 /// What to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
@@ -104,6 +110,8 @@
     /// Replicas that sent wrong bytes; they are passed over.
     blamed: BTreeSet<ReplicaKey>,
     attempts: u64,
+    /// Attempts that may be under way at once: halved by each stall, one more for each chunk.
+    width: usize,
     scratch: Vec<Source>,
 }
 
@@ -120,6 +128,7 @@
             open: BTreeMap::new(),
             blamed: BTreeSet::new(),
             attempts: 0,
+            width: WIDTHS * terms.window,
             scratch: Vec::new(),
         }
     }
@@ -198,6 +207,7 @@
         if outcome == Outcome::Held {
             self.note_held(chunk);
             self.open.remove(&chunk);
+            self.width = (self.width + 1).min(WIDTHS * self.terms.window);
             return;
         }
         let Some(under_way) = self.attempt_mut(chunk, attempt).copied() else {
@@ -245,6 +255,9 @@
         if attempt.stall_deadline.has_passed(now) || attempt.last_deadline.has_passed(now) {
             state.attempt = None;
             state.passed += 1;
+            // Whatever comes over a narrow link has to wait behind what was asked for.
+            let under_way = self.under_way();
+            self.width = (under_way / 2).max(LEAST_WIDTH);
             let Attempt { number, source, .. } = attempt;
             actions.push(Action::Drop {
                 chunk,
@@ -254,7 +267,15 @@
         }
     }
 
+    fn under_way(&self) -> usize {
+        let open = self.open.values();
+        open.filter(|chunk| chunk.attempt.is_some()).count()
+    }
+
     fn ask(&mut self, chunk: u32, now: Instant, actions: &mut Vec<Action>) {
+        if self.under_way() >= self.width {
+            return;
+        }
         let Some(state) = self.open.get_mut(&chunk) else {
             return;
         };
