--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -384,7 +384,8 @@
         let mut fleet = self.state.fleet.borrow_mut();
         let engine = fleet.engine_mut(engine);
         match failed.cause {
-            Cause::Unreachable | Cause::Broken | Cause::Silent => engine.note_failure(now),
+            Cause::Unreachable | Cause::Broken => engine.note_failure(now),
+            Cause::Silent => engine.note_silence(now),
             Cause::Garbled | Cause::EngineFailed => engine.note_trouble(),
             Cause::Full | Cause::Elsewhere => engine.rest(now.after_millis(FULL_REST_MILLIS)),
         }
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -223,7 +223,7 @@
         ?outcome,
         "start ordered"
     );
-    clock::pause(NOTICE_MILLIS).await;
+    clock::pause(REPORTED_MILLIS).await;
     loader.is_ordering.set(false);
     if outcome == Some(Started::Refused) {
         return false;
--- a/crates/gingerpier_gateway/src/loader/fetch.rs
+++ b/crates/gingerpier_gateway/src/loader/fetch.rs
@@ -4,7 +4,7 @@
     super::{
         Loader, Peer,
         holding::{self, Holding},
-        peers::Question,
+        peers::{Mode, Question},
     },
     crate::{
         clock,
@@ -64,6 +64,19 @@
 /// Part of the time of a chunk on the origin's link after which the next one is asked for.
 const ORIGIN_PACE: f64 = 0.94;
 
+/// Milliseconds from the first to the last byte of a chunk of another loader above which this
+/// process's link is narrow: loaders send one chunk at a time.
+const SLOW_MILLIS: u64 = 400;
+
+/// Milliseconds between two narrowings.
+const NARROW_EVERY_MILLIS: u64 = 300;
+
+/// Chunks of other loaders on their way here at once.
+const LINK_TURNS: usize = 6;
+
+/// Milliseconds before a source that refused is asked again.
+const REFUSED_MILLIS: u64 = 300;
+
 /// Milliseconds for which a turn at the origin is waited for at once.
 const TURN_MILLIS: u64 = 300;
 
@@ -88,6 +101,7 @@
         outcome: Outcome,
         source: Source,
     },
+    Slow,
 }
 
 /// Replicas and how they are reached.
@@ -99,6 +113,8 @@
     begins: Option<Instant>,
     /// Questions that the origin takes from this process at once.
     origin_turns: Semaphore,
+    /// Chunks of other loaders on their way at once.
+    link_turns: Semaphore,
 }
 
 impl Sources {
@@ -166,6 +182,7 @@
         origin: loader.origin(),
         begins: begins(loader, named),
         origin_turns: Semaphore::new(origin_turns(loader, peers.len())),
+        link_turns: Semaphore::new(LINK_TURNS),
         peers,
     });
     let plan = plan_of(loader, &sources.peers, named);
@@ -269,7 +286,7 @@
     let question = Question {
         named: named.clone(),
         chunk: None,
-        at_once: false,
+        mode: Mode::Wait,
     };
     let deadline = clock::now().after_millis(MANIFEST_WAIT_MILLIS);
     loop {
@@ -348,6 +365,9 @@
     events: UnboundedReceiver<Event>,
     /// Questions under way, by attempt.
     asking: HashMap<u64, JoinHandle<()>>,
+    /// What narrowing asks for.
+    actions: Vec<Action>,
+    narrowed: Instant,
     doubts: u32,
     from_origin: u32,
 }
@@ -381,6 +401,9 @@
         for chunk in own {
             fetch.want(chunk);
         }
+        if let Some(width) = loader.width.get() {
+            fetch.start_with(width);
+        }
         let (sender, events) = unbounded_channel();
         Self {
             loader,
@@ -391,6 +414,8 @@
             sender,
             events,
             asking: HashMap::new(),
+            actions: Vec::new(),
+            narrowed: Instant::default(),
             doubts: 0,
             from_origin: 0,
         }
@@ -398,10 +423,10 @@
 
     async fn run(mut self) {
         let started = clock::now();
-        let mut actions = Vec::new();
         loop {
+            let mut actions = std::mem::take(&mut self.actions);
             self.fetch.poll(clock::now(), &mut actions);
-            for action in actions.drain(..) {
+            for action in actions {
                 match action {
                     Action::Ask {
                         chunk,
@@ -413,13 +438,14 @@
                         source,
                         attempt,
                     } => {
-                        tracing::warn!(chunk, ?source, "chunk stalled");
+                        tracing::info!(chunk, ?source, "question for a chunk dropped");
                         if let Some(task) = self.asking.remove(&attempt) {
                             task.abort();
                         }
                     }
                     Action::Complete => {
                         let took = clock::now().millis_since(started);
+                        self.loader.width.set(Some(self.fetch.width()));
                         tracing::info!(
                             version = self.named.version.0,
                             took,
@@ -443,6 +469,20 @@
     fn note(&mut self, event: Event) {
         let now = clock::now();
         match event {
+            Event::Slow
+                if self
+                    .narrowed
+                    .after_millis(NARROW_EVERY_MILLIS)
+                    .has_passed(now) =>
+            {
+                self.narrowed = now;
+                self.fetch.narrow(&mut self.actions);
+                tracing::info!(
+                    width = self.fetch.width(),
+                    "chunks come slowly: fewer at once"
+                );
+            }
+            Event::Slow => {}
             Event::Progress { chunk, attempt } => self.fetch.progress(chunk, attempt, now),
             Event::End {
                 chunk,
@@ -523,18 +563,16 @@
         let _ = self.sender.send(end);
     }
 
-    fn question(&self) -> Call {
-        match self.source {
-            Source::Origin => self.loader.dialect.chunk(&self.named, self.chunk),
-            Source::Replica(_) | Source::Holder(_) => {
-                let question = Question {
-                    named: self.named.clone(),
-                    chunk: Some(self.chunk),
-                    at_once: matches!(self.source, Source::Holder(_)),
-                };
-                Call::get(question.target())
-            }
+    fn question(&self, mode: Mode) -> Call {
+        if self.source == Source::Origin {
+            return self.loader.dialect.chunk(&self.named, self.chunk);
         }
+        let question = Question {
+            named: self.named.clone(),
+            chunk: Some(self.chunk),
+            mode,
+        };
+        Call::get(question.target())
     }
 
     /// Bytes of a usual chunk.
@@ -553,18 +591,22 @@
         let _ = self.sender.send(progress);
     }
 
-    /// A turn at the origin; nothing is needed elsewhere.
+    /// A turn at the origin, or on this machine's link.
     async fn turn(&self) -> Option<SemaphorePermit<'_>> {
         if self.source != Source::Origin {
-            return None;
+            return self.wait_for_turn(&self.sources.link_turns).await;
         }
         while let Some(wait) = self.sources.wait_for(self.chunk, self.chunk_bytes()) {
             clock::pause(wait.min(TURN_MILLIS)).await;
             self.note_progress();
         }
+        self.wait_for_turn(&self.sources.origin_turns).await
+    }
+
+    async fn wait_for_turn<'s>(&self, turns: &'s Semaphore) -> Option<SemaphorePermit<'s>> {
         loop {
             let deadline = clock::now().after_millis(TURN_MILLIS);
-            let turn = clock::before(deadline, self.sources.origin_turns.acquire()).await;
+            let turn = clock::before(deadline, turns.acquire()).await;
             if let Some(turn) = turn {
                 return turn.ok();
             }
@@ -573,17 +615,36 @@
     }
 
     async fn bring(&self) -> Outcome {
-        let question = self.question();
+        if let Source::Replica(_) = self.source {
+            // What is on its way at once stays little, whatever many sources have.
+            if let Err(outcome) = self.wait_for_presence().await {
+                return outcome;
+            }
+        }
         let _turn = self.turn().await;
+        let mode = match self.source {
+            Source::Holder(_) => Mode::Now,
+            _ => Mode::Wait,
+        };
+        match self.exchange(&self.question(mode)).await {
+            Ok((head, body)) if head.status == 200 => self.check(body),
+            Ok((head, _)) if matches!(head.status, 429 | 503) => {
+                Outcome::Refused(clock::now().after_millis(REFUSED_MILLIS))
+            }
+            _ => Outcome::Failed,
+        }
+    }
+
+    async fn wait_for_presence(&self) -> Result<(), Outcome> {
+        let question = self.question(Mode::Presence);
         loop {
-            let Ok((head, body)) = self.exchange(&question).await else {
-                return Outcome::Failed;
+            let Ok((head, _)) = self.exchange(&question).await else {
+                return Err(Outcome::Failed);
             };
             match head.status {
-                200 => return self.check(body),
-                202 if !self.sender.is_closed() => {}
-                429 | 503 => return Outcome::Refused(clock::now().after_millis(300)),
-                _ => return Outcome::Failed,
+                204 => return Ok(()),
+                202 => {}
+                _ => return Err(Outcome::Failed),
             }
         }
     }
@@ -629,6 +690,7 @@
             what,
         })?;
         let head = connection.response().await.map_err(http)?;
+        let begun = clock::now();
         let mut decoder = Decoder::new(head.framing().map_err(http)?);
         let mut body = BytesMut::new();
         loop {
@@ -639,6 +701,10 @@
                 Part::End => break,
             }
         }
+        let is_slow = clock::now().millis_since(begun) > SLOW_MILLIS;
+        if is_slow && self.source != Source::Origin {
+            let _ = self.sender.send(Event::Slow);
+        }
         self.pool.borrow_mut().put(peer, connection, &head);
         Ok((head, body.freeze()))
     }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -83,6 +83,8 @@
     pub upload_turn: Mutex<()>,
     /// Held while chunks are laid at the engine and until it has taken them.
     pub engine_turn: Mutex<()>,
+    /// Questions at once that this machine's link took last.
+    pub width: Cell<Option<usize>>,
     /// True while an order is about to be given.
     pub is_ordering: Cell<bool>,
     mirror: RefCell<Mirror>,
@@ -101,6 +103,7 @@
             pace: RefCell::new(pace),
             upload_turn: Mutex::new(()),
             engine_turn: Mutex::new(()),
+            width: Cell::new(None),
             holdings: RefCell::default(),
             subscribers: RefCell::default(),
             report: RefCell::default(),
--- a/crates/gingerpier_gateway/src/loader/peers.rs
+++ b/crates/gingerpier_gateway/src/loader/peers.rs
@@ -32,8 +32,35 @@
     pub named: Named,
     /// Chunk; the manifest where there is none.
     pub chunk: Option<u32>,
-    /// True where an answer is wanted only from what is here now.
-    pub at_once: bool,
+    /// How it is asked.
+    pub mode: Mode,
+}
+
+/// How a loader asks another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// For what will be here; the question is held for a while.
+    Wait,
+    /// For what is here now.
+    Now,
+    /// Whether it is here; the question is held for a while, and nothing is sent.
+    Presence,
+}
+
+impl Mode {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Wait => "wait",
+            Self::Now => "now",
+            Self::Presence => "presence",
+        }
+    }
+
+    fn parse(word: &str) -> Option<Self> {
+        [Self::Wait, Self::Now, Self::Presence]
+            .into_iter()
+            .find(|mode| mode.word() == word)
+    }
 }
 
 impl Question {
@@ -43,8 +70,8 @@
         let chunk = self
             .chunk
             .map_or_else(|| "m".to_owned(), |chunk| chunk.to_string());
-        let at_once = u8::from(self.at_once);
-        format!("/weights/{model}/{}/{chunk}/{at_once}", version.0)
+        let mode = self.mode.word();
+        format!("/weights/{model}/{}/{chunk}/{mode}", version.0)
     }
 
     /// Question of a path.
@@ -56,11 +83,11 @@
             "m" => None,
             text => Some(text.parse().ok()?),
         };
-        let at_once = parts.next()? == "1";
+        let mode = Mode::parse(parts.next()?)?;
         Some(Self {
             named: Named { model, version },
             chunk,
-            at_once,
+            mode,
         })
     }
 }
@@ -105,13 +132,16 @@
     };
     let deadline = clock::now().after_millis(HOLD_MILLIS);
     loop {
+        if question.mode == Mode::Presence && is_here(loader, &question) {
+            return Message::response(204).end();
+        }
         if let Some(bytes) = find(loader, &question) {
             return Message::response(200).body(&bytes);
         }
         if let Some(bytes) = laid(loader, &question).await {
             return Message::response(200).body(&bytes);
         }
-        if question.at_once || !will_have(loader, &question.named) {
+        if question.mode == Mode::Now || !will_have(loader, &question.named) {
             return Message::response(404).body(b"");
         }
         if deadline.has_passed(clock::now()) {
@@ -130,6 +160,11 @@
     }
 }
 
+fn is_here(loader: &Loader, question: &Question) -> bool {
+    let Named { model, version } = &question.named;
+    find(loader, question).is_some() || loader.held(model) == Some(*version)
+}
+
 /// A chunk that lies at the engine which serves this version. It goes out unchecked: whoever asked
 /// checks it against the manifest.
 async fn laid(loader: &Loader, question: &Question) -> Option<Bytes> {
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -129,15 +129,16 @@
 pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: f64) -> Choice {
     let mut best: Option<(f64, f64, EngineKey)> = None;
     for (key, engine) in fleet.of_service(demand.service) {
-        if demand.tried.contains(&key) || !engine.is_open(now) {
+        if demand.tried.contains(&key) || !engine.is_open(now) || engine.is_on_trial(now) {
             continue;
         }
-        let predicted = predict(engine, demand, now) + engine.lateness(now);
-        let starts = now.after_millis(predicted as u64 + START_SLACK_MILLIS);
+        let predicted = predict(engine, demand, now) + engine.silence(now) as f64;
+        let late = engine.lateness();
+        let starts = now.after_millis((predicted + late) as u64 + START_SLACK_MILLIS);
         if !fits(engine, demand, now, starts) {
             continue;
         }
-        let cost = predicted + penalty(engine, demand) + draw_of(key, draw);
+        let cost = predicted + late + penalty(engine, demand) + draw_of(key, draw);
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, predicted, key));
         }
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -78,6 +78,12 @@
 /// two turns of subscriptions, of which one may be lost.
 const HEARD_DUE_MILLIS: u64 = 1_100;
 
+/// Milliseconds of silence above which an engine is tried with one request at a time.
+const TRIAL_SILENCE_MILLIS: u64 = 100;
+
+/// Milliseconds that an engine rests after it was silent.
+const SILENCE_REST_MILLIS: u64 = 1_000;
+
 /// Requests of this gateway at one engine.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -105,6 +111,8 @@
     failures_in_row: u32,
     failure_share: f64,
     lateness: f64,
+    /// True from a request of which nothing came until one that was answered.
+    is_suspect: bool,
     /// When this gateway said what its machine heard last.
     heard: Option<Instant>,
 }
@@ -155,14 +163,18 @@
         self.failure_share
     }
 
-    /// Milliseconds by which first events came later than predicted, lately, and by which reports
-    /// are overdue: a machine that stands still or whose link is choked is silent first.
-    pub fn lateness(&self, now: Instant) -> f64 {
+    /// Milliseconds by which first events came later than predicted, lately.
+    pub const fn lateness(&self) -> f64 {
+        self.lateness
+    }
+
+    /// Milliseconds by which word from or to the engine's machine is overdue: a machine that
+    /// stands still or whose link is choked is silent first.
+    pub fn silence(&self, now: Instant) -> u64 {
         let age = self.report_age(now).unwrap_or_default();
         let overdue = age.saturating_sub(REPORT_DUE_MILLIS);
         let unheard = self.heard.map_or(0, |heard| now.millis_since(heard));
-        let unheard = unheard.saturating_sub(HEARD_DUE_MILLIS);
-        self.lateness + overdue.max(unheard) as f64
+        overdue.max(unheard.saturating_sub(HEARD_DUE_MILLIS))
     }
 
     /// Notes that the engine's machine has heard what this gateway said at `heard`.
@@ -221,6 +233,7 @@
     /// Notes that it answered as it should.
     pub fn note_success(&mut self) {
         self.failures_in_row = 0;
+        self.is_suspect = false;
         self.failure_share *= 1.0 - FAILURE_WEIGHT;
     }
 
@@ -232,6 +245,19 @@
         self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
     }
 
+    /// Notes that nothing came of a request for too long.
+    pub fn note_silence(&mut self, now: Instant) {
+        self.note_failure(now);
+        self.note_lateness(MOST_LATENESS_MILLIS);
+        self.is_suspect = true;
+        self.rest(now.after_millis(SILENCE_REST_MILLIS));
+    }
+
+    /// True where one request at a time shows whether the engine is well again.
+    pub fn is_on_trial(&self, now: Instant) -> bool {
+        self.load.waiting > 0 && (self.is_suspect || self.silence(now) > TRIAL_SILENCE_MILLIS)
+    }
+
     /// Notes an answer that tells of trouble, while the engine is well otherwise.
     pub fn note_trouble(&mut self) {
         self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
@@ -284,6 +310,7 @@
             failures_in_row: 0,
             failure_share: 0.0,
             lateness: 0.0,
+            is_suspect: false,
             heard: None,
         });
         key
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -267,6 +267,36 @@
         }
     }
 
+    /// Attempts that may be under way at once.
+    pub const fn width(&self) -> usize {
+        self.width
+    }
+
+    /// Starts with fewer attempts at once, as an earlier fetch over the same link ended.
+    pub fn start_with(&mut self, width: usize) {
+        self.width = width.clamp(LEAST_WIDTH, WIDTHS * self.terms.window);
+    }
+
+    /// Notes that a chunk took long on its way although its source gave it at once: the link is
+    /// narrow. Half of the attempts end, the latest chunks first, and are made again later.
+    pub fn narrow(&mut self, actions: &mut Vec<Action>) {
+        self.width = (self.under_way() / 2).max(LEAST_WIDTH);
+        let mut surplus = self.under_way().saturating_sub(self.width);
+        for (chunk, state) in self.open.iter_mut().rev() {
+            if surplus == 0 {
+                return;
+            }
+            if let Some(attempt) = state.attempt.take() {
+                surplus -= 1;
+                actions.push(Action::Drop {
+                    chunk: *chunk,
+                    source: attempt.source,
+                    attempt: attempt.number,
+                });
+            }
+        }
+    }
+
     fn under_way(&self) -> usize {
         let open = self.open.values();
         open.filter(|chunk| chunk.attempt.is_some()).count()
