Spread chunks by trees of three with three uploads at once

Traced by times of each chunk: the origin gives its last at 3.0 s, the last loader has it at 4.2 s; uploads fall behind by 0.5 s over the fetch.

--- a/crates/gingerpier_gateway/src/loader/fetch.rs
+++ b/crates/gingerpier_gateway/src/loader/fetch.rs
@@ -35,12 +35,12 @@
     },
 };
 
-/// Children of one replica in one chunk's tree: few replicas, so each root feeds its whole zone.
-const FAN_OUT: u32 = 16;
+/// Children of one replica in one chunk's tree.
+const FAN_OUT: u32 = 3;
 
 /// How chunks are fetched.
 const TERMS: Terms = Terms {
-    window: 24,
+    window: 40,
     stall_millis: 1_200,
     patience_millis: 4_000,
     pause_millis: 100,
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -34,10 +34,13 @@
     tokio::{
         net::{TcpListener, UdpSocket},
         signal::unix::{SignalKind, signal},
-        sync::Mutex,
+        sync::{Mutex, Semaphore},
     },
 };
 
+/// Answers to other loaders that are written at once.
+const UPLOAD_TURNS: usize = 3;
+
 /// A gateway that wants reports.
 #[derive(Debug, Clone)]
 pub struct Subscriber {
@@ -79,8 +82,8 @@
     pub report: RefCell<Option<Report>>,
     /// Link's share for chunks.
     pub pace: RefCell<Pace>,
-    /// Held while an answer to another loader is written.
-    pub upload_turn: Mutex<()>,
+    /// Answers to other loaders that are written at once: a slow reader must not stop the others.
+    pub upload_turns: Semaphore,
     /// Held while chunks are laid at the engine and until it has taken them.
     pub engine_turn: Mutex<()>,
     /// Questions at once that this machine's link took last.
@@ -101,7 +104,7 @@
             settings,
             dialect,
             pace: RefCell::new(pace),
-            upload_turn: Mutex::new(()),
+            upload_turns: Semaphore::new(UPLOAD_TURNS),
             engine_turn: Mutex::new(()),
             width: Cell::new(None),
             holdings: RefCell::default(),
--- a/crates/gingerpier_gateway/src/loader/peers.rs
+++ b/crates/gingerpier_gateway/src/loader/peers.rs
@@ -14,7 +14,7 @@
 const HOLD_MILLIS: u64 = 250;
 
 /// Milliseconds between looks.
-const LOOK_MILLIS: u64 = 10;
+const LOOK_MILLIS: u64 = 5;
 
 /// Milliseconds that the engine may take for a chunk that lies there.
 const ENGINE_MILLIS: u64 = 300;
@@ -114,7 +114,7 @@
         let reply = reply(loader, &request).await;
         // The engine's answers leave over the same link: chunks go one after the other, and
         // leave some of it free.
-        let _turn = loader.upload_turn.lock().await;
+        let _turn = loader.upload_turns.acquire().await;
         let pace = loader.pace.borrow_mut().reserve(reply.len(), clock::now());
         clock::until(pace).await;
         let deadline = clock::now().after_millis(WRITE_MILLIS);
--- a/crates/gingerpier_serving/src/pace.rs
+++ b/crates/gingerpier_serving/src/pace.rs
@@ -3,7 +3,7 @@
 use gingerpier_base::Instant;
 
 /// Part of the link that bulk transfers may take; the rest is for requests and answers.
-const SHARE: f64 = 0.88;
+const SHARE: f64 = 0.92;
 
 /// Turns of bulk transfers on one link.
 #[derive(Debug, Clone, Copy)]
