--- /dev/null
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -0,0 +1,476 @@
+//! Decisions, each with the failure that it is there for.
+
+use {
+    gingerpier_base::Instant,
+    gingerpier_serving::{
+        admission::{self, Choice, Demand, Due},
+        bringing::{self, NamedAt, Place, Terms},
+        budget::{self, Budget},
+        configuration::{
+            Configuration, EngineModel, Limits, Repeat, Route, Service, ServiceKey, ServiceKind,
+            Target, Tenant,
+        },
+        course::{Failure, Next, Standing},
+        events::Splitter,
+        fleet::{EngineKey, Fleet, Record, State},
+        mirror::{Item, Mirror, Revision},
+        pace::Pace,
+        report::{Held, Report, Version},
+    },
+    proptest::prelude::*,
+};
+
+const fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        stride: 5,
+        step_millis: 9.27,
+        per_request_millis: 0.0232,
+        per_thousand_tokens_millis: 0.0322,
+        read_per_milli: 20.7,
+        usual_prompt: 979,
+        usual_answer: 92,
+        memory_tokens: 317_000,
+        models: vec!["m".to_owned()],
+    }
+}
+
+fn report(version: u64, active: u32) -> Report {
+    Report {
+        held: vec![Held {
+            model: "m".to_owned(),
+            version: Version(version),
+        }],
+        active,
+        pace: 1.0,
+        ..Report::default()
+    }
+}
+
+fn record(id: &str, zone: &str) -> Record {
+    Record {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: zone.to_owned(),
+        state: State::Ready,
+        slots: 16,
+        report: report(1, 0),
+    }
+}
+
+fn fleet(count: u32) -> (Fleet, Vec<EngineKey>) {
+    let mut fleet = Fleet::default();
+    let keys = (0..count)
+        .map(|index| fleet.list(record(&format!("e{index}"), "z")))
+        .collect();
+    (fleet, keys)
+}
+
+fn demand<'a>(model: &'a EngineModel, due: &'a [Due], tried: &'a [EngineKey]) -> Demand<'a> {
+    Demand {
+        service: "s",
+        engines: Some(model),
+        model: Some("m"),
+        due,
+        goes_on_with: None,
+        prompt_tokens: 979,
+        target_millis: 500,
+        has_returned: false,
+        zone: "z",
+        tried,
+    }
+}
+
+fn chosen(choice: Choice) -> Option<EngineKey> {
+    match choice {
+        Choice::Send { engine, .. } => Some(engine),
+        Choice::Full { .. } | Choice::NoEngine => None,
+    }
+}
+
+#[test]
+fn a_leaving_engine_takes_nothing_and_does_not_come_back() {
+    let (mut fleet, keys) = fleet(1);
+    let draining = Record {
+        state: State::Draining,
+        ..record("e0", "z")
+    };
+    fleet.list(draining);
+    // An older word that arrives late must not open it again.
+    fleet.list(record("e0", "z"));
+    assert!(!fleet.engine(keys[0]).is_open(at(0)));
+}
+
+#[test]
+fn an_address_names_the_newest_engine_only() {
+    let (mut fleet, keys) = fleet(2);
+    let address = "10.0.0.1:80".parse().expect("an address");
+    assert_eq!(fleet.at_address(address), Some(keys[1]));
+    fleet.unlist("e1");
+    assert_eq!(fleet.at_address(address), Some(keys[0]));
+}
+
+#[test]
+fn full_engines_refuse_and_emptier_ones_are_chosen() {
+    let (mut fleet, keys) = fleet(2);
+    let model = model();
+    for (key, active) in keys.iter().zip([40, 3]) {
+        fleet.engine_mut(*key).note_report(report(1, active), at(0));
+    }
+    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0.0);
+    assert_eq!(chosen(choice), Some(keys[1]));
+    fleet.engine_mut(keys[1]).note_report(report(1, 40), at(0));
+    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0.0);
+    assert!(matches!(choice, Choice::Full { .. }));
+}
+
+#[test]
+fn own_requests_count_before_any_report_tells_of_them() {
+    let (mut fleet, keys) = fleet(1);
+    fleet.engine_mut(keys[0]).note_report(report(1, 10), at(0));
+    for _ in 0..12 {
+        fleet.engine_mut(keys[0]).note_sent(979, at(1));
+    }
+    assert!(fleet.engine(keys[0]).occupancy(at(2)) >= 22.0);
+}
+
+#[test]
+fn an_engine_that_is_silent_is_left_alone_and_then_tried_once() {
+    let (mut fleet, keys) = fleet(1);
+    let model = model();
+    fleet.engine_mut(keys[0]).note_silence(at(0));
+    let choose = |fleet: &Fleet, now| {
+        chosen(admission::choose(fleet, &demand(&model, &[], &[]), now, 0.0))
+    };
+    assert_eq!(choose(&fleet, at(900)), None);
+    assert_eq!(choose(&fleet, at(1_100)), Some(keys[0]));
+    fleet.engine_mut(keys[0]).note_sent(979, at(1_100));
+    assert_eq!(choose(&fleet, at(1_200)), None, "one on trial is enough");
+    fleet.engine_mut(keys[0]).note_success();
+    assert_eq!(choose(&fleet, at(1_300)), Some(keys[0]));
+}
+
+#[test]
+fn overdue_reports_and_unheard_words_close_an_engine() {
+    let (mut fleet, keys) = fleet(1);
+    let engine = fleet.engine_mut(keys[0]);
+    engine.note_report(report(1, 0), at(0));
+    assert_eq!(engine.silence(at(300)), 0);
+    assert_eq!(engine.silence(at(1_350)), 1_000);
+    engine.note_echo(at(0));
+    engine.note_report(report(1, 0), at(3_000));
+    assert_eq!(engine.silence(at(3_100)), 2_000, "it speaks but hears nothing");
+}
+
+#[test]
+fn weights_that_come_due_before_a_request_begins_take_nothing() {
+    let (fleet, keys) = fleet(1);
+    let model = model();
+    let due = [Due {
+        version: Version(2),
+        at: at(5_000),
+    }];
+    let choose =
+        |now| chosen(admission::choose(&fleet, &demand(&model, &due, &[]), now, 0.0));
+    assert_eq!(choose(at(0)), Some(keys[0]));
+    assert_eq!(choose(at(4_700)), None, "it would begin too late");
+    assert_eq!(choose(at(6_000)), None);
+}
+
+#[test]
+fn a_stream_goes_on_with_the_version_that_it_began_with() {
+    let (mut fleet, keys) = fleet(2);
+    let model = model();
+    fleet.engine_mut(keys[1]).note_report(report(2, 0), at(0));
+    let wanted = Demand {
+        goes_on_with: Some(Version(2)),
+        ..demand(&model, &[], &[])
+    };
+    let choice = admission::choose(&fleet, &wanted, at(1), 0.0);
+    assert_eq!(chosen(choice), Some(keys[1]));
+    let choice = admission::choose(
+        &fleet,
+        &Demand {
+            tried: &[keys[1]],
+            ..wanted
+        },
+        at(1),
+        0.0,
+    );
+    assert_eq!(chosen(choice), None);
+}
+
+fn standing(repeat: Repeat) -> Standing {
+    Standing {
+        repeat,
+        attempts: 1,
+        max_attempts: 2,
+        may_have_run: false,
+        deadline: at(1_000),
+    }
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again_unless_it_may_run_twice() {
+    let pay = || true;
+    let mut once = standing(Repeat::Once);
+    assert_eq!(once.after(Failure::Unknown, at(0), pay), Next::Fail);
+    let mut safe = standing(Repeat::Safe);
+    assert_eq!(safe.after(Failure::Unknown, at(0), pay), Next::TryAnother);
+    let mut once = standing(Repeat::Once);
+    assert_eq!(once.after(Failure::NotRun, at(0), pay), Next::TryAnother);
+}
+
+#[test]
+fn not_run_is_said_only_where_it_is_true() {
+    let mut once = standing(Repeat::Once);
+    assert_eq!(once.after(Failure::NotRun, at(0), || false), Next::Refuse);
+    assert_eq!(once.after(Failure::NotRun, at(2_000), || true), Next::Refuse);
+    assert_eq!(once.after(Failure::Unknown, at(2_000), || true), Next::TimeOut);
+    // A later proof about another attempt does not take back that the first may have run.
+    assert_eq!(once.after(Failure::NotRun, at(0), || true), Next::Fail);
+}
+
+fn terms() -> budget::Terms {
+    budget::Terms {
+        ratio: 0.2,
+        extra: 100,
+        window_millis: 10_000,
+        members: 10,
+    }
+}
+
+#[test]
+fn the_extra_is_shared_by_all_gateways_and_comes_back_after_a_window() {
+    let mut budget = Budget::new(terms());
+    let taken = (0..100).filter(|_| budget.take(at(0))).count();
+    assert_eq!(taken, 10);
+    assert!(!budget.take(at(9_000)));
+    assert!(budget.take(at(10_001)));
+}
+
+proptest! {
+    #[test]
+    fn retries_of_all_gateways_stay_within_the_bound(
+        steps in prop::collection::vec((0_u64..400, any::<bool>(), 0_usize..10), 1..400),
+    ) {
+        let mut budgets = vec![Budget::new(terms()); 10];
+        let (mut now, mut requests, mut retries) = (0, Vec::new(), Vec::new());
+        for (wait, is_request, gateway) in steps {
+            now += wait;
+            if is_request {
+                budgets[gateway].note_request(at(now));
+                requests.push(now);
+            } else if budgets[gateway].take(at(now)) {
+                retries.push(now);
+            }
+            let within = |times: &[u64]| times.iter().filter(|time| now - **time <= 10_000).count();
+            let bound = 0.2 * within(&requests) as f64 + 100.0;
+            prop_assert!(within(&retries) as f64 <= bound);
+        }
+    }
+
+    #[test]
+    fn a_mirror_never_goes_back(
+        steps in prop::collection::vec((0_u64..30, 0_u8..3, any::<bool>(), any::<bool>()), 1..60),
+    ) {
+        let mut mirror = Mirror::default();
+        let mut newest = [0_u64; 3];
+        for (revision, key, is_gone, is_copy) in steps {
+            let item = Item {
+                key: key.to_string(),
+                revision: Revision(revision),
+                value: (!is_gone).then(|| revision.to_be_bytes().to_vec().into()),
+            };
+            let before = mirror.at();
+            if is_copy && !is_gone {
+                mirror.replace(vec![item], Revision(revision));
+            } else {
+                mirror.apply(vec![item], Revision(revision));
+            }
+            prop_assert!(mirror.at() >= before);
+            for item in mirror.items() {
+                let place: usize = item.key.parse().expect("a key");
+                prop_assert!(item.revision.0 >= newest[place]);
+                newest[place] = item.revision.0;
+            }
+        }
+    }
+
+    #[test]
+    fn whole_events_pass_whatever_the_cuts(
+        texts in prop::collection::vec("[a-z]{0,12}", 1..8),
+        cuts in prop::collection::vec(1_usize..7, 1..20),
+    ) {
+        let sent: String = texts
+            .iter()
+            .enumerate()
+            .map(|(id, text)| format!("id: {id}\ndata: {text}\n\n"))
+            .collect();
+        let mut splitter = Splitter::default();
+        let mut got = Vec::new();
+        let mut rest = sent.as_bytes();
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let (now, later) = rest.split_at((*cuts.next().expect("cycles")).min(rest.len()));
+            rest = later;
+            if let Some(events) = splitter.push(now) {
+                prop_assert!(events.ends_with(b"\n\n"));
+                got.extend_from_slice(&events);
+            }
+        }
+        prop_assert_eq!(&got[..], sent.as_bytes());
+        let last = (texts.len() - 1).to_string();
+        prop_assert_eq!(splitter.last_id().map(|id| &id[..]), Some(last.as_bytes()));
+        prop_assert!(splitter.finish().is_empty());
+    }
+}
+
+#[test]
+fn an_event_cut_in_the_middle_is_not_passed_on() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("one");
+    assert_eq!(&events[..], b"id: 1\ndata: a\n\n");
+    splitter.discard();
+    assert_eq!(splitter.last_id().map(|id| &id[..]), Some(&b"1"[..]));
+    assert_eq!(splitter.count(), 1);
+}
+
+#[test]
+fn a_copy_that_lacks_a_key_says_that_it_has_gone() {
+    let item = |key: &str, revision| Item {
+        key: key.to_owned(),
+        revision: Revision(revision),
+        value: Some(vec![1].into()),
+    };
+    let mut mirror = Mirror::default();
+    mirror.apply(vec![item("a", 1), item("b", 2)], Revision(2));
+    let news = mirror.replace(vec![item("b", 2)], Revision(5));
+    assert_eq!(news.len(), 1);
+    assert_eq!((news[0].key.as_str(), news[0].value.is_none()), ("a", true));
+    // An older copy that still has it changes nothing.
+    assert!(mirror.replace(vec![item("a", 1)], Revision(4)).is_empty());
+    assert!(mirror.apply(vec![item("a", 1)], Revision(1)).is_empty());
+}
+
+fn route(prefix: &str, service: u32) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "Host.Example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Safe,
+        timeout_millis: 1_000,
+        target_millis: 100,
+        priority: 0,
+        targets: vec![Target {
+            service: ServiceKey(service),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_a_host_takes_a_request() {
+    let service = Service {
+        name: "s".to_owned(),
+        max_connections: 1,
+        kind: ServiceKind::Plain,
+    };
+    let tenant = Tenant {
+        name: "t".to_owned(),
+        priority: None,
+        keys: vec!["k".to_owned()],
+    };
+    let routes = vec![route("/a/", 0), route("/a/b/", 0)];
+    let configuration =
+        Configuration::new(1, Limits::default(), routes, vec![service], vec![tenant]);
+    let name = |path| {
+        let key = configuration.find("host.example:80", path)?;
+        Some(configuration.route(key).name.as_str())
+    };
+    assert_eq!(name("/a/b/c"), Some("/a/b/"));
+    assert_eq!(name("/a/bc"), Some("/a/"));
+    assert_eq!(name("/b/"), None);
+    assert!(configuration.find("other.example", "/a/").is_none());
+    assert!(configuration.tenant_of("k").is_some());
+    assert!(configuration.tenant_of("K").is_none());
+}
+
+const BRINGING: Terms = Terms {
+    within_millis: 8_000,
+    earliest_millis: 3_500,
+    drain_millis: 1_500,
+    margin_millis: 1_900,
+};
+
+fn named(version: u64, millis: u64) -> NamedAt {
+    NamedAt {
+        version: Version(version),
+        at: at(millis),
+    }
+}
+
+fn place(rank: u32) -> Place {
+    Place { rank, count: 6 }
+}
+
+#[test]
+fn engines_go_in_waves_and_all_within_the_bound() {
+    let known = [named(2, 0)];
+    let order = |rank| bringing::order_at(Some(Version(1)), known[0], &known, place(rank), &BRINGING);
+    for rank in 1..6 {
+        assert!(order(rank) > order(rank - 1));
+    }
+    assert!(at(6_100).has_passed(order(5)) || order(5) <= at(6_100));
+    let empty = bringing::order_at(None, known[0], &known, place(5), &BRINGING);
+    assert_eq!(empty, at(0), "an engine without weights has nothing to lose");
+}
+
+#[test]
+fn half_of_the_engines_go_by_way_of_weights_that_come_due_first() {
+    let close = |rank| bringing::goes_by_way_of(named(2, 0), named(3, 4_000), place(rank), &BRINGING);
+    assert_eq!((0..6).filter(|rank| close(*rank)).count(), 3);
+    let soon = bringing::goes_by_way_of(named(2, 0), named(3, 2_000), place(0), &BRINGING);
+    assert!(!soon, "the newer weights are there in time");
+    let known = [named(2, 0), named(3, 4_000)];
+    let direct = bringing::order_at(Some(Version(1)), known[1], &known, place(4), &BRINGING);
+    let by_way = bringing::order_at(Some(Version(2)), known[1], &known, place(1), &BRINGING);
+    assert!(direct <= at(6_100), "due by the older weights");
+    assert!(by_way > direct, "whoever has something that serves comes last");
+}
+
+#[test]
+fn places_are_the_same_everywhere_and_each_has_one() {
+    let members = [11, 5, 9, 3];
+    let mut ranks: Vec<u32> = members
+        .iter()
+        .map(|member| bringing::place(*member, &members, Version(7)).rank)
+        .collect();
+    let mut shuffled = members;
+    shuffled.reverse();
+    assert_eq!(
+        bringing::place(9, &shuffled, Version(7)),
+        bringing::place(9, &members, Version(7))
+    );
+    ranks.sort_unstable();
+    assert_eq!(ranks, [0, 1, 2, 3]);
+}
+
+#[test]
+fn bulk_leaves_part_of_the_link_free() {
+    let mut pace = Pace::new(8_000_000);
+    assert_eq!(pace.reserve(1_000, at(0)), at(0));
+    let mut last = at(0);
+    for _ in 0..100 {
+        last = pace.reserve(1_000, at(0));
+    }
+    let took = last.millis_since(at(0));
+    assert!((105..130).contains(&took), "{took} ms for 100 ms of link");
+}
