--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -7,6 +7,7 @@
         log, relay, reports,
         state::State,
         store,
+        weights::{self, peers},
     },
     gingerpier_http1::{connection::Connection, writer::Message},
     gingerpier_serving::dialect::Dialect,
@@ -57,12 +58,13 @@
     let callers = listen(Step::ListenCallers, settings.callers).await?;
     let readiness = listen(Step::ListenReadiness, settings.readiness).await?;
     let control = listen(Step::ListenControl, settings.control).await?;
-    let peers = settings.peers;
-    let socket = UdpSocket::bind(peers).await.map_err(|what| Error::Io {
+    let own = settings.peers;
+    let socket = UdpSocket::bind(own).await.map_err(|what| Error::Io {
         step: Step::ListenPeers,
-        peer: peers,
+        peer: own,
         what,
     })?;
+    let chunks = listen(Step::ListenPeers, own).await?;
     let mut terminate = take_signal(SignalKind::terminate(), settings.callers)?;
     let hangup = take_signal(SignalKind::hangup(), settings.callers)?;
     tracing::info!(name = settings.name, zone = settings.zone, callers = %settings.callers, "gateway starts");
@@ -71,6 +73,8 @@
     actix_rt::spawn(store::follow(state.clone()));
     actix_rt::spawn(relay::serve(state.clone(), control));
     actix_rt::spawn(relay::follow(state.clone()));
+    actix_rt::spawn(peers::serve(state.carrier.clone(), chunks));
+    actix_rt::spawn(weights::relay::keep(state.clone()));
     actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
     actix_rt::spawn(reports::take(state.clone(), socket));
     actix_rt::spawn(answer_readiness(state.clone(), readiness));
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod reports;
 pub mod state;
 pub mod store;
+pub mod weights;
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -1,16 +1,54 @@
 //! Brings the engine to the weights that operators named.
 
 use {
-    super::{Loader, fetch, follow, holding},
-    crate::{clock, store::Client},
+    super::{Loader, follow},
+    crate::{
+        clock,
+        store::Client,
+        weights::{
+            self, GatewayPlace,
+            fetch::{self, Route, Task},
+            holding,
+        },
+    },
+    gingerpier_base::{Instant, order},
     gingerpier_serving::{
         bringing::{self, Place, Terms},
         dialect::{Named, Started},
         report::Version,
     },
-    std::rc::Rc,
+    gingerpier_weights::plan::{Plan, Replica, ReplicaKey, Source},
+    std::{net::SocketAddr, rc::Rc},
 };
 
+/// Children of one replica in one chunk's tree.
+const FAN_OUT: u32 = 3;
+
+/// Most questions to the origin at once.
+const MAX_ORIGIN_TURNS: usize = 2;
+
+/// Chunks asked for at a gateway at once.
+const WINDOW: usize = 6;
+
+/// Chunks asked for at other loaders at once.
+const TREE_WINDOW: usize = 24;
+
+/// Chunks of a gateway on their way at once: its link is wide, so each fills this machine's link,
+/// and requests for the engine wait behind them.
+const LINK_TURNS: usize = 2;
+
+/// Chunks of other loaders on their way at once.
+const TREE_LINK_TURNS: usize = 6;
+
+/// Gateways that are asked for a chunk.
+const MAX_GATEWAYS: usize = 2;
+
+/// Other loaders that are asked for what they hold.
+const MAX_HOLDERS: usize = 4;
+
+/// Milliseconds after weights were named by which manifests are there.
+const MANIFEST_LEAD_MILLIS: u64 = 300;
+
 /// Milliseconds between looks at what the engine holds.
 const LOOK_MILLIS: u64 = 50;
 
@@ -22,7 +60,7 @@
 const REPORTED_MILLIS: u64 = 100;
 
 /// Milliseconds before which weights are seldom there: a copy over one link, and going round.
-const EARLIEST_MILLIS: u64 = 3_500;
+const EARLIEST_MILLIS: u64 = 3_100;
 
 /// Milliseconds that an engine's work takes to end.
 const DRAIN_MILLIS: u64 = 1_500;
@@ -73,6 +111,7 @@
             }
         }
         tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
+        *loader.carrier.wanted.borrow_mut() = Some(wanted.clone());
         let task = actix_rt::spawn(bring(loader.clone(), wanted.clone()));
         works.push(Work {
             named: wanted,
@@ -106,7 +145,7 @@
 
 async fn bring(loader: Rc<Loader>, wanted: Named) {
     follow::refresh(&loader).await;
-    let named = fetch::fetch(&loader, &wanted).await;
+    let named = fetch::fetch(&loader.carrier, task(&loader, &wanted)).await;
     loop {
         wait_for_turn(&loader, &named).await;
         // Chunks of one version at a time lie at the engine, until it has taken them.
@@ -128,6 +167,80 @@
     }
 }
 
+/// How the weights are fetched: from a gateway of this zone, or else by trees over the loaders.
+fn task(loader: &Loader, named: &Named) -> Task {
+    let subscribers = loader.subscribers.borrow();
+    let gateways = subscribers
+        .iter()
+        .map(|(address, subscriber)| GatewayPlace {
+            address: *address,
+            zone: subscriber.zone.clone(),
+        });
+    let gateways = weights::carriers(gateways, &loader.settings.zone, named.version);
+    let port = loader.settings.peers.port();
+    let peers = loader.peers();
+    let loaders = peers.iter().map(|peer| SocketAddr::new(peer.ip, port));
+    let origin = loader.origin();
+    let connections = origin.map_or(0, |origin| origin.max_connections as usize);
+    let origin_turns = (connections / peers.len()).clamp(1, MAX_ORIGIN_TURNS);
+    let task = |route, addresses, window, link_turns, begins| Task {
+        named: named.clone(),
+        route,
+        own: ReplicaKey(0),
+        peers: addresses,
+        window,
+        origin,
+        origin_turns,
+        link_turns,
+        begins,
+    };
+    if gateways.is_empty() {
+        let route = Route::Tree(tree(loader, &peers, named));
+        let begins = begins(loader, named);
+        return task(
+            route,
+            loaders.collect(),
+            TREE_WINDOW,
+            TREE_LINK_TURNS,
+            begins,
+        );
+    }
+    let gateway_count = gateways.len().min(MAX_GATEWAYS);
+    let holders = loaders.skip(1).take(MAX_HOLDERS);
+    let addresses: Vec<SocketAddr> = gateways
+        .into_iter()
+        .take(gateway_count)
+        .chain(holders)
+        .collect();
+    let source = |index: usize| match index < gateway_count {
+        true => Source::Replica(ReplicaKey(index as u32)),
+        false => Source::Holder(ReplicaKey(index as u32)),
+    };
+    let mut order: Vec<Source> = (0..addresses.len()).map(source).collect();
+    order.push(Source::Origin);
+    task(Route::Fixed(order), addresses, WINDOW, LINK_TURNS, None)
+}
+
+fn tree(loader: &Loader, peers: &[super::Peer], named: &Named) -> Plan {
+    let replicas: Vec<Replica> = peers
+        .iter()
+        .map(|peer| Replica {
+            identity: peer.identity(),
+            region: weights::region(&loader.settings.regions, &peer.zone),
+            zone: order::hash(peer.zone.as_str()),
+        })
+        .collect();
+    Plan::new(order::mix(named.version.0), &replicas, FAN_OUT)
+}
+
+/// When the first chunk of weights that were just named is to be asked for at the origin.
+fn begins(loader: &Loader, named: &Named) -> Option<Instant> {
+    let known = loader.named(&named.model);
+    let own = known.iter().find(|known| known.version == named.version)?;
+    let begins = own.at.after_millis(MANIFEST_LEAD_MILLIS);
+    (clock::now().millis_since(own.at) < MANIFEST_LEAD_MILLIS).then_some(begins)
+}
+
 async fn wait_for_turn(loader: &Loader, named: &Named) {
     loop {
         let known = loader.named(&named.model);
@@ -160,7 +273,7 @@
 async fn lay(loader: &Loader, named: &Named) -> bool {
     let mut client = Client::new(loader.settings.engine);
     let holding = {
-        let holdings = loader.holdings.borrow();
+        let holdings = loader.carrier.holdings.borrow();
         holdings.get(&named.model, named.version).cloned()
     };
     let Some(holding) = holding else { return false };
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -1,10 +1,7 @@
 //! The loader: weights for the engine of its own machine, and reports of its load.
 
 pub mod bring;
-pub mod fetch;
 pub mod follow;
-pub mod holding;
-pub mod peers;
 pub mod report;
 
 use {
@@ -12,6 +9,7 @@
         clock,
         error::{Error, Step},
         log,
+        weights::{Carrier, peers},
     },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
@@ -20,11 +18,9 @@
         dialect::{Dialect, Named},
         fleet::Fleet,
         mirror::Mirror,
-        pace::Pace,
         report::{Report, Version},
     },
     gingerpier_settings::Loader as Settings,
-    holding::Holdings,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -34,13 +30,10 @@
     tokio::{
         net::{TcpListener, UdpSocket},
         signal::unix::{SignalKind, signal},
-        sync::{Mutex, Semaphore},
+        sync::Mutex,
     },
 };
 
-/// Answers to other loaders that are written at once.
-const UPLOAD_TURNS: usize = 3;
-
 /// A gateway that wants reports.
 #[derive(Debug, Clone)]
 pub struct Subscriber {
@@ -74,20 +67,14 @@
     pub settings: Settings,
     /// Words of the platform.
     pub dialect: &'static dyn Dialect,
-    /// Chunks held.
-    pub holdings: RefCell<Holdings>,
+    /// Chunks held and on their way.
+    pub carrier: Rc<Carrier>,
     /// Gateways that want reports.
     pub subscribers: RefCell<BTreeMap<SocketAddr, Subscriber>>,
     /// Last report of the engine.
     pub report: RefCell<Option<Report>>,
-    /// Link's share for chunks.
-    pub pace: RefCell<Pace>,
-    /// Answers to other loaders that are written at once: a slow reader must not stop the others.
-    pub upload_turns: Semaphore,
     /// Held while chunks are laid at the engine and until it has taken them.
     pub engine_turn: Mutex<()>,
-    /// Questions at once that this machine's link took last.
-    pub width: Cell<Option<usize>>,
     /// True while an order is about to be given.
     pub is_ordering: Cell<bool>,
     mirror: RefCell<Mirror>,
@@ -99,15 +86,13 @@
 impl Loader {
     /// Loader that starts now.
     pub fn new(settings: Settings, dialect: &'static dyn Dialect) -> Self {
-        let pace = Pace::new(settings.link_bits_per_second);
+        let link = settings.link_bits_per_second;
+        let carrier = Rc::new(Carrier::beside(dialect, settings.engine, link));
         Self {
             settings,
             dialect,
-            pace: RefCell::new(pace),
-            upload_turns: Semaphore::new(UPLOAD_TURNS),
+            carrier,
             engine_turn: Mutex::new(()),
-            width: Cell::new(None),
-            holdings: RefCell::default(),
             subscribers: RefCell::default(),
             report: RefCell::default(),
             is_ordering: Cell::new(false),
@@ -256,7 +241,7 @@
     tracing::info!(name = settings.name, zone = settings.zone, engine = %settings.engine, "loader starts");
     let loader = Rc::new(Loader::new(settings, dialect));
     actix_rt::spawn(follow::follow(loader.clone()));
-    actix_rt::spawn(peers::serve(loader.clone(), listener));
+    actix_rt::spawn(peers::serve(loader.carrier.clone(), listener));
     actix_rt::spawn(report::take(loader.clone(), socket.clone()));
     actix_rt::spawn(report::send(loader.clone(), socket));
     actix_rt::spawn(bring::keep(loader));
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -4,7 +4,7 @@
     super::{Loader, Subscriber},
     crate::{
         clock,
-        message::{self, Datagram, Load, Subscribe},
+        message::{self, Datagram, Load, Member, Subscribe},
         store::Client,
     },
     gingerpier_serving::{
@@ -103,6 +103,19 @@
         }
     }
     *last = report;
+    drop(last);
+    let served = loader.model().and_then(|model| {
+        let version = loader.held(&model)?;
+        Some(Named { model, version })
+    });
+    *loader.carrier.served.borrow_mut() = served;
+}
+
+fn member((address, subscriber): (&SocketAddr, &Subscriber)) -> Member {
+    Member {
+        address: address.to_string(),
+        zone: subscriber.zone.clone(),
+    }
 }
 
 fn tell(loader: &Loader, socket: &UdpSocket, turn: u64) {
@@ -114,7 +127,7 @@
     let now = clock::now();
     subscribers.retain(|_, subscriber| now.millis_since(subscriber.at) < SUBSCRIPTION_MILLIS);
     let gateways = match turn % GATEWAYS_EVERY {
-        0 => subscribers.keys().map(SocketAddr::to_string).collect(),
+        0 => subscribers.iter().map(member).collect(),
         _ => Vec::new(),
     };
     let mut load = Load::new(loader.settings.engine.to_string(), report, gateways);
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -32,6 +32,18 @@
     pub stamp: u64,
 }
 
+/// A gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Member {
+    /// Address for peers.
+    #[n(0)]
+    pub address: String,
+    /// Zone.
+    #[n(1)]
+    pub zone: String,
+}
+
 /// A loader reports its engine's state.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 #[cbor(map)]
@@ -60,9 +72,9 @@
     /// How slow it is, in thousandths; 1,000 is usual.
     #[n(7)]
     pub pace: u32,
-    /// Addresses of gateways that the loader heard from.
+    /// Gateways that the loader heard from.
     #[n(8)]
-    pub gateways: Vec<String>,
+    pub gateways: Vec<Member>,
     /// Stamp of the last word that came from the gateway which gets this; 0 for none.
     #[cbor(n(9), default)]
     pub echo: u64,
@@ -108,7 +120,7 @@
 
 impl Load {
     /// Load of the engine at `engine`, from its report.
-    pub fn new(engine: String, report: &Report, gateways: Vec<String>) -> Self {
+    pub fn new(engine: String, report: &Report, gateways: Vec<Member>) -> Self {
         let held = report.held.iter().map(|held| Weights {
             model: held.model.clone(),
             version: held.version.0,
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -120,7 +120,7 @@
     let heard = state.gateways.borrow();
     let heard = heard
         .iter()
-        .map(|peer| SocketAddr::new(peer.ip(), own.port()));
+        .map(|peer| SocketAddr::new(peer.address.ip(), own.port()));
     let seeds = state.settings.seeds.iter().copied();
     let mut peers: Vec<SocketAddr> = heard.chain(seeds).filter(|peer| *peer != own).collect();
     peers.sort_unstable();
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         clock,
-        message::{self, Datagram, Load, Subscribe, Weights},
+        message::{self, Datagram, Load, Member, Subscribe, Weights},
         state::State,
+        weights::GatewayPlace,
     },
     gingerpier_base::Instant,
     gingerpier_serving::configuration::ServiceKind,
@@ -70,12 +71,16 @@
     }
 }
 
+fn place(member: &Member) -> Option<GatewayPlace> {
+    Some(GatewayPlace {
+        address: member.address.parse().ok()?,
+        zone: member.zone.clone(),
+    })
+}
+
 fn note(state: &State, load: &Load) {
     if !load.gateways.is_empty() {
-        let heard = load
-            .gateways
-            .iter()
-            .filter_map(|text| text.parse::<SocketAddr>().ok());
+        let heard = load.gateways.iter().filter_map(place);
         state.gateways.borrow_mut().extend(heard);
     }
     let Ok(address) = load.engine.parse() else {
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -1,7 +1,12 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
 use {
-    crate::{clock, metrics::Metrics, pool::Pool},
+    crate::{
+        clock,
+        metrics::Metrics,
+        pool::Pool,
+        weights::{Carrier, GatewayPlace},
+    },
     gingerpier_base::Instant,
     gingerpier_serving::{
         admission::Due,
@@ -15,7 +20,6 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap},
-        net::SocketAddr,
         rc::Rc,
     },
     tokio::sync::Notify,
@@ -47,7 +51,9 @@
     /// Metrics.
     pub metrics: Metrics,
     /// Other gateways heard of.
-    pub gateways: RefCell<BTreeSet<SocketAddr>>,
+    pub gateways: RefCell<BTreeSet<GatewayPlace>>,
+    /// Weights that this gateway carries.
+    pub carrier: Rc<Carrier>,
     /// True once the process is to stop.
     pub is_stopping: Cell<bool>,
     /// True once a stopping process takes no more requests.
@@ -76,6 +82,7 @@
             pool: RefCell::default(),
             metrics: Metrics::default(),
             gateways: RefCell::default(),
+            carrier: Rc::new(Carrier::new(dialect)),
             is_stopping: Cell::new(false),
             has_left: Cell::new(false),
             leaving: Notify::new(),
--- a/crates/gingerpier_gateway/src/loader/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -1,8 +1,8 @@
-//! Brings the chunks of a version here, from other loaders and the origin.
+//! Brings the chunks of a version here, from other processes and the origin.
 
 use {
     super::{
-        Loader, Peer,
+        Carrier,
         holding::{self, Holding},
         peers::{Mode, Question},
     },
@@ -14,7 +14,7 @@
     },
     actix_rt::task::JoinHandle,
     bytes::{Bytes, BytesMut},
-    gingerpier_base::{Instant, order},
+    gingerpier_base::Instant,
     gingerpier_http1::{
         body::{Decoder, Part},
         connection::{Connection, Whole},
@@ -26,7 +26,7 @@
     },
     gingerpier_weights::{
         fetch::{Action, Fetch, Outcome, Terms},
-        plan::{Plan, Replica, ReplicaKey, Source},
+        plan::{Plan, ReplicaKey, Source},
     },
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
     tokio::sync::{
@@ -35,12 +35,9 @@
     },
 };
 
-/// Children of one replica in one chunk's tree.
-const FAN_OUT: u32 = 3;
-
 /// How chunks are fetched.
 const TERMS: Terms = Terms {
-    window: 40,
+    window: 24,
     stall_millis: 1_200,
     patience_millis: 4_000,
     pause_millis: 100,
@@ -55,12 +52,6 @@
 /// Milliseconds for which a peer that waits for the manifest itself is waited for.
 const MANIFEST_WAIT_MILLIS: u64 = 900;
 
-/// Most questions to the origin at once.
-const MAX_ORIGIN_TURNS: usize = 2;
-
-/// Milliseconds after weights were named by which manifests are there.
-const MANIFEST_LEAD_MILLIS: u64 = 300;
-
 /// Part of the time of a chunk on the origin's link after which the next one is asked for.
 const ORIGIN_PACE: f64 = 0.94;
 
@@ -71,9 +62,6 @@
 /// Milliseconds between two narrowings.
 const NARROW_EVERY_MILLIS: u64 = 300;
 
-/// Chunks of other loaders on their way here at once.
-const LINK_TURNS: usize = 6;
-
 /// Milliseconds before a source that refused is asked again.
 const REFUSED_MILLIS: u64 = 300;
 
@@ -104,16 +92,43 @@
     Slow,
 }
 
+/// From whom chunks are taken.
+pub enum Route {
+    /// By trees over the replicas.
+    Tree(Plan),
+    /// From these, best first, whatever the chunk.
+    Fixed(Vec<Source>),
+}
+
+/// A version to fetch, and from whom.
+pub struct Task {
+    /// Version; 0 for what the origin has.
+    pub named: Named,
+    /// From whom.
+    pub route: Route,
+    /// This process among the replicas.
+    pub own: ReplicaKey,
+    /// Addresses of the replicas, by key.
+    pub peers: Vec<SocketAddr>,
+    /// Origin.
+    pub origin: Option<Origin>,
+    /// Chunks asked for at once. Each holds a connection, and a peer that is asked by many takes
+    /// only so many new ones.
+    pub window: usize,
+    /// Questions to the origin at once.
+    pub origin_turns: usize,
+    /// Chunks of other processes on their way at once.
+    pub link_turns: usize,
+    /// When the origin's link is free for the first chunk, where all begin together.
+    pub begins: Option<Instant>,
+}
+
 /// Replicas and how they are reached.
 struct Sources {
-    peers: Vec<Peer>,
-    port: u16,
+    peers: Vec<SocketAddr>,
     origin: Option<Origin>,
-    /// When the origin's link is free for the first chunk, where all loaders begin together.
     begins: Option<Instant>,
-    /// Questions that the origin takes from this process at once.
     origin_turns: Semaphore,
-    /// Chunks of other loaders on their way at once.
     link_turns: Semaphore,
 }
 
@@ -121,29 +136,10 @@
     fn address(&self, source: Source) -> Option<SocketAddr> {
         match source {
             Source::Origin => self.origin.map(|origin| origin.address),
-            Source::Replica(key) | Source::Holder(key) => {
-                let peer = self.peers.get(key.0 as usize)?;
-                Some(SocketAddr::new(peer.ip, self.port))
-            }
+            Source::Replica(key) | Source::Holder(key) => self.peers.get(key.0 as usize).copied(),
         }
     }
-}
-
-/// This process's part of the connections that the origin takes.
-fn origin_turns(loader: &Loader, peers: usize) -> usize {
-    let connections = loader.origin().map_or(0, |origin| origin.max_connections);
-    (connections as usize / peers.max(1)).clamp(1, MAX_ORIGIN_TURNS)
-}
 
-/// When the first chunk of weights that were just named is to be asked for at the origin.
-fn begins(loader: &Loader, named: &Named) -> Option<Instant> {
-    let known = loader.named(&named.model);
-    let own = known.iter().find(|known| known.version == named.version)?;
-    let begins = own.at.after_millis(MANIFEST_LEAD_MILLIS);
-    (clock::now().millis_since(own.at) < MANIFEST_LEAD_MILLIS).then_some(begins)
-}
-
-impl Sources {
     /// Milliseconds until `chunk` is to be asked for at the origin. Whoever is first to take a
     /// chunk asks at the time when the link is free for it, so that early chunks come soon and
     /// go round while later ones are still on their way in.
@@ -156,65 +152,63 @@
     }
 }
 
-fn region_of(loader: &Loader, zone: &str) -> u64 {
-    let regions = &loader.settings.regions;
-    let region = regions.iter().find(|one| one.zone == zone);
-    order::hash(region.map_or(zone, |one| one.region.as_str()))
-}
-
-fn plan_of(loader: &Loader, peers: &[Peer], named: &Named) -> Plan {
-    let replicas: Vec<Replica> = peers
-        .iter()
-        .map(|peer| Replica {
-            identity: peer.identity(),
-            region: region_of(loader, &peer.zone),
-            zone: order::hash(peer.zone.as_str()),
-        })
-        .collect();
-    Plan::new(order::mix(named.version.0), &replicas, FAN_OUT)
-}
-
 /// Brings a whole version here; gives the version that it turned out to be.
-pub async fn fetch(loader: &Rc<Loader>, named: &Named) -> Named {
-    let peers = loader.peers();
+pub async fn fetch(carrier: &Rc<Carrier>, task: Task) -> Named {
     let sources = Rc::new(Sources {
-        port: loader.settings.peers.port(),
-        origin: loader.origin(),
-        begins: begins(loader, named),
-        origin_turns: Semaphore::new(origin_turns(loader, peers.len())),
-        link_turns: Semaphore::new(LINK_TURNS),
-        peers,
+        peers: task.peers,
+        origin: task.origin,
+        begins: task.begins,
+        origin_turns: Semaphore::new(task.origin_turns),
+        link_turns: Semaphore::new(task.link_turns),
     });
-    let plan = plan_of(loader, &sources.peers, named);
-    let named = hold_manifest(loader, &sources, &plan, named).await;
-    take_shared(loader, &named);
-    take_laid(loader, &named).await;
-    let work = Work::new(loader.clone(), sources, plan, named.clone());
+    let order = match &task.route {
+        Route::Tree(plan) => {
+            let mut order = Vec::new();
+            plan.sources(task.own, 0, &mut order);
+            order
+        }
+        Route::Fixed(order) => order.clone(),
+    };
+    let named = hold_manifest(carrier, &sources, &order, &task.named).await;
+    take_shared(carrier, &named);
+    take_laid(carrier, &named).await;
+    let terms = Terms {
+        window: task.window,
+        ..TERMS
+    };
+    let work = Work::new(
+        carrier.clone(),
+        sources,
+        terms,
+        task.route,
+        task.own,
+        named.clone(),
+    );
     work.run().await;
     named
 }
 
 /// Chunks that this process is the first to take.
-fn entries(plan: &Plan, count: u32) -> Vec<u32> {
+fn entries(route: &Route, own: ReplicaKey, count: u32) -> Vec<u32> {
+    let Route::Tree(plan) = route else {
+        return Vec::new();
+    };
     let mut sources = Vec::new();
     let mut enters = |chunk: &u32| {
-        plan.sources(ReplicaKey(0), *chunk, &mut sources);
+        plan.sources(own, *chunk, &mut sources);
         sources.first() == Some(&Source::Origin)
     };
     (0..count).filter(|chunk| enters(chunk)).collect()
 }
 
 async fn hold_manifest(
-    loader: &Rc<Loader>,
+    carrier: &Rc<Carrier>,
     sources: &Rc<Sources>,
-    plan: &Plan,
+    order: &[Source],
     named: &Named,
 ) -> Named {
-    let mut order = Vec::new();
-    // This process is first among the peers it knows.
-    plan.sources(ReplicaKey(0), 0, &mut order);
     loop {
-        if loader
+        if carrier
             .holdings
             .borrow()
             .get(&named.model, named.version)
@@ -222,27 +216,28 @@
         {
             return named.clone();
         }
-        for source in &order {
+        for source in order {
             let Some(address) = sources.address(*source) else {
                 continue;
             };
             let bytes = match source {
-                Source::Origin => origin_manifest(loader, address, named).await,
+                Source::Origin => origin_manifest(carrier, address, named).await,
                 _ => peer_manifest(address, named).await,
             };
             let manifest = bytes.and_then(|bytes| {
-                let manifest = loader.dialect.read_manifest(200, &bytes).ok()?;
+                let manifest = carrier.dialect.read_manifest(200, &bytes).ok()?;
                 Some((manifest, bytes))
             });
             if let Some((manifest, bytes)) = manifest {
-                return note_manifest(loader, manifest, bytes, address);
+                return note_manifest(carrier, manifest, bytes, address);
             }
+            tracing::info!(version = named.version.0, source = %address, "manifest not had");
         }
         clock::pause(TERMS.pause_millis).await;
     }
 }
 
-fn note_manifest(loader: &Loader, manifest: Manifest, bytes: Bytes, source: SocketAddr) -> Named {
+fn note_manifest(carrier: &Carrier, manifest: Manifest, bytes: Bytes, source: SocketAddr) -> Named {
     let named = Named {
         model: manifest.model.clone(),
         version: manifest.version,
@@ -250,7 +245,8 @@
     let chunks = manifest.digests.len();
     tracing::info!(model = named.model, version = named.version.0, chunks, %source, "manifest taken");
     let holding = Holding::new(manifest, bytes);
-    loader.holdings.borrow_mut().add(holding);
+    carrier.holdings.borrow_mut().add(holding);
+    carrier.arrived.notify_waiters();
     named
 }
 
@@ -260,14 +256,14 @@
 
 /// Manifest of the origin, read until it came twice the same: it may be spoilt on its way, and
 /// everything else is checked against it.
-async fn origin_manifest(loader: &Loader, address: SocketAddr, named: &Named) -> Option<Bytes> {
-    let question = loader.dialect.manifest(named);
+async fn origin_manifest(carrier: &Carrier, address: SocketAddr, named: &Named) -> Option<Bytes> {
+    let question = carrier.dialect.manifest(named);
     let mut seen: Vec<Bytes> = Vec::new();
     for _ in 0..MANIFEST_READS {
         let Some(whole) = call(address, &question, MANIFEST_MILLIS).await else {
             continue;
         };
-        if loader
+        if carrier
             .dialect
             .read_manifest(whole.head.status, &whole.body)
             .is_err()
@@ -300,8 +296,8 @@
 }
 
 /// Takes chunks that another version here has, too.
-fn take_shared(loader: &Loader, named: &Named) {
-    let shared = loader
+fn take_shared(carrier: &Carrier, named: &Named) {
+    let shared = carrier
         .holdings
         .borrow_mut()
         .share(&named.model, named.version);
@@ -315,48 +311,48 @@
 }
 
 /// Takes what lies at the engine already.
-async fn take_laid(loader: &Rc<Loader>, named: &Named) {
-    let Some(manifest) = manifest_of(loader, named) else {
+async fn take_laid(carrier: &Rc<Carrier>, named: &Named) {
+    let Some(manifest) = manifest_of(carrier, named) else {
         return;
     };
-    if loader
-        .held(&named.model)
-        .is_some_and(|held| held != named.version)
-    {
+    let served = carrier.served.borrow().clone();
+    if served.is_some_and(|served| served != *named) {
         // What lies there is what the engine was last given: another version.
         return;
     }
-    let mut client = store::Client::new(loader.settings.engine);
+    let Some(engine) = carrier.engine else { return };
+    let mut client = store::Client::new(engine);
     for chunk in 0..manifest.digests.len() as u32 {
-        let question = loader.dialect.laid_chunk(&named.model, chunk);
+        let question = carrier.dialect.laid_chunk(&named.model, chunk);
         let Ok(whole) = client.call(&question, MANIFEST_MILLIS).await else {
             return;
         };
         let is_here = whole.head.status == 200;
         if is_here && holding::is_right(&manifest, chunk, &whole.body) {
-            put(loader, named, chunk, whole.body);
+            put(carrier, named, chunk, whole.body);
         } else if chunk == 0 {
             return;
         }
     }
 }
 
-fn manifest_of(loader: &Loader, named: &Named) -> Option<Rc<Manifest>> {
-    let holdings = loader.holdings.borrow();
+fn manifest_of(carrier: &Carrier, named: &Named) -> Option<Rc<Manifest>> {
+    let holdings = carrier.holdings.borrow();
     let holding = holdings.get(&named.model, named.version)?;
     Some(holding.manifest.clone())
 }
 
-fn put(loader: &Loader, named: &Named, chunk: u32, bytes: Bytes) {
-    let mut holdings = loader.holdings.borrow_mut();
+fn put(carrier: &Carrier, named: &Named, chunk: u32, bytes: Bytes) {
+    let mut holdings = carrier.holdings.borrow_mut();
     if let Some(holding) = holdings.get_mut(&named.model, named.version) {
         holding.put(chunk, bytes);
+        carrier.arrived.notify_waiters();
     }
 }
 
 /// A fetch under way.
 struct Work {
-    loader: Rc<Loader>,
+    carrier: Rc<Carrier>,
     sources: Rc<Sources>,
     named: Named,
     fetch: Fetch,
@@ -382,12 +378,22 @@
 }
 
 impl Work {
-    fn new(loader: Rc<Loader>, sources: Rc<Sources>, plan: Plan, named: Named) -> Self {
-        let manifest = manifest_of(&loader, &named);
+    fn new(
+        carrier: Rc<Carrier>,
+        sources: Rc<Sources>,
+        terms: Terms,
+        route: Route,
+        replica: ReplicaKey,
+        named: Named,
+    ) -> Self {
+        let manifest = manifest_of(&carrier, &named);
         let count = manifest.map_or(0, |manifest| manifest.digests.len());
-        let own = entries(&plan, count as u32);
-        let mut fetch = Fetch::new(TERMS, plan, ReplicaKey(0), count as u32);
-        let holdings = loader.holdings.borrow();
+        let own = entries(&route, replica, count as u32);
+        let mut fetch = match route {
+            Route::Tree(plan) => Fetch::new(terms, plan, replica, count as u32),
+            Route::Fixed(order) => Fetch::fixed(terms, order, count as u32),
+        };
+        let holdings = carrier.holdings.borrow();
         if let Some(holding) = holdings.get(&named.model, named.version) {
             for chunk in 0..count as u32 {
                 if holding.chunk(chunk).is_some() {
@@ -401,12 +407,12 @@
         for chunk in own {
             fetch.want(chunk);
         }
-        if let Some(width) = loader.width.get() {
+        if let Some(width) = carrier.width.get() {
             fetch.start_with(width);
         }
         let (sender, events) = unbounded_channel();
         Self {
-            loader,
+            carrier,
             sources,
             named,
             fetch,
@@ -445,7 +451,7 @@
                     }
                     Action::Complete => {
                         let took = clock::now().millis_since(started);
-                        self.loader.width.set(Some(self.fetch.width()));
+                        self.carrier.width.set(Some(self.fetch.width()));
                         tracing::info!(
                             version = self.named.version.0,
                             took,
@@ -522,7 +528,7 @@
             return;
         };
         let asking = Asking {
-            loader: self.loader.clone(),
+            carrier: self.carrier.clone(),
             named: self.named.clone(),
             sources: self.sources.clone(),
             pool: self.pool.clone(),
@@ -538,7 +544,7 @@
 
 /// One question for one chunk.
 struct Asking {
-    loader: Rc<Loader>,
+    carrier: Rc<Carrier>,
     sources: Rc<Sources>,
     named: Named,
     pool: Rc<RefCell<Pool<SocketAddr>>>,
@@ -565,7 +571,7 @@
 
     fn question(&self, mode: Mode) -> Call {
         if self.source == Source::Origin {
-            return self.loader.dialect.chunk(&self.named, self.chunk);
+            return self.carrier.dialect.chunk(&self.named, self.chunk);
         }
         let question = Question {
             named: self.named.clone(),
@@ -577,7 +583,7 @@
 
     /// Bytes of a usual chunk.
     fn chunk_bytes(&self) -> u64 {
-        let holdings = self.loader.holdings.borrow();
+        let holdings = self.carrier.holdings.borrow();
         let holding = holdings.get(&self.named.model, self.named.version);
         holding.map_or(0, |holding| holding.manifest.chunk_bytes)
     }
@@ -650,13 +656,13 @@
     }
 
     fn check(&self, body: Bytes) -> Outcome {
-        let Some(manifest) = manifest_of(&self.loader, &self.named) else {
+        let Some(manifest) = manifest_of(&self.carrier, &self.named) else {
             return Outcome::Failed;
         };
         if !holding::is_right(&manifest, self.chunk, &body) {
             return Outcome::Corrupt;
         }
-        put(&self.loader, &self.named, self.chunk, body);
+        put(&self.carrier, &self.named, self.chunk, body);
         Outcome::Held
     }
 
--- /dev/null
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -0,0 +1,124 @@
+//! Weights on their way: what a process holds, gives and fetches.
+//!
+//! Gateways have wide links, and backend servers narrow ones that carry the answers of engines,
+//! too. So one gateway of each zone takes what was named, each chunk entering in one zone and going
+//! from there to the others, and gives it to the loaders of its zone. Loaders without a gateway
+//! spread chunks among themselves.
+
+pub mod fetch;
+pub mod holding;
+pub mod peers;
+pub mod relay;
+
+use {
+    gingerpier_base::order,
+    gingerpier_serving::{
+        dialect::{Dialect, Named},
+        pace::Pace,
+        report::Version,
+    },
+    gingerpier_settings::gateway::ZoneRegion,
+    holding::Holdings,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+    },
+    tokio::sync::{Notify, Semaphore},
+};
+
+/// Answers to other processes that are written at once over a narrow link.
+const UPLOAD_TURNS: usize = 3;
+
+/// The same over a wide link: readers are slow there, not the link.
+const WIDE_UPLOAD_TURNS: usize = 64;
+
+/// What a process holds of weights, and how it gives and takes them.
+pub struct Carrier {
+    /// Words of the platform.
+    pub dialect: &'static dyn Dialect,
+    /// Chunks held.
+    pub holdings: RefCell<Holdings>,
+    /// Engine of this machine, where there is one.
+    pub engine: Option<SocketAddr>,
+    /// What that engine serves.
+    pub served: RefCell<Option<Named>>,
+    /// What this process fetches or wants to.
+    pub wanted: RefCell<Option<Named>>,
+    /// What others asked for that is not here.
+    pub asked: RefCell<Option<Named>>,
+    /// Link's share for chunks, where the link is narrow.
+    pub pace: Option<RefCell<Pace>>,
+    /// Tells those who wait that a chunk or a manifest has come.
+    pub arrived: Notify,
+    /// Turns of answers to others.
+    pub upload_turns: Semaphore,
+    /// Questions at once that this machine's link took last.
+    pub width: Cell<Option<usize>>,
+}
+
+impl Carrier {
+    /// Carrier beside an engine, behind a link of so many bits a second.
+    pub fn beside(
+        dialect: &'static dyn Dialect,
+        engine: SocketAddr,
+        link_bits_per_second: u64,
+    ) -> Self {
+        let pace = Pace::new(link_bits_per_second);
+        Self {
+            engine: Some(engine),
+            pace: Some(RefCell::new(pace)),
+            upload_turns: Semaphore::new(UPLOAD_TURNS),
+            ..Self::new(dialect)
+        }
+    }
+
+    /// Carrier behind a wide link.
+    pub fn new(dialect: &'static dyn Dialect) -> Self {
+        Self {
+            dialect,
+            holdings: RefCell::default(),
+            engine: None,
+            served: RefCell::default(),
+            wanted: RefCell::default(),
+            asked: RefCell::default(),
+            pace: None,
+            arrived: Notify::new(),
+            upload_turns: Semaphore::new(WIDE_UPLOAD_TURNS),
+            width: Cell::new(None),
+        }
+    }
+
+    /// True where the engine of this machine serves exactly `named`.
+    pub fn serves(&self, named: &Named) -> bool {
+        self.served.borrow().as_ref() == Some(named)
+    }
+}
+
+/// A gateway and its zone.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GatewayPlace {
+    /// Address for peers.
+    pub address: SocketAddr,
+    /// Zone.
+    pub zone: String,
+}
+
+/// Gateways of `zone`, in the order in which they carry a version.
+pub fn carriers(
+    gateways: impl Iterator<Item = GatewayPlace>,
+    zone: &str,
+    version: Version,
+) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> = gateways
+        .filter(|place| place.zone == zone)
+        .map(|place| place.address)
+        .collect();
+    order::sort_by_score(order::mix(version.0), &mut addresses, order::hash);
+    addresses
+}
+
+/// Stable number of the region of `zone`.
+pub fn region(regions: &[ZoneRegion], zone: &str) -> u64 {
+    let region = regions.iter().find(|one| one.zone == zone);
+    order::hash(region.map_or(zone, |one| one.region.as_str()))
+}
--- a/crates/gingerpier_gateway/src/loader/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -1,7 +1,7 @@
-//! Chunks for other loaders.
+//! Chunks for other processes.
 
 use {
-    super::Loader,
+    super::Carrier,
     crate::{clock, relay, store::Client},
     bytes::Bytes,
     gingerpier_http1::{connection::Connection, head::Request, writer::Message},
@@ -13,8 +13,8 @@
 /// Milliseconds for which a question is held while what it asks for is not here.
 const HOLD_MILLIS: u64 = 250;
 
-/// Milliseconds between looks.
-const LOOK_MILLIS: u64 = 5;
+/// Milliseconds after a failed accept.
+const ACCEPT_PAUSE_MILLIS: u64 = 5;
 
 /// Milliseconds that the engine may take for a chunk that lies there.
 const ENGINE_MILLIS: u64 = 300;
@@ -93,30 +93,34 @@
 }
 
 /// Serves chunks.
-pub async fn serve(loader: Rc<Loader>, listener: TcpListener) {
+pub async fn serve(carrier: Rc<Carrier>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let loader = loader.clone();
-                actix_rt::spawn(async move { answer(&loader, Connection::new(stream)).await });
+                let carrier = carrier.clone();
+                actix_rt::spawn(async move { answer(&carrier, Connection::new(stream)).await });
             }
-            Err(_) => clock::pause(LOOK_MILLIS).await,
+            Err(_) => clock::pause(ACCEPT_PAUSE_MILLIS).await,
         }
     }
 }
 
-async fn answer(loader: &Loader, mut connection: Connection) {
-    connection.use_small_buffers();
+async fn answer(carrier: &Carrier, mut connection: Connection) {
+    if carrier.pace.is_some() {
+        connection.use_small_buffers();
+    }
     loop {
         let rest = clock::now().after_millis(REST_MILLIS);
         let head = clock::before(rest, relay::read_head(&mut connection)).await;
         let Some(Some(request)) = head else { return };
-        let reply = reply(loader, &request).await;
+        let reply = reply(carrier, &request).await;
         // The engine's answers leave over the same link: chunks go one after the other, and
         // leave some of it free.
-        let _turn = loader.upload_turns.acquire().await;
-        let pace = loader.pace.borrow_mut().reserve(reply.len(), clock::now());
-        clock::until(pace).await;
+        let _turn = carrier.upload_turns.acquire().await;
+        if let Some(pace) = &carrier.pace {
+            let turn = pace.borrow_mut().reserve(reply.len(), clock::now());
+            clock::until(turn).await;
+        }
         let deadline = clock::now().after_millis(WRITE_MILLIS);
         let written = clock::before(deadline, connection.write(&reply)).await;
         if !matches!(written, Some(Ok(()))) {
@@ -125,34 +129,35 @@
     }
 }
 
-async fn reply(loader: &Loader, request: &Request) -> Vec<u8> {
+async fn reply(carrier: &Carrier, request: &Request) -> Vec<u8> {
     let target = std::str::from_utf8(request.target()).unwrap_or_default();
     let Some(question) = Question::parse(target) else {
         return Message::response(404).body(b"");
     };
     let deadline = clock::now().after_millis(HOLD_MILLIS);
     loop {
-        if question.mode == Mode::Presence && is_here(loader, &question) {
+        if question.mode == Mode::Presence && is_here(carrier, &question) {
             return Message::response(204).end();
         }
-        if let Some(bytes) = find(loader, &question) {
+        if let Some(bytes) = find(carrier, &question) {
             return Message::response(200).body(&bytes);
         }
-        if let Some(bytes) = laid(loader, &question).await {
+        if let Some(bytes) = laid(carrier, &question).await {
             return Message::response(200).body(&bytes);
         }
-        if question.mode == Mode::Now || !will_have(loader, &question.named) {
+        if question.mode == Mode::Now || !will_have(carrier, &question.named) {
             return Message::response(404).body(b"");
         }
         if deadline.has_passed(clock::now()) {
             return Message::response(202).body(b"");
         }
-        clock::pause(LOOK_MILLIS).await;
+        // Nothing more than the end of the wait is lost where no chunk comes.
+        let _ = clock::before(deadline, carrier.arrived.notified()).await;
     }
 }
 
-fn find(loader: &Loader, question: &Question) -> Option<Bytes> {
-    let holdings = loader.holdings.borrow();
+fn find(carrier: &Carrier, question: &Question) -> Option<Bytes> {
+    let holdings = carrier.holdings.borrow();
     let holding = holdings.get(&question.named.model, question.named.version)?;
     match question.chunk {
         None => Some(holding.manifest_bytes.clone()),
@@ -160,29 +165,38 @@
     }
 }
 
-fn is_here(loader: &Loader, question: &Question) -> bool {
-    let Named { model, version } = &question.named;
-    find(loader, question).is_some() || loader.held(model) == Some(*version)
+fn is_here(carrier: &Carrier, question: &Question) -> bool {
+    find(carrier, question).is_some() || carrier.serves(&question.named)
 }
 
 /// A chunk that lies at the engine which serves this version. It goes out unchecked: whoever asked
 /// checks it against the manifest.
-async fn laid(loader: &Loader, question: &Question) -> Option<Bytes> {
-    let Named { model, version } = &question.named;
+async fn laid(carrier: &Carrier, question: &Question) -> Option<Bytes> {
     let chunk = question.chunk?;
-    if loader.held(model) != Some(*version) {
+    let engine = carrier.engine?;
+    if !carrier.serves(&question.named) {
         return None;
     }
-    let call = loader.dialect.laid_chunk(model, chunk);
-    let mut client = Client::new(loader.settings.engine);
+    let call = carrier.dialect.laid_chunk(&question.named.model, chunk);
+    let mut client = Client::new(engine);
     let whole = client.call(&call, ENGINE_MILLIS).await.ok()?;
     (whole.head.status == 200).then_some(whole.body)
 }
 
-/// True where what is not here yet will come.
-fn will_have(loader: &Loader, named: &Named) -> bool {
-    let held = loader.held(&named.model);
-    let wanted = loader.wanted();
-    held.is_none_or(|held| held < named.version)
-        && wanted.is_none_or(|wanted| wanted.version <= named.version)
+/// True where what is not here yet will come. A gateway fetches what it is asked for.
+fn will_have(carrier: &Carrier, named: &Named) -> bool {
+    let wanted = carrier.wanted.borrow();
+    if wanted.as_ref() == Some(named) {
+        return true;
+    }
+    if carrier.engine.is_none() {
+        *carrier.asked.borrow_mut() = Some(named.clone());
+        return true;
+    }
+    let served = carrier.served.borrow();
+    let is_older = |other: &Named| other.version <= named.version;
+    served
+        .as_ref()
+        .is_none_or(|served| served.version < named.version)
+        && wanted.as_ref().is_none_or(is_older)
 }
--- /dev/null
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -0,0 +1,107 @@
+//! A gateway that carries weights for its zone.
+
+use {
+    super::{
+        carriers,
+        fetch::{self, Route, Task},
+        region,
+    },
+    crate::{clock, state::State},
+    gingerpier_base::order,
+    gingerpier_serving::{dialect::Named, report::Version},
+    gingerpier_weights::plan::{Plan, Replica, ReplicaKey},
+    std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
+};
+
+/// Milliseconds between looks at what is to be carried.
+const LOOK_MILLIS: u64 = 25;
+
+/// Chunks of other gateways on their way at once.
+const LINK_TURNS: usize = 8;
+
+/// Chunks asked for at once.
+const WINDOW: usize = 16;
+
+/// Questions to the origin at once.
+const ORIGIN_TURNS: usize = 2;
+
+/// Carries what is named where this gateway is the zone's first, and what loaders ask for.
+pub async fn keep(state: Rc<State>) {
+    let mut begun: BTreeSet<Version> = BTreeSet::new();
+    loop {
+        clock::pause(LOOK_MILLIS).await;
+        let asked = state.carrier.asked.borrow_mut().take();
+        let named = state
+            .named()
+            .into_iter()
+            .filter(|named| is_first(&state, named));
+        let wanted: Vec<Named> = asked.into_iter().chain(named).collect();
+        for named in wanted {
+            if named.version > Version::default() && begun.insert(named.version) {
+                tracing::info!(
+                    model = named.model,
+                    version = named.version.0,
+                    "weights carried"
+                );
+                *state.carrier.wanted.borrow_mut() = Some(named.clone());
+                let task = task(&state, named);
+                let carrier = state.carrier.clone();
+                actix_rt::spawn(async move { fetch::fetch(&carrier, task).await });
+            }
+        }
+    }
+}
+
+fn is_first(state: &State, named: &Named) -> bool {
+    // What all engines hold already needs nobody to carry it.
+    let fleet = state.fleet.borrow();
+    let now = clock::now();
+    let held = fleet
+        .listed()
+        .filter_map(|(_, engine)| engine.version_of(&named.model, now));
+    let is_needed = held.min().is_some_and(|least| least < named.version);
+    let zone = &state.settings.zone;
+    let own = state.settings.peers;
+    let order = carriers(state.gateways.borrow().iter().cloned(), zone, named.version);
+    is_needed && order.first().is_none_or(|first| *first == own)
+}
+
+fn task(state: &State, named: Named) -> Task {
+    let own = state.settings.peers;
+    let gateways = state.gateways.borrow();
+    let zones: BTreeSet<&str> = gateways.iter().map(|place| place.zone.as_str()).collect();
+    let mut peers = vec![own];
+    let mut replicas = vec![replica(state, own, &state.settings.zone)];
+    for zone in zones
+        .into_iter()
+        .filter(|zone| *zone != state.settings.zone)
+    {
+        let order = carriers(gateways.iter().cloned(), zone, named.version);
+        if let Some(first) = order.first() {
+            peers.push(*first);
+            replicas.push(replica(state, *first, zone));
+        }
+    }
+    let plan = Plan::new(order::mix(named.version.0), &replicas, 1);
+    Task {
+        named,
+        route: Route::Tree(plan),
+        own: ReplicaKey(0),
+        peers,
+        origin: state
+            .configuration()
+            .and_then(|configuration| configuration.origin()),
+        window: WINDOW,
+        origin_turns: ORIGIN_TURNS,
+        link_turns: LINK_TURNS,
+        begins: None,
+    }
+}
+
+fn replica(state: &State, address: SocketAddr, zone: &str) -> Replica {
+    Replica {
+        identity: order::hash(&address),
+        region: region(&state.settings.regions, zone),
+        zone: order::hash(zone),
+    }
+}
--- a/crates/gingerpier_http1/tests/messages.rs
+++ b/crates/gingerpier_http1/tests/messages.rs
@@ -69,7 +69,9 @@
 fn interim_responses_are_passed_over() {
     let text = "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nrest";
     let mut input = BytesMut::from(text);
-    let response = Response::parse(&mut input, LIMIT).expect("right").expect("whole");
+    let response = Response::parse(&mut input, LIMIT)
+        .expect("right")
+        .expect("whole");
     assert_eq!(response.status, 200);
     assert_eq!(&input[..], b"rest");
 }
@@ -77,7 +79,9 @@
 #[test]
 fn a_response_without_a_length_ends_with_its_connection() {
     let mut input = BytesMut::from("HTTP/1.1 200 OK\r\n\r\nab");
-    let response = Response::parse(&mut input, LIMIT).expect("right").expect("whole");
+    let response = Response::parse(&mut input, LIMIT)
+        .expect("right")
+        .expect("whole");
     let mut decoder = Decoder::new(response.framing().expect("told"));
     let part = decoder.decode(&mut input).expect("right");
     assert_eq!(part, Some(Part::Data(Bytes::from_static(b"ab"))));
@@ -97,7 +101,14 @@
 
 #[test]
 fn malformed_chunks_are_refused() {
-    for text in ["x\r\n", "-1\r\n", "2\r\nabcd", "2\nab", "1000000000000000\r\n", ";\r\n"] {
+    for text in [
+        "x\r\n",
+        "-1\r\n",
+        "2\r\nabcd",
+        "2\nab",
+        "1000000000000000\r\n",
+        ";\r\n",
+    ] {
         let mut decoder = Decoder::new(Framing::Chunked);
         let mut input = BytesMut::from(text);
         let mut last = decoder.decode(&mut input);
@@ -120,9 +131,13 @@
 
 #[test]
 fn messages_are_written_as_they_are_read() {
-    let bytes = Message::request(b"POST", b"/a").field(b"host", b"h").body(b"hello");
+    let bytes = Message::request(b"POST", b"/a")
+        .field(b"host", b"h")
+        .body(b"hello");
     let mut input = BytesMut::from(&bytes[..]);
-    let request = Request::parse(&mut input, LIMIT).expect("right").expect("whole");
+    let request = Request::parse(&mut input, LIMIT)
+        .expect("right")
+        .expect("whole");
     assert_eq!(request.framing(), Ok(Framing::Length(5)));
     assert_eq!(&input[..], b"hello");
 }
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -145,7 +145,12 @@
     let model = model();
     fleet.engine_mut(keys[0]).note_silence(at(0));
     let choose = |fleet: &Fleet, now| {
-        chosen(admission::choose(fleet, &demand(&model, &[], &[]), now, 0.0))
+        chosen(admission::choose(
+            fleet,
+            &demand(&model, &[], &[]),
+            now,
+            0.0,
+        ))
     };
     assert_eq!(choose(&fleet, at(900)), None);
     assert_eq!(choose(&fleet, at(1_100)), Some(keys[0]));
@@ -164,7 +169,11 @@
     assert_eq!(engine.silence(at(1_350)), 1_000);
     engine.note_echo(at(0));
     engine.note_report(report(1, 0), at(3_000));
-    assert_eq!(engine.silence(at(3_100)), 2_000, "it speaks but hears nothing");
+    assert_eq!(
+        engine.silence(at(3_100)),
+        2_000,
+        "it speaks but hears nothing"
+    );
 }
 
 #[test]
@@ -175,8 +184,14 @@
         version: Version(2),
         at: at(5_000),
     }];
-    let choose =
-        |now| chosen(admission::choose(&fleet, &demand(&model, &due, &[]), now, 0.0));
+    let choose = |now| {
+        chosen(admission::choose(
+            &fleet,
+            &demand(&model, &due, &[]),
+            now,
+            0.0,
+        ))
+    };
     assert_eq!(choose(at(0)), Some(keys[0]));
     assert_eq!(choose(at(4_700)), None, "it would begin too late");
     assert_eq!(choose(at(6_000)), None);
@@ -230,8 +245,14 @@
 fn not_run_is_said_only_where_it_is_true() {
     let mut once = standing(Repeat::Once);
     assert_eq!(once.after(Failure::NotRun, at(0), || false), Next::Refuse);
-    assert_eq!(once.after(Failure::NotRun, at(2_000), || true), Next::Refuse);
-    assert_eq!(once.after(Failure::Unknown, at(2_000), || true), Next::TimeOut);
+    assert_eq!(
+        once.after(Failure::NotRun, at(2_000), || true),
+        Next::Refuse
+    );
+    assert_eq!(
+        once.after(Failure::Unknown, at(2_000), || true),
+        Next::TimeOut
+    );
     // A later proof about another attempt does not take back that the first may have run.
     assert_eq!(once.after(Failure::NotRun, at(0), || true), Next::Fail);
 }
@@ -424,18 +445,24 @@
 #[test]
 fn engines_go_in_waves_and_all_within_the_bound() {
     let known = [named(2, 0)];
-    let order = |rank| bringing::order_at(Some(Version(1)), known[0], &known, place(rank), &BRINGING);
+    let order =
+        |rank| bringing::order_at(Some(Version(1)), known[0], &known, place(rank), &BRINGING);
     for rank in 1..6 {
         assert!(order(rank) > order(rank - 1));
     }
     assert!(at(6_100).has_passed(order(5)) || order(5) <= at(6_100));
     let empty = bringing::order_at(None, known[0], &known, place(5), &BRINGING);
-    assert_eq!(empty, at(0), "an engine without weights has nothing to lose");
+    assert_eq!(
+        empty,
+        at(0),
+        "an engine without weights has nothing to lose"
+    );
 }
 
 #[test]
 fn half_of_the_engines_go_by_way_of_weights_that_come_due_first() {
-    let close = |rank| bringing::goes_by_way_of(named(2, 0), named(3, 4_000), place(rank), &BRINGING);
+    let close =
+        |rank| bringing::goes_by_way_of(named(2, 0), named(3, 4_000), place(rank), &BRINGING);
     assert_eq!((0..6).filter(|rank| close(*rank)).count(), 3);
     let soon = bringing::goes_by_way_of(named(2, 0), named(3, 2_000), place(0), &BRINGING);
     assert!(!soon, "the newer weights are there in time");
@@ -443,7 +470,10 @@
     let direct = bringing::order_at(Some(Version(1)), known[1], &known, place(4), &BRINGING);
     let by_way = bringing::order_at(Some(Version(2)), known[1], &known, place(1), &BRINGING);
     assert!(direct <= at(6_100), "due by the older weights");
-    assert!(by_way > direct, "whoever has something that serves comes last");
+    assert!(
+        by_way > direct,
+        "whoever has something that serves comes last"
+    );
 }
 
 #[test]
--- a/crates/gingerpier_settings/src/gateway.rs
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -15,6 +15,8 @@
     pub name: String,
     /// Zone.
     pub zone: String,
+    /// Region of each zone.
+    pub regions: Vec<ZoneRegion>,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address that is asked whether this process is ready.
@@ -109,6 +111,7 @@
     pub(crate) fn read(section: &mut Section<'_, '_>) -> Option<Self> {
         let name = section.required("name", "name of this process, for logs", text);
         let zone = section.required("zone", "zone of this process", text);
+        let regions = section.list("regions", "zones, as ZONE=REGION", zone_region);
         let callers = section.required("callers", "address for callers", unit::address);
         let readiness = section.required("readiness", "address for readiness", unit::address);
         let control = section.required("control", "address for other gateways", unit::address);
@@ -124,6 +127,7 @@
         Some(Self {
             name: name?,
             zone: zone?,
+            regions: regions?,
             callers: callers?,
             readiness: readiness?,
             control: control?,
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -96,11 +96,29 @@
     attempt: Option<Attempt>,
 }
 
+#[derive(Debug)]
+enum Route {
+    Tree(Plan),
+    Fixed(Vec<Source>),
+}
+
+impl Route {
+    fn sources(&self, replica: ReplicaKey, chunk: u32, sources: &mut Vec<Source>) {
+        match self {
+            Self::Tree(plan) => plan.sources(replica, chunk, sources),
+            Self::Fixed(order) => {
+                sources.clear();
+                sources.extend_from_slice(order);
+            }
+        }
+    }
+}
+
 /// A fetch under way.
 #[derive(Debug)]
 pub struct Fetch {
     terms: Terms,
-    plan: Plan,
+    route: Route,
     replica: ReplicaKey,
     held: Vec<bool>,
     held_count: u32,
@@ -118,9 +136,23 @@
 impl Fetch {
     /// Fetch by `replica` of a version of `chunk_count` chunks.
     pub fn new(terms: Terms, plan: Plan, replica: ReplicaKey, chunk_count: u32) -> Self {
+        Self::along(Route::Tree(plan), terms, replica, chunk_count)
+    }
+
+    /// Fetch of a version of `chunk_count` chunks, each from the same sources, best first.
+    pub fn fixed(terms: Terms, sources: Vec<Source>, chunk_count: u32) -> Self {
+        Self::along(
+            Route::Fixed(sources),
+            terms,
+            ReplicaKey(u32::MAX),
+            chunk_count,
+        )
+    }
+
+    fn along(route: Route, terms: Terms, replica: ReplicaKey, chunk_count: u32) -> Self {
         Self {
             terms,
-            plan,
+            route,
             replica,
             held: vec![false; chunk_count as usize],
             held_count: 0,
@@ -164,7 +196,7 @@
     ///
     /// Keys of the old plan mean nothing in the new one, so blame is given anew.
     pub fn replan(&mut self, plan: Plan, replica: ReplicaKey) {
-        self.plan = plan;
+        self.route = Route::Tree(plan);
         self.replica = replica;
         self.blamed.clear();
         for chunk in self.open.values_mut() {
@@ -239,7 +271,10 @@
     }
 
     fn open_window(&mut self) {
-        while self.open.len() < self.terms.window && (self.next as usize) < self.held.len() {
+        // What was wanted ahead of the window does not count, or the window would stand still.
+        while self.open.range(..self.next).count() < self.terms.window
+            && (self.next as usize) < self.held.len()
+        {
             if !self.held[self.next as usize] {
                 self.open.entry(self.next).or_default();
             }
@@ -312,7 +347,7 @@
         if state.attempt.is_some() || !state.not_before.has_passed(now) {
             return;
         }
-        self.plan.sources(self.replica, chunk, &mut self.scratch);
+        self.route.sources(self.replica, chunk, &mut self.scratch);
         let blamed = &self.blamed;
         let trusted = |source: &&Source| match source {
             Source::Replica(key) | Source::Holder(key) => !blamed.contains(key),
--- a/crates/gingerpier_weights/tests/spreading.rs
+++ b/crates/gingerpier_weights/tests/spreading.rs
@@ -199,3 +199,45 @@
         prop_assert!(refused);
     }
 }
+
+#[test]
+fn chunks_wanted_ahead_do_not_hold_the_window_up() {
+    let mut fetch = fetch(20);
+    for chunk in 10..16 {
+        fetch.want(chunk);
+    }
+    let mut actions = Vec::new();
+    fetch.poll(Instant::from_millis(0), &mut actions);
+    let asked = |chunk| {
+        let is =
+            |action: &Action| matches!(action, Action::Ask { chunk: other, .. } if *other == chunk);
+        actions.iter().any(is)
+    };
+    assert!(
+        asked(0) && asked(1),
+        "the window's first chunks are asked for"
+    );
+    assert!(asked(10), "so are those that were wanted");
+}
+
+#[test]
+fn a_narrow_link_halves_what_is_asked_for_and_a_stall_does_too() {
+    let mut fetch = fetch(40);
+    for chunk in 0..8 {
+        fetch.want(chunk);
+    }
+    let mut actions = Vec::new();
+    fetch.poll(Instant::from_millis(0), &mut actions);
+    let before = fetch.width();
+    actions.clear();
+    fetch.narrow(&mut actions);
+    assert!(fetch.width() <= before / 2);
+    let dropped = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Drop { .. }))
+        .count();
+    assert_eq!(
+        dropped, 4,
+        "half of eight, and all of them can be asked for again"
+    );
+}
