--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -74,7 +74,9 @@
     actix_rt::spawn(relay::serve(state.clone(), control));
     actix_rt::spawn(relay::follow(state.clone()));
     actix_rt::spawn(peers::serve(state.carrier.clone(), chunks));
-    actix_rt::spawn(weights::relay::keep(state.clone()));
+    if state.settings.carries_weights {
+        actix_rt::spawn(weights::relay::keep(state.clone()));
+    }
     actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
     actix_rt::spawn(reports::take(state.clone(), socket));
     actix_rt::spawn(answer_readiness(state.clone(), readiness));
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -27,6 +27,13 @@
 /// Most questions to the origin at once.
 const MAX_ORIGIN_TURNS: usize = 2;
 
+/// Milliseconds that one source may take for one chunk while it says that it waits itself: the
+/// origin may be down for a while, and a second gateway would only ask it for a second copy.
+const PATIENCE_MILLIS: u64 = 10_000;
+
+/// Milliseconds that another loader may take for one chunk while it says that it waits itself.
+const TREE_PATIENCE_MILLIS: u64 = 4_000;
+
 /// Chunks asked for at a gateway at once.
 const WINDOW: usize = 6;
 
@@ -60,7 +67,7 @@
 const REPORTED_MILLIS: u64 = 100;
 
 /// Milliseconds before which weights are seldom there: a copy over one link, and going round.
-const EARLIEST_MILLIS: u64 = 3_100;
+const EARLIEST_MILLIS: u64 = 3_500;
 
 /// Milliseconds that an engine's work takes to end.
 const DRAIN_MILLIS: u64 = 1_500;
@@ -183,27 +190,20 @@
     let origin = loader.origin();
     let connections = origin.map_or(0, |origin| origin.max_connections as usize);
     let origin_turns = (connections / peers.len()).clamp(1, MAX_ORIGIN_TURNS);
-    let task = |route, addresses, window, link_turns, begins| Task {
+    let by_trees = Task {
         named: named.clone(),
-        route,
+        route: Route::Tree(tree(loader, &peers, named)),
         own: ReplicaKey(0),
-        peers: addresses,
-        window,
+        peers: loaders.clone().collect(),
+        window: TREE_WINDOW,
+        patience_millis: TREE_PATIENCE_MILLIS,
         origin,
         origin_turns,
-        link_turns,
-        begins,
+        link_turns: TREE_LINK_TURNS,
+        begins: begins(loader, named),
     };
-    if gateways.is_empty() {
-        let route = Route::Tree(tree(loader, &peers, named));
-        let begins = begins(loader, named);
-        return task(
-            route,
-            loaders.collect(),
-            TREE_WINDOW,
-            TREE_LINK_TURNS,
-            begins,
-        );
+    if gateways.is_empty() || !loader.settings.weights_from_gateways {
+        return by_trees;
     }
     let gateway_count = gateways.len().min(MAX_GATEWAYS);
     let holders = loaders.skip(1).take(MAX_HOLDERS);
@@ -218,7 +218,15 @@
     };
     let mut order: Vec<Source> = (0..addresses.len()).map(source).collect();
     order.push(Source::Origin);
-    task(Route::Fixed(order), addresses, WINDOW, LINK_TURNS, None)
+    Task {
+        route: Route::Fixed(order),
+        peers: addresses,
+        window: WINDOW,
+        patience_millis: PATIENCE_MILLIS,
+        link_turns: LINK_TURNS,
+        begins: None,
+        ..by_trees
+    }
 }
 
 fn tree(loader: &Loader, peers: &[super::Peer], named: &Named) -> Plan {
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -50,7 +50,7 @@
 const MANIFEST_MILLIS: u64 = 700;
 
 /// Milliseconds for which a peer that waits for the manifest itself is waited for.
-const MANIFEST_WAIT_MILLIS: u64 = 900;
+const MANIFEST_WAIT_MILLIS: u64 = 4_000;
 
 /// Part of the time of a chunk on the origin's link after which the next one is asked for.
 const ORIGIN_PACE: f64 = 0.94;
@@ -115,6 +115,8 @@
     /// Chunks asked for at once. Each holds a connection, and a peer that is asked by many takes
     /// only so many new ones.
     pub window: usize,
+    /// Milliseconds that one source may take for one chunk while it says that it waits itself.
+    pub patience_millis: u64,
     /// Questions to the origin at once.
     pub origin_turns: usize,
     /// Chunks of other processes on their way at once.
@@ -174,6 +176,7 @@
     take_laid(carrier, &named).await;
     let terms = Terms {
         window: task.window,
+        patience_millis: task.patience_millis,
         ..TERMS
     };
     let work = Work::new(
@@ -359,6 +362,7 @@
     pool: Rc<RefCell<Pool<SocketAddr>>>,
     sender: UnboundedSender<Event>,
     events: UnboundedReceiver<Event>,
+    patience_millis: u64,
     /// Questions under way, by attempt.
     asking: HashMap<u64, JoinHandle<()>>,
     /// What narrowing asks for.
@@ -419,6 +423,7 @@
             pool: Rc::default(),
             sender,
             events,
+            patience_millis: terms.patience_millis,
             asking: HashMap::new(),
             actions: Vec::new(),
             narrowed: Instant::default(),
@@ -537,6 +542,7 @@
             source,
             attempt,
             address,
+            deadline: clock::now().after_millis(self.patience_millis),
         };
         self.asking.insert(attempt, actix_rt::spawn(asking.run()));
     }
@@ -553,12 +559,12 @@
     source: Source,
     attempt: u64,
     address: SocketAddr,
+    deadline: Instant,
 }
 
 impl Asking {
     async fn run(self) {
-        let deadline = clock::now().after_millis(TERMS.patience_millis);
-        let outcome = clock::before(deadline, self.bring()).await;
+        let outcome = clock::before(self.deadline, self.bring()).await;
         let end = Event::End {
             chunk: self.chunk,
             attempt: self.attempt,
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -8,7 +8,11 @@
     },
     crate::{clock, state::State},
     gingerpier_base::order,
-    gingerpier_serving::{dialect::Named, report::Version},
+    gingerpier_serving::{
+        bringing::{self, NamedAt, Place, Terms},
+        dialect::Named,
+        report::Version,
+    },
     gingerpier_weights::plan::{Plan, Replica, ReplicaKey},
     std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
 };
@@ -19,15 +23,34 @@
 /// Chunks of other gateways on their way at once.
 const LINK_TURNS: usize = 8;
 
+/// Milliseconds that another gateway may take for one chunk.
+const PATIENCE_MILLIS: u64 = 4_000;
+
+/// Times of a change of weights, as far as they say which of two versions is worth the origin's
+/// link.
+const TERMS: Terms = Terms {
+    within_millis: 8_000,
+    earliest_millis: 3_100,
+    drain_millis: 1_500,
+    margin_millis: 1_900,
+};
+
 /// Chunks asked for at once.
 const WINDOW: usize = 16;
 
 /// Questions to the origin at once.
 const ORIGIN_TURNS: usize = 2;
 
+/// A version on its way here.
+struct Work {
+    named: Named,
+    at: NamedAt,
+    task: actix_rt::task::JoinHandle<Named>,
+}
+
 /// Carries what is named where this gateway is the zone's first, and what loaders ask for.
 pub async fn keep(state: Rc<State>) {
-    let mut begun: BTreeSet<Version> = BTreeSet::new();
+    let mut works: Vec<Work> = Vec::new();
     loop {
         clock::pause(LOOK_MILLIS).await;
         let asked = state.carrier.asked.borrow_mut().take();
@@ -37,21 +60,42 @@
             .filter(|named| is_first(&state, named));
         let wanted: Vec<Named> = asked.into_iter().chain(named).collect();
         for named in wanted {
-            if named.version > Version::default() && begun.insert(named.version) {
-                tracing::info!(
-                    model = named.model,
-                    version = named.version.0,
-                    "weights carried"
-                );
-                *state.carrier.wanted.borrow_mut() = Some(named.clone());
-                let task = task(&state, named);
-                let carrier = state.carrier.clone();
-                actix_rt::spawn(async move { fetch::fetch(&carrier, task).await });
+            let is_known = works.iter().any(|work| work.named == named);
+            if named.version > Version::default() && !is_known {
+                carry(&state, &mut works, named);
             }
         }
     }
 }
 
+fn carry(state: &Rc<State>, works: &mut Vec<Work>, named: Named) {
+    tracing::info!(
+        model = named.model,
+        version = named.version.0,
+        "weights carried"
+    );
+    let at = NamedAt {
+        version: named.version,
+        at: clock::now(),
+    };
+    // Two versions share the origin's link: an older one goes on only where the newer one can't
+    // be there in time.
+    let first = Place { rank: 0, count: 1 };
+    for work in works
+        .iter()
+        .filter(|work| work.named.version < named.version)
+    {
+        if !bringing::goes_by_way_of(work.at, at, first, &TERMS) {
+            work.task.abort();
+        }
+    }
+    *state.carrier.wanted.borrow_mut() = Some(named.clone());
+    let task = task(state, named.clone());
+    let carrier = state.carrier.clone();
+    let task = actix_rt::spawn(async move { fetch::fetch(&carrier, task).await });
+    works.push(Work { named, at, task });
+}
+
 fn is_first(state: &State, named: &Named) -> bool {
     // What all engines hold already needs nobody to carry it.
     let fleet = state.fleet.borrow();
@@ -92,6 +136,7 @@
             .configuration()
             .and_then(|configuration| configuration.origin()),
         window: WINDOW,
+        patience_millis: PATIENCE_MILLIS,
         origin_turns: ORIGIN_TURNS,
         link_turns: LINK_TURNS,
         begins: None,
--- a/crates/gingerpier_settings/src/gateway.rs
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -41,6 +41,9 @@
     pub retry_extra: u32,
     /// Window of the retry budget; default 10s.
     pub retry_window: Millis,
+    /// True where one gateway of each zone carries weights for its loaders; default false. Sooner
+    /// on calm days, and worse where gateways are stopped while they carry.
+    pub carries_weights: bool,
 }
 
 /// Settings of a loader: weights for the engine of its own machine.
@@ -62,6 +65,9 @@
     pub version_within: Millis,
     /// Link of the machine, written in Mbit/s; default 1,000.
     pub link_bits_per_second: u64,
+    /// True where weights come from a gateway of the zone rather than by trees over the loaders;
+    /// default false; must be the same as the gateways' `carries_weights`.
+    pub weights_from_gateways: bool,
 }
 
 /// A zone and its region, written `ZONE=REGION`.
@@ -124,7 +130,9 @@
         let retry_ratio = section.or("retry_ratio", 0.1, ratio);
         let retry_extra = section.or("retry_extra", 10, unit::parse);
         let retry_window = section.or("retry_window", Millis(10_000), unit::millis);
+        let carries_weights = section.or("carries_weights", false, unit::parse);
         Some(Self {
+            carries_weights: carries_weights?,
             name: name?,
             zone: zone?,
             regions: regions?,
@@ -154,7 +162,9 @@
         let store = section.required("store", STORE, unit::address);
         let version_within = section.or("version_within", Millis(8_000), unit::millis);
         let link_bits_per_second = section.or("link", 1_000_000_000, link);
+        let weights_from_gateways = section.or("weights_from_gateways", false, unit::parse);
         Some(Self {
+            weights_from_gateways: weights_from_gateways?,
             link_bits_per_second: link_bits_per_second?,
             name: name?,
             zone: zone?,
