--- a/crates/gingerpier_gateway/src/callers/attempt.rs
+++ b/crates/gingerpier_gateway/src/callers/attempt.rs
@@ -117,6 +117,7 @@
     };
     // The engine may be closing a connection that rests: what must not run twice never goes there.
     let resting = match call.rules().repeat {
+        _ if sending.wants_new_connection => None,
         Repeat::Safe | Repeat::ResumableStream => state.pool.borrow_mut().take(&engine),
         Repeat::Once | Repeat::StreamOnce => None,
     };
--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -177,6 +177,9 @@
     pub expect_version: Version,
     /// Last event that the caller has from an earlier attempt.
     pub last_event: Option<&'a [u8]>,
+    /// True where only a new connection will do: that it comes up in time shows that the request
+    /// will not wait on its way until the engine's weights are due.
+    pub wants_new_connection: bool,
 }
 
 fn tenant(
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -226,6 +226,7 @@
             now: clock::now(),
             expect_version: self.expect_version(engine, progress),
             last_event: last_event.as_deref(),
+            wants_new_connection: self.is_outdated(engine),
         };
         let mut patience = stream::first_patience(call, sending.now);
         let begin = attempt::begin(state, call, engine, &sending);
@@ -265,6 +266,14 @@
             .unwrap_or_default()
     }
 
+    /// True where newer weights than the engine's were named.
+    fn is_outdated(&self, engine: EngineKey) -> bool {
+        let fleet = self.state.fleet.borrow();
+        let model = self.call.model.as_deref();
+        let held = model.and_then(|model| fleet.engine(engine).version_of(model, clock::now()));
+        held.is_some_and(|held| self.due().iter().any(|due| due.version > held))
+    }
+
     async fn take(
         &mut self,
         caller: &mut Connection,
@@ -331,9 +340,7 @@
         if status >= 500 || matches!(status, 408 | 429) || progress.has_begun() {
             return Ended::Answered(whole);
         }
-        let mut fleet = self.state.fleet.borrow_mut();
-        fleet.engine_mut(engine).note_success();
-        drop(fleet);
+        self.note_success(engine);
         self.note_first();
         match self.write_whole(caller, &whole).await {
             true => Ended::Done,
@@ -341,6 +348,11 @@
         }
     }
 
+    fn note_success(&self, engine: EngineKey) {
+        let mut fleet = self.state.fleet.borrow_mut();
+        fleet.engine_mut(engine).note_success();
+    }
+
     async fn write_whole(&self, caller: &mut Connection, whole: &Whole) -> bool {
         let bytes = self.head_of(&whole.head).body(&whole.body);
         let written = clock::before(self.call.deadline.after_millis(500), caller.write(&bytes));
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -134,7 +134,7 @@
     load.is_busy |= loader.is_ordering.get();
     let mut message = Datagram::Load(load);
     for (address, subscriber) in subscribers.iter() {
-        if subscriber.zone == loader.settings.zone || turn % AFAR_EVERY == 0 {
+        if subscriber.zone == loader.settings.zone || turn.is_multiple_of(AFAR_EVERY) {
             if let Datagram::Load(load) = &mut message {
                 load.echo = subscriber.stamp;
             }
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -26,7 +26,7 @@
 };
 
 /// Milliseconds before the operators' bound at which older weights serve no more.
-const VERSION_MARGIN_MILLIS: u64 = 700;
+const VERSION_MARGIN_MILLIS: u64 = 1_200;
 
 /// Milliseconds after the start within which older weights may serve.
 const START_GRACE_MILLIS: u64 = 3_000;
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -50,7 +50,7 @@
 const MANIFEST_MILLIS: u64 = 700;
 
 /// Milliseconds for which a peer that waits for the manifest itself is waited for.
-const MANIFEST_WAIT_MILLIS: u64 = 4_000;
+const MANIFEST_WAIT_MILLIS: u64 = 900;
 
 /// Part of the time of a chunk on the origin's link after which the next one is asked for.
 const ORIGIN_PACE: f64 = 0.94;
--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -146,10 +146,8 @@
     /// Where the connection ended or something else came.
     pub async fn response(&mut self) -> Result<Response, Error> {
         loop {
-            if !self.input.is_empty() {
-                if let Some(response) = Response::parse(&mut self.input, MAX_RESPONSE_HEAD)? {
-                    return Ok(response);
-                }
+            if let Some(response) = Response::parse(&mut self.input, MAX_RESPONSE_HEAD)? {
+                return Ok(response);
             }
             if !self.read().await.map_err(|_| Error::Cut)? {
                 return Err(Error::Cut);
--- a/crates/gingerpier_http1/tests/messages.rs
+++ b/crates/gingerpier_http1/tests/messages.rs
@@ -23,10 +23,10 @@
 
 #[test]
 fn fields_are_found_whatever_their_case() {
-    let request = whole("GET /a?b HTTP/1.1\r\nHost: x\r\nATTEMPT-id: 7\r\nA: 1\r\na: 2\r\n\r\n");
+    let request = whole("GET /a?b HTTP/1.1\r\nHost: x\r\nREQUEST-id: 7\r\nA: 1\r\na: 2\r\n\r\n");
     assert_eq!(request.method(), b"GET");
     assert_eq!(request.target(), b"/a?b");
-    assert_eq!(request.fields.number("Attempt-Id"), Some(7));
+    assert_eq!(request.fields.number("Request-Id"), Some(7));
     assert_eq!(request.fields.all("a").count(), 2);
     assert!(request.keeps_alive());
 }
