--- /dev/null
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -0,0 +1,174 @@
+//! How requests end: final answers, and what is noted of them.
+
+use {
+    super::{
+        After,
+        answer::{self, Refusal},
+        attempt::{Cause, Failed},
+        forward::{Course, Whole},
+        stream::Progress,
+    },
+    crate::{
+        clock, log,
+        metrics::{Ended, Ending},
+        state::State,
+    },
+    gingerpier_http1::{connection::Connection, head::Request},
+    gingerpier_serving::{course::Next, fleet::EngineKey},
+};
+
+/// Shortest and longest time after which a refused caller may come again, in seconds.
+const RETRY_AFTER: std::ops::Range<f64> = 0.25..0.9;
+
+/// Milliseconds that an engine rests after it refused a request.
+const FULL_REST_MILLIS: u64 = 60;
+
+impl Course<'_, '_> {
+    pub(super) fn note_failed(&mut self, engine: EngineKey, failed: Failed) {
+        self.cause = Some(failed.cause);
+        let now = clock::now();
+        let mut fleet = self.state.fleet.borrow_mut();
+        let engine = fleet.engine_mut(engine);
+        match failed.cause {
+            Cause::Unreachable | Cause::Broken => engine.note_failure(now),
+            Cause::Silent => engine.note_silence(now),
+            Cause::Garbled | Cause::EngineFailed => engine.note_trouble(),
+            Cause::Full | Cause::Elsewhere => engine.rest(now.after_millis(FULL_REST_MILLIS)),
+        }
+        if log::allows_request_line() {
+            tracing::info!(
+                id = self.call.id(self.state.dialect.names()),
+                engine = engine.record.id,
+                cause = ?failed.cause,
+                failure = ?failed.failure,
+                report_age = ?engine.report_age(now),
+                attempts = self.standing.attempts,
+                "attempt failed"
+            );
+        }
+    }
+
+    pub(super) async fn finish(
+        &mut self,
+        caller: &mut Connection,
+        next: Next,
+        progress: &Progress,
+        fallback: Option<Whole>,
+    ) -> After {
+        if progress.has_begun() {
+            self.log(Ending::Failed, progress);
+            return After::Close;
+        }
+        if let Some(whole) = fallback.filter(|whole| may_pass(whole.head.status)) {
+            self.log(Ending::Answered, progress);
+            return match self.write_whole(caller, &whole).await {
+                true => After::Keep,
+                false => After::Close,
+            };
+        }
+        let (refusal, ending) = match next {
+            Next::Fail | Next::TryAnother => (Refusal::Failed, Ending::Failed),
+            Next::TimeOut => (Refusal::TimedOut, Ending::TimedOut),
+            Next::Refuse => (
+                Refusal::NotRun {
+                    retry_after: self.retry_after(),
+                },
+                Ending::Refused,
+            ),
+        };
+        self.log(ending, progress);
+        let names = self.state.dialect.names();
+        let bytes = answer::refusal(refusal, self.call.request, names, self.closes());
+        match caller.write(&bytes).await {
+            Ok(()) => After::Keep,
+            Err(_) => After::Close,
+        }
+    }
+
+    /// Seconds after which the caller may come again: within a third of what it has left.
+    fn retry_after(&self) -> f64 {
+        let left = self.call.caller_deadline.millis_since(clock::now());
+        let most = left as f64 / 1_000.0 / 3.0;
+        let spread = RETRY_AFTER.end - RETRY_AFTER.start;
+        (RETRY_AFTER.start + fastrand::f64() * spread).min(most)
+    }
+
+    pub(super) fn note_done(&self, progress: &Progress) -> After {
+        self.log(Ending::Answered, progress);
+        After::Keep
+    }
+
+    pub(super) fn note_left(&self) -> After {
+        self.log(Ending::Left, &Progress::default());
+        After::Close
+    }
+
+    fn log(&self, ending: Ending, progress: &Progress) {
+        let requests = &self.state.metrics.requests;
+        requests.get_or_create(&Ended { ending }).inc();
+        if !log::allows_request_line() {
+            return;
+        }
+        let now = clock::now();
+        let fleet = self.state.fleet.borrow();
+        let engine = self.tried.last().map(|key| fleet.engine(*key));
+        tracing::info!(
+            id = self.call.id(self.state.dialect.names()),
+            outcome = ?ending,
+            route = self.call.rules().name,
+            configuration = self.call.configuration.version,
+            engine = engine.map(|engine| engine.record.id.as_str()),
+            report_age = ?engine.and_then(|engine| engine.report_age(now)),
+            attempts = self.standing.attempts,
+            cause = ?self.cause,
+            predicted = self.predicted_millis as u64,
+            first = ?progress.first_millis(self.call.received),
+            events = progress.count(),
+            returned = self.call.has_returned,
+            took = now.millis_since(self.call.received),
+            "request"
+        );
+    }
+}
+
+/// True where an engine's failure may go to the caller as it is: not where its status would
+/// promise that the request has not run.
+const fn may_pass(status: u16) -> bool {
+    !matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// Refuses a request that is not allowed.
+pub async fn refuse(
+    state: &State,
+    caller: &mut Connection,
+    request: &Request,
+    refusal: Refusal,
+) -> After {
+    let names = state.dialect.names();
+    let ending = match refusal {
+        Refusal::NoConfiguration | Refusal::Leaving => Ending::Refused,
+        _ => Ending::Denied,
+    };
+    state
+        .metrics
+        .requests
+        .get_or_create(&Ended { ending })
+        .inc();
+    if log::allows_request_line() {
+        let configuration = state.configuration();
+        tracing::info!(
+            id = request.fields.text(names.attempt),
+            host = request.fields.text("host"),
+            target = std::str::from_utf8(request.target()).unwrap_or_default(),
+            status = refusal.status(),
+            configuration = configuration.map(|configuration| configuration.version),
+            "request denied"
+        );
+    }
+    let closes = state.is_stopping.get() || !request.keeps_alive();
+    let bytes = answer::refusal(refusal, request, names, closes);
+    match caller.write(&bytes).await {
+        Ok(()) => After::Keep,
+        Err(_) => After::Close,
+    }
+}
--- a/crates/gingerpier_gateway/src/callers/mod.rs
+++ b/crates/gingerpier_gateway/src/callers/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod call;
+pub mod ending;
 pub mod forward;
 pub mod stream;
 
@@ -155,7 +156,7 @@
     };
     let after = match Call::read(state, request, &body, received) {
         Ok(call) => forward::forward(state, connection, &call).await,
-        Err(refusal) => forward::refuse(state, connection, request, refusal).await,
+        Err(refusal) => ending::refuse(state, connection, request, refusal).await,
     };
     if request.keeps_alive() && !state.is_stopping.get() {
         return after;
--- a/crates/gingerpier_gateway/src/callers/stream.rs
+++ b/crates/gingerpier_gateway/src/callers/stream.rs
@@ -4,7 +4,7 @@
     super::{
         attempt::{self, Begun, Cause, Failed, Sent},
         call::Call,
-        forward::{Course, Ended, Patience, left},
+        forward::{Course, Ended, left},
     },
     crate::clock,
     bytes::Bytes,
@@ -29,6 +29,9 @@
 /// Milliseconds until an engine that is silent, with no other to go to, is looked at again.
 const LOOK_MILLIS: u64 = 300;
 
+/// Instant by which an attempt has to show something.
+pub type Patience = Instant;
+
 /// An engine that sends nothing.
 pub const SILENT: Failed = Failed {
     failure: Failure::Unknown,
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -6,9 +6,8 @@
         clock,
         store::Client,
         weights::{
-            self, GatewayPlace,
-            fetch::{self, Route, Task},
-            holding,
+            self, GatewayPlace, fetch, holding,
+            sources::{Route, Task},
         },
     },
     gingerpier_base::{Instant, order},
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -5,15 +5,19 @@
 //! from there to the others, and gives it to the loaders of its zone. Loaders without a gateway
 //! spread chunks among themselves.
 
+pub mod asking;
 pub mod fetch;
 pub mod holding;
+pub mod manifest;
 pub mod peers;
 pub mod relay;
+pub mod sources;
 
 use {
+    bytes::Bytes,
     gingerpier_base::order,
     gingerpier_serving::{
-        dialect::{Dialect, Named},
+        dialect::{Dialect, Manifest, Named},
         pace::Pace,
         report::Version,
     },
@@ -22,6 +26,7 @@
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
+        rc::Rc,
     },
     tokio::sync::{Notify, Semaphore},
 };
@@ -88,6 +93,22 @@
         }
     }
 
+    /// Manifest of a version that is held.
+    pub fn manifest(&self, named: &Named) -> Option<Rc<Manifest>> {
+        let holdings = self.holdings.borrow();
+        let holding = holdings.get(&named.model, named.version)?;
+        Some(holding.manifest.clone())
+    }
+
+    /// Takes a chunk whose digest was found right, and wakes those who wait for it.
+    pub fn put(&self, named: &Named, chunk: u32, bytes: Bytes) {
+        let mut holdings = self.holdings.borrow_mut();
+        if let Some(holding) = holdings.get_mut(&named.model, named.version) {
+            holding.put(chunk, bytes);
+            self.arrived.notify_waiters();
+        }
+    }
+
     /// True where the engine of this machine serves exactly `named`.
     pub fn serves(&self, named: &Named) -> bool {
         self.served.borrow().as_ref() == Some(named)
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -2,9 +2,8 @@
 
 use {
     super::{
-        carriers,
-        fetch::{self, Route, Task},
-        region,
+        carriers, fetch, region,
+        sources::{Route, Task},
     },
     crate::{clock, state::State},
     gingerpier_base::order,
