--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -39,7 +39,10 @@
 const WIDTHS: usize = 4;
 
 /// Least attempts at once.
-const LEAST_WIDTH: usize = 2;
+const LEAST_WIDTH: usize = 4;
+
+/// Attempts more for each chunk that came.
+const WIDENING: usize = 2;
 
 /// What to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -239,7 +242,7 @@
         if outcome == Outcome::Held {
             self.note_held(chunk);
             self.open.remove(&chunk);
-            self.width = (self.width + 1).min(WIDTHS * self.terms.window);
+            self.width = (self.width + WIDENING).min(WIDTHS * self.terms.window);
             return;
         }
         let Some(under_way) = self.attempt_mut(chunk, attempt).copied() else {
@@ -290,9 +293,12 @@
         if attempt.stall_deadline.has_passed(now) || attempt.last_deadline.has_passed(now) {
             state.attempt = None;
             state.passed += 1;
-            // Whatever comes over a narrow link has to wait behind what was asked for.
-            let under_way = self.under_way();
-            self.width = (under_way / 2).max(LEAST_WIDTH);
+            // Whatever comes over a narrow link has to wait behind what was asked for. An origin
+            // that is down says nothing of this link.
+            if attempt.source != Source::Origin {
+                let under_way = self.under_way();
+                self.width = (under_way / 2).max(LEAST_WIDTH);
+            }
             let Attempt { number, source, .. } = attempt;
             actions.push(Action::Drop {
                 chunk,
--- a/crates/gingerpier_weights/tests/spreading.rs
+++ b/crates/gingerpier_weights/tests/spreading.rs
@@ -241,3 +241,26 @@
         "half of eight, and all of them can be asked for again"
     );
 }
+
+#[test]
+fn an_origin_that_is_down_does_not_narrow_the_link() {
+    // Replica 0 of a plan with one replica takes everything from the origin.
+    let plan = Plan::new(1, &replicas(1, 1), 2);
+    let terms = Terms {
+        window: 8,
+        stall_millis: 100,
+        ..Terms::default()
+    };
+    let mut fetch = Fetch::new(terms, plan, ReplicaKey(0), 40);
+    let mut actions = Vec::new();
+    let before = fetch.width();
+    for turn in 0..50 {
+        fetch.poll(Instant::from_millis(turn * 150), &mut actions);
+    }
+    let stalls = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Drop { .. }))
+        .count();
+    assert!(stalls > 20, "it was silent all the time");
+    assert_eq!(fetch.width(), before);
+}
