--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -168,6 +168,11 @@
     let Some(version) = engine.version_of(model, now) else {
         return false;
     };
+    // A try that is stuck on its way could begin after the weights came due.
+    let is_outdated = demand.due.iter().any(|due| due.version > version);
+    if is_outdated && engine.is_suspect() {
+        return false;
+    }
     let goes_on = demand.goes_on_with.is_none_or(|wanted| wanted == version);
     goes_on && version >= least_version(demand.due, starts) && !engine.latest(now).is_busy
 }
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -81,6 +81,9 @@
 /// Milliseconds of silence above which an engine is tried with one request at a time.
 const TRIAL_SILENCE_MILLIS: u64 = 100;
 
+/// Milliseconds of lateness above which an engine is suspect.
+const SUSPECT_LATENESS_MILLIS: f64 = 400.0;
+
 /// Milliseconds that an engine rests after it was silent.
 const SILENCE_REST_MILLIS: u64 = 1_000;
 
@@ -253,6 +256,12 @@
         self.rest(now.after_millis(SILENCE_REST_MILLIS));
     }
 
+    /// True from a request of which nothing came until one that was answered, and where first
+    /// events come much later than predicted.
+    pub fn is_suspect(&self) -> bool {
+        self.is_suspect || self.lateness > SUSPECT_LATENESS_MILLIS
+    }
+
     /// True where one request at a time shows whether the engine is well again.
     pub fn is_on_trial(&self, now: Instant) -> bool {
         self.load.waiting > 0 && (self.is_suspect || self.silence(now) > TRIAL_SILENCE_MILLIS)
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -197,6 +197,31 @@
     assert_eq!(choose(at(6_000)), None);
 }
 
+#[test]
+fn a_suspect_engine_is_not_tried_once_newer_weights_were_named() {
+    let (mut fleet, keys) = fleet(1);
+    let model = model();
+    let due = [Due {
+        version: Version(2),
+        at: at(8_000),
+    }];
+    fleet.engine_mut(keys[0]).note_silence(at(0));
+    let choose = |due: &[Due]| {
+        chosen(admission::choose(
+            &fleet,
+            &demand(&model, due, &[]),
+            at(2_000),
+            0.0,
+        ))
+    };
+    assert_eq!(choose(&[]), Some(keys[0]), "it is tried again");
+    assert_eq!(
+        choose(&due),
+        None,
+        "a try could be stuck until its weights are due"
+    );
+}
+
 #[test]
 fn a_stream_goes_on_with_the_version_that_it_began_with() {
     let (mut fleet, keys) = fleet(2);
