One list of fields that concern a connection; no platform name outside platform/; no setting that nothing reads

Cause: read once more. The list stood in callers::call and callers::forward; a name of the platform for a request's rank stood in call.rs, which the check of names did not look for; leave_within was read from the settings and used nowhere.

--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -5,7 +5,10 @@
     crate::state::State,
     bytes::Bytes,
     gingerpier_base::Instant,
-    gingerpier_http1::{head::Request, writer::Message},
+    gingerpier_http1::{
+        head::{self, Request},
+        writer::Message,
+    },
     gingerpier_serving::{
         configuration::{Configuration, Route, RouteKey, Service, ServiceKey, ServiceKind},
         dialect::Names,
@@ -15,19 +18,8 @@
     std::rc::Rc,
 };
 
-/// Fields that concern one connection, or that this system sets itself.
-const OWN_FIELDS: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-    "request-priority",
-];
+/// Field by which a caller asks whether to send its body; it is answered here.
+const EXPECT: &str = "expect";
 
 /// Part of the longest wait by which a caller that came back has less time than a new one.
 const RETURN_MILLIS: u64 = 40;
@@ -206,8 +198,10 @@
         names.expect_engine,
         names.expect_version,
         names.last_event,
+        names.priority,
+        EXPECT,
     ];
     let named =
         std::str::from_utf8(name).is_ok_and(|name| request.fields.lists("connection", name));
-    OWN_FIELDS.into_iter().any(is) || set.into_iter().any(is) || named
+    head::is_of_connection(name) || set.into_iter().any(is) || named
 }
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -10,7 +10,11 @@
     crate::{clock, state::State},
     bytes::Bytes,
     gingerpier_base::Instant,
-    gingerpier_http1::{connection::Connection, head::Response, writer::Message},
+    gingerpier_http1::{
+        connection::Connection,
+        head::{self, Response},
+        writer::Message,
+    },
     gingerpier_serving::{
         admission::{self, Choice, Demand, Due},
         course::{Failure, Next, Standing},
@@ -26,18 +30,6 @@
 /// Bytes that a caller may send ahead of its answer.
 const MAX_AHEAD_BYTES: usize = 64 * 1024;
 
-/// Fields of an answer that concern one connection.
-const CONNECTION_FIELDS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
-
 /// How an attempt ended.
 pub enum Ended {
     /// The caller has its whole answer.
@@ -348,11 +340,10 @@
     }
 
     /// Head of an engine's answer, as it goes to the caller; its length is still to be told.
-    pub fn head_of(&self, head: &Response) -> Message {
-        let mut message = Message::response(head.status);
-        for (name, value) in head.fields.iter() {
-            let is = |other: &str| name.eq_ignore_ascii_case(other.as_bytes());
-            if !CONNECTION_FIELDS.into_iter().any(is) {
+    pub fn head_of(&self, answer: &Response) -> Message {
+        let mut message = Message::response(answer.status);
+        for (name, value) in answer.fields.iter() {
+            if !head::is_of_connection(name) {
                 message = message.field(name, value);
             }
         }
--- a/crates/gingerpier_http1/src/head.rs
+++ b/crates/gingerpier_http1/src/head.rs
@@ -9,6 +9,26 @@
 /// Most header fields of one message.
 const MAX_FIELDS: usize = 100;
 
+/// Fields that concern one connection only and go no further (RFC 9110, section 7.6.1), and the
+/// length, which each hop tells anew.
+const CONNECTION_FIELDS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// True for a field that concerns one connection only.
+pub fn is_of_connection(name: &[u8]) -> bool {
+    CONNECTION_FIELDS
+        .into_iter()
+        .any(|other| name.eq_ignore_ascii_case(other.as_bytes()))
+}
+
 /// Header fields of one message, as slices of its head.
 #[derive(Debug, Clone)]
 pub struct Fields {
--- a/crates/gingerpier_serving/src/dialect.rs
+++ b/crates/gingerpier_serving/src/dialect.rs
@@ -40,6 +40,8 @@
     pub seal: &'static str,
     /// Version that answers.
     pub version: &'static str,
+    /// Rank of a request at an engine, which callers do not set.
+    pub priority: &'static str,
     /// Seconds after which to come again.
     pub retry_after: &'static str,
 }
--- a/crates/gingerpier_settings/src/gateway.rs
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -31,8 +31,6 @@
     pub store: SocketAddr,
     /// Time for a planned stop; default 8s.
     pub drain_within: Millis,
-    /// Time after which a leaving engine takes nothing new; default 2s.
-    pub leave_within: Millis,
     /// Time after which only named weights serve; default 8s.
     pub version_within: Millis,
     /// Retries for each request, of all gateways together; default 0.1.
@@ -125,7 +123,6 @@
         let seeds = section.list("seeds", "gateways to ask", unit::address);
         let store = section.required("store", STORE, unit::address);
         let drain_within = section.or("drain_within", Millis(8_000), unit::millis);
-        let leave_within = section.or("leave_within", Millis(2_000), unit::millis);
         let version_within = section.or("version_within", Millis(8_000), unit::millis);
         let retry_ratio = section.or("retry_ratio", 0.1, ratio);
         let retry_extra = section.or("retry_extra", 10, unit::parse);
@@ -143,7 +140,6 @@
             seeds: seeds?,
             store: store?,
             drain_within: drain_within?,
-            leave_within: leave_within?,
             version_within: version_within?,
             retry_ratio: retry_ratio?,
             retry_extra: retry_extra?,
