Gateways carry weights, up to four a zone; the width of a fetch bounds questions at peers only

(2) Gateways as carriers were one a zone, and loaders fell back to the origin when that one stopped: 14 copies, so the setting was off. Ruled out: differing views of who carries (peers the same), an origin that hangs (it had answered). Change: carriers are up to four gateways a zone in the plan's trees, loaders share their questions out among them and leave the origin alone while they hear gateways, a fetch that stands still takes the gateways known by then; questions at the origin are not counted by the width, and only silence narrows.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -6,7 +6,7 @@
         clock,
         store::Client,
         weights::{
-            self, GatewayPlace, fetch, holding,
+            self, fetch, holding,
             sources::{Route, Task},
         },
     },
@@ -46,9 +46,6 @@
 /// Chunks of other loaders on their way at once.
 const TREE_LINK_TURNS: usize = 6;
 
-/// Gateways that are asked for a chunk.
-const MAX_GATEWAYS: usize = 2;
-
 /// Other loaders that are asked for what they hold.
 const MAX_HOLDERS: usize = 4;
 
@@ -66,7 +63,7 @@
 const REPORTED_MILLIS: u64 = 100;
 
 /// Milliseconds before which weights are seldom there: a copy over one link, and going round.
-const EARLIEST_MILLIS: u64 = 3_500;
+const EARLIEST_MILLIS: u64 = 3_100;
 
 /// Milliseconds that an engine's work takes to end.
 const DRAIN_MILLIS: u64 = 1_500;
@@ -151,7 +148,7 @@
 
 async fn bring(loader: Rc<Loader>, wanted: Named) {
     follow::refresh(&loader).await;
-    let named = fetch::fetch(&loader.carrier, task(&loader, &wanted)).await;
+    let named = fetch::fetch(&loader.carrier, || task(&loader, &wanted)).await;
     loop {
         wait_for_turn(&loader, &named).await;
         // Chunks of one version at a time lie at the engine, until it has taken them.
@@ -173,16 +170,8 @@
     }
 }
 
-/// How the weights are fetched: from a gateway of this zone, or else by trees over the loaders.
+/// How the weights are fetched: from gateways, or by trees over the loaders where none is heard.
 fn task(loader: &Loader, named: &Named) -> Task {
-    let subscribers = loader.subscribers.borrow();
-    let gateways = subscribers
-        .iter()
-        .map(|(address, subscriber)| GatewayPlace {
-            address: *address,
-            zone: subscriber.zone.clone(),
-        });
-    let gateways = weights::carriers(gateways, &loader.settings.zone, named.version);
     let port = loader.settings.peers.port();
     let peers = loader.peers();
     let loaders = peers.iter().map(|peer| SocketAddr::new(peer.ip, port));
@@ -191,8 +180,7 @@
     let origin_turns = (connections / peers.len()).clamp(1, MAX_ORIGIN_TURNS);
     let by_trees = Task {
         named: named.clone(),
-        route: Route::Tree(tree(loader, &peers, named)),
-        own: ReplicaKey(0),
+        route: Route::Inside(tree(loader, &peers, named), ReplicaKey(0)),
         peers: loaders.clone().collect(),
         window: TREE_WINDOW,
         patience_millis: TREE_PATIENCE_MILLIS,
@@ -201,24 +189,27 @@
         link_turns: TREE_LINK_TURNS,
         begins: begins(loader, named),
     };
+    let gateways = loader.gateways();
     if gateways.is_empty() || !loader.settings.weights_from_gateways {
         return by_trees;
     }
-    let gateway_count = gateways.len().min(MAX_GATEWAYS);
+    let carriers = weights::carriers(
+        gateways.into_iter(),
+        &loader.settings.regions,
+        named.version,
+    );
+    let first_holder = carriers.addresses.len();
     let holders = loaders.skip(1).take(MAX_HOLDERS);
-    let addresses: Vec<SocketAddr> = gateways
-        .into_iter()
-        .take(gateway_count)
-        .chain(holders)
-        .collect();
-    let source = |index: usize| match index < gateway_count {
-        true => Source::Replica(ReplicaKey(index as u32)),
-        false => Source::Holder(ReplicaKey(index as u32)),
-    };
-    let mut order: Vec<Source> = (0..addresses.len()).map(source).collect();
-    order.push(Source::Origin);
+    let addresses: Vec<SocketAddr> = carriers.addresses.into_iter().chain(holders).collect();
+    let holder_keys = first_holder..addresses.len();
+    // The origin is left to the gateways: many loaders would only share its link.
+    let rest = holder_keys.map(|key| Source::Holder(ReplicaKey(key as u32)));
     Task {
-        route: Route::Fixed(order),
+        route: Route::Outside {
+            plan: carriers.plan,
+            zone: weights::zone_number(&loader.settings.zone),
+            rest: rest.collect(),
+        },
         peers: addresses,
         window: WINDOW,
         patience_millis: PATIENCE_MILLIS,
@@ -234,7 +225,7 @@
         .map(|peer| Replica {
             identity: peer.identity(),
             region: weights::region(&loader.settings.regions, &peer.zone),
-            zone: order::hash(peer.zone.as_str()),
+            zone: weights::zone_number(&peer.zone),
         })
         .collect();
     Plan::new(order::mix(named.version.0), &replicas, FAN_OUT)
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -9,7 +9,7 @@
         clock,
         error::{Error, Step},
         log,
-        weights::{Carrier, peers},
+        weights::{Carrier, GatewayPlace, peers},
     },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
@@ -160,6 +160,16 @@
             .map(|service| service.name.clone())
     }
 
+    /// Gateways that asked for reports lately.
+    pub fn gateways(&self) -> Vec<GatewayPlace> {
+        let subscribers = self.subscribers.borrow();
+        let place = |(address, subscriber): (&SocketAddr, &Subscriber)| GatewayPlace {
+            address: *address,
+            zone: subscriber.zone.clone(),
+        };
+        subscribers.iter().map(place).collect()
+    }
+
     /// Notes weights that operators named.
     pub fn note_named(&self, named: &Named) {
         let mut all = self.named.borrow_mut();
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -119,7 +119,7 @@
     let own = state.settings.control;
     let heard = state.gateways.borrow();
     let heard = heard
-        .iter()
+        .keys()
         .map(|peer| SocketAddr::new(peer.address.ip(), own.port()));
     let seeds = state.settings.seeds.iter().copied();
     let mut peers: Vec<SocketAddr> = heard.chain(seeds).filter(|peer| *peer != own).collect();
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -80,8 +80,7 @@
 
 fn note(state: &State, load: &Load) {
     if !load.gateways.is_empty() {
-        let heard = load.gateways.iter().filter_map(place);
-        state.gateways.borrow_mut().extend(heard);
+        state.note_gateways(load.gateways.iter().filter_map(place));
     }
     let Ok(address) = load.engine.parse() else {
         return;
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -19,7 +19,7 @@
     gingerpier_settings::Gateway as Settings,
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         rc::Rc,
     },
     tokio::sync::Notify,
@@ -34,6 +34,9 @@
 /// Milliseconds without word from the store after which peers are asked.
 const CONTACT_MILLIS: u64 = 900;
 
+/// Milliseconds after a gateway was last heard of from which on it carries nothing.
+const GATEWAY_LIFE_MILLIS: u64 = 2_500;
+
 /// What a gateway knows.
 pub struct State {
     /// Settings.
@@ -50,8 +53,8 @@
     pub pool: RefCell<Pool<EngineKey>>,
     /// Metrics.
     pub metrics: Metrics,
-    /// Other gateways heard of.
-    pub gateways: RefCell<BTreeSet<GatewayPlace>>,
+    /// Gateways heard of, and when last.
+    pub gateways: RefCell<BTreeMap<GatewayPlace, Instant>>,
     /// Weights that this gateway carries.
     pub carrier: Rc<Carrier>,
     /// True once the process is to stop.
@@ -269,6 +272,22 @@
         )
     }
 
+    /// Notes gateways that a loader heard from.
+    pub fn note_gateways(&self, heard: impl Iterator<Item = GatewayPlace>) {
+        let now = clock::now();
+        let heard = heard.map(|place| (place, now));
+        self.gateways.borrow_mut().extend(heard);
+    }
+
+    /// Gateways that loaders heard from lately.
+    pub fn living_gateways(&self) -> BTreeSet<GatewayPlace> {
+        let now = clock::now();
+        let gateways = self.gateways.borrow();
+        let living = |at: &Instant| now.millis_since(*at) < GATEWAY_LIFE_MILLIS;
+        let living = gateways.iter().filter(|(_, at)| living(at));
+        living.map(|(place, _)| place.clone()).collect()
+    }
+
     /// Gateways to count on when shares are made, on the safe side.
     fn gateway_count(&self) -> u32 {
         /// Gateways to expect where fewer have been heard of.
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -13,7 +13,7 @@
     gingerpier_serving::dialect::Named,
     gingerpier_weights::{
         fetch::{Action, Fetch, Outcome, Terms},
-        plan::{ReplicaKey, Source},
+        plan::Source,
     },
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
     tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -33,28 +33,52 @@
 /// Milliseconds between looks at stalled attempts.
 const TICK_MILLIS: u64 = 50;
 
+/// Milliseconds without a chunk after which the sources are looked at anew.
+const OUTDATED_MILLIS: u64 = 700;
+
 /// Milliseconds between two narrowings.
 const NARROW_EVERY_MILLIS: u64 = 300;
 
 /// Wrong chunks from the origin after which its manifest is doubted.
 const DOUBTS: u32 = 6;
 
-/// Brings a whole version here; gives the version that it turned out to be.
-pub async fn fetch(carrier: &Rc<Carrier>, task: Task) -> Named {
-    let sources = Rc::new(Sources::new(&task));
-    let order = match &task.route {
-        Route::Tree(plan) => {
-            let mut order = Vec::new();
-            plan.sources(task.own, 0, &mut order);
-            order
+/// Brings a whole version here along what `task` says; gives the version that it turned out to be.
+///
+/// `task` is asked anew where nothing has come for a while and it names other sources by then:
+/// those that were known at first may be gone.
+pub async fn fetch(carrier: &Rc<Carrier>, task: impl Fn() -> Task) -> Named {
+    loop {
+        let along = task();
+        tokio::select! {
+            named = fetch_along(carrier, &along) => return named,
+            () = until_outdated(carrier, &along, &task) => {
+                tracing::info!(version = along.named.version.0, "fetch goes on along other sources");
+            }
         }
-        Route::Fixed(order) => order.clone(),
-    };
+    }
+}
+
+/// Returns once nothing has come for a while and `task` names other sources than `along`.
+async fn until_outdated(carrier: &Carrier, along: &Task, task: &impl Fn() -> Task) {
+    let mut held = carrier.held_count(&along.named);
+    loop {
+        clock::pause(OUTDATED_MILLIS).await;
+        let now_held = carrier.held_count(&along.named);
+        if now_held == held && task().peers != along.peers {
+            return;
+        }
+        held = now_held;
+    }
+}
+
+async fn fetch_along(carrier: &Rc<Carrier>, task: &Task) -> Named {
+    let sources = Rc::new(Sources::new(task));
+    let order = task.route.of_manifest();
     loop {
         let named = manifest::hold(carrier, &sources, &order, &task.named).await;
         take_shared(carrier, &named);
         take_laid(carrier, &named).await;
-        let work = Work::new(carrier.clone(), sources.clone(), &task, named.clone());
+        let work = Work::new(carrier.clone(), sources.clone(), task, named.clone());
         if work.run().await == Ended::Complete {
             return named;
         }
@@ -73,19 +97,6 @@
     Doubted,
 }
 
-/// Chunks that this process is the first to take.
-fn entries(route: &Route, own: ReplicaKey, count: u32) -> Vec<u32> {
-    let Route::Tree(plan) = route else {
-        return Vec::new();
-    };
-    let mut sources = Vec::new();
-    let mut enters = |chunk: &u32| {
-        plan.sources(own, *chunk, &mut sources);
-        sources.first() == Some(&Source::Origin)
-    };
-    (0..count).filter(|chunk| enters(chunk)).collect()
-}
-
 /// Takes chunks that another version here has, too.
 fn take_shared(carrier: &Carrier, named: &Named) {
     let shared = carrier
@@ -162,13 +173,14 @@
             patience_millis: task.patience_millis,
             ..TERMS
         };
-        let replica = task.own;
         let manifest = carrier.manifest(&named);
         let count = manifest.map_or(0, |manifest| manifest.digests.len());
-        let own = entries(&task.route, replica, count as u32);
-        let mut fetch = match &task.route {
-            Route::Tree(plan) => Fetch::new(terms, plan.clone(), replica, count as u32),
-            Route::Fixed(order) => Fetch::fixed(terms, order.clone(), count as u32),
+        let own = task.route.entries(count as u32);
+        let mut fetch = match task.route.clone() {
+            Route::Inside(plan, own) => Fetch::new(terms, plan, own, count as u32),
+            Route::Outside { plan, zone, rest } => {
+                Fetch::outside(terms, plan, zone, rest, count as u32)
+            }
         };
         let holdings = carrier.holdings.borrow();
         if let Some(holding) = holdings.get(&named.model, named.version) {
--- a/crates/gingerpier_gateway/src/weights/holding.rs
+++ b/crates/gingerpier_gateway/src/weights/holding.rs
@@ -49,9 +49,14 @@
         }
     }
 
+    /// Chunks that are here.
+    pub fn held_count(&self) -> usize {
+        self.chunks.iter().flatten().count()
+    }
+
     /// True once every chunk is here.
     pub fn is_complete(&self) -> bool {
-        self.chunks.iter().all(Option::is_some)
+        self.held_count() == self.chunks.len()
     }
 }
 
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -1,9 +1,9 @@
 //! Weights on their way: what a process holds, gives and fetches.
 //!
 //! Gateways have wide links, and backend servers narrow ones that carry the answers of engines,
-//! too. So one gateway of each zone takes what was named, each chunk entering in one zone and going
-//! from there to the others, and gives it to the loaders of its zone. Loaders without a gateway
-//! spread chunks among themselves.
+//! too. So some gateways of each zone take what was named, each chunk entering at one of them and
+//! going from there to the others, and give it to the loaders of their zone, which share their
+//! questions out among them. Loaders without a gateway spread chunks among themselves.
 
 pub mod asking;
 pub mod fetch;
@@ -22,9 +22,11 @@
         report::Version,
     },
     gingerpier_settings::gateway::ZoneRegion,
-    holding::Holdings,
+    gingerpier_weights::plan::{Plan, Replica},
+    holding::{Holding, Holdings},
     std::{
         cell::{Cell, RefCell},
+        collections::BTreeMap,
         net::SocketAddr,
         rc::Rc,
     },
@@ -100,6 +102,13 @@
         Some(holding.manifest.clone())
     }
 
+    /// Chunks of a version that are held.
+    pub fn held_count(&self, named: &Named) -> usize {
+        let holdings = self.holdings.borrow();
+        let holding = holdings.get(&named.model, named.version);
+        holding.map_or(0, Holding::held_count)
+    }
+
     /// Takes a chunk whose digest was found right, and wakes those who wait for it.
     pub fn put(&self, named: &Named, chunk: u32, bytes: Bytes) {
         let mut holdings = self.holdings.borrow_mut();
@@ -124,18 +133,49 @@
     pub zone: String,
 }
 
-/// Gateways of `zone`, in the order in which they carry a version.
+/// Most gateways of a zone that carry a version: enough links for the loaders of the zone, and few
+/// enough questions at the origin.
+const MOST_CARRIERS: usize = 4;
+
+/// Gateways that carry a version, and the trees along which its chunks reach them.
+pub struct Carriers {
+    /// Their addresses; their places are the keys in `plan`.
+    pub addresses: Vec<SocketAddr>,
+    /// Trees.
+    pub plan: Plan,
+}
+
+/// Which of `gateways` carry `version`. Whoever knows the same gateways gets the same answer.
 pub fn carriers(
     gateways: impl Iterator<Item = GatewayPlace>,
-    zone: &str,
+    regions: &[ZoneRegion],
     version: Version,
-) -> Vec<SocketAddr> {
-    let mut addresses: Vec<SocketAddr> = gateways
-        .filter(|place| place.zone == zone)
-        .map(|place| place.address)
-        .collect();
-    order::sort_by_score(order::mix(version.0), &mut addresses, order::hash);
-    addresses
+) -> Carriers {
+    let mut zones: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+    for place in gateways {
+        zones.entry(place.zone).or_default().push(place.address);
+    }
+    let subject = order::mix(version.0);
+    let mut addresses = Vec::new();
+    let mut replicas = Vec::new();
+    for (zone, mut members) in zones {
+        members.sort_unstable();
+        order::sort_by_score(subject, &mut members, order::hash);
+        members.truncate(MOST_CARRIERS);
+        replicas.extend(members.iter().map(|member| Replica {
+            identity: order::hash(member),
+            region: region(regions, &zone),
+            zone: zone_number(&zone),
+        }));
+        addresses.extend(members);
+    }
+    let plan = Plan::new(subject, &replicas, MOST_CARRIERS as u32);
+    Carriers { addresses, plan }
+}
+
+/// Stable number of a zone.
+pub fn zone_number(zone: &str) -> u64 {
+    order::hash(zone)
 }
 
 /// Stable number of the region of `zone`.
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -2,18 +2,17 @@
 
 use {
     super::{
-        carriers, fetch, region,
+        Carriers, GatewayPlace, fetch,
         sources::{Route, Task},
     },
-    crate::{clock, state::State},
-    gingerpier_base::order,
+    crate::{clock, state::State, weights},
     gingerpier_serving::{
         bringing::{self, NamedAt, Place, Terms},
         dialect::Named,
         report::Version,
     },
-    gingerpier_weights::plan::{Plan, Replica, ReplicaKey},
-    std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
+    gingerpier_weights::plan::{ReplicaKey, Source},
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// Milliseconds between looks at what is to be carried.
@@ -38,7 +37,7 @@
 const WINDOW: usize = 16;
 
 /// Questions to the origin at once.
-const ORIGIN_TURNS: usize = 2;
+const ORIGIN_TURNS: usize = 1;
 
 /// A version on its way here.
 struct Work {
@@ -47,7 +46,7 @@
     task: actix_rt::task::JoinHandle<Named>,
 }
 
-/// Carries what is named where this gateway is the zone's first, and what loaders ask for.
+/// Carries what is named where this gateway is one of the zone's carriers, and what loaders ask for.
 pub async fn keep(state: Rc<State>) {
     let mut works: Vec<Work> = Vec::new();
     loop {
@@ -56,7 +55,7 @@
         let named = state
             .named()
             .into_iter()
-            .filter(|named| is_first(&state, named));
+            .filter(|named| is_carrier(&state, named));
         let wanted: Vec<Named> = asked.into_iter().chain(named).collect();
         for named in wanted {
             let is_known = works.iter().any(|work| work.named == named);
@@ -89,13 +88,14 @@
         }
     }
     *state.carrier.wanted.borrow_mut() = Some(named.clone());
-    let task = task(state, named.clone());
-    let carrier = state.carrier.clone();
-    let task = actix_rt::spawn(async move { fetch::fetch(&carrier, task).await });
+    let own = state.clone();
+    let wanted = named.clone();
+    let task =
+        actix_rt::spawn(async move { fetch::fetch(&own.carrier, || task(&own, &wanted)).await });
     works.push(Work { named, at, task });
 }
 
-fn is_first(state: &State, named: &Named) -> bool {
+fn is_carrier(state: &State, named: &Named) -> bool {
     // What all engines hold already needs nobody to carry it.
     let fleet = state.fleet.borrow();
     let now = clock::now();
@@ -103,37 +103,44 @@
         .listed()
         .filter_map(|(_, engine)| engine.version_of(&named.model, now));
     let is_needed = held.min().is_some_and(|least| least < named.version);
-    let zone = &state.settings.zone;
     let own = state.settings.peers;
-    let order = carriers(state.gateways.borrow().iter().cloned(), zone, named.version);
-    is_needed && order.first().is_none_or(|first| *first == own)
+    is_needed
+        && known_carriers(state, named.version)
+            .addresses
+            .contains(&own)
 }
 
-fn task(state: &State, named: Named) -> Task {
+fn known_carriers(state: &State, version: Version) -> Carriers {
+    let own = GatewayPlace {
+        address: state.settings.peers,
+        zone: state.settings.zone.clone(),
+    };
+    let mut known = state.living_gateways();
+    known.insert(own);
+    weights::carriers(known.into_iter(), &state.settings.regions, version)
+}
+
+fn task(state: &State, named: &Named) -> Task {
     let own = state.settings.peers;
-    let gateways = state.gateways.borrow();
-    let zones: BTreeSet<&str> = gateways.iter().map(|place| place.zone.as_str()).collect();
-    let mut peers = vec![own];
-    let mut replicas = vec![replica(state, own, &state.settings.zone)];
-    for zone in zones
-        .into_iter()
-        .filter(|zone| *zone != state.settings.zone)
-    {
-        let order = carriers(gateways.iter().cloned(), zone, named.version);
-        if let Some(first) = order.first() {
-            peers.push(*first);
-            replicas.push(replica(state, *first, zone));
-        }
-    }
-    let plan = Plan::new(order::mix(named.version.0), &replicas, 1);
+    let carriers = known_carriers(state, named.version);
+    let is_own = |address: &SocketAddr| *address == own;
+    let route = match carriers.addresses.iter().position(is_own) {
+        Some(key) => Route::Inside(carriers.plan, ReplicaKey(key as u32)),
+        // Loaders that know fewer gateways asked for it.
+        None => Route::Outside {
+            plan: carriers.plan,
+            zone: weights::zone_number(&state.settings.zone),
+            rest: vec![Source::Origin],
+        },
+    };
+    let origin = state
+        .configuration()
+        .and_then(|configuration| configuration.origin());
     Task {
-        named,
-        route: Route::Tree(plan),
-        own: ReplicaKey(0),
-        peers,
-        origin: state
-            .configuration()
-            .and_then(|configuration| configuration.origin()),
+        named: named.clone(),
+        route,
+        peers: carriers.addresses,
+        origin,
         window: WINDOW,
         patience_millis: PATIENCE_MILLIS,
         origin_turns: ORIGIN_TURNS,
@@ -141,11 +148,3 @@
         begins: None,
     }
 }
-
-fn replica(state: &State, address: SocketAddr, zone: &str) -> Replica {
-    Replica {
-        identity: order::hash(&address),
-        region: region(&state.settings.regions, zone),
-        zone: order::hash(zone),
-    }
-}
--- a/crates/gingerpier_gateway/src/weights/sources.rs
+++ b/crates/gingerpier_gateway/src/weights/sources.rs
@@ -15,10 +15,45 @@
 /// From whom chunks are taken.
 #[derive(Debug, Clone)]
 pub enum Route {
-    /// By trees over the replicas.
-    Tree(Plan),
-    /// From these, best first, whatever the chunk.
-    Fixed(Vec<Source>),
+    /// As one of a plan's replicas.
+    Inside(Plan, ReplicaKey),
+    /// From a plan's replicas, as one of a zone, and then from others.
+    Outside {
+        /// Plan.
+        plan: Plan,
+        /// Stable number of the own zone.
+        zone: u64,
+        /// Others, best first.
+        rest: Vec<Source>,
+    },
+}
+
+impl Route {
+    /// Sources of the manifest, best first.
+    pub fn of_manifest(&self) -> Vec<Source> {
+        let mut sources = Vec::new();
+        match self {
+            Self::Inside(plan, own) => plan.sources(*own, 0, &mut sources),
+            Self::Outside { plan, zone, rest } => {
+                plan.sources_outside(*zone, 0, &mut sources);
+                sources.extend_from_slice(rest);
+            }
+        }
+        sources
+    }
+
+    /// Chunks of the first `count` that this process is the first to take.
+    pub fn entries(&self, count: u32) -> Vec<u32> {
+        let Self::Inside(plan, own) = self else {
+            return Vec::new();
+        };
+        let mut sources = Vec::new();
+        let mut enters = |chunk: &u32| {
+            plan.sources(*own, *chunk, &mut sources);
+            sources.first() == Some(&Source::Origin)
+        };
+        (0..count).filter(|chunk| enters(chunk)).collect()
+    }
 }
 
 /// A version to fetch, and from whom.
@@ -28,9 +63,7 @@
     pub named: Named,
     /// From whom.
     pub route: Route,
-    /// This process among the replicas.
-    pub own: ReplicaKey,
-    /// Addresses of the replicas, by key.
+    /// Addresses of the sources, by key.
     pub peers: Vec<SocketAddr>,
     /// Origin.
     pub origin: Option<Origin>,
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -101,17 +101,23 @@
 
 #[derive(Debug)]
 enum Route {
-    Tree(Plan),
-    Fixed(Vec<Source>),
+    /// As one of the plan's replicas.
+    Inside(Plan, ReplicaKey),
+    /// From the plan's replicas, in a zone, and then from others.
+    Outside {
+        plan: Plan,
+        zone: u64,
+        rest: Vec<Source>,
+    },
 }
 
 impl Route {
-    fn sources(&self, replica: ReplicaKey, chunk: u32, sources: &mut Vec<Source>) {
+    fn sources(&self, chunk: u32, sources: &mut Vec<Source>) {
         match self {
-            Self::Tree(plan) => plan.sources(replica, chunk, sources),
-            Self::Fixed(order) => {
-                sources.clear();
-                sources.extend_from_slice(order);
+            Self::Inside(plan, replica) => plan.sources(*replica, chunk, sources),
+            Self::Outside { plan, zone, rest } => {
+                plan.sources_outside(*zone, chunk, sources);
+                sources.extend_from_slice(rest);
             }
         }
     }
@@ -122,7 +128,6 @@
 pub struct Fetch {
     terms: Terms,
     route: Route,
-    replica: ReplicaKey,
     held: Vec<bool>,
     held_count: u32,
     /// Lowest chunk that has not been started.
@@ -139,24 +144,25 @@
 impl Fetch {
     /// Fetch by `replica` of a version of `chunk_count` chunks.
     pub fn new(terms: Terms, plan: Plan, replica: ReplicaKey, chunk_count: u32) -> Self {
-        Self::along(Route::Tree(plan), terms, replica, chunk_count)
+        Self::along(Route::Inside(plan, replica), terms, chunk_count)
     }
 
-    /// Fetch of a version of `chunk_count` chunks, each from the same sources, best first.
-    pub fn fixed(terms: Terms, sources: Vec<Source>, chunk_count: u32) -> Self {
-        Self::along(
-            Route::Fixed(sources),
-            terms,
-            ReplicaKey(u32::MAX),
-            chunk_count,
-        )
+    /// Fetch of a version of `chunk_count` chunks by a process of `zone` that is no replica of
+    /// `plan`: from the plan's replicas, and then from `rest`, best first.
+    pub fn outside(
+        terms: Terms,
+        plan: Plan,
+        zone: u64,
+        rest: Vec<Source>,
+        chunk_count: u32,
+    ) -> Self {
+        Self::along(Route::Outside { plan, zone, rest }, terms, chunk_count)
     }
 
-    fn along(route: Route, terms: Terms, replica: ReplicaKey, chunk_count: u32) -> Self {
+    fn along(route: Route, terms: Terms, chunk_count: u32) -> Self {
         Self {
             terms,
             route,
-            replica,
             held: vec![false; chunk_count as usize],
             held_count: 0,
             next: 0,
@@ -199,8 +205,7 @@
     ///
     /// Keys of the old plan mean nothing in the new one, so blame is given anew.
     pub fn replan(&mut self, plan: Plan, replica: ReplicaKey) {
-        self.route = Route::Tree(plan);
-        self.replica = replica;
+        self.route = Route::Inside(plan, replica);
         self.blamed.clear();
         for chunk in self.open.values_mut() {
             chunk.passed = 0;
@@ -294,8 +299,9 @@
             state.attempt = None;
             state.passed += 1;
             // Whatever comes over a narrow link has to wait behind what was asked for. An origin
-            // that is down says nothing of this link.
-            if attempt.source != Source::Origin {
+            // that is down says nothing of this link, nor does a peer that says that it waits.
+            let is_silent = attempt.stall_deadline.has_passed(now);
+            if is_silent && attempt.source != Source::Origin {
                 let under_way = self.under_way();
                 self.width = (under_way / 2).max(LEAST_WIDTH);
             }
@@ -339,21 +345,30 @@
     }
 
     fn under_way(&self) -> usize {
-        let open = self.open.values();
-        open.filter(|chunk| chunk.attempt.is_some()).count()
+        self.attempts_under_way().count()
+    }
+
+    /// True where no more may be asked of peers. The origin gives turns of its own, and has to be
+    /// asked also while all peers wait for it.
+    fn is_full(&self) -> bool {
+        let attempts = self.attempts_under_way();
+        let at_peers = attempts.filter(|attempt| attempt.source != Source::Origin);
+        at_peers.count() >= self.width
+    }
+
+    fn attempts_under_way(&self) -> impl Iterator<Item = Attempt> {
+        self.open.values().filter_map(|chunk| chunk.attempt)
     }
 
     fn ask(&mut self, chunk: u32, now: Instant, actions: &mut Vec<Action>) {
-        if self.under_way() >= self.width {
-            return;
-        }
+        let is_full = self.is_full();
         let Some(state) = self.open.get_mut(&chunk) else {
             return;
         };
         if state.attempt.is_some() || !state.not_before.has_passed(now) {
             return;
         }
-        self.route.sources(self.replica, chunk, &mut self.scratch);
+        self.route.sources(chunk, &mut self.scratch);
         let blamed = &self.blamed;
         let trusted = |source: &&Source| match source {
             Source::Replica(key) | Source::Holder(key) => !blamed.contains(key),
@@ -370,6 +385,9 @@
             state.not_before = now.after_millis(self.terms.pause_millis);
             return;
         };
+        if is_full && source != Source::Origin {
+            return;
+        }
         self.attempts += 1;
         let number = self.attempts;
         state.attempt = Some(Attempt {
--- a/crates/gingerpier_weights/tests/spreading.rs
+++ b/crates/gingerpier_weights/tests/spreading.rs
@@ -264,3 +264,87 @@
     assert!(stalls > 20, "it was silent all the time");
     assert_eq!(fetch.width(), before);
 }
+
+/// Fetch at the root of a chain of two zones: it takes every other chunk from the origin itself.
+fn fetch_at_a_root(chunks: u32) -> Fetch {
+    let plan = Plan::new(1, &replicas(2, 1), 1);
+    let terms = Terms {
+        window: 16,
+        stall_millis: 100,
+        patience_millis: 10_000,
+        pause_millis: 10,
+    };
+    Fetch::new(terms, plan, ReplicaKey(0), chunks)
+}
+
+#[test]
+fn questions_that_wait_at_others_do_not_keep_the_origin_from_being_asked() {
+    const LATE_MILLIS: u64 = 2_000;
+    let mut fetch = fetch_at_a_root(32);
+    let mut asked = std::collections::BTreeSet::new();
+    let mut waiting = Vec::new();
+    // The link was narrow once; since then the other root says that it waits itself, and no more.
+    let mut dropped = Vec::new();
+    fetch.poll(Instant::from_millis(0), &mut dropped);
+    fetch.narrow(&mut dropped);
+    fetch.narrow(&mut dropped);
+    for millis in (0..=3_000).step_by(50) {
+        let now = Instant::from_millis(millis);
+        let mut actions = Vec::new();
+        fetch.poll(now, &mut actions);
+        for (chunk, attempt) in &waiting {
+            fetch.progress(*chunk, *attempt, now);
+        }
+        for action in actions {
+            let Action::Ask {
+                chunk,
+                source,
+                attempt,
+            } = action
+            else {
+                continue;
+            };
+            if source != Source::Origin {
+                waiting.push((chunk, attempt));
+                continue;
+            }
+            fetch.end(chunk, attempt, Outcome::Failed, now);
+            if millis > LATE_MILLIS {
+                asked.insert(chunk);
+            }
+        }
+    }
+    assert!(asked.len() >= 8, "{asked:?} are still asked for");
+}
+
+#[test]
+fn a_process_outside_asks_the_root_of_its_zone_first_and_then_everyone_in_it() {
+    let plan = Plan::new(1, &replicas(3, 4), 4);
+    let mut first = std::collections::BTreeSet::new();
+    for chunk in 0..48 {
+        let mut sources = Vec::new();
+        plan.sources_outside(1, chunk, &mut sources);
+        let Source::Replica(root) = sources[0] else {
+            panic!("a replica comes first")
+        };
+        first.insert(root);
+        let mut own = Vec::new();
+        plan.sources(root, chunk, &mut own);
+        let is_of_zone =
+            |source: &Source| matches!(source, Source::Replica(key) if (4..8).contains(&key.0));
+        assert!(
+            !is_of_zone(&own[0]),
+            "the root takes it from outside: {own:?}"
+        );
+        assert_eq!(
+            sources.iter().filter(|source| is_of_zone(source)).count(),
+            4
+        );
+        assert_eq!(sources.len(), 6, "and the roots of both other zones");
+    }
+    assert_eq!(
+        first.len(),
+        4,
+        "chunks are shared out among the zone's replicas"
+    );
+}
