Relays in rendezvous order; gateways hear of orders before anything changes at an engine; added engines' weights come while they start

And where gateways are added while weights are on their way, the trees by place moved all chunks, views differed, and some waited for each other (5 copies, 3.7 s and more). New gateways knew no others for half a second, as they subscribed before they knew a loader. One report named all gateways: 40 of them do not fit into a datagram. Change: notice 450 ms before chunks are laid and 650 ms before the order, told to all zones at once, none where the engine may serve nothing; Relays rank by the two alone (property: never a circle); gateways subscribe as soon as they know a loader, hear of others with the first report, settle 400 ms before they carry, and leave versions older than the newest one alone; loaders wait for 24 chunks at once, and fetch while an added engine is not up yet.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -5,10 +5,7 @@
     crate::{
         clock,
         store::Client,
-        weights::{
-            self, fetch, holding,
-            sources::{Route, Task},
-        },
+        weights::{self, fetch, holding, sources::Task},
     },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
@@ -16,7 +13,10 @@
         dialect::{Named, Started},
         report::Version,
     },
-    gingerpier_weights::plan::{Plan, Replica, ReplicaKey, Source},
+    gingerpier_weights::{
+        Route,
+        plan::{Plan, Replica, ReplicaKey, Source},
+    },
     std::{net::SocketAddr, rc::Rc},
 };
 
@@ -34,7 +34,7 @@
 const TREE_PATIENCE_MILLIS: u64 = 4_000;
 
 /// Chunks asked for at a gateway at once.
-const WINDOW: usize = 6;
+const WINDOW: usize = 24;
 
 /// Chunks asked for at other loaders at once.
 const TREE_WINDOW: usize = 24;
@@ -52,12 +52,20 @@
 /// Milliseconds after weights were named by which manifests are there.
 const MANIFEST_LEAD_MILLIS: u64 = 300;
 
+/// Milliseconds from the start for which the engine is waited for before weights are fetched.
+const ENGINE_AWAITED_MILLIS: u64 = 250;
+
 /// Milliseconds between looks at what the engine holds.
 const LOOK_MILLIS: u64 = 50;
 
-/// Milliseconds between the word that an order is coming and the order: gateways hear it, and what
-/// waits at the engine begins, rather than wait until the order is carried out.
-const NOTICE_MILLIS: u64 = 300;
+/// Milliseconds between the word that an order is coming and the first change at the engine.
+/// Gateways hear it, and what waits at the engine begins meanwhile: a machine that stands still
+/// later on keeps no request back that would begin on the older weights when it wakes. The engine
+/// loses nothing by it, as what runs takes longer to end.
+const QUIET_MILLIS: u64 = 450;
+
+/// Milliseconds between the word that an order is coming and the order.
+const NOTICE_MILLIS: u64 = 650;
 
 /// Milliseconds after an order by which a report tells of it.
 const REPORTED_MILLIS: u64 = 100;
@@ -95,11 +103,14 @@
 /// Keeps the engine at the weights that are wanted.
 pub async fn keep(loader: Rc<Loader>) {
     let mut works: Vec<Work> = Vec::new();
+    let awaited = clock::now().after_millis(ENGINE_AWAITED_MILLIS);
     loop {
         clock::pause(LOOK_MILLIS).await;
         works.retain(Work::is_under_way);
+        // Weights may come while the engine is not up yet; one that is up tells first what it has.
         let is_there = loader.report.borrow().is_some();
-        let wanted = loader.wanted().filter(|_| is_there);
+        let is_time = is_there || awaited.has_passed(clock::now());
+        let wanted = loader.wanted().filter(|_| is_time);
         let Some(wanted) = wanted else { continue };
         let held = loader.held(&wanted.model);
         if held.is_some_and(|held| held >= wanted.version) {
@@ -125,7 +136,7 @@
 
 /// True where older weights are still brought although newer ones are wanted.
 fn goes_on(loader: &Loader, older: &Named, newer: &Named) -> bool {
-    if loader.is_ordering.get() {
+    if loader.is_ordering() {
         return true;
     }
     let named = loader.named(&newer.model);
@@ -163,9 +174,12 @@
             clock::pause(LOOK_MILLIS).await;
             continue;
         }
-        if lay(&loader, &named).await && order(&loader, &named).await {
+        let notice = Notice::give(&loader, &named).await;
+        let is_laid = lay(&loader, &named).await;
+        if is_laid && order(&loader, &named, &notice).await {
             return;
         }
+        drop(notice);
         clock::pause(PAUSE_MILLIS).await;
     }
 }
@@ -180,7 +194,10 @@
     let origin_turns = (connections / peers.len()).clamp(1, MAX_ORIGIN_TURNS);
     let by_trees = Task {
         named: named.clone(),
-        route: Route::Inside(tree(loader, &peers, named), ReplicaKey(0)),
+        route: Route::Tree {
+            plan: tree(loader, &peers, named),
+            own: ReplicaKey(0),
+        },
         peers: loaders.clone().collect(),
         window: TREE_WINDOW,
         patience_millis: TREE_PATIENCE_MILLIS,
@@ -205,8 +222,8 @@
     // The origin is left to the gateways: many loaders would only share its link.
     let rest = holder_keys.map(|key| Source::Holder(ReplicaKey(key as u32)));
     Task {
-        route: Route::Outside {
-            plan: carriers.plan,
+        route: Route::Leaf {
+            relays: carriers.relays,
             zone: weights::zone_number(&loader.settings.zone),
             rest: rest.collect(),
         },
@@ -266,6 +283,47 @@
     bringing::place(peers[0].identity(), &members, version)
 }
 
+/// The word to gateways that an order is coming; taken back when dropped.
+struct Notice<'l> {
+    loader: &'l Loader,
+    /// When the order may be given.
+    ends: Instant,
+}
+
+impl<'l> Notice<'l> {
+    /// Tells the gateways, and lets what waits at the engine begin. An engine that may serve
+    /// nothing has nothing that waits.
+    async fn give(loader: &'l Loader, named: &Named) -> Self {
+        loader.set_ordering(true);
+        let now = clock::now();
+        if !may_serve(loader, named) {
+            return Self { loader, ends: now };
+        }
+        clock::pause(QUIET_MILLIS).await;
+        Self {
+            loader,
+            ends: now.after_millis(NOTICE_MILLIS),
+        }
+    }
+}
+
+impl Drop for Notice<'_> {
+    fn drop(&mut self) {
+        self.loader.set_ordering(false);
+    }
+}
+
+/// True where the engine holds weights of the model that are not overdue.
+fn may_serve(loader: &Loader, named: &Named) -> bool {
+    let Some(held) = loader.held(&named.model) else {
+        return false;
+    };
+    let within = loader.settings.version_within.0;
+    let known = loader.named(&named.model);
+    let mut newer = known.iter().filter(|known| known.version > held);
+    !newer.any(|newer| newer.at.after_millis(within).has_passed(clock::now()))
+}
+
 /// Lays every chunk at the engine and reads each back right before the order; true where all of
 /// them lie there as they should.
 async fn lay(loader: &Loader, named: &Named) -> bool {
@@ -276,20 +334,24 @@
     };
     let Some(holding) = holding else { return false };
     let mut laid = 0;
+    // Where one chunk has to be laid, the next one has to be, too, as a rule.
+    let mut is_missing = false;
     for chunk in 0..holding.manifest.digests.len() as u32 {
         let Some(bytes) = holding.chunk(chunk) else {
             return false;
         };
         let mut is_right = false;
         for _ in 0..LAY_TRIES {
-            let question = loader.dialect.laid_chunk(&named.model, chunk);
-            let Ok(whole) = client.call(&question, ENGINE_MILLIS).await else {
-                return false;
-            };
-            let is_here = whole.head.status == 200;
-            if is_here && holding::is_right(&holding.manifest, chunk, &whole.body) {
-                is_right = true;
-                break;
+            if !is_missing {
+                let question = loader.dialect.laid_chunk(&named.model, chunk);
+                let Ok(whole) = client.call(&question, ENGINE_MILLIS).await else {
+                    return false;
+                };
+                let is_here = whole.head.status == 200;
+                is_right = is_here && holding::is_right(&holding.manifest, chunk, &whole.body);
+                if is_right {
+                    break;
+                }
             }
             let mut call = loader.dialect.lay_chunk(&named.model, chunk);
             call.body = bytes.to_vec();
@@ -297,11 +359,13 @@
             if client.call(&call, ENGINE_MILLIS).await.is_err() {
                 return false;
             }
+            is_missing = false;
         }
         if !is_right {
             tracing::warn!(chunk, "chunk does not lie at the engine as it should");
             return false;
         }
+        is_missing = laid > chunk;
     }
     tracing::info!(
         version = named.version.0,
@@ -312,9 +376,8 @@
 }
 
 /// Orders the engine to take what lies there; true once it holds it.
-async fn order(loader: &Loader, named: &Named) -> bool {
-    loader.is_ordering.set(true);
-    clock::pause(NOTICE_MILLIS).await;
+async fn order(loader: &Loader, named: &Named, notice: &Notice<'_>) -> bool {
+    clock::until(notice.ends).await;
     let sequence = loader
         .report
         .borrow()
@@ -335,7 +398,7 @@
         "start ordered"
     );
     clock::pause(REPORTED_MILLIS).await;
-    loader.is_ordering.set(false);
+    loader.set_ordering(false);
     if outcome == Some(Started::Refused) {
         return false;
     }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -30,7 +30,7 @@
     tokio::{
         net::{TcpListener, UdpSocket},
         signal::unix::{SignalKind, signal},
-        sync::Mutex,
+        sync::{Mutex, Notify},
     },
 };
 
@@ -43,6 +43,8 @@
     pub stamp: u64,
     /// When it last asked.
     pub at: Instant,
+    /// True once it was told of gateways.
+    pub has_gateways: bool,
 }
 
 /// A machine with an engine of the same service.
@@ -76,7 +78,9 @@
     /// Held while chunks are laid at the engine and until it has taken them.
     pub engine_turn: Mutex<()>,
     /// True while an order is about to be given.
-    pub is_ordering: Cell<bool>,
+    is_ordering: Cell<bool>,
+    /// Tells that gateways have to hear something at once.
+    pub news: Notify,
     mirror: RefCell<Mirror>,
     fleet: RefCell<Fleet>,
     configuration: RefCell<Option<Configuration>>,
@@ -96,6 +100,7 @@
             subscribers: RefCell::default(),
             report: RefCell::default(),
             is_ordering: Cell::new(false),
+            news: Notify::new(),
             mirror: RefCell::default(),
             fleet: RefCell::default(),
             configuration: RefCell::default(),
@@ -224,6 +229,18 @@
             .max()
     }
 
+    /// True while an order is about to be given.
+    pub fn is_ordering(&self) -> bool {
+        self.is_ordering.get()
+    }
+
+    /// Notes whether an order is about to be given; gateways hear of it at once.
+    pub fn set_ordering(&self, is_ordering: bool) {
+        if self.is_ordering.replace(is_ordering) != is_ordering {
+            self.news.notify_one();
+        }
+    }
+
     /// True where the engine answers and carries out no order.
     pub fn is_engine_free(&self) -> bool {
         let report = self.report.borrow();
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -11,7 +11,7 @@
         dialect::Named,
         report::{Report, Version},
     },
-    std::{net::SocketAddr, rc::Rc},
+    std::{collections::BTreeMap, net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
 };
 
@@ -21,8 +21,14 @@
 /// Reports of which gateways of other zones get one.
 const AFAR_EVERY: u64 = 5;
 
-/// Reports of which one names the gateways.
-const GATEWAYS_EVERY: u64 = 20;
+/// Reports of which one names gateways to those of this zone.
+const GATEWAYS_EVERY: u64 = 5;
+
+/// Reports of which one names gateways to those of other zones.
+const GATEWAYS_AFAR_EVERY: u64 = 20;
+
+/// Gateways that one report names: more would not fit into a datagram.
+const GATEWAYS_NAMED: usize = 16;
 
 /// Milliseconds that the engine may take.
 const ENGINE_MILLIS: u64 = 400;
@@ -54,12 +60,18 @@
             version: Version(weights.version),
         });
     }
+    let mut subscribers = loader.subscribers.borrow_mut();
+    let known = subscribers.get(&from);
     let subscriber = Subscriber {
         zone: subscribe.zone,
         stamp: subscribe.stamp,
         at: clock::now(),
+        has_gateways: known.is_some_and(|known| known.has_gateways),
     };
-    loader.subscribers.borrow_mut().insert(from, subscriber);
+    let is_new = subscribers.insert(from, subscriber).is_none();
+    if is_new {
+        loader.news.notify_one();
+    }
 }
 
 /// Asks the engine and tells the gateways, again and again.
@@ -68,10 +80,16 @@
     let mut turn = 0;
     loop {
         let report = ask(&loader, &mut client).await;
-        note_report(&loader, report);
+        let mut is_news = note_report(&loader, report);
         turn += 1;
-        tell(&loader, &socket, turn);
-        clock::pause(REPORT_EVERY_MILLIS).await;
+        let next = clock::now().after_millis(REPORT_EVERY_MILLIS);
+        loop {
+            tell(&loader, &socket, turn, is_news);
+            is_news = true;
+            if clock::before(next, loader.news.notified()).await.is_none() {
+                break;
+            }
+        }
     }
 }
 
@@ -87,7 +105,8 @@
     }
 }
 
-fn note_report(loader: &Loader, report: Option<Report>) {
+/// Notes a report; true where the engine's weights or its readiness for work changed.
+fn note_report(loader: &Loader, report: Option<Report>) -> bool {
     let mut last = loader.report.borrow_mut();
     let is_new = match (&*last, &report) {
         (Some(last), Some(report)) => last.held != report.held || last.is_busy != report.is_busy,
@@ -109,16 +128,23 @@
         Some(Named { model, version })
     });
     *loader.carrier.served.borrow_mut() = served;
+    is_new
 }
 
-fn member((address, subscriber): (&SocketAddr, &Subscriber)) -> Member {
-    Member {
+/// Some of the gateways, others at each turn.
+fn gateways(subscribers: &BTreeMap<SocketAddr, Subscriber>, turn: u64) -> Vec<Member> {
+    let count = subscribers.len().max(1);
+    let skipped = (turn / GATEWAYS_EVERY) as usize * GATEWAYS_NAMED % count;
+    let members = subscribers.iter().map(|(address, subscriber)| Member {
         address: address.to_string(),
         zone: subscriber.zone.clone(),
-    }
+    });
+    let members = members.cycle().skip(skipped);
+    members.take(count.min(GATEWAYS_NAMED)).collect()
 }
 
-fn tell(loader: &Loader, socket: &UdpSocket, turn: u64) {
+/// Tells the gateways of this zone, and those of other zones now and then or where there is news.
+fn tell(loader: &Loader, socket: &UdpSocket, turn: u64, is_news: bool) {
     let report = loader.report.borrow();
     let Some(report) = report.as_ref() else {
         return;
@@ -126,20 +152,30 @@
     let mut subscribers = loader.subscribers.borrow_mut();
     let now = clock::now();
     subscribers.retain(|_, subscriber| now.millis_since(subscriber.at) < SUBSCRIPTION_MILLIS);
-    let gateways = match turn % GATEWAYS_EVERY {
-        0 => subscribers.iter().map(member).collect(),
-        _ => Vec::new(),
-    };
-    let mut load = Load::new(loader.settings.engine.to_string(), report, gateways);
-    load.is_busy |= loader.is_ordering.get();
-    let mut message = Datagram::Load(load);
-    for (address, subscriber) in subscribers.iter() {
-        if subscriber.zone == loader.settings.zone || turn.is_multiple_of(AFAR_EVERY) {
-            if let Datagram::Load(load) = &mut message {
-                load.echo = subscriber.stamp;
-            }
-            // A datagram that can't be sent is as good as lost; the next one follows.
-            let _ = socket.try_send_to(&message::encode(&message), *address);
+    let gateways = gateways(&subscribers, turn);
+    let mut load = Load::new(loader.settings.engine.to_string(), report);
+    load.is_busy |= loader.is_ordering();
+    for (address, subscriber) in subscribers.iter_mut() {
+        let is_near = subscriber.zone == loader.settings.zone;
+        if !is_near && !is_news && !turn.is_multiple_of(AFAR_EVERY) {
+            continue;
         }
+        let every = if is_near {
+            GATEWAYS_EVERY
+        } else {
+            GATEWAYS_AFAR_EVERY
+        };
+        let names_gateways = !subscriber.has_gateways || turn.is_multiple_of(every);
+        subscriber.has_gateways = true;
+        let load = Load {
+            echo: subscriber.stamp,
+            gateways: match names_gateways {
+                true => gateways.clone(),
+                false => Vec::new(),
+            },
+            ..load.clone()
+        };
+        // A datagram that can't be sent is as good as lost; the next one follows.
+        let _ = socket.try_send_to(&message::encode(&Datagram::Load(load)), *address);
     }
 }
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -120,7 +120,7 @@
 
 impl Load {
     /// Load of the engine at `engine`, from its report.
-    pub fn new(engine: String, report: &Report, gateways: Vec<Member>) -> Self {
+    pub fn new(engine: String, report: &Report) -> Self {
         let held = report.held.iter().map(|held| Weights {
             model: held.model.clone(),
             version: held.version.0,
@@ -134,7 +134,7 @@
             memory_used: report.memory_used,
             memory_total: report.memory_total,
             pace: (report.pace * 1_000.0) as u32,
-            gateways,
+            gateways: Vec::new(),
             echo: 0,
         }
     }
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -16,6 +16,9 @@
 /// Milliseconds between subscriptions.
 const SUBSCRIBE_EVERY_MILLIS: u64 = 500;
 
+/// Milliseconds between looks for loaders while none is known.
+const LOOK_MILLIS: u64 = 20;
+
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 1400;
 
@@ -24,11 +27,16 @@
     let port = state.settings.peers.port();
     loop {
         let message = message::encode(&Datagram::Subscribe(subscription(&state)));
-        for loader in loaders(&state, port) {
+        let loaders = loaders(&state, port);
+        for loader in &loaders {
             // A datagram that can't be sent is as good as lost; the next one follows.
-            let _ = socket.try_send_to(&message, loader);
+            let _ = socket.try_send_to(&message, *loader);
         }
-        clock::pause(SUBSCRIBE_EVERY_MILLIS).await;
+        let pause = match loaders.is_empty() {
+            true => LOOK_MILLIS,
+            false => SUBSCRIBE_EVERY_MILLIS,
+        };
+        clock::pause(pause).await;
     }
 }
 
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -5,7 +5,7 @@
         Carrier,
         asking::{Asking, Event},
         holding, manifest,
-        sources::{Route, Sources, Task},
+        sources::{Sources, Task},
     },
     crate::{clock, pool::Pool, store},
     actix_rt::task::JoinHandle,
@@ -73,7 +73,8 @@
 
 async fn fetch_along(carrier: &Rc<Carrier>, task: &Task) -> Named {
     let sources = Rc::new(Sources::new(task));
-    let order = task.route.of_manifest();
+    let mut order = Vec::new();
+    task.route.sources(0, &mut order);
     loop {
         let named = manifest::hold(carrier, &sources, &order, &task.named).await;
         take_shared(carrier, &named);
@@ -176,12 +177,7 @@
         let manifest = carrier.manifest(&named);
         let count = manifest.map_or(0, |manifest| manifest.digests.len());
         let own = task.route.entries(count as u32);
-        let mut fetch = match task.route.clone() {
-            Route::Inside(plan, own) => Fetch::new(terms, plan, own, count as u32),
-            Route::Outside { plan, zone, rest } => {
-                Fetch::outside(terms, plan, zone, rest, count as u32)
-            }
-        };
+        let mut fetch = Fetch::along(terms, task.route.clone(), count as u32);
         let holdings = carrier.holdings.borrow();
         if let Some(holding) = holdings.get(&named.model, named.version) {
             for chunk in 0..count as u32 {
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -22,7 +22,7 @@
         report::Version,
     },
     gingerpier_settings::gateway::ZoneRegion,
-    gingerpier_weights::plan::{Plan, Replica},
+    gingerpier_weights::{Relays, plan::Replica},
     holding::{Holding, Holdings},
     std::{
         cell::{Cell, RefCell},
@@ -137,12 +137,12 @@
 /// enough questions at the origin.
 const MOST_CARRIERS: usize = 4;
 
-/// Gateways that carry a version, and the trees along which its chunks reach them.
+/// Gateways that carry a version.
 pub struct Carriers {
-    /// Their addresses; their places are the keys in `plan`.
+    /// Their addresses; their places are the keys in `relays`.
     pub addresses: Vec<SocketAddr>,
-    /// Trees.
-    pub plan: Plan,
+    /// Who of them takes which chunk in.
+    pub relays: Relays,
 }
 
 /// Which of `gateways` carry `version`. Whoever knows the same gateways gets the same answer.
@@ -169,8 +169,8 @@
         }));
         addresses.extend(members);
     }
-    let plan = Plan::new(subject, &replicas, MOST_CARRIERS as u32);
-    Carriers { addresses, plan }
+    let relays = Relays::new(subject, replicas);
+    Carriers { addresses, relays }
 }
 
 /// Stable number of a zone.
--- a/crates/gingerpier_gateway/src/weights/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -189,12 +189,16 @@
     if wanted.as_ref() == Some(named) {
         return true;
     }
+    let is_older = |other: &Named| other.version <= named.version;
     if carrier.engine.is_none() {
-        *carrier.asked.borrow_mut() = Some(named.clone());
-        return true;
+        // Older weights would take the origin's link from newer ones.
+        let is_carried = wanted.as_ref().is_none_or(is_older);
+        if is_carried {
+            *carrier.asked.borrow_mut() = Some(named.clone());
+        }
+        return is_carried;
     }
     let served = carrier.served.borrow();
-    let is_older = |other: &Named| other.version <= named.version;
     served
         .as_ref()
         .is_none_or(|served| served.version < named.version)
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -1,20 +1,24 @@
 //! A gateway that carries weights for its zone.
 
 use {
-    super::{
-        Carriers, GatewayPlace, fetch,
-        sources::{Route, Task},
-    },
+    super::{Carriers, GatewayPlace, fetch, sources::Task},
     crate::{clock, state::State, weights},
     gingerpier_serving::{
         bringing::{self, NamedAt, Place, Terms},
         dialect::Named,
         report::Version,
     },
-    gingerpier_weights::plan::{ReplicaKey, Source},
+    gingerpier_weights::{
+        Route,
+        plan::{ReplicaKey, Source},
+    },
     std::{net::SocketAddr, rc::Rc},
 };
 
+/// Milliseconds from the start within which a gateway carries nothing: what it knows of other
+/// gateways by then would make it ask the origin for what is already on its way.
+const SETTLE_MILLIS: u64 = 400;
+
 /// Milliseconds between looks at what is to be carried.
 const LOOK_MILLIS: u64 = 25;
 
@@ -22,7 +26,7 @@
 const LINK_TURNS: usize = 8;
 
 /// Milliseconds that another gateway may take for one chunk.
-const PATIENCE_MILLIS: u64 = 4_000;
+const PATIENCE_MILLIS: u64 = 5_000;
 
 /// Times of a change of weights, as far as they say which of two versions is worth the origin's
 /// link.
@@ -49,6 +53,7 @@
 /// Carries what is named where this gateway is one of the zone's carriers, and what loaders ask for.
 pub async fn keep(state: Rc<State>) {
     let mut works: Vec<Work> = Vec::new();
+    clock::pause(SETTLE_MILLIS).await;
     loop {
         clock::pause(LOOK_MILLIS).await;
         let asked = state.carrier.asked.borrow_mut().take();
@@ -125,10 +130,13 @@
     let carriers = known_carriers(state, named.version);
     let is_own = |address: &SocketAddr| *address == own;
     let route = match carriers.addresses.iter().position(is_own) {
-        Some(key) => Route::Inside(carriers.plan, ReplicaKey(key as u32)),
+        Some(key) => Route::Relay {
+            relays: carriers.relays,
+            own: ReplicaKey(key as u32),
+        },
         // Loaders that know fewer gateways asked for it.
-        None => Route::Outside {
-            plan: carriers.plan,
+        None => Route::Leaf {
+            relays: carriers.relays,
             zone: weights::zone_number(&state.settings.zone),
             rest: vec![Source::Origin],
         },
--- a/crates/gingerpier_gateway/src/weights/sources.rs
+++ b/crates/gingerpier_gateway/src/weights/sources.rs
@@ -4,7 +4,7 @@
     crate::clock,
     gingerpier_base::Instant,
     gingerpier_serving::{configuration::Origin, dialect::Named},
-    gingerpier_weights::plan::{Plan, ReplicaKey, Source},
+    gingerpier_weights::{Route, plan::Source},
     std::net::SocketAddr,
     tokio::sync::Semaphore,
 };
@@ -12,50 +12,6 @@
 /// Part of the time of a chunk on the origin's link after which the next one is asked for.
 const ORIGIN_PACE: f64 = 0.94;
 
-/// From whom chunks are taken.
-#[derive(Debug, Clone)]
-pub enum Route {
-    /// As one of a plan's replicas.
-    Inside(Plan, ReplicaKey),
-    /// From a plan's replicas, as one of a zone, and then from others.
-    Outside {
-        /// Plan.
-        plan: Plan,
-        /// Stable number of the own zone.
-        zone: u64,
-        /// Others, best first.
-        rest: Vec<Source>,
-    },
-}
-
-impl Route {
-    /// Sources of the manifest, best first.
-    pub fn of_manifest(&self) -> Vec<Source> {
-        let mut sources = Vec::new();
-        match self {
-            Self::Inside(plan, own) => plan.sources(*own, 0, &mut sources),
-            Self::Outside { plan, zone, rest } => {
-                plan.sources_outside(*zone, 0, &mut sources);
-                sources.extend_from_slice(rest);
-            }
-        }
-        sources
-    }
-
-    /// Chunks of the first `count` that this process is the first to take.
-    pub fn entries(&self, count: u32) -> Vec<u32> {
-        let Self::Inside(plan, own) = self else {
-            return Vec::new();
-        };
-        let mut sources = Vec::new();
-        let mut enters = |chunk: &u32| {
-            plan.sources(*own, *chunk, &mut sources);
-            sources.first() == Some(&Source::Origin)
-        };
-        (0..count).filter(|chunk| enters(chunk)).collect()
-    }
-}
-
 /// A version to fetch, and from whom.
 #[derive(Debug, Clone)]
 pub struct Task {
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -6,7 +6,10 @@
 //! either passes, or the source fails or sends wrong bytes, the next source of the plan is taken.
 
 use {
-    crate::plan::{Plan, ReplicaKey, Source},
+    crate::{
+        plan::{Plan, ReplicaKey, Source},
+        route::Route,
+    },
     gingerpier_base::Instant,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -99,30 +102,6 @@
     attempt: Option<Attempt>,
 }
 
-#[derive(Debug)]
-enum Route {
-    /// As one of the plan's replicas.
-    Inside(Plan, ReplicaKey),
-    /// From the plan's replicas, in a zone, and then from others.
-    Outside {
-        plan: Plan,
-        zone: u64,
-        rest: Vec<Source>,
-    },
-}
-
-impl Route {
-    fn sources(&self, chunk: u32, sources: &mut Vec<Source>) {
-        match self {
-            Self::Inside(plan, replica) => plan.sources(*replica, chunk, sources),
-            Self::Outside { plan, zone, rest } => {
-                plan.sources_outside(*zone, chunk, sources);
-                sources.extend_from_slice(rest);
-            }
-        }
-    }
-}
-
 /// A fetch under way.
 #[derive(Debug)]
 pub struct Fetch {
@@ -142,24 +121,13 @@
 }
 
 impl Fetch {
-    /// Fetch by `replica` of a version of `chunk_count` chunks.
-    pub fn new(terms: Terms, plan: Plan, replica: ReplicaKey, chunk_count: u32) -> Self {
-        Self::along(Route::Inside(plan, replica), terms, chunk_count)
-    }
-
-    /// Fetch of a version of `chunk_count` chunks by a process of `zone` that is no replica of
-    /// `plan`: from the plan's replicas, and then from `rest`, best first.
-    pub fn outside(
-        terms: Terms,
-        plan: Plan,
-        zone: u64,
-        rest: Vec<Source>,
-        chunk_count: u32,
-    ) -> Self {
-        Self::along(Route::Outside { plan, zone, rest }, terms, chunk_count)
+    /// Fetch by `own` of a version of `chunk_count` chunks.
+    pub fn new(terms: Terms, plan: Plan, own: ReplicaKey, chunk_count: u32) -> Self {
+        Self::along(terms, Route::Tree { plan, own }, chunk_count)
     }
 
-    fn along(route: Route, terms: Terms, chunk_count: u32) -> Self {
+    /// Fetch of a version of `chunk_count` chunks along `route`.
+    pub fn along(terms: Terms, route: Route, chunk_count: u32) -> Self {
         Self {
             terms,
             route,
@@ -204,8 +172,8 @@
     /// Takes a new plan; attempts under way go on, and the next ones follow it.
     ///
     /// Keys of the old plan mean nothing in the new one, so blame is given anew.
-    pub fn replan(&mut self, plan: Plan, replica: ReplicaKey) {
-        self.route = Route::Inside(plan, replica);
+    pub fn replan(&mut self, plan: Plan, own: ReplicaKey) {
+        self.route = Route::Tree { plan, own };
         self.blamed.clear();
         for chunk in self.open.values_mut() {
             chunk.passed = 0;
--- a/crates/gingerpier_weights/src/lib.rs
+++ b/crates/gingerpier_weights/src/lib.rs
@@ -3,7 +3,9 @@
 //! A version of weights is a [`manifest::Manifest`]: its files as one run of bytes, cut into
 //! chunks that each have a digest. The [`plan::Plan`] says from whom each replica takes each
 //! chunk, with the same answer at every process and no talk. The [`fetch::Fetch`] state machine
-//! follows the plan at one replica, and takes the next source where one stalls or lies.
+//! follows the plan at one replica, and takes the next source where one stalls or lies. Where some
+//! processes with wide links take a version in for the others, they are [`relay::Relays`], and a
+//! [`route::Route`] says how one process follows either.
 //!
 //! ```
 //! use gingerpier_weights::manifest::Builder;
@@ -19,8 +21,12 @@
 pub mod fetch;
 pub mod manifest;
 pub mod plan;
+pub mod relay;
 pub mod room;
+pub mod route;
 
 pub use fetch::Fetch;
 pub use manifest::Manifest;
 pub use plan::Plan;
+pub use relay::Relays;
+pub use route::Route;
--- a/crates/gingerpier_weights/src/plan.rs
+++ b/crates/gingerpier_weights/src/plan.rs
@@ -50,7 +50,6 @@
 #[derive(Debug, Clone)]
 struct ZoneGroup {
     region: u64,
-    zone: u64,
     /// Members in the zone's order.
     members: Vec<ReplicaKey>,
     stride: usize,
@@ -98,7 +97,6 @@
                 last_zone = Some((replica.region, replica.zone));
                 zones.push(ZoneGroup {
                     region: replica.region,
-                    zone: replica.zone,
                     members: Vec::new(),
                     stride: 1,
                     zone_count: 1,
@@ -142,21 +140,6 @@
         self.last_resorts(place, replica, chunk, sources);
     }
 
-    /// Writes the sources of `chunk` for a process that is no replica itself into `sources`: the
-    /// replicas of its zone, the zone's root for that chunk first, then the other zones' roots.
-    pub fn sources_outside(&self, zone: u64, chunk: u32, sources: &mut Vec<Source>) {
-        sources.clear();
-        let own = self.zones.iter().position(|group| group.zone == zone);
-        if let Some(own) = own {
-            let group = &self.zones[own];
-            let members = 0..group.members.len();
-            sources.extend(members.map(|position| Source::Replica(group.at(position, chunk))));
-        }
-        let chain = self.chain(chunk);
-        let others = chain.iter().filter(|other| Some(**other) != own);
-        sources.extend(others.map(|other| Source::Replica(self.zones[*other].at(0, chunk))));
-    }
-
     fn climb_zone(&self, place: Place, chunk: u32, sources: &mut Vec<Source>) {
         let zone = &self.zones[place.zone];
         let mut position = zone.position(place.index, chunk);
