Two gateways a zone watch the store and tell the others; loaders read the configuration once

Change: serving::watching names two members of a zone that watch, the others are told of changes by them (mirror::changes_after) and ask the store at once where one is silent or its word is older than 1.2 s; an empty page tells whether a silent watch was deaf; a long answer may take its time while bytes come; loaders list engines alone, and watch named weights alone while gateways know the same of engines and origin.

--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -22,19 +22,29 @@
 const RETRY_MILLIS: u64 = 500;
 
 /// Follows what operators write.
+///
+/// A configuration may be large, and there are many loaders: one that gateways tell of it reads it
+/// once, and again only where what it needs of it has changed. Named weights it watches itself,
+/// as each moment counts.
 pub async fn follow(loader: Rc<Loader>) {
     let mut client = Client::new(loader.settings.store);
-    let mut in_step = false;
+    let mut in_step = None;
     loop {
-        let step = if in_step {
-            watch(&loader, &mut client).await
+        let scope = match loader.is_told_enough() {
+            true => Scope::Weights,
+            false => Scope::Operators,
+        };
+        // What was watched more narrowly has to be read before it is watched more widely.
+        let is_covered = in_step.is_some_and(|last| last == scope || scope == Scope::Weights);
+        let step = if is_covered {
+            watch(&loader, &mut client, scope).await
         } else {
             read(&loader, &mut client).await.map(|()| true)
         };
         match step {
-            Ok(next) => in_step = next,
+            Ok(next) => in_step = next.then_some(scope),
             Err(error) => {
-                in_step = false;
+                in_step = None;
                 tracing::warn!(cause = %error, "store does not answer");
                 clock::pause(RETRY_MILLIS + fastrand::u64(..RETRY_MILLIS)).await;
             }
@@ -46,7 +56,7 @@
 /// only the list of engines is taken from it.
 pub async fn refresh(loader: &Loader) {
     let mut client = Client::new(loader.settings.store);
-    match store::read_all(&mut client, loader.dialect, true).await {
+    match store::read_all(&mut client, loader.dialect, Scope::Engines, true).await {
         Ok(copy) => {
             let mut fleet = Fleet::default();
             for item in &copy.items {
@@ -66,16 +76,16 @@
 }
 
 async fn read(loader: &Loader, client: &mut Client) -> Result<(), Error> {
-    let copy = store::read_all(client, loader.dialect, false).await?;
+    let copy = store::read_all(client, loader.dialect, Scope::Everything, false).await?;
     let news = loader.mirror.borrow_mut().replace(copy.items, copy.at);
     take(loader, news);
     Ok(())
 }
 
-async fn watch(loader: &Loader, client: &mut Client) -> Result<bool, Error> {
+async fn watch(loader: &Loader, client: &mut Client, scope: Scope) -> Result<bool, Error> {
     let after = loader.mirror.borrow().at();
     let dialect = loader.dialect;
-    match store::watch(client, dialect, Scope::Operators, after, WATCH_MILLIS).await? {
+    match store::watch(client, dialect, scope, after, WATCH_MILLIS).await? {
         Watched::HistoryGone => Ok(false),
         Watched::Changes(page) => {
             let news = loader.mirror.borrow_mut().apply(page.items, page.at);
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -45,6 +45,10 @@
     pub at: Instant,
     /// True once it was told of gateways.
     pub has_gateways: bool,
+    /// Version of the configuration that it knows.
+    pub configuration: u64,
+    /// What that says of engines and origins, as a digest.
+    pub weights_digest: u64,
 }
 
 /// A machine with an engine of the same service.
@@ -175,6 +179,23 @@
         subscribers.iter().map(place).collect()
     }
 
+    /// True where gateways tell what operators write, and the configuration read last still says
+    /// what they know of engines and origins.
+    pub fn is_told_enough(&self) -> bool {
+        let configuration = self.configuration.borrow();
+        let Some(configuration) = configuration.as_ref() else {
+            return false;
+        };
+        let known = configuration.weights_digest();
+        let subscribers = self.subscribers.borrow();
+        let newest = subscribers
+            .values()
+            .max_by_key(|subscriber| subscriber.configuration);
+        newest.is_some_and(|newest| {
+            newest.weights_digest == known || newest.configuration <= configuration.version
+        })
+    }
+
     /// Notes weights that operators named.
     pub fn note_named(&self, named: &Named) {
         let mut all = self.named.borrow_mut();
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -67,6 +67,8 @@
         stamp: subscribe.stamp,
         at: clock::now(),
         has_gateways: known.is_some_and(|known| known.has_gateways),
+        configuration: subscribe.configuration,
+        weights_digest: subscribe.weights_digest,
     };
     let is_new = subscribers.insert(from, subscriber).is_none();
     if is_new {
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -1,7 +1,10 @@
 //! Messages between gateways and loaders, in CBOR with numbered fields.
 
 use {
-    gingerpier_serving::report::{Held, Report, Version},
+    gingerpier_serving::{
+        mirror::{Item, Revision},
+        report::{Held, Report, Version},
+    },
     minicbor::{Decode, Encode},
 };
 
@@ -30,6 +33,12 @@
     /// When the gateway sent this, in milliseconds of its own clock.
     #[cbor(n(2), default)]
     pub stamp: u64,
+    /// Version of the configuration that the gateway knows; 0 for none.
+    #[cbor(n(3), default)]
+    pub configuration: u64,
+    /// What that says of engines and origins of weights, as a digest.
+    #[cbor(n(4), default)]
+    pub weights_digest: u64,
 }
 
 /// A gateway.
@@ -101,12 +110,15 @@
     /// Revision.
     #[n(1)]
     pub revision: u64,
-    /// Value.
+    /// Value; empty where the key is gone.
     #[cbor(n(2), with = "minicbor::bytes")]
     pub value: Vec<u8>,
+    /// True where the key is gone.
+    #[cbor(n(3), default)]
+    pub is_gone: bool,
 }
 
-/// What a gateway knows of the store.
+/// What a gateway knows of the store: all of it, or what changed behind a revision.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 #[cbor(map)]
 pub struct Snapshot {
@@ -116,6 +128,33 @@
     /// Items.
     #[n(1)]
     pub items: Vec<SharedItem>,
+    /// True where the items are changes, not all that there is.
+    #[cbor(n(2), default)]
+    pub is_changes: bool,
+    /// Milliseconds since the store's last word; none where there was none.
+    #[cbor(n(3), default)]
+    pub age: Option<u64>,
+}
+
+impl SharedItem {
+    /// Item to be told.
+    pub fn new(item: Item) -> Self {
+        Self {
+            key: item.key,
+            revision: item.revision.0,
+            is_gone: item.value.is_none(),
+            value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
+        }
+    }
+
+    /// The item that was told.
+    pub fn item(self) -> Item {
+        Item {
+            key: self.key,
+            revision: Revision(self.revision),
+            value: (!self.is_gone).then(|| self.value.into()),
+        }
+    }
 }
 
 impl Load {
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -1,4 +1,5 @@
-//! What gateways tell each other while the store does not answer one of them.
+//! What gateways tell each other of the store: those that watch it to the others of their zone,
+//! and all to one that the store does not answer.
 
 use {
     crate::{
@@ -8,10 +9,7 @@
         store::Client,
     },
     gingerpier_http1::{connection::Connection, head::Request, writer::Message},
-    gingerpier_serving::{
-        dialect::Call,
-        mirror::{Item, Revision},
-    },
+    gingerpier_serving::{dialect::Call, mirror::Revision, watching::MOST_AGE_MILLIS},
     std::{net::SocketAddr, rc::Rc},
     tokio::net::TcpListener,
 };
@@ -28,6 +26,12 @@
 /// Milliseconds that a peer may take.
 const ANSWER_MILLIS: u64 = 500;
 
+/// Milliseconds for which a question is held while there is no news.
+const WAIT_MILLIS: u64 = 400;
+
+/// Milliseconds beyond that which an answer may take.
+const SLACK_MILLIS: u64 = 250;
+
 /// Peers asked at once.
 const ASKED: usize = 2;
 
@@ -53,7 +57,7 @@
 async fn answer(state: &State, mut connection: Connection) {
     let rest = clock::now().after_millis(REST_MILLIS);
     while let Some(Some(request)) = clock::before(rest, read_head(&mut connection)).await {
-        let reply = reply(state, &request);
+        let reply = reply(state, &request).await;
         if connection.write(&reply).await.is_err() {
             return;
         }
@@ -74,31 +78,107 @@
     }
 }
 
-fn reply(state: &State, request: &Request) -> Vec<u8> {
+async fn reply(state: &State, request: &Request) -> Vec<u8> {
     let target = std::str::from_utf8(request.target()).unwrap_or_default();
     if target == METRICS_PATH {
         return Message::response(200).body(state.metrics.text().as_bytes());
     }
-    let Some(query) = target.strip_prefix(SNAPSHOT_PATH) else {
+    let Some(question) = Question::parse(target) else {
         return Message::response(404).body(b"");
     };
-    let after = query
-        .strip_prefix("?after=")
-        .and_then(|text| text.parse().ok());
-    let mirror = state.mirror.borrow();
-    if mirror.at() <= Revision(after.unwrap_or_default()) {
-        return Message::response(204).end();
+    wait_for_news(state, &question).await;
+    Message::response(200).body(&message::encode(&snapshot(state, question.after)))
+}
+
+/// Returns once more is known than the asker has, or its time is over.
+async fn wait_for_news(state: &State, question: &Question) {
+    let deadline = clock::now().after_millis(question.wait_millis.min(WAIT_MILLIS));
+    while state.mirror.borrow().at() <= question.after {
+        let news = clock::before(deadline, state.news.notified());
+        if news.await.is_none() {
+            return;
+        }
     }
-    let shared = mirror.items().map(|item| SharedItem {
-        key: item.key,
-        revision: item.revision.0,
-        value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
-    });
-    let snapshot = Snapshot {
+}
+
+fn snapshot(state: &State, after: Revision) -> Snapshot {
+    let mirror = state.mirror.borrow();
+    let changes = mirror.changes_after(after);
+    let is_changes = changes.is_some();
+    let items = changes.unwrap_or_else(|| mirror.items().collect());
+    Snapshot {
         at: mirror.at().0,
-        items: shared.collect(),
+        items: items.into_iter().map(SharedItem::new).collect(),
+        is_changes,
+        age: state.contact_age(),
+    }
+}
+
+/// What a gateway asks another.
+#[derive(Debug, Clone, Copy)]
+struct Question {
+    /// Revision that it has.
+    after: Revision,
+    /// Milliseconds for which it waits for news.
+    wait_millis: u64,
+}
+
+impl Question {
+    fn target(&self) -> String {
+        format!(
+            "{SNAPSHOT_PATH}?after={}&wait={}",
+            self.after.0, self.wait_millis
+        )
+    }
+
+    fn parse(target: &str) -> Option<Self> {
+        let query = target
+            .strip_prefix(SNAPSHOT_PATH)?
+            .strip_prefix("?after=")?;
+        let (after, wait) = query.split_once("&wait=").unwrap_or((query, "0"));
+        Some(Self {
+            after: Revision(after.parse().ok()?),
+            wait_millis: wait.parse().ok()?,
+        })
+    }
+}
+
+/// Asks a gateway that watches the store for news, and takes it; false where its word does not
+/// count.
+pub async fn ask_watcher(state: &State, client: &mut Client) -> bool {
+    let question = Question {
+        after: state.mirror.borrow().at(),
+        wait_millis: WAIT_MILLIS,
+    };
+    let Some(snapshot) = exchange(client, &question, WAIT_MILLIS + SLACK_MILLIS).await else {
+        return false;
     };
-    Message::response(200).body(&message::encode(&snapshot))
+    let Some(age) = snapshot.age.filter(|age| *age <= MOST_AGE_MILLIS) else {
+        return false;
+    };
+    take(state, snapshot);
+    state.note_contact(age);
+    true
+}
+
+async fn exchange(client: &mut Client, question: &Question, millis: u64) -> Option<Snapshot> {
+    let call = Call::get(question.target());
+    let whole = client.call(&call, millis).await.ok()?;
+    let snapshot = (whole.head.status == 200).then(|| message::decode(&whole.body))?;
+    if snapshot.is_none() {
+        tracing::warn!(peer = %client.peer(), "a gateway's snapshot is not understood");
+    }
+    snapshot
+}
+
+fn take(state: &State, snapshot: Snapshot) {
+    let at = Revision(snapshot.at);
+    let items = snapshot.items.into_iter().map(SharedItem::item).collect();
+    if snapshot.is_changes {
+        state.apply(items, at);
+    } else {
+        state.replace(items, at);
+    }
 }
 
 /// Asks peers for as long as the store does not answer.
@@ -132,22 +212,17 @@
 
 async fn ask(state: &State, peer: SocketAddr) {
     let after = state.mirror.borrow().at();
-    let call = Call::get(format!("{SNAPSHOT_PATH}?after={}", after.0));
-    let Ok(whole) = Client::new(peer).call(&call, ANSWER_MILLIS).await else {
+    let question = Question {
+        after,
+        wait_millis: 0,
+    };
+    let mut client = Client::new(peer);
+    let Some(snapshot) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
         return;
     };
-    if whole.head.status != 200 {
+    if snapshot.at <= after.0 {
         return;
     }
-    let Some(snapshot) = message::decode::<Snapshot>(&whole.body) else {
-        tracing::warn!(%peer, "a gateway's snapshot is not understood");
-        return;
-    };
-    let items = snapshot.items.into_iter().map(|item| Item {
-        key: item.key,
-        revision: Revision(item.revision),
-        value: Some(item.value.into()),
-    });
-    tracing::info!(%peer, at = snapshot.at, had = after.0, "snapshot taken from a gateway");
-    state.replace(items.collect(), Revision(snapshot.at));
+    tracing::info!(%peer, at = snapshot.at, had = after.0, age = ?snapshot.age, "snapshot taken from a gateway");
+    take(state, snapshot);
 }
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -41,6 +41,7 @@
 }
 
 fn subscription(state: &State) -> Subscribe {
+    let configuration = state.configuration();
     let named = state.named().into_iter().map(|named| Weights {
         model: named.model,
         version: named.version.0,
@@ -49,6 +50,8 @@
         zone: state.settings.zone.clone(),
         named: named.collect(),
         stamp: clock::now().as_millis(),
+        configuration: configuration.as_ref().map_or(0, |known| known.version),
+        weights_digest: configuration.map_or(0, |known| known.weights_digest()),
     }
 }
 
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -55,6 +55,8 @@
     pub metrics: Metrics,
     /// Gateways heard of, and when last.
     pub gateways: RefCell<BTreeMap<GatewayPlace, Instant>>,
+    /// Tells those who wait that the mirror has changed.
+    pub news: Notify,
     /// Weights that this gateway carries.
     pub carrier: Rc<Carrier>,
     /// True once the process is to stop.
@@ -85,6 +87,7 @@
             pool: RefCell::default(),
             metrics: Metrics::default(),
             gateways: RefCell::default(),
+            news: Notify::new(),
             carrier: Rc::new(Carrier::new(dialect)),
             is_stopping: Cell::new(false),
             has_left: Cell::new(false),
@@ -109,10 +112,13 @@
         knows && !self.is_stopping.get()
     }
 
-    /// Notes an answer of the store.
-    pub fn note_contact(&self) {
-        if self.contact.replace(Some(clock::now())).is_none() {
-            tracing::info!(store = %self.settings.store, "store reached");
+    /// Notes a word of the store, as old as `age` milliseconds where another gateway passed it on.
+    pub fn note_contact(&self, age: u64) {
+        let at = Instant::from_millis(clock::now().as_millis().saturating_sub(age));
+        let last = self.contact.get();
+        self.contact.set(last.max(Some(at)));
+        if last.is_none() {
+            tracing::info!(store = %self.settings.store, age, "store reached");
         }
     }
 
@@ -122,7 +128,8 @@
         tracing::warn!(store = %self.settings.store, cause = %what, ?age, "store does not answer");
     }
 
-    fn contact_age(&self) -> Option<u64> {
+    /// Milliseconds since the store's last word.
+    pub fn contact_age(&self) -> Option<u64> {
         self.contact.get().map(|at| clock::now().millis_since(at))
     }
 
@@ -149,6 +156,7 @@
         }
         let at = self.mirror.borrow().at();
         self.metrics.revision.set(at.0 as i64);
+        self.news.notify_waiters();
     }
 
     fn take_item(&self, item: &Item) {
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -3,16 +3,21 @@
 use {
     crate::{
         clock,
-        error::{Error, Step},
+        error::{Error, Step as At},
+        relay,
         state::State,
     },
+    bytes::{Bytes, BytesMut},
     gingerpier_http1::{
+        body::{Decoder, Part},
         connection::{Connection, Whole},
+        head::Response,
         writer::Message,
     },
     gingerpier_serving::{
         dialect::{Call, Dialect, Page, Scope, Watched},
         mirror::{Item, Revision},
+        watching::{Step, Watching},
     },
     std::{net::SocketAddr, rc::Rc},
 };
@@ -20,19 +25,29 @@
 /// Longest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-/// Milliseconds that a read may take.
+/// Milliseconds without a byte after which an answer is given up.
+const STALL_MILLIS: u64 = 800;
+
+/// Milliseconds within which the answer to a read begins.
 const READ_MILLIS: u64 = 1_500;
 
-/// Milliseconds that a gateway's watch waits.
-const WATCH_MILLIS: u64 = 1_000;
+/// Milliseconds that a gateway's watch waits. With the pause behind it, its word is never older
+/// than what others of its zone accept.
+const WATCH_MILLIS: u64 = 600;
+
+/// A key behind all others.
+const LAST_KEY: &str = "~";
 
 /// Milliseconds between watches, so that many changes cost one call.
 const PAUSE_MILLIS: u64 = 400;
 
+/// Milliseconds between questions to a gateway that watches.
+const BATCH_MILLIS: u64 = 20;
+
 /// Milliseconds after a failed call.
 const RETRY_MILLIS: u64 = 250;
 
-/// Milliseconds beyond its wait that a watch may take.
+/// Milliseconds beyond its wait within which the answer to a watch begins.
 const WATCH_SLACK_MILLIS: u64 = 600;
 
 /// A connection to a server that is asked again and again.
@@ -50,7 +65,13 @@
         }
     }
 
-    /// Sends a call and reads its answer within `millis`.
+    /// Server that it asks.
+    pub const fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Sends a call and reads its answer, which has to begin within `millis`. A long one takes the
+    /// time that it needs for as long as bytes come.
     ///
     /// # Errors
     ///
@@ -59,11 +80,11 @@
         let peer = self.peer;
         let deadline = clock::now().after_millis(millis);
         let resting = self.connection.take();
-        let exchange = exchange(peer, resting, call);
-        let step = Step::Exchange;
-        let (connection, whole) = clock::before(deadline, exchange)
-            .await
-            .ok_or(Error::Late { step, peer })??;
+        let begun = clock::before(deadline, begin(peer, resting, call)).await;
+        let step = At::Exchange;
+        let (mut connection, head) = begun.ok_or(Error::Late { step, peer })??;
+        let body = read_body(&mut connection, &head, peer).await?;
+        let whole = Whole { head, body };
         if whole.head.keeps_alive() && connection.input.is_empty() {
             self.connection = Some(connection);
         }
@@ -83,27 +104,49 @@
         .body(&call.body)
 }
 
-async fn exchange(
+/// Sends a call and reads the head of its answer.
+async fn begin(
     peer: SocketAddr,
     resting: Option<Connection>,
     call: &Call,
-) -> Result<(Connection, Whole), Error> {
+) -> Result<(Connection, Response), Error> {
     let mut connection = match resting {
         Some(connection) if connection.is_idle() => connection,
         _ => Connection::connect(peer).await.map_err(|what| Error::Io {
-            step: Step::Connect,
+            step: At::Connect,
             peer,
             what,
         })?,
     };
+    let step = At::Exchange;
     let request = bytes_of(call, peer);
-    let whole = connection.exchange(&request, MAX_ANSWER_BYTES).await;
-    let whole = whole.map_err(|what| Error::Http {
-        step: Step::Exchange,
-        peer,
-        what,
-    })?;
-    Ok((connection, whole))
+    let written = connection.write(&request).await;
+    written.map_err(|what| Error::Io { step, peer, what })?;
+    let head = connection.response().await;
+    let head = head.map_err(|what| Error::Http { step, peer, what })?;
+    Ok((connection, head))
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    head: &Response,
+    peer: SocketAddr,
+) -> Result<Bytes, Error> {
+    let step = At::Exchange;
+    let http = |what| Error::Http { step, peer, what };
+    let mut decoder = Decoder::new(head.framing().map_err(http)?);
+    let mut body = BytesMut::new();
+    loop {
+        let stalled = clock::now().after_millis(STALL_MILLIS);
+        let part = clock::before(stalled, connection.part(&mut decoder)).await;
+        match part.ok_or(Error::Late { step, peer })?.map_err(http)? {
+            Part::End => return Ok(body.freeze()),
+            Part::Data(data) => body.extend_from_slice(&data),
+        }
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(http(gingerpier_http1::error::Error::BodyTooLong));
+        }
+    }
 }
 
 /// A whole copy of the store.
@@ -114,7 +157,7 @@
     pub at: Revision,
 }
 
-/// Reads a whole copy.
+/// Reads a whole copy of what `scope` covers.
 ///
 /// # Errors
 ///
@@ -122,13 +165,14 @@
 pub async fn read_all(
     client: &mut Client,
     dialect: &dyn Dialect,
+    scope: Scope,
     stale: bool,
 ) -> Result<Copy, Error> {
     let mut items: Vec<Item> = Vec::new();
     let mut at = None;
     loop {
         let after = items.last().map_or("", |item| item.key.as_str()).to_owned();
-        let call = dialect.list(&after, stale);
+        let call = dialect.list(scope, &after, stale);
         let whole = client.call(&call, READ_MILLIS).await?;
         let page = read_page(client.peer, dialect, &whole)?;
         // Pages are no snapshot: whatever changed behind the first one comes with the next watch.
@@ -143,7 +187,7 @@
 fn read_page(peer: SocketAddr, dialect: &dyn Dialect, whole: &Whole) -> Result<Page, Error> {
     let page = dialect.read_list(whole.head.status, &whole.body);
     page.map_err(|what| Error::Answer {
-        step: Step::Read,
+        step: At::Read,
         peer,
         what,
     })
@@ -165,42 +209,77 @@
     let whole = client.call(&call, millis + WATCH_SLACK_MILLIS).await?;
     let watched = dialect.read_watch(whole.head.status, &whole.body);
     watched.map_err(|what| Error::Answer {
-        step: Step::Read,
+        step: At::Read,
         peer: client.peer,
         what,
     })
 }
 
-/// Keeps a gateway's mirror up to date.
+/// Keeps a gateway's mirror up to date, from the store or from a gateway of its zone that watches
+/// the store.
 pub async fn follow(state: Rc<State>) {
-    let mut client = Client::new(state.settings.store);
+    let mut watching = Watching::new(state.settings.control);
+    let mut store = Client::new(state.settings.store);
+    let mut watcher: Option<Client> = None;
     let mut in_step = false;
     loop {
-        let step = if in_step {
-            watch_once(&state, &mut client).await
-        } else {
-            read_once(&state, &mut client).await
-        };
-        match step {
-            Ok(next) => {
-                state.note_contact();
-                in_step = next;
-                if in_step {
-                    clock::pause(PAUSE_MILLIS).await;
+        match watching.next(members(&state).into_iter(), clock::now()) {
+            Step::Store => in_step = ask_store(&state, &mut store, in_step).await,
+            Step::Member(member) => {
+                let known = watcher.take().filter(|client| client.peer == member);
+                let mut client = known.unwrap_or_else(|| follow_member(member));
+                if relay::ask_watcher(&state, &mut client).await {
+                    watcher = Some(client);
+                    clock::pause(BATCH_MILLIS).await;
+                } else {
+                    tracing::warn!(watcher = %member, age = ?state.contact_age(), "gateway that watches the store does not answer");
+                    watching.note_failure(member, clock::now());
                 }
             }
-            Err(error) => {
-                in_step = false;
-                state.note_store_failure(&error);
-                clock::pause(RETRY_MILLIS + fastrand::u64(..RETRY_MILLIS)).await;
+        }
+    }
+}
+
+fn follow_member(member: SocketAddr) -> Client {
+    tracing::info!(watcher = %member, "store is followed through a gateway");
+    Client::new(member)
+}
+
+/// Addresses for other gateways of those of this zone.
+fn members(state: &State) -> Vec<SocketAddr> {
+    let port = state.settings.control.port();
+    let living = state.living_gateways().into_iter();
+    let near = living.filter(|place| place.zone == state.settings.zone);
+    near.map(|place| SocketAddr::new(place.address.ip(), port))
+        .collect()
+}
+
+/// Asks the store for news, or for everything; false where everything has to be read next.
+async fn ask_store(state: &State, store: &mut Client, in_step: bool) -> bool {
+    let step = if in_step {
+        watch_once(state, store).await
+    } else {
+        read_once(state, store).await
+    };
+    match step {
+        Ok(next) => {
+            state.note_contact(0);
+            if next {
+                clock::pause(PAUSE_MILLIS).await;
             }
+            next
+        }
+        Err(error) => {
+            state.note_store_failure(&error);
+            clock::pause(RETRY_MILLIS + fastrand::u64(..RETRY_MILLIS)).await;
+            false
         }
     }
 }
 
 async fn read_once(state: &State, client: &mut Client) -> Result<bool, Error> {
     state.metrics.store_calls.inc();
-    let copy = read_all(client, state.dialect, false).await?;
+    let copy = read_all(client, state.dialect, Scope::Everything, false).await?;
     state.replace(copy.items, copy.at);
     Ok(true)
 }
@@ -219,11 +298,20 @@
     .await?;
     match watched {
         Watched::HistoryGone => Ok(false),
+        Watched::Changes(page) if page.items.is_empty() => is_current(state, client).await,
         Watched::Changes(page) => {
-            // Engines write all the time: a watch that hears nothing may be deaf.
-            let heard = !page.items.is_empty();
             state.apply(page.items, page.at);
-            Ok(heard)
+            Ok(true)
         }
     }
 }
+
+/// True where nothing changed behind what is known. A watch that hears nothing may be deaf; an
+/// empty page tells how far the store is, and costs no bytes.
+async fn is_current(state: &State, client: &mut Client) -> Result<bool, Error> {
+    state.metrics.store_calls.inc();
+    let call = state.dialect.list(Scope::Everything, LAST_KEY, false);
+    let whole = client.call(&call, READ_MILLIS).await?;
+    let page = read_page(client.peer, state.dialect, &whole)?;
+    Ok(page.at <= state.mirror.borrow().at())
+}
--- a/crates/gingerpier_serving/src/configuration.rs
+++ b/crates/gingerpier_serving/src/configuration.rs
@@ -1,6 +1,9 @@
 //! What the operators want: routes, services, tenants and limits, indexed for requests.
 
-use std::{collections::HashMap, net::SocketAddr};
+use {
+    gingerpier_base::order,
+    std::{collections::HashMap, net::SocketAddr},
+};
 
 /// Key of a route within its configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -254,6 +257,20 @@
         })
     }
 
+    /// Digest of what loaders of weights need to know: engines' services and the origin.
+    pub fn weights_digest(&self) -> u64 {
+        let mut known = Vec::new();
+        for service in &self.services {
+            match &service.kind {
+                ServiceKind::Engines(engines) => known.push((&service.name, &engines.models)),
+                ServiceKind::Origin(_) | ServiceKind::Plain => {}
+            }
+        }
+        let origin = self.origin();
+        let link = origin.map(|origin| (origin.link_bits_per_second, origin.max_connections));
+        order::hash(&(known, origin.map(|origin| origin.address), link))
+    }
+
     /// True where requests need a key.
     pub fn needs_keys(&self) -> bool {
         !self.tenants.is_empty()
--- a/crates/gingerpier_serving/src/dialect.rs
+++ b/crates/gingerpier_serving/src/dialect.rs
@@ -160,8 +160,8 @@
     /// True where `target` asks whether this process is ready.
     fn asks_ready(&self, target: &str) -> bool;
 
-    /// Call for a page of all items, behind `after`; `stale` where an old answer will do.
-    fn list(&self, after: &str, stale: bool) -> Call;
+    /// Call for a page of items, behind `after`; `stale` where an old answer will do.
+    fn list(&self, scope: Scope, after: &str, stale: bool) -> Call;
 
     /// Answer to [`Dialect::list`].
     ///
@@ -170,8 +170,7 @@
     /// Where it is refused or malformed.
     fn read_list(&self, status: u16, body: &[u8]) -> Result<Page, Error>;
 
-    /// Call for changes behind `after`, which waits at most `wait_millis`; of everything, or of
-    /// what operators write.
+    /// Call for changes behind `after`, which waits at most `wait_millis`.
     fn watch(&self, scope: Scope, after: Revision, wait_millis: u64) -> Call;
 
     /// Answer to [`Dialect::watch`].
@@ -227,13 +226,17 @@
     fn laid_chunk(&self, model: &str, chunk: u32) -> Call;
 }
 
-/// What a watch covers.
+/// What a page or a watch covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
     /// All items.
     Everything,
     /// What operators write.
     Operators,
+    /// Weights that operators named.
+    Weights,
+    /// The list of engines.
+    Engines,
 }
 
 /// What an engine made of an order.
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod mirror;
 pub mod pace;
 pub mod report;
+pub mod watching;
--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Mirror {
     at: Revision,
+    /// Revision from which on every key that went is known.
+    since: Revision,
     items: BTreeMap<String, Held>,
     /// Revisions at which keys went.
     gone: BTreeMap<String, Revision>,
@@ -54,6 +56,24 @@
         })
     }
 
+    /// What changed behind `after`, keys that went included; none where that is not known, and
+    /// only a whole copy tells.
+    pub fn changes_after(&self, after: Revision) -> Option<Changes> {
+        if after < self.since {
+            return None;
+        }
+        let held = self.items().filter(|item| item.revision > after);
+        let gone = self.gone.iter().map(|(key, revision)| Item {
+            key: key.clone(),
+            revision: *revision,
+            value: None,
+        });
+        Some(
+            held.chain(gone.filter(|item| item.revision > after))
+                .collect(),
+        )
+    }
+
     /// Takes changes that reach to `at`; gives those that were news.
     pub fn apply(&mut self, changes: Changes, at: Revision) -> Changes {
         let news = changes.into_iter().filter(|item| self.take(item)).collect();
@@ -79,6 +99,8 @@
             value: None,
         });
         let changes = items.into_iter().chain(gone).collect();
+        // Keys may have come and gone between what was here and this copy.
+        self.since = at;
         self.apply(changes, at)
     }
 
