--- /dev/null
+++ b/crates/gingerpier_gateway/tests/client.rs
@@ -0,0 +1,76 @@
+//! A client of the store: a long answer may take its time while bytes come, silence may not.
+
+use {
+    gingerpier_gateway::{error::Error, store::Client},
+    gingerpier_serving::dialect::Call,
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        thread::{sleep, spawn},
+        time::{Duration, Instant},
+    },
+};
+
+const BODY: &[u8] = b"0123456789";
+
+/// Milliseconds within which an answer has to begin.
+const BEGIN_MILLIS: u64 = 300;
+
+/// Serves one connection by `serve`, after it has read a request.
+fn serve(serve: impl FnOnce(&mut TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller");
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request).expect("a request");
+        serve(&mut stream);
+    });
+    address
+}
+
+fn head(stream: &mut TcpStream) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", BODY.len());
+    stream.write_all(head.as_bytes()).expect("written");
+}
+
+fn ask(address: SocketAddr) -> Result<Vec<u8>, Error> {
+    actix_rt::System::new().block_on(async move {
+        let call = Call::get("/everything".to_owned());
+        let whole = Client::new(address).call(&call, BEGIN_MILLIS).await?;
+        Ok(whole.body.to_vec())
+    })
+}
+
+#[test]
+fn a_long_answer_is_taken_whole_while_bytes_come() {
+    let address = serve(|stream| {
+        head(stream);
+        for byte in BODY {
+            sleep(Duration::from_millis(150));
+            stream.write_all(&[*byte]).expect("written");
+        }
+    });
+    // It takes five times as long as it may take to begin.
+    assert_eq!(ask(address).expect("an answer"), BODY);
+}
+
+#[test]
+fn an_answer_that_stands_still_is_given_up() {
+    let address = serve(|stream| {
+        head(stream);
+        stream.write_all(&BODY[..4]).expect("written");
+        sleep(Duration::from_secs(8));
+    });
+    let begun = Instant::now();
+    let error = ask(address).expect_err("it is given up");
+    assert!(matches!(error, Error::Late { .. }), "{error}");
+    assert!(begun.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn an_answer_that_does_not_begin_is_given_up() {
+    let address = serve(|_| sleep(Duration::from_secs(8)));
+    let error = ask(address).expect_err("it is given up");
+    assert!(matches!(error, Error::Late { .. }), "{error}");
+}
