--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -70,15 +70,6 @@
 /// Milliseconds after an order by which a report tells of it.
 const REPORTED_MILLIS: u64 = 100;
 
-/// Milliseconds before which weights are seldom there: a copy over one link, and going round.
-const EARLIEST_MILLIS: u64 = 3_100;
-
-/// Milliseconds that an engine's work takes to end.
-const DRAIN_MILLIS: u64 = 1_500;
-
-/// Milliseconds kept free before the operators' bound.
-const MARGIN_MILLIS: u64 = 1_900;
-
 /// Milliseconds that the engine may take for one chunk or order.
 const ENGINE_MILLIS: u64 = 1_000;
 
@@ -149,12 +140,7 @@
 }
 
 fn terms(loader: &Loader) -> Terms {
-    Terms {
-        within_millis: loader.settings.version_within.0,
-        earliest_millis: EARLIEST_MILLIS,
-        drain_millis: DRAIN_MILLIS,
-        margin_millis: MARGIN_MILLIS,
-    }
+    weights::terms(loader.settings.version_within.0)
 }
 
 async fn bring(loader: Rc<Loader>, wanted: Named) {
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -17,6 +17,7 @@
     bytes::Bytes,
     gingerpier_base::order,
     gingerpier_serving::{
+        bringing::Terms,
         dialect::{Dialect, Manifest, Named},
         pace::Pace,
         report::Version,
@@ -124,6 +125,25 @@
     }
 }
 
+/// Milliseconds before which weights are seldom there: a copy over one link, and going round.
+const EARLIEST_MILLIS: u64 = 3_100;
+
+/// Milliseconds that an engine's work takes to end.
+const DRAIN_MILLIS: u64 = 1_500;
+
+/// Milliseconds kept free before the operators' bound.
+const MARGIN_MILLIS: u64 = 1_900;
+
+/// Times of a change of weights that has to be over `within_millis` after its naming.
+pub const fn terms(within_millis: u64) -> Terms {
+    Terms {
+        within_millis,
+        earliest_millis: EARLIEST_MILLIS,
+        drain_millis: DRAIN_MILLIS,
+        margin_millis: MARGIN_MILLIS,
+    }
+}
+
 /// A gateway and its zone.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct GatewayPlace {
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -4,7 +4,7 @@
     super::{Carriers, GatewayPlace, fetch, sources::Task},
     crate::{clock, state::State, weights},
     gingerpier_serving::{
-        bringing::{self, NamedAt, Place, Terms},
+        bringing::{self, NamedAt, Place},
         dialect::Named,
         report::Version,
     },
@@ -28,15 +28,6 @@
 /// Milliseconds that another gateway may take for one chunk.
 const PATIENCE_MILLIS: u64 = 5_000;
 
-/// Times of a change of weights, as far as they say which of two versions is worth the origin's
-/// link.
-const TERMS: Terms = Terms {
-    within_millis: 8_000,
-    earliest_millis: 3_100,
-    drain_millis: 1_500,
-    margin_millis: 1_900,
-};
-
 /// Chunks asked for at once.
 const WINDOW: usize = 16;
 
@@ -84,11 +75,12 @@
     // Two versions share the origin's link: an older one goes on only where the newer one can't
     // be there in time.
     let first = Place { rank: 0, count: 1 };
+    let terms = weights::terms(state.settings.version_within.0);
     for work in works
         .iter()
         .filter(|work| work.named.version < named.version)
     {
-        if !bringing::goes_by_way_of(work.at, at, first, &TERMS) {
+        if !bringing::goes_by_way_of(work.at, at, first, &terms) {
             work.task.abort();
         }
     }
