A mirror remembers keys that went before it held them, and only so many

Change: what went is remembered whether it was held or not, 2,000 keys at most; what lies before the oldest forgotten one is told as a whole copy.

--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -24,6 +24,9 @@
 /// What changed.
 pub type Changes = Vec<Item>;
 
+/// Keys that went that are remembered.
+const MOST_GONE: usize = 2_000;
+
 #[derive(Debug, Clone)]
 struct Held {
     revision: Revision,
@@ -77,6 +80,7 @@
     /// Takes changes that reach to `at`; gives those that were news.
     pub fn apply(&mut self, changes: Changes, at: Revision) -> Changes {
         let news = changes.into_iter().filter(|item| self.take(item)).collect();
+        self.forget_oldest();
         self.at = self.at.max(at);
         news
     }
@@ -110,7 +114,7 @@
         let newest = held.max(gone).unwrap_or_default();
         // A key may go at the very revision up to which a copy was read.
         let is_news = item.revision > newest || (item.value.is_none() && item.revision == newest);
-        if !is_news || (item.value.is_none() && held.is_none()) {
+        if !is_news {
             return false;
         }
         match &item.value {
@@ -123,10 +127,24 @@
                 self.items.insert(item.key.clone(), held);
             }
             None => {
-                self.items.remove(&item.key);
+                // Others may hold a key that never was here, and are told from here that it went.
                 self.gone.insert(item.key.clone(), item.revision);
+                return self.items.remove(&item.key).is_some();
             }
         }
         true
     }
+
+    /// Forgets the oldest of too many keys that went: what changed since then is not known whole.
+    fn forget_oldest(&mut self) {
+        while self.gone.len() > MOST_GONE {
+            let oldest = self.gone.iter().min_by_key(|(_, revision)| **revision);
+            let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision))
+            else {
+                return;
+            };
+            self.gone.remove(&key);
+            self.since = self.since.max(revision);
+        }
+    }
 }
--- a/crates/gingerpier_serving/tests/watching.rs
+++ b/crates/gingerpier_serving/tests/watching.rs
@@ -92,7 +92,46 @@
     }
 }
 
+#[test]
+fn a_key_that_went_before_the_watcher_held_it_goes_at_its_followers_too() {
+    let mut store = Mirror::default();
+    let mut watcher = Mirror::default();
+    let mut follower = Mirror::default();
+    store.apply(vec![item(1, 1, true)], Revision(1));
+    follower.apply(
+        store.changes_after(follower.at()).expect("known"),
+        store.at(),
+    );
+    store.apply(vec![item(1, 2, false)], Revision(2));
+    watcher.apply(
+        store.changes_after(watcher.at()).expect("known"),
+        store.at(),
+    );
+    let news = watcher.changes_after(follower.at()).expect("known");
+    follower.apply(news, watcher.at());
+    assert_eq!(follower.items().count(), 0);
+}
+
+#[test]
+fn only_so_many_keys_that_went_are_remembered_and_then_a_whole_copy_is_asked_for() {
+    const KEYS: u64 = 5_000;
+    let mut mirror = Mirror::default();
+    for revision in 1..=KEYS {
+        let gone = Item {
+            key: revision.to_string(),
+            revision: Revision(revision),
+            value: None,
+        };
+        mirror.apply(vec![gone], Revision(revision));
+    }
+    assert!(mirror.changes_after(Revision(KEYS / 2)).is_none());
+    let known = mirror.changes_after(Revision(KEYS - 10)).expect("lately");
+    assert_eq!(known.len(), 10);
+}
+
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
     /// A mirror that follows another by its changes, or by whole copies where those are not known,
     /// holds the same keys.
     #[test]
