--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -200,17 +200,4 @@
         }
         Ok(rest.freeze())
     }
-
-    /// Sends a request and reads its whole response.
-    ///
-    /// # Errors
-    ///
-    /// Where the connection broke or the response is malformed.
-    pub async fn exchange(&mut self, request: &[u8], limit: usize) -> Result<Whole, Error> {
-        self.write(request).await.map_err(|_| Error::Cut)?;
-        let head = self.response().await?;
-        let decoder = Decoder::new(head.framing()?);
-        let body = self.body(decoder, limit).await?;
-        Ok(Whole { head, body })
-    }
 }
