Read the platform's names in any spelling; what is missing costs what depends on it

Cause: the configuration of the new customer spells read_per_s as readPerS, and one name that was missing made every process refuse all of it. Change: names are brought into one spelling before anything is read; routes, services, engines and bounds have stated defaults, and what is left out or unknown is logged once with its place; a field of the wrong type names its path, and what was in force stays; templates leave out what the platform does not give, and read the bound of versions in either spelling. The test what_is_malformed_is_named expected that an unknown service, kind of route or state of an engine makes the whole item an error; that is what lost the customer. It is replaced by what_is_unknown_costs_what_depends_on_it_and_is_named, which checks each of them and what is done instead, and by tests/spelling.rs, which leaves out, adds, empties and respells each field. serving::a_malformed_configuration now gives a field of the wrong type, as an empty route is read.

--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod clock;
 pub mod error;
 pub mod gateway;
+pub mod items;
 pub mod loader;
 pub mod log;
 pub mod message;
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -69,8 +69,7 @@
 }
 
 fn list(loader: &Loader, fleet: &mut Fleet, item: &Item) {
-    let Some(value) = &item.value else { return };
-    if let Ok(Fact::Engine(record)) = loader.dialect.fact(&item.key, value) {
+    if let Some(Fact::Engine(record)) = loader.items.read(item) {
         fleet.list(*record);
     }
 }
@@ -102,24 +101,20 @@
 }
 
 fn take_item(loader: &Loader, item: &Item) {
-    let Some(value) = &item.value else {
+    if item.value.is_none() {
         if let Subject::Engine(id) = loader.dialect.subject(&item.key) {
             loader.fleet.borrow_mut().unlist(&id);
         }
         return;
-    };
-    match loader.dialect.fact(&item.key, value) {
-        Ok(Fact::Configuration(configuration)) => {
+    }
+    match loader.items.read(item) {
+        Some(Fact::Configuration(configuration)) => {
             *loader.configuration.borrow_mut() = Some(*configuration);
         }
-        Ok(Fact::Engine(record)) => {
+        Some(Fact::Engine(record)) => {
             loader.fleet.borrow_mut().list(*record);
         }
-        Ok(Fact::Weights(named)) => loader.note_named(&named),
-        Ok(Fact::Other) => {}
-        Err(error) => {
-            let revision = item.revision.0;
-            tracing::error!(key = item.key, revision, cause = %error, "item not understood");
-        }
+        Some(Fact::Weights(named)) => loader.note_named(&named),
+        Some(Fact::Other) | None => {}
     }
 }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -8,6 +8,7 @@
     crate::{
         clock,
         error::{Error, Step},
+        items::Reader,
         log,
         weights::{Carrier, GatewayPlace, peers},
     },
@@ -73,6 +74,8 @@
     pub settings: Settings,
     /// Words of the platform.
     pub dialect: &'static dyn Dialect,
+    /// Reader of the store's items.
+    pub items: Reader,
     /// Chunks held and on their way.
     pub carrier: Rc<Carrier>,
     /// Gateways that want reports.
@@ -99,6 +102,7 @@
         Self {
             settings,
             dialect,
+            items: Reader::new(dialect),
             carrier,
             engine_turn: Mutex::new(()),
             subscribers: RefCell::default(),
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock,
+        items::Reader,
         metrics::Metrics,
         pool::Pool,
         weights::{Carrier, GatewayPlace},
@@ -43,6 +44,8 @@
     pub settings: Settings,
     /// Words of the platform.
     pub dialect: &'static dyn Dialect,
+    /// Reader of the store's items.
+    pub items: Reader,
     /// Store as far as known.
     pub mirror: RefCell<Mirror>,
     /// Engines.
@@ -81,6 +84,7 @@
         Self {
             settings,
             dialect,
+            items: Reader::new(dialect),
             mirror: RefCell::default(),
             fleet: RefCell::default(),
             budget: RefCell::default(),
@@ -161,29 +165,27 @@
 
     fn take_item(&self, item: &Item) {
         let subject = self.dialect.subject(&item.key);
-        let Some(value) = &item.value else {
+        if item.value.is_none() {
             if let Subject::Engine(id) = subject {
                 self.fleet.borrow_mut().unlist(&id);
                 tracing::info!(engine = id, revision = item.revision.0, "engine unlisted");
             }
             return;
-        };
-        match self.dialect.fact(&item.key, value) {
-            Ok(Fact::Configuration(configuration)) => self.configure(*configuration),
-            Ok(Fact::Engine(record)) => self.list(*record),
-            Ok(Fact::Weights(named)) => self.note_named(&named),
-            Ok(Fact::Other) => {}
-            Err(error) => {
-                let revision = item.revision.0;
-                tracing::error!(key = item.key, revision, cause = %error, "item not understood");
-            }
+        }
+        match self.items.read(item) {
+            Some(Fact::Configuration(configuration)) => self.configure(*configuration),
+            Some(Fact::Engine(record)) => self.list(*record),
+            Some(Fact::Weights(named)) => self.note_named(&named),
+            Some(Fact::Other) | None => {}
         }
     }
 
     fn configure(&self, configuration: Configuration) {
         let mut current = self.configuration.borrow_mut();
         let old = current.as_ref().map(|current| current.version);
-        if old.is_some_and(|old| old >= configuration.version) {
+        // A configuration without a version is as new as the revision that brought it here.
+        let is_numbered = configuration.version > 0;
+        if is_numbered && old.is_some_and(|old| old >= configuration.version) {
             return;
         }
         tracing::info!(version = configuration.version, ?old, "configuration taken");
--- a/crates/gingerpier_serving/src/dialect.rs
+++ b/crates/gingerpier_serving/src/dialect.rs
@@ -81,6 +81,38 @@
     Other,
 }
 
+/// What was read of an item.
+#[derive(Debug, Clone)]
+pub struct Reading {
+    /// What it says.
+    pub fact: Fact,
+    /// What it lacks, or says in words that are not known.
+    pub omissions: Vec<Omission>,
+}
+
+/// Something that an item lacks or that is not known, and what is done without it.
+#[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[displaydoc("{place}: {what} is missing or unknown: {instead}")]
+pub struct Omission {
+    /// Where in the item.
+    pub place: String,
+    /// What is missing.
+    pub what: String,
+    /// What is done instead.
+    pub instead: &'static str,
+}
+
+impl Omission {
+    /// Omission of `what` at `place`, with what is done `instead`.
+    pub fn new(place: &str, what: &str, instead: &'static str) -> Self {
+        Self {
+            place: place.to_owned(),
+            what: what.to_owned(),
+            instead,
+        }
+    }
+}
+
 /// What the key of an item stands for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Subject {
@@ -183,12 +215,12 @@
     /// What the key of an item stands for.
     fn subject(&self, key: &str) -> Subject;
 
-    /// What an item says.
+    /// What an item says. What is missing or unknown costs what depends on it, and is named.
     ///
     /// # Errors
     ///
-    /// Where the value is malformed.
-    fn fact(&self, key: &str, value: &[u8]) -> Result<Fact, Error>;
+    /// Where the value is malformed, or nothing could be done with the rest.
+    fn fact(&self, key: &str, value: &[u8]) -> Result<Reading, Error>;
 
     /// Call for the state of an engine.
     fn report(&self) -> Call;
