--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -176,7 +176,7 @@
             tried: &self.tried,
         };
         let fleet = self.state.fleet.borrow();
-        match admission::choose(&fleet, &demand, now, self.state.identity) {
+        match admission::choose(&fleet, &demand, now, fastrand::u64(..)) {
             Choice::Send {
                 engine,
                 predicted_millis,
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -11,7 +11,6 @@
     gingerpier_serving::{
         bringing::{self, Place, Terms},
         dialect::{Named, Started},
-        report::Version,
     },
     gingerpier_weights::{
         Route,
@@ -98,6 +97,7 @@
     loop {
         clock::pause(LOOK_MILLIS).await;
         works.retain(Work::is_under_way);
+        drop_outdated(&loader, &works);
         // Weights may come while the engine is not up yet; one that is up tells first what it has.
         let is_there = loader.report.borrow().is_some();
         let is_time = is_there || awaited.has_passed(clock::now());
@@ -110,13 +110,8 @@
         if works.iter().any(|work| work.named == wanted) {
             continue;
         }
-        for work in &works {
-            if !goes_on(&loader, &work.named, &wanted) {
-                work.task.abort();
-            }
-        }
         tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
-        *loader.carrier.wanted.borrow_mut() = Some(wanted.clone());
+        loader.carrier.wanted.borrow_mut().push(wanted.clone());
         let task = actix_rt::spawn(bring(loader.clone(), wanted.clone()));
         works.push(Work {
             named: wanted,
@@ -125,18 +120,17 @@
     }
 }
 
-/// True where older weights are still brought although newer ones are wanted.
-fn goes_on(loader: &Loader, older: &Named, newer: &Named) -> bool {
-    if loader.is_ordering() {
-        return true;
+/// Gives up what is still on its way of versions older than one that is whole here.
+fn drop_outdated(loader: &Loader, works: &[Work]) {
+    let newest = loader.newest_complete();
+    let is_outdated = |work: &&Work| Some(work.named.version) < newest;
+    for work in works.iter().filter(is_outdated) {
+        if !loader.is_complete(work.named.version) {
+            work.task.abort();
+            let mut wanted = loader.carrier.wanted.borrow_mut();
+            wanted.retain(|named| *named != work.named);
+        }
     }
-    let named = loader.named(&newer.model);
-    let find = |version| named.iter().find(|named| named.version == version).copied();
-    let (Some(older_at), Some(newer_at)) = (find(older.version), find(newer.version)) else {
-        return false;
-    };
-    let place = place(loader, older.version);
-    bringing::goes_by_way_of(older_at, newer_at, place, &terms(loader))
 }
 
 fn terms(loader: &Loader) -> Terms {
@@ -146,14 +140,15 @@
 async fn bring(loader: Rc<Loader>, wanted: Named) {
     follow::refresh(&loader).await;
     let named = fetch::fetch(&loader.carrier, || task(&loader, &wanted)).await;
+    loader.note_complete(named.version);
     loop {
         wait_for_turn(&loader, &named).await;
         // Chunks of one version at a time lie at the engine, until it has taken them.
         let _turn = loader.engine_turn.lock().await;
-        if loader
+        let is_held = loader
             .held(&named.model)
-            .is_some_and(|held| held >= named.version)
-        {
+            .is_some_and(|held| held >= named.version);
+        if is_held || loader.newest_complete() > Some(named.version) {
             return;
         }
         if !loader.is_engine_free() {
@@ -244,14 +239,10 @@
 
 async fn wait_for_turn(loader: &Loader, named: &Named) {
     loop {
-        let known = loader.named(&named.model);
-        let target = known.iter().find(|known| known.version == named.version);
-        let Some(target) = target.copied() else {
-            return;
-        };
         let held = loader.held(&named.model);
-        let place = place(loader, named.version);
-        let turn = bringing::order_at(held, target, &known, place, &terms(loader));
+        let known = loader.named(&named.model);
+        let complete_at = loader.complete_since(held);
+        let turn = bringing::order_at(held, &known, complete_at, place(loader), &terms(loader));
         if turn.has_passed(clock::now()) {
             return;
         }
@@ -259,14 +250,11 @@
     }
 }
 
-fn place(loader: &Loader, version: Version) -> Place {
+fn place(loader: &Loader) -> Place {
     let peers = loader.peers();
-    let zone = peers
-        .iter()
-        .filter(|peer| peer.zone == loader.settings.zone);
-    let members: Vec<u64> = zone.map(super::Peer::identity).collect();
+    let members: Vec<u64> = peers.iter().map(super::Peer::identity).collect();
     // This process is first among the peers it knows.
-    bringing::place(peers[0].identity(), &members, version)
+    bringing::place(peers[0].identity(), &members)
 }
 
 /// The word to gateways that an order is coming; taken back when dropped.
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -92,6 +92,8 @@
     fleet: RefCell<Fleet>,
     configuration: RefCell<Option<Configuration>>,
     named: RefCell<HashMap<String, Vec<NamedAt>>>,
+    /// Versions whose chunks are all here, and since when.
+    complete: RefCell<Vec<NamedAt>>,
 }
 
 impl Loader {
@@ -113,6 +115,7 @@
             fleet: RefCell::default(),
             configuration: RefCell::default(),
             named: RefCell::default(),
+            complete: RefCell::default(),
         }
     }
 
@@ -245,6 +248,36 @@
         versions.max().unwrap_or_default()
     }
 
+    /// Notes that every chunk of `version` is here.
+    pub fn note_complete(&self, version: Version) {
+        if !self.is_complete(version) {
+            let at = clock::now();
+            self.complete.borrow_mut().push(NamedAt { version, at });
+        }
+    }
+
+    /// True where every chunk of `version` is here.
+    pub fn is_complete(&self, version: Version) -> bool {
+        let complete = self.complete.borrow();
+        complete.iter().any(|complete| complete.version == version)
+    }
+
+    /// Newest version whose chunks are all here.
+    pub fn newest_complete(&self) -> Option<Version> {
+        let complete = self.complete.borrow();
+        complete.iter().map(|complete| complete.version).max()
+    }
+
+    /// Since when a version newer than `held` is here whole; now where none is.
+    pub fn complete_since(&self, held: Option<Version>) -> Instant {
+        let complete = self.complete.borrow();
+        let newer = complete
+            .iter()
+            .filter(|complete| Some(complete.version) > held);
+        let first = newer.map(|complete| complete.at).min();
+        first.unwrap_or_else(clock::now)
+    }
+
     /// Version of `model` that the engine holds.
     pub fn held(&self, model: &str) -> Option<Version> {
         let report = self.report.borrow();
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -70,8 +70,6 @@
     pub leaving: Notify,
     /// Requests under way.
     pub active: Cell<u32>,
-    /// Number that differs by process.
-    pub identity: f64,
     configuration: RefCell<Option<Rc<Configuration>>>,
     due: RefCell<HashMap<String, Vec<Due>>>,
     contact: Cell<Option<Instant>>,
@@ -97,7 +95,6 @@
             has_left: Cell::new(false),
             leaving: Notify::new(),
             active: Cell::new(0),
-            identity: fastrand::f64(),
             configuration: RefCell::default(),
             due: RefCell::default(),
             contact: Cell::new(None),
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -50,8 +50,8 @@
     pub engine: Option<SocketAddr>,
     /// What that engine serves.
     pub served: RefCell<Option<Named>>,
-    /// What this process fetches or wants to.
-    pub wanted: RefCell<Option<Named>>,
+    /// Versions that this process fetches or wants to.
+    pub wanted: RefCell<Vec<Named>>,
     /// What others asked for that is not here.
     pub asked: RefCell<Option<Named>>,
     /// Link's share for chunks, where the link is narrow.
@@ -110,6 +110,13 @@
         holding.map_or(0, Holding::held_count)
     }
 
+    /// True where every chunk of a version is held.
+    pub fn is_complete(&self, named: &Named) -> bool {
+        let holdings = self.holdings.borrow();
+        let holding = holdings.get(&named.model, named.version);
+        holding.is_some_and(Holding::is_complete)
+    }
+
     /// Takes a chunk whose digest was found right, and wakes those who wait for it.
     pub fn put(&self, named: &Named, chunk: u32, bytes: Bytes) {
         let mut holdings = self.holdings.borrow_mut();
@@ -125,12 +132,6 @@
     }
 }
 
-/// Milliseconds before which weights are seldom there: a copy over one link, and going round.
-const EARLIEST_MILLIS: u64 = 3_100;
-
-/// Milliseconds that an engine's work takes to end.
-const DRAIN_MILLIS: u64 = 1_500;
-
 /// Milliseconds kept free before the operators' bound.
 const MARGIN_MILLIS: u64 = 1_900;
 
@@ -138,8 +139,6 @@
 pub const fn terms(within_millis: u64) -> Terms {
     Terms {
         within_millis,
-        earliest_millis: EARLIEST_MILLIS,
-        drain_millis: DRAIN_MILLIS,
         margin_millis: MARGIN_MILLIS,
     }
 }
--- a/crates/gingerpier_gateway/src/weights/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -186,21 +186,18 @@
 /// True where what is not here yet will come. A gateway fetches what it is asked for.
 fn will_have(carrier: &Carrier, named: &Named) -> bool {
     let wanted = carrier.wanted.borrow();
-    if wanted.as_ref() == Some(named) {
+    if wanted.contains(named) {
         return true;
     }
-    let is_older = |other: &Named| other.version <= named.version;
+    let is_newest = wanted.iter().all(|other| other.version <= named.version);
     if carrier.engine.is_none() {
         // Older weights would take the origin's link from newer ones.
-        let is_carried = wanted.as_ref().is_none_or(is_older);
-        if is_carried {
+        if is_newest {
             *carrier.asked.borrow_mut() = Some(named.clone());
         }
-        return is_carried;
+        return is_newest;
     }
     let served = carrier.served.borrow();
-    served
-        .as_ref()
-        .is_none_or(|served| served.version < named.version)
-        && wanted.as_ref().is_none_or(is_older)
+    let is_newer = |served: &Named| served.version < named.version;
+    is_newest && served.as_ref().is_none_or(is_newer)
 }
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -3,11 +3,7 @@
 use {
     super::{Carriers, GatewayPlace, fetch, sources::Task},
     crate::{clock, state::State, weights},
-    gingerpier_serving::{
-        bringing::{self, NamedAt, Place},
-        dialect::Named,
-        report::Version,
-    },
+    gingerpier_serving::{dialect::Named, report::Version},
     gingerpier_weights::{
         Route,
         plan::{ReplicaKey, Source},
@@ -34,10 +30,13 @@
 /// Questions to the origin at once.
 const ORIGIN_TURNS: usize = 1;
 
+/// Milliseconds without a chunk of an older version after which the next one no longer waits
+/// for it.
+const STALLED_MILLIS: u64 = 700;
+
 /// A version on its way here.
 struct Work {
     named: Named,
-    at: NamedAt,
     task: actix_rt::task::JoinHandle<Named>,
 }
 
@@ -59,6 +58,7 @@
                 carry(&state, &mut works, named);
             }
         }
+        drop_outdated(&state, &works);
     }
 }
 
@@ -68,28 +68,51 @@
         version = named.version.0,
         "weights carried"
     );
-    let at = NamedAt {
-        version: named.version,
-        at: clock::now(),
-    };
-    // Two versions share the origin's link: an older one goes on only where the newer one can't
-    // be there in time.
-    let first = Place { rank: 0, count: 1 };
-    let terms = weights::terms(state.settings.version_within.0);
-    for work in works
+    state.carrier.wanted.borrow_mut().push(named.clone());
+    let own = state.clone();
+    let wanted = named.clone();
+    let older = works
         .iter()
-        .filter(|work| work.named.version < named.version)
-    {
-        if !bringing::goes_by_way_of(work.at, at, first, &terms) {
-            work.task.abort();
+        .filter(|work| work.named.version < named.version && !work.task.is_finished())
+        .map(|work| work.named.clone())
+        .max_by_key(|older| older.version);
+    let task = actix_rt::spawn(async move {
+        if let Some(older) = older {
+            wait_for(&own, &older).await;
+        }
+        fetch::fetch(&own.carrier, || task(&own, &wanted)).await
+    });
+    works.push(Work { named, task });
+}
+
+/// Waits while chunks of `older` come: two versions at once would only share the origin's link,
+/// and neither would be whole before it may go down.
+async fn wait_for(state: &State, older: &Named) {
+    let mut held = state.carrier.held_count(older);
+    loop {
+        let deadline = clock::now().after_millis(STALLED_MILLIS);
+        while state.carrier.held_count(older) == held {
+            if state.carrier.is_complete(older) || deadline.has_passed(clock::now()) {
+                return;
+            }
+            clock::pause(LOOK_MILLIS).await;
         }
+        held = state.carrier.held_count(older);
+    }
+}
+
+/// Gives up what is still on its way of versions older than one that is whole here.
+fn drop_outdated(state: &State, works: &[Work]) {
+    let whole = works.iter().filter(|work| work.task.is_finished());
+    let Some(newest) = whole.map(|work| work.named.version).max() else {
+        return;
+    };
+    let under_way = works.iter().filter(|work| !work.task.is_finished());
+    for work in under_way.filter(|work| work.named.version < newest) {
+        work.task.abort();
+        let mut wanted = state.carrier.wanted.borrow_mut();
+        wanted.retain(|named| *named != work.named);
     }
-    *state.carrier.wanted.borrow_mut() = Some(named.clone());
-    let own = state.clone();
-    let wanted = named.clone();
-    let task =
-        actix_rt::spawn(async move { fetch::fetch(&own.carrier, || task(&own, &wanted)).await });
-    works.push(Work { named, at, task });
 }
 
 fn is_carrier(state: &State, named: &Named) -> bool {
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -1,14 +1,14 @@
 //! Whether a request is taken, and by which engine.
 //!
-//! Engines batch: a pass gives every running request some tokens and reads the prompts that came
-//! in meanwhile. Past its slots an engine lets requests wait. The time to the first event is
-//! predicted from what each engine runs; a request that would come too late everywhere is refused
-//! at once, with a time to come back, instead of making others late.
+//! The time to the first event is predicted from what each engine runs
+//! ([`prediction`](crate::prediction)); a request that would come too late everywhere is refused at
+//! once, with a time to come back, instead of making others late.
 
 use {
     crate::{
         configuration::EngineModel,
         fleet::{Engine, EngineKey, Fleet},
+        prediction,
         report::Version,
     },
     gingerpier_base::Instant,
@@ -32,6 +32,12 @@
 /// Requests of this gateway for each slot of an engine of an ordinary service.
 const PLAIN_DEPTH: f64 = 2.0;
 
+/// Most milliseconds drawn against herds at an ordinary service.
+const PLAIN_SPREAD_MILLIS: f64 = 12.0;
+
+/// Usual prompts whose reading takes as long as the most that is drawn against herds.
+const HERD_PROMPTS: f64 = 2.0;
+
 /// Milliseconds that a request may start later than predicted.
 const START_SLACK_MILLIS: u64 = 400;
 
@@ -88,45 +94,8 @@
     NoEngine,
 }
 
-/// Milliseconds of a pass with `running` requests.
-pub fn pass_millis(model: &EngineModel, running: f64) -> f64 {
-    let context = f64::from(model.usual_prompt + model.usual_answer / 2) / 1_000.0;
-    let each = model.per_request_millis + model.per_thousand_tokens_millis * context;
-    f64::from(model.stride) * (model.step_millis + each * running)
-}
-
-/// Milliseconds of an engine's work that a usual request takes when its slots are full.
-pub fn work_millis(model: &EngineModel) -> f64 {
-    let slots = f64::from(model.slots.max(1));
-    let passes = f64::from(model.usual_answer) / f64::from(model.stride.max(1));
-    let reading = f64::from(model.usual_prompt) / model.read_per_milli;
-    passes * pass_millis(model, slots) / slots + reading
-}
-
-/// Predicted milliseconds to the first event at `engine`.
-pub fn first_event_millis(
-    engine: &Engine,
-    model: &EngineModel,
-    prompt_tokens: u64,
-    now: Instant,
-) -> f64 {
-    let slots = f64::from(model.slots);
-    let occupancy = engine.occupancy(now);
-    let running = occupancy.min(slots);
-    let pace = engine.latest(now).pace.max(1.0);
-    let behind = (occupancy + 1.0 - slots).max(0.0);
-    let queue = behind * work_millis(model);
-    let waiting = engine
-        .load
-        .waiting_tokens
-        .min(4 * u64::from(model.usual_prompt));
-    let reading = (prompt_tokens + waiting) as f64 / model.read_per_milli;
-    let pass = pass_millis(model, running);
-    (queue + 1.5 * pass * running.min(1.0) + reading) * pace
-}
-
 /// Decides where a request goes.
-pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: f64) -> Choice {
+pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: u64) -> Choice {
     let mut best: Option<(f64, f64, EngineKey)> = None;
     for (key, engine) in fleet.of_service(demand.service) {
         if demand.tried.contains(&key) || !engine.is_open(now) || engine.is_on_trial(now) {
@@ -138,7 +107,7 @@
         if !fits(engine, demand, now, starts) {
             continue;
         }
-        let cost = predicted + late + penalty(engine, demand) + draw_of(key, draw);
+        let cost = predicted + late + penalty(engine, demand) + draw_of(key, demand, draw);
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, predicted, key));
         }
@@ -179,7 +148,7 @@
 
 fn predict(engine: &Engine, demand: &Demand<'_>, now: Instant) -> f64 {
     match demand.engines {
-        Some(model) => first_event_millis(engine, model, demand.prompt_tokens, now),
+        Some(model) => prediction::first_event_millis(engine, model, demand.prompt_tokens, now),
         None => {
             let slots = f64::from(engine.record.slots.max(1));
             let behind = (f64::from(engine.load.in_flight) / slots).max(0.0);
@@ -209,9 +178,13 @@
     demand.target_millis as f64 * share
 }
 
-/// A few milliseconds that differ by gateway and engine, against herds.
-fn draw_of(key: EngineKey, draw: f64) -> f64 {
-    const SPREAD_MILLIS: f64 = 12.0;
-    let mixed = gingerpier_base::order::mix(u64::from(key.0) ^ draw.to_bits());
-    (mixed % 1_000) as f64 / 1_000.0 * SPREAD_MILLIS
+/// Milliseconds drawn for an engine and a request. Gateways that hear the same report would all
+/// choose the same engine before the next one; what they can't see of each other is about as much
+/// work as the prompts that they send meanwhile.
+fn draw_of(key: EngineKey, demand: &Demand<'_>, draw: u64) -> f64 {
+    let unseen = demand.engines.map_or(PLAIN_SPREAD_MILLIS, |model| {
+        HERD_PROMPTS * prediction::usual_reading_millis(model)
+    });
+    let mixed = gingerpier_base::order::mix(u64::from(key.0) ^ draw);
+    (mixed % 1_000) as f64 / 1_000.0 * unseen
 }
--- a/crates/gingerpier_serving/src/bringing.rs
+++ b/crates/gingerpier_serving/src/bringing.rs
@@ -2,7 +2,10 @@
 //!
 //! An engine that takes weights lets its work end first and takes nothing new meanwhile, so all
 //! engines at once would leave callers with nobody. Engines that serve older weights are ordered
-//! in waves; an engine without weights has nothing to lose and is ordered at once.
+//! one after the other; an engine without weights has nothing to lose and is ordered at once.
+//!
+//! Weights that are whole are never given up for newer ones that are still on their way: what
+//! they come from may go down at any moment, and an engine whose weights came due serves nothing.
 
 use {
     crate::report::Version,
@@ -23,27 +26,23 @@
 pub struct Terms {
     /// Milliseconds from the naming within which every engine must have been ordered.
     pub within_millis: u64,
-    /// Milliseconds from the naming before which weights are seldom there.
-    pub earliest_millis: u64,
-    /// Milliseconds that an engine's work takes to end.
-    pub drain_millis: u64,
     /// Milliseconds kept free at the end.
     pub margin_millis: u64,
 }
 
-/// Place of an engine among those of its zone.
+/// Place of an engine among all that are to take new weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Place {
     /// Engines ahead of it.
     pub rank: u32,
-    /// Engines of the zone.
+    /// Engines.
     pub count: u32,
 }
 
-/// Place of `own` among `members`, the same at every process that knows the same members; it
-/// differs by version, so that no engine is always last.
-pub fn place(own: u64, members: &[u64], version: Version) -> Place {
-    let score = |member: u64| (order::score(version.0, member), member);
+/// Place of `own` among `members`, the same at every process that knows the same members. It is
+/// the same for all versions, so that an engine that takes two of them rests between.
+pub fn place(own: u64, members: &[u64]) -> Place {
+    let score = |member: u64| (order::mix(member), member);
     let ahead = members
         .iter()
         .filter(|member| score(**member) > score(own))
@@ -54,42 +53,25 @@
     }
 }
 
-/// When an engine that holds `held` is ordered to take `target`, one of `named`.
+/// When an engine that holds `held` is ordered to take newer weights.
 ///
-/// Where versions were named so close together that the older one is still due, the engines that
-/// went by way of the older one come last: the others have nothing that may serve.
+/// The oldest of the `named` versions that it lacks sets the turn, as it comes due first. Turns
+/// are spread evenly from `complete_at`, when weights that will do were whole beside the engine,
+/// to the last moment at which an order keeps the bound. What the engine takes at its turn is
+/// the newest version that is whole by then.
 pub fn order_at(
     held: Option<Version>,
-    target: NamedAt,
     named: &[NamedAt],
+    complete_at: Instant,
     place: Place,
     terms: &Terms,
 ) -> Instant {
-    let Some(held) = held else {
-        return target.at;
+    let unmet = named.iter().filter(|named| Some(named.version) > held);
+    let Some(oldest) = unmet.map(|named| named.at).min().filter(|_| held.is_some()) else {
+        return complete_at;
     };
-    let unmet = named.iter().filter(|named| named.version > held);
-    let oldest = unmet.map(|named| named.at).min().unwrap_or(target.at);
-    let last = terms.within_millis.saturating_sub(terms.margin_millis);
-    let is_between = |named: &&NamedAt| named.version == held;
-    let came_by_way = named
-        .iter()
-        .find(is_between)
-        .is_some_and(|between| between.at.after_millis(last) > target.at);
-    let later = if came_by_way { place.count / 2 } else { 0 };
-    let rank = (place.rank + later).min(place.count.saturating_sub(1));
-    let spread = last.saturating_sub(terms.earliest_millis);
-    let step = spread / u64::from(place.count.max(1));
-    let wave = terms.earliest_millis + step * u64::from(rank);
-    target.at.after_millis(wave).min(oldest.after_millis(last))
-}
-
-/// True where an engine still takes `older` although `newer` was named meanwhile: half of the
-/// engines do, where `newer` can't be there long enough before `older` is due.
-pub fn goes_by_way_of(older: NamedAt, newer: NamedAt, place: Place, terms: &Terms) -> bool {
-    let there = newer
-        .at
-        .after_millis(terms.earliest_millis + terms.drain_millis);
-    let due = older.at.after_millis(terms.within_millis);
-    there > due && place.rank < place.count.div_ceil(2)
+    let last = oldest.after_millis(terms.within_millis.saturating_sub(terms.margin_millis));
+    let spread = last.millis_since(complete_at);
+    let wave = spread * u64::from(place.rank) / u64::from(place.count.max(1));
+    complete_at.after_millis(wave)
 }
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -99,6 +99,15 @@
     sent: VecDeque<Instant>,
 }
 
+/// Requests of all gateways at one engine, as far as this one knows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Seen {
+    /// Requests that run: their first event was made.
+    pub running: f64,
+    /// Requests that wait, or whose prompts are being read.
+    pub waiting: f64,
+}
+
 /// One engine.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -150,17 +159,28 @@
         !self.is_gone && self.record.state == State::Ready && self.rests_until.has_passed(now)
     }
 
-    /// Requests of all gateways that run or wait there, as far as known.
-    pub fn occupancy(&self, now: Instant) -> f64 {
+    /// Requests of all gateways that run and wait there, as far as known.
+    pub fn seen(&self, now: Instant) -> Seen {
+        let own_waiting = f64::from(self.load.waiting);
+        let own_running = f64::from(self.load.in_flight) - own_waiting;
         match self.fresh_report(now) {
-            Some(report) => {
-                let reported = report.active + report.queued + self.load.sent.len() as u32;
-                f64::from(reported.max(self.load.in_flight))
-            }
-            None => f64::from(self.load.in_flight) * USUAL_GATEWAYS,
+            Some(report) => Seen {
+                running: f64::from(report.active).max(own_running),
+                waiting: f64::from(report.queued + self.load.sent.len() as u32).max(own_waiting),
+            },
+            None => Seen {
+                running: own_running * USUAL_GATEWAYS,
+                waiting: own_waiting * USUAL_GATEWAYS,
+            },
         }
     }
 
+    /// Requests of all gateways at this engine, as far as known.
+    pub fn occupancy(&self, now: Instant) -> f64 {
+        let seen = self.seen(now);
+        seen.running + seen.waiting
+    }
+
     /// Share of recent requests that failed there, from 0 to 1.
     pub const fn failure_share(&self) -> f64 {
         self.failure_share
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod fleet;
 pub mod mirror;
 pub mod pace;
+pub mod prediction;
 pub mod report;
 pub mod watching;
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -122,10 +122,10 @@
     for (key, active) in keys.iter().zip([40, 3]) {
         fleet.engine_mut(*key).note_report(report(1, active), at(0));
     }
-    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0.0);
+    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0);
     assert_eq!(chosen(choice), Some(keys[1]));
     fleet.engine_mut(keys[1]).note_report(report(1, 40), at(0));
-    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0.0);
+    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0);
     assert!(matches!(choice, Choice::Full { .. }));
 }
 
@@ -149,7 +149,7 @@
             fleet,
             &demand(&model, &[], &[]),
             now,
-            0.0,
+            0,
         ))
     };
     assert_eq!(choose(&fleet, at(900)), None);
@@ -189,7 +189,7 @@
             &fleet,
             &demand(&model, &due, &[]),
             now,
-            0.0,
+            0,
         ))
     };
     assert_eq!(choose(at(0)), Some(keys[0]));
@@ -211,7 +211,7 @@
             &fleet,
             &demand(&model, due, &[]),
             at(2_000),
-            0.0,
+            0,
         ))
     };
     assert_eq!(choose(&[]), Some(keys[0]), "it is tried again");
@@ -231,7 +231,7 @@
         goes_on_with: Some(Version(2)),
         ..demand(&model, &[], &[])
     };
-    let choice = admission::choose(&fleet, &wanted, at(1), 0.0);
+    let choice = admission::choose(&fleet, &wanted, at(1), 0);
     assert_eq!(chosen(choice), Some(keys[1]));
     let choice = admission::choose(
         &fleet,
