--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -124,6 +124,8 @@
             predicted = self.predicted_millis as u64,
             first = ?progress.first_millis(self.call.received),
             events = progress.count(),
+            pause = progress.longest_pause(),
+            dbg = format!("{}/{}/{}/{}/{}", self.dbg.0,self.dbg.1,self.dbg.2,self.dbg.3,self.dbg.4), prompt = self.call.prompt_tokens,
             returned = self.call.has_returned,
             took = now.millis_since(self.call.received),
             "request"
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -27,6 +27,10 @@
 /// Longest body of an answer that is no stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Milliseconds from the word that an engine takes nothing more until its streams leave it: many
+/// end by themselves meanwhile.
+const MOVE_AFTER_MILLIS: u64 = 450;
+
 /// Bytes that a caller may send ahead of its answer.
 const MAX_AHEAD_BYTES: usize = 64 * 1024;
 
@@ -38,6 +42,8 @@
     Left,
     /// The time of the request is up.
     TimedOut,
+    /// It is to go on at another engine, and that is paid for.
+    Moved,
     /// It brought nothing whole.
     Failed(Failed),
     /// The engine failed, and this is its answer.
@@ -73,6 +79,9 @@
     pub(super) predicted_millis: f64,
     sent_at: Option<Instant>,
     pub(super) cause: Option<Cause>,
+    /// Number that is drawn for this request, against herds.
+    draw: u64,
+    pub(super) dbg: (u32,u32,u32,u32,u32),
 }
 
 /// Sends a request to engines until its caller has a final answer.
@@ -92,6 +101,8 @@
         predicted_millis: 0.0,
         sent_at: None,
         cause: None,
+        draw: fastrand::u64(..),
+        dbg: Default::default(),
     };
     course.run(caller).await
 }
@@ -115,6 +126,7 @@
                     let next = Next::TimeOut;
                     return self.finish(caller, next, &progress, fallback).await;
                 }
+                Ended::Moved => continue,
                 Ended::Failed(failed) => failed,
                 Ended::Answered(whole) => {
                     fallback = Some(whole);
@@ -154,6 +166,20 @@
         repeat && has_attempts && self.choose(progress).is_some()
     }
 
+    /// True where a stream leaves `engine`, which is about to take new weights, for another engine
+    /// that goes on with it within the pause that it may make; the retry is paid then.
+    ///
+    /// The engine waits for what it runs, and works at a part of its speed until the last stream has
+    /// ended: to read one prompt again elsewhere costs less.
+    pub fn leaves(&mut self, engine: EngineKey, progress: &Progress) -> bool {
+        let now = clock::now();
+        let closed = self.state.fleet.borrow().engine(engine).closed_millis(now);
+        if closed.is_none_or(|closed| closed < MOVE_AFTER_MILLIS) || !self.can_move(progress) {
+            return false;
+        }
+        self.state.take_retry(&self.call.target().name, now)
+    }
+
     fn due(&self) -> Vec<Due> {
         let model = self.call.model.as_deref();
         model.map_or_else(Vec::new, |model| self.state.due(model))
@@ -170,18 +196,23 @@
             due: &due,
             goes_on_with: progress.has_begun().then(|| progress.version()),
             prompt_tokens: call.prompt_tokens,
-            target_millis: call.rules().target_millis,
+            target_millis: match progress.has_begun() {
+                true => call.rules().pause_millis,
+                false => call.rules().target_millis,
+            },
             has_returned: call.has_returned || self.standing.attempts > 0,
             zone: &self.state.settings.zone,
+            others_per_milli: self.state.others_per_milli(&call.target().name, now),
             tried: &self.tried,
         };
         let fleet = self.state.fleet.borrow();
-        match admission::choose(&fleet, &demand, now, fastrand::u64(..)) {
+        match admission::choose(&fleet, &demand, now, self.draw) {
             Choice::Send {
                 engine,
                 predicted_millis,
             } => {
                 self.predicted_millis = predicted_millis;
+                let s = fleet.engine(engine).seen(now); let r=fleet.engine(engine).latest(now); self.dbg = (s.requests as u32, s.unread_tokens as u32/100, r.queued, r.active, (r.pace*100.0) as u32);
                 Some(engine)
             }
             Choice::Full { predicted_millis } => {
--- a/crates/gingerpier_gateway/src/callers/stream.rs
+++ b/crates/gingerpier_gateway/src/callers/stream.rs
@@ -45,6 +45,8 @@
     has_begun: bool,
     version: Version,
     first: Option<Instant>,
+    last: Option<Instant>,
+    longest_pause: u64,
 }
 
 impl Progress {
@@ -68,6 +70,22 @@
         self.splitter.count()
     }
 
+    /// Longest time between events so far, in milliseconds.
+    pub const fn longest_pause(&self) -> u64 {
+        self.longest_pause
+    }
+
+    /// Notes that events came at `now`; true for the first of them.
+    fn note_events(&mut self, now: Instant) -> bool {
+        let pause = self.last.map_or(0, |last| now.millis_since(last));
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last = Some(now);
+        self.has_begun = true;
+        let is_first = self.first.is_none();
+        self.first = self.first.or(Some(now));
+        is_first
+    }
+
     /// Milliseconds from `received` to the first event.
     pub fn first_millis(&self, received: Instant) -> Option<u64> {
         self.first.map(|first| first.millis_since(received))
@@ -176,12 +194,10 @@
         }
         if !events.is_empty() {
             output.append(&mut events);
-            if progress.first.is_none() {
-                progress.first = Some(clock::now());
+            if progress.note_events(clock::now()) {
                 course.note_first();
             }
             sent.note_first();
-            progress.has_begun = true;
             let written = clock::before(course.call.deadline, caller.write(&output)).await;
             match written {
                 Some(Ok(())) => {}
@@ -192,7 +208,12 @@
             patience = clock::now().after_millis(GAP_MILLIS);
         }
         match piece {
-            Piece::More => {}
+            Piece::More => {
+                if course.leaves(sent.engine, progress) {
+                    progress.splitter.discard();
+                    return Ended::Moved;
+                }
+            }
             Piece::End => {
                 let mut fleet = course.state.fleet.borrow_mut();
                 fleet.engine_mut(sent.engine).note_success();
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -151,8 +151,8 @@
         if is_held || loader.newest_complete() > Some(named.version) {
             return;
         }
-        if !loader.is_engine_free() {
-            clock::pause(LOOK_MILLIS).await;
+        if !is_turn(&loader, &named) {
+            // Another order was carried out meanwhile.
             continue;
         }
         let notice = Notice::give(&loader, &named).await;
@@ -237,15 +237,18 @@
     (clock::now().millis_since(own.at) < MANIFEST_LEAD_MILLIS).then_some(begins)
 }
 
+/// True once the engine may be ordered to take `named`. While it carries out an order nothing is
+/// known of what it will hold.
+fn is_turn(loader: &Loader, named: &Named) -> bool {
+    let held = loader.held(&named.model);
+    let known = loader.named(&named.model);
+    let complete_at = loader.complete_since(held);
+    let turn = bringing::order_at(held, &known, complete_at, place(loader), &terms(loader));
+    loader.is_engine_free() && turn.has_passed(clock::now())
+}
+
 async fn wait_for_turn(loader: &Loader, named: &Named) {
-    loop {
-        let held = loader.held(&named.model);
-        let known = loader.named(&named.model);
-        let complete_at = loader.complete_since(held);
-        let turn = bringing::order_at(held, &known, complete_at, place(loader), &terms(loader));
-        if turn.has_passed(clock::now()) {
-            return;
-        }
+    while !is_turn(loader, named) {
         clock::pause(LOOK_MILLIS).await;
     }
 }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -14,6 +14,7 @@
     },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
+        backlog::Backlog,
         bringing::NamedAt,
         configuration::{Configuration, Origin, ServiceKind},
         dialect::{Dialect, Named},
@@ -82,6 +83,8 @@
     pub subscribers: RefCell<BTreeMap<SocketAddr, Subscriber>>,
     /// Last report of the engine.
     pub report: RefCell<Option<Report>>,
+    /// Prompts that the engine has yet to read.
+    backlog: RefCell<Backlog>,
     /// Held while chunks are laid at the engine and until it has taken them.
     pub engine_turn: Mutex<()>,
     /// True while an order is about to be given.
@@ -109,6 +112,7 @@
             engine_turn: Mutex::new(()),
             subscribers: RefCell::default(),
             report: RefCell::default(),
+            backlog: RefCell::default(),
             is_ordering: Cell::new(false),
             news: Notify::new(),
             mirror: RefCell::default(),
@@ -137,6 +141,20 @@
         })
     }
 
+    /// Prompt tokens that the engine has yet to read, by its next `report`.
+    pub fn unread_tokens(&self, report: &Report) -> u64 {
+        let configuration = self.configuration.borrow();
+        let services = configuration.iter().flat_map(|known| known.services());
+        let mut engines = services.filter_map(|service| match &service.kind {
+            ServiceKind::Engines(engines) => Some(engines),
+            _ => None,
+        });
+        let Some(engines) = engines.next() else {
+            return 0;
+        };
+        self.backlog.borrow_mut().note(report, engines, clock::now())
+    }
+
     /// Where weights come from.
     pub fn origin(&self) -> Option<Origin> {
         let configuration = self.configuration.borrow();
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -99,7 +99,10 @@
     let call = loader.dialect.report();
     let whole = client.call(&call, ENGINE_MILLIS).await.ok()?;
     match loader.dialect.read_report(whole.head.status, &whole.body) {
-        Ok(report) => Some(report),
+        Ok(mut report) => {
+            report.unread_tokens = loader.unread_tokens(&report);
+            Some(report)
+        }
         Err(error) => {
             tracing::warn!(cause = %error, "report of the engine not understood");
             None
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -72,10 +72,10 @@
     /// Requests that run.
     #[n(4)]
     pub active: u32,
-    /// Tokens in its memory, times layers.
+    /// Tokens in its memory.
     #[n(5)]
     pub memory_used: u64,
-    /// Tokens that its memory holds, times layers.
+    /// Tokens that its memory holds.
     #[n(6)]
     pub memory_total: u64,
     /// How slow it is, in thousandths; 1,000 is usual.
@@ -87,6 +87,9 @@
     /// Stamp of the last word that came from the gateway which gets this; 0 for none.
     #[cbor(n(9), default)]
     pub echo: u64,
+    /// Prompt tokens that it has admitted and not yet read, as far as can be told.
+    #[cbor(n(10), default)]
+    pub unread_tokens: u64,
 }
 
 /// One datagram.
@@ -175,6 +178,7 @@
             pace: (report.pace * 1_000.0) as u32,
             gateways: Vec::new(),
             echo: 0,
+            unread_tokens: report.unread_tokens,
         }
     }
 
@@ -193,6 +197,7 @@
             memory_used: self.memory_used,
             memory_total: self.memory_total,
             pace: f64::from(self.pace) / 1_000.0,
+            unread_tokens: self.unread_tokens,
         }
     }
 }
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -11,6 +11,7 @@
     gingerpier_base::Instant,
     gingerpier_serving::{
         admission::Due,
+        arrivals::Arrivals,
         budget::{Budget, Terms},
         configuration::Configuration,
         dialect::{Dialect, Fact, Named, Subject},
@@ -71,6 +72,7 @@
     /// Requests under way.
     pub active: Cell<u32>,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    arrivals: RefCell<HashMap<String, Arrivals>>,
     due: RefCell<HashMap<String, Vec<Due>>>,
     contact: Cell<Option<Instant>>,
     started: Instant,
@@ -96,6 +98,7 @@
             leaving: Notify::new(),
             active: Cell::new(0),
             configuration: RefCell::default(),
+            arrivals: RefCell::default(),
             due: RefCell::default(),
             contact: Cell::new(None),
             started: clock::now(),
@@ -248,9 +251,22 @@
 
     /// Notes a request for `service` that is sent for the first time.
     pub fn note_request(&self, service: &str, now: Instant) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        match arrivals.get_mut(service) {
+            Some(known) => known.note(now),
+            None => arrivals.entry(service.to_owned()).or_default().note(now),
+        }
         self.with_budget(service, |budget| budget.note_request(now));
     }
 
+    /// Requests that other gateways send to `service` in a millisecond: each about as many as this
+    /// one.
+    pub fn others_per_milli(&self, service: &str, now: Instant) -> f64 {
+        let others = self.gateways.borrow().len().saturating_sub(1) as f64;
+        let arrivals = self.arrivals.borrow();
+        arrivals.get(service).map_or(0.0, |own| own.per_milli(now) * others)
+    }
+
     /// Takes one retry for `service`; false where none is left.
     pub fn take_retry(&self, service: &str, now: Instant) -> bool {
         let paid = self.with_budget(service, |budget| budget.take(now));
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -11,7 +11,7 @@
         prediction,
         report::Version,
     },
-    gingerpier_base::Instant,
+    gingerpier_base::{Instant, order},
 };
 
 /// How much of its target a first event may be predicted to take.
@@ -21,7 +21,7 @@
 const RETURN_SHARE: f64 = 1.0;
 
 /// Milliseconds that another zone must be better by.
-const OTHER_ZONE_MILLIS: f64 = 25.0;
+const OTHER_ZONE_MILLIS: f64 = 60.0;
 
 /// Milliseconds that a share of failures of 1 counts as.
 const FAILURE_MILLIS: f64 = 400.0;
@@ -71,6 +71,8 @@
     pub has_returned: bool,
     /// Zone of this gateway.
     pub zone: &'a str,
+    /// Requests that other gateways send to the service in a millisecond, as far as known.
+    pub others_per_milli: f64,
     /// Engines that it went to already.
     pub tried: &'a [EngineKey],
 }
@@ -97,11 +99,16 @@
 /// Decides where a request goes.
 pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: u64) -> Choice {
     let mut best: Option<(f64, f64, EngineKey)> = None;
+    let open = fleet.of_service(demand.service).filter(|(_, engine)| engine.is_open(now));
+    let unseen_per_milli = demand.others_per_milli / (open.count().max(1) as f64);
     for (key, engine) in fleet.of_service(demand.service) {
-        if demand.tried.contains(&key) || !engine.is_open(now) || engine.is_on_trial(now) {
+        if demand.tried.contains(&key) {
             continue;
         }
-        let predicted = predict(engine, demand, now) + engine.silence(now) as f64;
+        if !engine.is_open(now) || engine.is_on_trial(now) {
+            continue;
+        }
+        let predicted = predict(engine, demand, unseen_per_milli, now) + engine.silence(now) as f64;
         let late = engine.lateness();
         let starts = now.after_millis((predicted + late) as u64 + START_SLACK_MILLIS);
         if !fits(engine, demand, now, starts) {
@@ -146,9 +153,9 @@
     goes_on && version >= least_version(demand.due, starts) && !engine.latest(now).is_busy
 }
 
-fn predict(engine: &Engine, demand: &Demand<'_>, now: Instant) -> f64 {
+fn predict(engine: &Engine, demand: &Demand<'_>, unseen_per_milli: f64, now: Instant) -> f64 {
     match demand.engines {
-        Some(model) => prediction::first_event_millis(engine, model, demand.prompt_tokens, now),
+        Some(model) => prediction::first_event_millis(engine, model, demand.prompt_tokens, unseen_per_milli, now),
         None => {
             let slots = f64::from(engine.record.slots.max(1));
             let behind = (f64::from(engine.load.in_flight) / slots).max(0.0);
@@ -185,6 +192,6 @@
     let unseen = demand.engines.map_or(PLAIN_SPREAD_MILLIS, |model| {
         HERD_PROMPTS * prediction::usual_reading_millis(model)
     });
-    let mixed = gingerpier_base::order::mix(u64::from(key.0) ^ draw);
+    let mixed = order::mix(u64::from(key.0) ^ draw);
     (mixed % 1_000) as f64 / 1_000.0 * unseen
 }
--- a/crates/gingerpier_serving/src/configuration.rs
+++ b/crates/gingerpier_serving/src/configuration.rs
@@ -66,6 +66,8 @@
     pub timeout_millis: u64,
     /// Time within which an answer has its full worth, in milliseconds.
     pub target_millis: u64,
+    /// Longest pause between events of a stream with which it keeps its worth, in milliseconds.
+    pub pause_millis: u64,
     /// Rank; 0 is the highest.
     pub priority: u8,
     /// Services.
@@ -124,6 +126,8 @@
     pub per_thousand_tokens_millis: f64,
     /// Prompt tokens read in a millisecond.
     pub read_per_milli: f64,
+    /// Most prompt tokens that one pass reads; none where that is not known.
+    pub read_at_once: Option<u32>,
     /// Mean tokens of a prompt.
     pub usual_prompt: u32,
     /// Mean tokens of an answer.
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -96,16 +96,23 @@
     pub waiting: u32,
     /// Prompt tokens of those.
     pub waiting_tokens: u64,
-    sent: VecDeque<Instant>,
+    sent: VecDeque<Sent>,
+}
+
+/// A request that no report tells of yet.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    at: Instant,
+    prompt_tokens: u64,
 }
 
 /// Requests of all gateways at one engine, as far as this one knows.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Seen {
-    /// Requests that run: their first event was made.
-    pub running: f64,
-    /// Requests that wait, or whose prompts are being read.
-    pub waiting: f64,
+    /// Requests that run or wait.
+    pub requests: f64,
+    /// Prompt tokens that were admitted and not yet read.
+    pub unread_tokens: u64,
 }
 
 /// One engine.
@@ -127,6 +134,8 @@
     is_suspect: bool,
     /// When this gateway said what its machine heard last.
     heard: Option<Instant>,
+    /// Since when it takes nothing, as an order is coming or under way.
+    closed_since: Option<Instant>,
 }
 
 impl Engine {
@@ -159,26 +168,28 @@
         !self.is_gone && self.record.state == State::Ready && self.rests_until.has_passed(now)
     }
 
-    /// Requests of all gateways that run and wait there, as far as known.
+    /// What all gateways have there, as far as known.
     pub fn seen(&self, now: Instant) -> Seen {
-        let own_waiting = f64::from(self.load.waiting);
-        let own_running = f64::from(self.load.in_flight) - own_waiting;
+        let load = &self.load;
         match self.fresh_report(now) {
-            Some(report) => Seen {
-                running: f64::from(report.active).max(own_running),
-                waiting: f64::from(report.queued + self.load.sent.len() as u32).max(own_waiting),
-            },
+            Some(report) => {
+                let sent: u64 = load.sent.iter().map(|sent| sent.prompt_tokens).sum();
+                let requests = report.active + report.queued + load.sent.len() as u32;
+                Seen {
+                    requests: f64::from(requests.max(load.in_flight)),
+                    unread_tokens: (report.unread_tokens + sent).max(load.waiting_tokens),
+                }
+            }
             None => Seen {
-                running: own_running * USUAL_GATEWAYS,
-                waiting: own_waiting * USUAL_GATEWAYS,
+                requests: f64::from(load.in_flight) * USUAL_GATEWAYS,
+                unread_tokens: (load.waiting_tokens as f64 * USUAL_GATEWAYS) as u64,
             },
         }
     }
 
     /// Requests of all gateways at this engine, as far as known.
     pub fn occupancy(&self, now: Instant) -> f64 {
-        let seen = self.seen(now);
-        seen.running + seen.waiting
+        self.seen(now).requests
     }
 
     /// Share of recent requests that failed there, from 0 to 1.
@@ -216,24 +227,37 @@
         let sent = &mut self.load.sent;
         while sent
             .front()
-            .is_some_and(|at| now.millis_since(*at) > TRANSIT_MILLIS)
+            .is_some_and(|sent| now.millis_since(sent.at) > TRANSIT_MILLIS)
         {
             sent.pop_front();
         }
+        self.closed_since = match (report.is_busy, self.closed_since) {
+            (true, None) => Some(now),
+            (true, since) => since,
+            (false, _) => None,
+        };
         self.report = Some((report, now));
     }
 
+    /// Milliseconds for which it has taken nothing because of an order; none where it takes work.
+    pub fn closed_millis(&self, now: Instant) -> Option<u64> {
+        self.closed_since.map(|since| now.millis_since(since))
+    }
+
     /// Notes a request sent there with `tokens` of prompt.
     pub fn note_sent(&mut self, tokens: u64, now: Instant) {
         self.load.in_flight += 1;
         self.load.waiting += 1;
         self.load.waiting_tokens += tokens;
-        self.load.sent.push_back(now);
+        self.load.sent.push_back(Sent {
+            at: now,
+            prompt_tokens: tokens,
+        });
         while self
             .load
             .sent
             .front()
-            .is_some_and(|at| now.millis_since(*at) > REPORT_LIFE_MILLIS)
+            .is_some_and(|sent| now.millis_since(sent.at) > REPORT_LIFE_MILLIS)
         {
             self.load.sent.pop_front();
         }
@@ -341,6 +365,7 @@
             lateness: 0.0,
             is_suspect: false,
             heard: None,
+            closed_since: None,
         });
         key
     }
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -20,6 +20,8 @@
 //! ```
 
 pub mod admission;
+pub mod arrivals;
+pub mod backlog;
 pub mod bringing;
 pub mod budget;
 pub mod configuration;
--- a/crates/gingerpier_serving/src/report.rs
+++ b/crates/gingerpier_serving/src/report.rs
@@ -26,10 +26,12 @@
     pub queued: u32,
     /// Requests that run.
     pub active: u32,
-    /// Tokens in its memory that can't give way, times layers.
+    /// Tokens in its memory that can't give way.
     pub memory_used: u64,
-    /// Tokens that its memory holds, times layers.
+    /// Tokens that its memory holds.
     pub memory_total: u64,
+    /// Prompt tokens that it has admitted and not yet read, as far as can be told.
+    pub unread_tokens: u64,
     /// How slow it is; 1 is usual, above is slow.
     pub pace: f64,
 }
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -32,6 +32,7 @@
         per_request_millis: 0.0232,
         per_thousand_tokens_millis: 0.0322,
         read_per_milli: 20.7,
+        read_at_once: Some(2_048),
         usual_prompt: 979,
         usual_answer: 92,
         memory_tokens: 317_000,
