--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -64,7 +64,9 @@
     loop {
         clock::pause(OUTDATED_MILLIS).await;
         let now_held = carrier.held_count(&along.named);
-        if now_held == held && task().peers != along.peers {
+        let now = task();
+        let has_changed = now.peers != along.peers || now.origin != along.origin;
+        if now_held == held && has_changed {
             return;
         }
         held = now_held;
--- a/crates/gingerpier_gateway/src/weights/manifest.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest.rs
@@ -3,13 +3,13 @@
 use {
     super::{
         Carrier,
-        holding::Holding,
+        holding::{Holding, Holdings},
         peers::{Mode, Question},
         sources::Sources,
     },
     crate::{clock, store},
     bytes::Bytes,
-    gingerpier_http1::connection::Whole,
+    futures_util::future::{self, FutureExt},
     gingerpier_serving::dialect::{Call, Manifest, Named},
     gingerpier_weights::plan::Source,
     std::{net::SocketAddr, rc::Rc},
@@ -18,54 +18,94 @@
 /// Milliseconds that a manifest may take from one source.
 const MANIFEST_MILLIS: u64 = 700;
 
-/// Milliseconds for which a peer that waits for the manifest itself is waited for.
-const MANIFEST_WAIT_MILLIS: u64 = 900;
-
-/// Reads of a manifest at the origin before the next source is asked.
+/// Reads of a manifest at the origin in a row, before a pause.
 const MANIFEST_READS: u32 = 4;
 
-/// Milliseconds before all sources are asked anew.
+/// Milliseconds before a source that failed is asked again.
 const PAUSE_MILLIS: u64 = 100;
 
-/// Brings the manifest of a version here, from the first of `order` that has it; gives the version
+/// Sources that are asked at once. They are the first in order: those of the own zone, and then one
+/// of each other zone.
+const SOURCES_AT_ONCE: usize = 6;
+
+/// Brings the manifest of a version here, from whichever of `order` has it first; gives the version
 /// that it turned out to be.
+///
+/// Sources are asked side by side, each until it answers: any of them may be down for seconds,
+/// and whoever waits for one after the other learns late that the manifest is to be had again.
+/// Manifests are small.
 pub async fn hold(
     carrier: &Rc<Carrier>,
     sources: &Rc<Sources>,
     order: &[Source],
     named: &Named,
 ) -> Named {
+    let is_here = |holdings: &Holdings| holdings.get(&named.model, named.version).is_some();
+    if is_here(&carrier.holdings.borrow()) {
+        return named.clone();
+    }
+    let peers = order.iter().filter(|source| **source != Source::Origin);
+    let origin = order.iter().filter(|source| **source == Source::Origin);
+    let asked = origin.chain(peers.take(SOURCES_AT_ONCE));
+    let asked = asked.filter_map(|source| Some((*source, sources.address(*source)?)));
+    let asking = asked.map(|(source, address)| {
+        let answer = ask_until_had(carrier, source, address, named);
+        answer.boxed_local()
+    });
+    let asking: Vec<_> = asking.collect();
+    if asking.is_empty() {
+        // Nobody is known who could have it: sources are looked at anew by whoever asked for it.
+        return std::future::pending().await;
+    }
+    let (had, _, _) = future::select_all(asking).await;
+    note_manifest(carrier, had)
+}
+
+/// A manifest that was read.
+struct Had {
+    manifest: Manifest,
+    bytes: Bytes,
+    source: SocketAddr,
+}
+
+/// Asks one source again and again until it gives the manifest.
+async fn ask_until_had(
+    carrier: &Carrier,
+    source: Source,
+    address: SocketAddr,
+    named: &Named,
+) -> Had {
+    let mut client = store::Client::new(address);
+    let mut is_told = false;
     loop {
-        if carrier
-            .holdings
-            .borrow()
-            .get(&named.model, named.version)
-            .is_some()
-        {
-            return named.clone();
-        }
-        for source in order {
-            let Some(address) = sources.address(*source) else {
-                continue;
-            };
-            let bytes = match source {
-                Source::Origin => origin_manifest(carrier, address, named).await,
-                _ => peer_manifest(address, named).await,
+        let bytes = match source {
+            Source::Origin => origin_manifest(carrier, &mut client, named).await,
+            Source::Replica(_) | Source::Holder(_) => peer_manifest(&mut client, named).await,
+        };
+        let manifest = bytes.and_then(|bytes| {
+            let manifest = carrier.dialect.read_manifest(200, &bytes).ok()?;
+            Some((manifest, bytes))
+        });
+        if let Some((manifest, bytes)) = manifest {
+            return Had {
+                manifest,
+                bytes,
+                source: address,
             };
-            let manifest = bytes.and_then(|bytes| {
-                let manifest = carrier.dialect.read_manifest(200, &bytes).ok()?;
-                Some((manifest, bytes))
-            });
-            if let Some((manifest, bytes)) = manifest {
-                return note_manifest(carrier, manifest, bytes, address);
-            }
-            tracing::info!(version = named.version.0, source = %address, "manifest not had");
+        }
+        if !std::mem::replace(&mut is_told, true) {
+            tracing::info!(version = named.version.0, source = %address, "manifest not had yet");
         }
         clock::pause(PAUSE_MILLIS).await;
     }
 }
 
-fn note_manifest(carrier: &Carrier, manifest: Manifest, bytes: Bytes, source: SocketAddr) -> Named {
+fn note_manifest(carrier: &Carrier, had: Had) -> Named {
+    let Had {
+        manifest,
+        bytes,
+        source,
+    } = had;
     let named = Named {
         model: manifest.model.clone(),
         version: manifest.version,
@@ -78,24 +118,19 @@
     named
 }
 
-async fn call(address: SocketAddr, call: &Call, millis: u64) -> Option<Whole> {
-    store::Client::new(address).call(call, millis).await.ok()
-}
-
 /// Manifest of the origin, read until it came twice the same: it may be spoilt on its way, and
 /// everything else is checked against it.
-async fn origin_manifest(carrier: &Carrier, address: SocketAddr, named: &Named) -> Option<Bytes> {
+async fn origin_manifest(
+    carrier: &Carrier,
+    origin: &mut store::Client,
+    named: &Named,
+) -> Option<Bytes> {
     let question = carrier.dialect.manifest(named);
     let mut seen: Vec<Bytes> = Vec::new();
     for _ in 0..MANIFEST_READS {
-        let Some(whole) = call(address, &question, MANIFEST_MILLIS).await else {
-            continue;
-        };
-        if carrier
-            .dialect
-            .read_manifest(whole.head.status, &whole.body)
-            .is_err()
-        {
+        let whole = origin.call(&question, MANIFEST_MILLIS).await.ok()?;
+        let status = whole.head.status;
+        if carrier.dialect.read_manifest(status, &whole.body).is_err() {
             continue;
         }
         if seen.contains(&whole.body) {
@@ -106,19 +141,13 @@
     None
 }
 
-async fn peer_manifest(address: SocketAddr, named: &Named) -> Option<Bytes> {
+/// Manifest of a peer; none where it has none yet.
+async fn peer_manifest(peer: &mut store::Client, named: &Named) -> Option<Bytes> {
     let question = Question {
         named: named.clone(),
         chunk: None,
         mode: Mode::Wait,
     };
-    let deadline = clock::now().after_millis(MANIFEST_WAIT_MILLIS);
-    loop {
-        let whole = call(address, &Call::get(question.target()), MANIFEST_MILLIS).await?;
-        match whole.head.status {
-            200 => return Some(whole.body),
-            202 if !deadline.has_passed(clock::now()) => {}
-            _ => return None,
-        }
-    }
+    let whole = peer.call(&Call::get(question.target()), MANIFEST_MILLIS).await.ok()?;
+    (whole.head.status == 200).then_some(whole.body)
 }
