Of the engines at one address only the one that was listed last is there

Cause: after a loss of power the entries of the engines that ended stay listed for seconds beside the new ones at the same addresses; requests went to the old ids, got 421 twice and were refused. Change: the fleet keeps who was listed last at each address, by the store's revision.

--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -70,7 +70,7 @@
 
 fn list(loader: &Loader, fleet: &mut Fleet, item: &Item) {
     if let Some(Fact::Engine(record)) = loader.items.read(item) {
-        fleet.list(*record);
+        fleet.list(*record, item.revision);
     }
 }
 
@@ -112,7 +112,7 @@
             *loader.configuration.borrow_mut() = Some(*configuration);
         }
         Some(Fact::Engine(record)) => {
-            loader.fleet.borrow_mut().list(*record);
+            loader.fleet.borrow_mut().list(*record, item.revision);
         }
         Some(Fact::Weights(named)) => loader.note_named(&named),
         Some(Fact::Other) | None => {}
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -15,7 +15,7 @@
         budget::{Budget, Terms},
         configuration::Configuration,
         dialect::{Dialect, Fact, Named, Subject},
-        fleet::{EngineKey, Fleet},
+        fleet::{EngineKey, Fleet, Record},
         mirror::{Changes, Item, Mirror, Revision},
     },
     gingerpier_settings::Gateway as Settings,
@@ -174,7 +174,7 @@
         }
         match self.items.read(item) {
             Some(Fact::Configuration(configuration)) => self.configure(*configuration),
-            Some(Fact::Engine(record)) => self.list(*record),
+            Some(Fact::Engine(record)) => self.list(*record, item.revision),
             Some(Fact::Weights(named)) => self.note_named(&named),
             Some(Fact::Other) | None => {}
         }
@@ -193,7 +193,7 @@
         *current = Some(Rc::new(configuration));
     }
 
-    fn list(&self, record: gingerpier_serving::fleet::Record) {
+    fn list(&self, record: Record, revision: Revision) {
         let mut fleet = self.fleet.borrow_mut();
         let id = record.id.clone();
         let state = record.state;
@@ -202,7 +202,7 @@
             let address = record.address;
             tracing::info!(engine = id, %address, service = record.service, ?state, "engine listed");
         }
-        fleet.list(record);
+        fleet.list(record, revision);
     }
 
     /// Notes weights that operators named.
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -4,7 +4,10 @@
 //! load is a hint with an age; this gateway's own requests are counted exactly.
 
 use {
-    crate::report::{Report, Version},
+    crate::{
+        mirror::Revision,
+        report::{Report, Version},
+    },
     gingerpier_base::Instant,
     std::{
         collections::{HashMap, VecDeque},
@@ -126,6 +129,10 @@
     pub report: Option<(Report, Instant)>,
     /// True once it is no longer listed.
     pub is_gone: bool,
+    /// Revision at which it was listed last.
+    revision: Revision,
+    /// True where another engine was listed at its address later: it has ended.
+    is_replaced: bool,
     rests_until: Instant,
     failures_in_row: u32,
     failure_share: f64,
@@ -139,6 +146,24 @@
 }
 
 impl Engine {
+    fn new(record: Record, revision: Revision) -> Self {
+        Self {
+            record,
+            load: Load::default(),
+            report: None,
+            is_gone: false,
+            revision,
+            is_replaced: false,
+            rests_until: Instant::default(),
+            failures_in_row: 0,
+            failure_share: 0.0,
+            lateness: 0.0,
+            is_suspect: false,
+            heard: None,
+            closed_since: None,
+        }
+    }
+
     /// The newest report that still counts.
     pub fn fresh_report(&self, now: Instant) -> Option<&Report> {
         let (report, at) = self.report.as_ref()?;
@@ -165,7 +190,8 @@
 
     /// True where it may be sent new work.
     pub fn is_open(&self, now: Instant) -> bool {
-        !self.is_gone && self.record.state == State::Ready && self.rests_until.has_passed(now)
+        let is_there = !self.is_gone && !self.is_replaced;
+        is_there && self.record.state == State::Ready && self.rests_until.has_passed(now)
     }
 
     /// What all gateways have there, as far as known.
@@ -328,48 +354,59 @@
     engines: Vec<Engine>,
     by_id: HashMap<String, EngineKey>,
     by_service: HashMap<String, Vec<EngineKey>>,
+    /// Engine that was listed last at each address.
+    by_address: HashMap<SocketAddr, EngineKey>,
 }
 
 impl Fleet {
-    /// Takes what the platform lists of an engine.
-    pub fn list(&mut self, record: Record) -> EngineKey {
-        if let Some(key) = self.by_id.get(&record.id).copied() {
-            let engine = &mut self.engines[key.0 as usize];
-            // Leaving is a one-way state.
-            let state = match engine.record.state {
-                State::Draining => State::Draining,
-                State::Ready => record.state,
-            };
-            engine.record = Record { state, ..record };
-            if engine.is_gone {
-                engine.is_gone = false;
-                let service = engine.record.service.clone();
-                self.by_service.entry(service).or_default().push(key);
-            }
-            return key;
+    /// Takes what the platform lists of an engine at `revision`.
+    pub fn list(&mut self, record: Record, revision: Revision) -> EngineKey {
+        let key = match self.by_id.get(&record.id).copied() {
+            Some(key) => self.relist(key, record, revision),
+            None => self.add(record, revision),
+        };
+        self.settle_address(key);
+        key
+    }
+
+    fn relist(&mut self, key: EngineKey, record: Record, revision: Revision) -> EngineKey {
+        let engine = &mut self.engines[key.0 as usize];
+        // Leaving is a one-way state.
+        let state = match engine.record.state {
+            State::Draining => State::Draining,
+            State::Ready => record.state,
+        };
+        engine.record = Record { state, ..record };
+        engine.revision = revision;
+        if engine.is_gone {
+            engine.is_gone = false;
+            let service = engine.record.service.clone();
+            self.by_service.entry(service).or_default().push(key);
         }
+        key
+    }
+
+    fn add(&mut self, record: Record, revision: Revision) -> EngineKey {
         let key = EngineKey(self.engines.len() as u32);
         self.by_id.insert(record.id.clone(), key);
-        self.by_service
-            .entry(record.service.clone())
-            .or_default()
-            .push(key);
-        self.engines.push(Engine {
-            record,
-            load: Load::default(),
-            report: None,
-            is_gone: false,
-            rests_until: Instant::default(),
-            failures_in_row: 0,
-            failure_share: 0.0,
-            lateness: 0.0,
-            is_suspect: false,
-            heard: None,
-            closed_since: None,
-        });
+        let service = record.service.clone();
+        self.by_service.entry(service).or_default().push(key);
+        self.engines.push(Engine::new(record, revision));
         key
     }
 
+    /// Of the engines at one address, only the one that was listed last is there: an engine that
+    /// ended stays listed for a while, and its address may be taken again meanwhile.
+    fn settle_address(&mut self, key: EngineKey) {
+        let address = self.engine(key).record.address;
+        let holder = self.by_address.get(&address).copied().unwrap_or(key);
+        let is_newer = self.engine(key).revision >= self.engine(holder).revision;
+        let (newer, older) = if is_newer { (key, holder) } else { (holder, key) };
+        self.engine_mut(older).is_replaced = true;
+        self.engine_mut(newer).is_replaced = false;
+        self.by_address.insert(address, newer);
+    }
+
     /// Takes an engine off the list.
     pub fn unlist(&mut self, id: &str) -> Option<EngineKey> {
         let key = self.by_id.get(id).copied()?;
@@ -412,11 +449,9 @@
             .map(|(index, engine)| (EngineKey(index as u32), engine))
     }
 
-    /// The listed engine at `address`; the newest, where an address was reused.
+    /// The listed engine at `address`; the one that was listed last, where an address was reused.
     pub fn at_address(&self, address: SocketAddr) -> Option<EngineKey> {
-        let at = self
-            .listed()
-            .filter(|(_, engine)| engine.record.address == address);
-        at.map(|(key, _)| key).max()
+        let key = self.by_address.get(&address).copied()?;
+        (!self.engine(key).is_gone).then_some(key)
     }
 }
