Callers come back later where no engine could run the request, and after 0.6 to 1.6 s where engines are full

Cause: with one retry each, a caller that finds no engine again is lost, and engines that restart or wait for weights need more than the 0.25 to 0.9 s that were told. Change: 1.0 to 1.9 s without an engine; 0.6 to 1.6 s where all are full.

--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -15,10 +15,16 @@
     },
     gingerpier_http1::{connection::Connection, head::Request},
     gingerpier_serving::{course::Next, fleet::EngineKey},
+    std::ops::Range,
 };
 
-/// Shortest and longest time after which a refused caller may come again, in seconds.
-const RETRY_AFTER: std::ops::Range<f64> = 0.25..0.9;
+/// Shortest and longest time after which a caller may come again, in seconds, where all engines
+/// are full: what runs there ends within about a second.
+const RETRY_FULL: Range<f64> = 0.6..1.6;
+
+/// The same where no engine could run the request at all: engines that restart or wait for weights
+/// take longer, and a caller that finds none again is lost.
+const RETRY_NO_ENGINE: Range<f64> = 1.0..1.9;
 
 /// Milliseconds that an engine rests after it refused a request.
 const FULL_REST_MILLIS: u64 = 60;
@@ -89,8 +95,12 @@
     fn retry_after(&self) -> f64 {
         let left = self.call.caller_deadline.millis_since(clock::now());
         let most = left as f64 / 1_000.0 / 3.0;
-        let spread = RETRY_AFTER.end - RETRY_AFTER.start;
-        (RETRY_AFTER.start + fastrand::f64() * spread).min(most)
+        let range = match self.found_engine {
+            true => RETRY_FULL,
+            false => RETRY_NO_ENGINE,
+        };
+        let spread = range.end - range.start;
+        (range.start + fastrand::f64() * spread).min(most)
     }
 
     pub(super) fn note_done(&self, progress: &Progress) -> After {
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -79,6 +79,8 @@
     pub(super) predicted_millis: f64,
     sent_at: Option<Instant>,
     pub(super) cause: Option<Cause>,
+    /// True where the last choice found an engine that could run the request.
+    pub(super) found_engine: bool,
     /// Number that is drawn for this request, against herds.
     draw: u64,
     pub(super) dbg: (u32,u32,u32,u32,u32),
@@ -101,6 +103,7 @@
         predicted_millis: 0.0,
         sent_at: None,
         cause: None,
+        found_engine: true,
         draw: fastrand::u64(..),
         dbg: Default::default(),
     };
@@ -206,7 +209,9 @@
             tried: &self.tried,
         };
         let fleet = self.state.fleet.borrow();
-        match admission::choose(&fleet, &demand, now, self.draw) {
+        let choice = admission::choose(&fleet, &demand, now, self.draw);
+        self.found_engine = choice != Choice::NoEngine;
+        match choice {
             Choice::Send {
                 engine,
                 predicted_millis,
