Weights that have hardly begun to come are given up for newer ones

Change: a gateway finishes an older version from half of its chunks on, a loader from a quarter on; else it is given up for the newer one.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -78,6 +78,10 @@
 /// Milliseconds after a failed round.
 const PAUSE_MILLIS: u64 = 200;
 
+/// Share of a version's chunks from which on it comes to its end although a newer one was named:
+/// gateways, which are ahead, finish a version from the half on.
+const WORTH_FINISHING: f64 = 0.25;
+
 /// Weights on their way to the engine.
 struct Work {
     named: Named,
@@ -110,6 +114,11 @@
         if works.iter().any(|work| work.named == wanted) {
             continue;
         }
+        for work in &works {
+            if loader.carrier.held_share(&work.named) < WORTH_FINISHING {
+                give_up(&loader, work);
+            }
+        }
         tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
         loader.carrier.wanted.borrow_mut().push(wanted.clone());
         let task = actix_rt::spawn(bring(loader.clone(), wanted.clone()));
@@ -126,13 +135,17 @@
     let is_outdated = |work: &&Work| Some(work.named.version) < newest;
     for work in works.iter().filter(is_outdated) {
         if !loader.is_complete(work.named.version) {
-            work.task.abort();
-            let mut wanted = loader.carrier.wanted.borrow_mut();
-            wanted.retain(|named| *named != work.named);
+            give_up(loader, work);
         }
     }
 }
 
+fn give_up(loader: &Loader, work: &Work) {
+    tracing::info!(version = work.named.version.0, "weights given up for newer ones");
+    work.task.abort();
+    loader.carrier.forget(&work.named);
+}
+
 fn terms(loader: &Loader) -> Terms {
     weights::terms(loader.settings.version_within.0)
 }
--- a/crates/gingerpier_gateway/src/weights/holding.rs
+++ b/crates/gingerpier_gateway/src/weights/holding.rs
@@ -54,6 +54,11 @@
         self.chunks.iter().flatten().count()
     }
 
+    /// Share of the chunks that are here, from 0 to 1.
+    pub fn held_share(&self) -> f64 {
+        self.held_count() as f64 / self.chunks.len().max(1) as f64
+    }
+
     /// True once every chunk is here.
     pub fn is_complete(&self) -> bool {
         self.held_count() == self.chunks.len()
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -110,6 +110,19 @@
         holding.map_or(0, Holding::held_count)
     }
 
+    /// Share of the chunks of a version that are held, from 0 to 1.
+    pub fn held_share(&self, named: &Named) -> f64 {
+        let holdings = self.holdings.borrow();
+        let holding = holdings.get(&named.model, named.version);
+        holding.map_or(0.0, Holding::held_share)
+    }
+
+    /// Notes that a version is no longer fetched.
+    pub fn forget(&self, named: &Named) {
+        let mut wanted = self.wanted.borrow_mut();
+        wanted.retain(|other| other != named);
+    }
+
     /// True where every chunk of a version is held.
     pub fn is_complete(&self, named: &Named) -> bool {
         let holdings = self.holdings.borrow();
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -34,6 +34,10 @@
 /// for it.
 const STALLED_MILLIS: u64 = 700;
 
+/// Share of a version's chunks from which on it comes to its end before a newer one: what is left
+/// takes less time than the newer one would lose by starting over.
+const WORTH_FINISHING: f64 = 0.5;
+
 /// A version on its way here.
 struct Work {
     named: Named,
@@ -68,14 +72,20 @@
         version = named.version.0,
         "weights carried"
     );
+    let under_way = works
+        .iter()
+        .filter(|work| work.named.version < named.version && !work.task.is_finished());
+    let mut older: Option<Named> = None;
+    for work in under_way {
+        if state.carrier.held_share(&work.named) < WORTH_FINISHING {
+            give_up(state, work);
+        } else {
+            older = Some(work.named.clone());
+        }
+    }
     state.carrier.wanted.borrow_mut().push(named.clone());
     let own = state.clone();
     let wanted = named.clone();
-    let older = works
-        .iter()
-        .filter(|work| work.named.version < named.version && !work.task.is_finished())
-        .map(|work| work.named.clone())
-        .max_by_key(|older| older.version);
     let task = actix_rt::spawn(async move {
         if let Some(older) = older {
             wait_for(&own, &older).await;
@@ -109,12 +119,16 @@
     };
     let under_way = works.iter().filter(|work| !work.task.is_finished());
     for work in under_way.filter(|work| work.named.version < newest) {
-        work.task.abort();
-        let mut wanted = state.carrier.wanted.borrow_mut();
-        wanted.retain(|named| *named != work.named);
+        give_up(state, work);
     }
 }
 
+fn give_up(state: &State, work: &Work) {
+    tracing::info!(version = work.named.version.0, "weights given up for newer ones");
+    work.task.abort();
+    state.carrier.forget(&work.named);
+}
+
 fn is_carrier(state: &State, named: &Named) -> bool {
     // What all engines hold already needs nobody to carry it.
     let fleet = state.fleet.borrow();
