Count 2.5 times the usual arrivals as unseen, draw 12 ms, and measure the work of ordinary services

Change: unseen arrivals count 2.5 times; other zones must be better by 60 ms; the work of each engine of an ordinary service is measured, and its requests may take two targets.

--- a/crates/gingerpier_gateway/src/callers/attempt.rs
+++ b/crates/gingerpier_gateway/src/callers/attempt.rs
@@ -53,21 +53,34 @@
     pub engine: EngineKey,
     tokens: u64,
     is_waiting: bool,
+    at: Instant,
+    crowding: f64,
 }
 
 impl Sent {
     /// Counts a request with `tokens` of prompt at `engine`.
     pub fn new(state: &Rc<State>, engine: EngineKey, tokens: u64) -> Self {
+        let at = clock::now();
         let mut fleet = state.fleet.borrow_mut();
-        fleet.engine_mut(engine).note_sent(tokens, clock::now());
+        let crowding = fleet.engine(engine).crowding();
+        fleet.engine_mut(engine).note_sent(tokens, at);
         Self {
             state: state.clone(),
             engine,
             tokens,
             is_waiting: true,
+            at,
+            crowding,
         }
     }
 
+    /// Notes the whole answer of an ordinary service.
+    pub fn note_answer(&self) {
+        let took = clock::now().millis_since(self.at) as f64;
+        let mut fleet = self.state.fleet.borrow_mut();
+        fleet.engine_mut(self.engine).note_work(took, self.crowding);
+    }
+
     /// Notes its first event.
     pub fn note_first(&mut self) {
         if std::mem::replace(&mut self.is_waiting, false) {
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -314,7 +314,10 @@
         match self.read_whole(caller, begun, engine).await {
             Err(ended) => ended,
             Ok(whole) if is_refused => Ended::Failed(refused(whole.head.status)),
-            Ok(whole) => self.pass(caller, whole, engine, progress).await,
+            Ok(whole) => {
+                sent.note_answer();
+                self.pass(caller, whole, engine, progress).await
+            }
         }
     }
 
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -20,23 +20,23 @@
 /// The same for a caller that came back after a refusal.
 const RETURN_SHARE: f64 = 1.0;
 
-/// Milliseconds that another zone must be better by.
+/// Milliseconds that another zone must be better by: about what predictions there are wrong by, as
+/// reports of other zones come five times less often, and a crossing is paid for.
 const OTHER_ZONE_MILLIS: f64 = 60.0;
 
 /// Milliseconds that a share of failures of 1 counts as.
 const FAILURE_MILLIS: f64 = 400.0;
 
-/// Milliseconds of work of an ordinary service, where nothing is measured.
-const PLAIN_WORK_MILLIS: f64 = 60.0;
+/// Targets that a request of an ordinary service may be predicted to take: short work that comes
+/// late is worth more than none, and makes few others late.
+const PLAIN_SHARE: f64 = 2.0;
 
-/// Requests of this gateway for each slot of an engine of an ordinary service.
-const PLAIN_DEPTH: f64 = 2.0;
+/// Share of its target that a request of an ordinary service is taken to need, until it is measured.
+const PLAIN_WORK_SHARE: f64 = 0.2;
 
-/// Most milliseconds drawn against herds at an ordinary service.
-const PLAIN_SPREAD_MILLIS: f64 = 12.0;
-
-/// Usual prompts whose reading takes as long as the most that is drawn against herds.
-const HERD_PROMPTS: f64 = 2.0;
+/// Most milliseconds that are drawn: a difference that predictions can't tell, a tenth of the error
+/// that they have on calm days.
+const DRAW_MILLIS: f64 = 12.0;
 
 /// Milliseconds that a request may start later than predicted.
 const START_SLACK_MILLIS: u64 = 400;
@@ -114,7 +114,7 @@
         if !fits(engine, demand, now, starts) {
             continue;
         }
-        let cost = predicted + late + penalty(engine, demand) + draw_of(key, demand, draw);
+        let cost = predicted + late + penalty(engine, demand) + draw_of(key, draw);
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, predicted, key));
         }
@@ -157,9 +157,8 @@
     match demand.engines {
         Some(model) => prediction::first_event_millis(engine, model, demand.prompt_tokens, unseen_per_milli, now),
         None => {
-            let slots = f64::from(engine.record.slots.max(1));
-            let behind = (f64::from(engine.load.in_flight) / slots).max(0.0);
-            PLAIN_WORK_MILLIS * (1.0 + behind)
+            let usual = PLAIN_WORK_SHARE * demand.target_millis as f64;
+            engine.work_millis().unwrap_or(usual) * engine.crowding()
         }
     }
 }
@@ -175,7 +174,7 @@
 
 fn bound(demand: &Demand<'_>) -> f64 {
     if demand.engines.is_none() {
-        return PLAIN_WORK_MILLIS * (1.0 + PLAIN_DEPTH);
+        return demand.target_millis as f64 * PLAIN_SHARE;
     }
     let share = if demand.has_returned {
         RETURN_SHARE
@@ -185,13 +184,9 @@
     demand.target_millis as f64 * share
 }
 
-/// Milliseconds drawn for an engine and a request. Gateways that hear the same report would all
-/// choose the same engine before the next one; what they can't see of each other is about as much
-/// work as the prompts that they send meanwhile.
-fn draw_of(key: EngineKey, demand: &Demand<'_>, draw: u64) -> f64 {
-    let unseen = demand.engines.map_or(PLAIN_SPREAD_MILLIS, |model| {
-        HERD_PROMPTS * prediction::usual_reading_millis(model)
-    });
+/// Milliseconds drawn for an engine and a request, so that gateways which know the same do not all
+/// choose the same among engines that are as good.
+fn draw_of(key: EngineKey, draw: u64) -> f64 {
     let mixed = order::mix(u64::from(key.0) ^ draw);
-    (mixed % 1_000) as f64 / 1_000.0 * unseen
+    (mixed % 1_000) as f64 / 1_000.0 * DRAW_MILLIS
 }
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -65,6 +65,9 @@
 /// Weight of one outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
+/// Weight of one answer in the work of its engine.
+const WORK_WEIGHT: f64 = 0.1;
+
 /// Weight of one first event in the lateness of its engine.
 const LATENESS_WEIGHT: f64 = 0.2;
 
@@ -137,6 +140,8 @@
     failures_in_row: u32,
     failure_share: f64,
     lateness: f64,
+    /// Milliseconds that one request takes when it does not wait; none until one was answered.
+    work_millis: Option<f64>,
     /// True from a request of which nothing came until one that was answered.
     is_suspect: bool,
     /// When this gateway said what its machine heard last.
@@ -158,6 +163,7 @@
             failures_in_row: 0,
             failure_share: 0.0,
             lateness: 0.0,
+            work_millis: None,
             is_suspect: false,
             heard: None,
             closed_since: None,
@@ -228,6 +234,23 @@
         self.lateness
     }
 
+    /// Milliseconds that one request takes here when it does not wait, as measured.
+    pub const fn work_millis(&self) -> Option<f64> {
+        self.work_millis
+    }
+
+    /// How many times longer than alone a request takes beside this gateway's others.
+    pub fn crowding(&self) -> f64 {
+        1.0 + f64::from(self.load.in_flight) / f64::from(self.record.slots.max(1))
+    }
+
+    /// Notes that a request, sent at some `crowding`, was answered after `millis`.
+    pub fn note_work(&mut self, millis: f64, crowding: f64) {
+        let alone = millis / crowding.max(1.0);
+        let known = self.work_millis.unwrap_or(alone);
+        self.work_millis = Some(known + (alone - known) * WORK_WEIGHT);
+    }
+
     /// Milliseconds by which word from or to the engine's machine is overdue: a machine that
     /// stands still or whose link is choked is silent first.
     pub fn silence(&self, now: Instant) -> u64 {
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_serving/src/prediction.rs
@@ -13,6 +13,10 @@
 /// under way when the request comes: an event holds the tokens of about one pass.
 const FIRST_PASSES: f64 = 1.0;
 
+/// Times as many requests as to an average engine that come unseen to one which is worth choosing:
+/// the others know the same of it. 1 and 2.5 were measured, docs/design/experiments.md.
+const ATTRACTION: f64 = 2.5;
+
 /// Most milliseconds for which requests of other gateways are taken to have come unseen.
 const MOST_UNSEEN_MILLIS: u64 = 500;
 
@@ -51,7 +55,7 @@
     let seen = engine.seen(now);
     let pace = engine.latest(now).pace.max(1.0);
     let age = engine.report_age(now).unwrap_or_default().min(MOST_UNSEEN_MILLIS);
-    let unseen = unseen_per_milli * age as f64;
+    let unseen = ATTRACTION * unseen_per_milli * age as f64;
     let requests = seen.requests + unseen;
     let queue = (requests + 1.0 - slots).max(0.0) * work_millis(model);
     let running = requests.min(slots);
