--- a/crates/gingerpier_daemon/src/backend/asks.rs
+++ b/crates/gingerpier_daemon/src/backend/asks.rs
@@ -146,6 +146,9 @@
     fn take(&self, part: &[u8]) {
         self.taken.set(self.taken.get() + part.len());
         self.fetching.progress_at(self.chunk, self.attempt);
+        if self.source == Source::Origin {
+            self.fetching.origin_sent();
+        }
         let length = part.len() as u64;
         let (source, count) = match self.fetching.peer(self.source) {
             None => ("origin", &self.fetching.origin_bytes),
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// Notes bytes of some chunk from the origin.
+    pub(super) fn origin_sent(&self) {
+        if let Some(machine) = self.machine.borrow_mut().as_mut() {
+            machine.origin_sent(clock::now());
+        }
+    }
+
     pub(super) fn want(&self, chunk: u32) {
         if let Some(machine) = self.machine.borrow_mut().as_mut() {
             machine.want(chunk);
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -135,7 +135,9 @@
             first = ?progress.first_millis(self.call.received),
             events = progress.count(),
             pause = progress.longest_pause(),
-            dbg = format!("{}/{}/{}/{}/{}", self.dbg.0,self.dbg.1,self.dbg.2,self.dbg.3,self.dbg.4), prompt = self.call.prompt_tokens,
+            beside = self.seen.map(|seen| seen.requests as u64),
+            unread = self.seen.map(|seen| seen.unread_tokens),
+            prompt = self.call.prompt_tokens,
             returned = self.call.has_returned,
             took = now.millis_since(self.call.received),
             "request"
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -18,7 +18,7 @@
     gingerpier_serving::{
         admission::{self, Choice, Demand, Due},
         course::{Failure, Next, Standing},
-        fleet::EngineKey,
+        fleet::{EngineKey, Seen},
         report::Version,
     },
     std::rc::Rc,
@@ -83,7 +83,8 @@
     pub(super) found_engine: bool,
     /// Number that is drawn for this request, against herds.
     draw: u64,
-    pub(super) dbg: (u32,u32,u32,u32,u32),
+    /// What was known of the load of the engine that was chosen last.
+    pub(super) seen: Option<Seen>,
 }
 
 /// Sends a request to engines until its caller has a final answer.
@@ -105,7 +106,7 @@
         cause: None,
         found_engine: true,
         draw: fastrand::u64(..),
-        dbg: Default::default(),
+        seen: None,
     };
     course.run(caller).await
 }
@@ -217,7 +218,7 @@
                 predicted_millis,
             } => {
                 self.predicted_millis = predicted_millis;
-                let s = fleet.engine(engine).seen(now); let r=fleet.engine(engine).latest(now); self.dbg = (s.requests as u32, s.unread_tokens as u32/100, r.queued, r.active, (r.pace*100.0) as u32);
+                self.seen = Some(fleet.engine(engine).seen(now));
                 Some(engine)
             }
             Choice::Full { predicted_millis } => {
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -141,7 +141,10 @@
 }
 
 fn give_up(loader: &Loader, work: &Work) {
-    tracing::info!(version = work.named.version.0, "weights given up for newer ones");
+    tracing::info!(
+        version = work.named.version.0,
+        "weights given up for newer ones"
+    );
     work.task.abort();
     loader.carrier.forget(&work.named);
 }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -152,7 +152,9 @@
         let Some(engines) = engines.next() else {
             return 0;
         };
-        self.backlog.borrow_mut().note(report, engines, clock::now())
+        self.backlog
+            .borrow_mut()
+            .note(report, engines, clock::now())
     }
 
     /// Where weights come from.
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -264,7 +264,9 @@
     pub fn others_per_milli(&self, service: &str, now: Instant) -> f64 {
         let others = self.gateways.borrow().len().saturating_sub(1) as f64;
         let arrivals = self.arrivals.borrow();
-        arrivals.get(service).map_or(0.0, |own| own.per_milli(now) * others)
+        arrivals
+            .get(service)
+            .map_or(0.0, |own| own.per_milli(now) * others)
     }
 
     /// Takes one retry for `service`; false where none is left.
--- a/crates/gingerpier_gateway/src/weights/manifest.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest.rs
@@ -148,6 +148,9 @@
         chunk: None,
         mode: Mode::Wait,
     };
-    let whole = peer.call(&Call::get(question.target()), MANIFEST_MILLIS).await.ok()?;
+    let whole = peer
+        .call(&Call::get(question.target()), MANIFEST_MILLIS)
+        .await
+        .ok()?;
     (whole.head.status == 200).then_some(whole.body)
 }
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -124,7 +124,10 @@
 }
 
 fn give_up(state: &State, work: &Work) {
-    tracing::info!(version = work.named.version.0, "weights given up for newer ones");
+    tracing::info!(
+        version = work.named.version.0,
+        "weights given up for newer ones"
+    );
     work.task.abort();
     state.carrier.forget(&work.named);
 }
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -99,7 +99,9 @@
 /// Decides where a request goes.
 pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: u64) -> Choice {
     let mut best: Option<(f64, f64, EngineKey)> = None;
-    let open = fleet.of_service(demand.service).filter(|(_, engine)| engine.is_open(now));
+    let open = fleet
+        .of_service(demand.service)
+        .filter(|(_, engine)| engine.is_open(now));
     let unseen_per_milli = demand.others_per_milli / (open.count().max(1) as f64);
     for (key, engine) in fleet.of_service(demand.service) {
         if demand.tried.contains(&key) {
@@ -155,7 +157,13 @@
 
 fn predict(engine: &Engine, demand: &Demand<'_>, unseen_per_milli: f64, now: Instant) -> f64 {
     match demand.engines {
-        Some(model) => prediction::first_event_millis(engine, model, demand.prompt_tokens, unseen_per_milli, now),
+        Some(model) => prediction::first_event_millis(
+            engine,
+            model,
+            demand.prompt_tokens,
+            unseen_per_milli,
+            now,
+        ),
         None => {
             let usual = PLAIN_WORK_SHARE * demand.target_millis as f64;
             engine.work_millis().unwrap_or(usual) * engine.crowding()
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -424,7 +424,11 @@
         let address = self.engine(key).record.address;
         let holder = self.by_address.get(&address).copied().unwrap_or(key);
         let is_newer = self.engine(key).revision >= self.engine(holder).revision;
-        let (newer, older) = if is_newer { (key, holder) } else { (holder, key) };
+        let (newer, older) = if is_newer {
+            (key, holder)
+        } else {
+            (holder, key)
+        };
         self.engine_mut(older).is_replaced = true;
         self.engine_mut(newer).is_replaced = false;
         self.by_address.insert(address, newer);
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_serving/src/prediction.rs
@@ -54,16 +54,22 @@
     let slots = f64::from(model.slots);
     let seen = engine.seen(now);
     let pace = engine.latest(now).pace.max(1.0);
-    let age = engine.report_age(now).unwrap_or_default().min(MOST_UNSEEN_MILLIS);
+    let age = engine
+        .report_age(now)
+        .unwrap_or_default()
+        .min(MOST_UNSEEN_MILLIS);
     let unseen = ATTRACTION * unseen_per_milli * age as f64;
     let requests = seen.requests + unseen;
     let queue = (requests + 1.0 - slots).max(0.0) * work_millis(model);
     let running = requests.min(slots);
     // Whoever waits for a slot is read later, as part of the work that the queue stands for.
     let ahead = (unseen * f64::from(model.usual_prompt)).min(slots * f64::from(model.usual_prompt));
-    let read = (age as f64 * backlog::read_per_milli(model, running)).min(seen.unread_tokens as f64);
+    let read =
+        (age as f64 * backlog::read_per_milli(model, running)).min(seen.unread_tokens as f64);
     let tokens = prompt_tokens as f64 + seen.unread_tokens as f64 - read + ahead;
-    let chunks = model.read_at_once.map_or(0.0, |chunk| tokens / f64::from(chunk.max(1)));
+    let chunks = model
+        .read_at_once
+        .map_or(0.0, |chunk| tokens / f64::from(chunk.max(1)));
     let steps_between = (chunks - 1.0).max(0.0) * pass_millis(model, running);
     let reading = tokens / model.read_per_milli + steps_between;
     let passes = FIRST_PASSES + LEFT_OF_PASS * running.min(1.0);
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -4,6 +4,8 @@
     gingerpier_base::Instant,
     gingerpier_serving::{
         admission::{self, Choice, Demand, Due},
+        arrivals::Arrivals,
+        backlog::Backlog,
         bringing::{self, NamedAt, Place, Terms},
         budget::{self, Budget},
         configuration::{
@@ -15,6 +17,7 @@
         fleet::{EngineKey, Fleet, Record, State},
         mirror::{Item, Mirror, Revision},
         pace::Pace,
+        prediction,
         report::{Held, Report, Version},
     },
     proptest::prelude::*,
@@ -67,23 +70,39 @@
 fn fleet(count: u32) -> (Fleet, Vec<EngineKey>) {
     let mut fleet = Fleet::default();
     let keys = (0..count)
-        .map(|index| fleet.list(record(&format!("e{index}"), "z")))
+        .map(|index| {
+            let mut record = record(&format!("e{index}"), "z");
+            record.address.set_port(80 + index as u16);
+            fleet.list(record, Revision(1))
+        })
         .collect();
     (fleet, keys)
 }
 
 fn demand<'a>(model: &'a EngineModel, due: &'a [Due], tried: &'a [EngineKey]) -> Demand<'a> {
     Demand {
-        service: "s",
         engines: Some(model),
         model: Some("m"),
         due,
-        goes_on_with: None,
         prompt_tokens: 979,
+        tried,
+        ..demand_of_nothing()
+    }
+}
+
+fn demand_of_nothing() -> Demand<'static> {
+    Demand {
+        service: "s",
+        engines: None,
+        model: None,
+        due: &[],
+        goes_on_with: None,
+        prompt_tokens: 0,
         target_millis: 500,
         has_returned: false,
         zone: "z",
-        tried,
+        others_per_milli: 0.0,
+        tried: &[],
     }
 }
 
@@ -101,19 +120,31 @@
         state: State::Draining,
         ..record("e0", "z")
     };
-    fleet.list(draining);
+    fleet.list(draining, Revision(2));
     // An older word that arrives late must not open it again.
-    fleet.list(record("e0", "z"));
+    fleet.list(record("e0", "z"), Revision(3));
     assert!(!fleet.engine(keys[0]).is_open(at(0)));
 }
 
 #[test]
-fn an_address_names_the_newest_engine_only() {
-    let (mut fleet, keys) = fleet(2);
+fn of_the_engines_at_one_address_only_the_one_listed_last_is_there() {
+    let mut fleet = Fleet::default();
+    // The keys of the store are not in the order of time, and those that ended stay for a while.
+    let new = fleet.list(record("a-new", "z"), Revision(9));
+    let old = fleet.list(record("b-old", "z"), Revision(5));
     let address = "10.0.0.1:80".parse().expect("an address");
-    assert_eq!(fleet.at_address(address), Some(keys[1]));
-    fleet.unlist("e1");
-    assert_eq!(fleet.at_address(address), Some(keys[0]));
+    assert_eq!(fleet.at_address(address), Some(new));
+    assert!(fleet.engine(new).is_open(at(0)));
+    assert!(!fleet.engine(old).is_open(at(0)), "it has ended");
+    let newest = fleet.list(record("c-newest", "z"), Revision(12));
+    assert!(!fleet.engine(new).is_open(at(0)));
+    assert_eq!(fleet.at_address(address), Some(newest));
+    fleet.unlist("c-newest");
+    assert_eq!(
+        fleet.at_address(address),
+        None,
+        "nobody is known to be there"
+    );
 }
 
 #[test]
@@ -145,14 +176,8 @@
     let (mut fleet, keys) = fleet(1);
     let model = model();
     fleet.engine_mut(keys[0]).note_silence(at(0));
-    let choose = |fleet: &Fleet, now| {
-        chosen(admission::choose(
-            fleet,
-            &demand(&model, &[], &[]),
-            now,
-            0,
-        ))
-    };
+    let choose =
+        |fleet: &Fleet, now| chosen(admission::choose(fleet, &demand(&model, &[], &[]), now, 0));
     assert_eq!(choose(&fleet, at(900)), None);
     assert_eq!(choose(&fleet, at(1_100)), Some(keys[0]));
     fleet.engine_mut(keys[0]).note_sent(979, at(1_100));
@@ -241,7 +266,7 @@
             ..wanted
         },
         at(1),
-        0.0,
+        0,
     );
     assert_eq!(chosen(choice), None);
 }
@@ -413,6 +438,7 @@
         repeat: Repeat::Safe,
         timeout_millis: 1_000,
         target_millis: 100,
+        pause_millis: 100,
         priority: 0,
         targets: vec![Target {
             service: ServiceKey(service),
@@ -452,8 +478,6 @@
 
 const BRINGING: Terms = Terms {
     within_millis: 8_000,
-    earliest_millis: 3_500,
-    drain_millis: 1_500,
     margin_millis: 1_900,
 };
 
@@ -468,38 +492,38 @@
     Place { rank, count: 6 }
 }
 
+const V1: Option<Version> = Some(Version(1));
+
 #[test]
-fn engines_go_in_waves_and_all_within_the_bound() {
+fn engines_go_one_after_the_other_and_all_within_the_bound() {
     let known = [named(2, 0)];
-    let order =
-        |rank| bringing::order_at(Some(Version(1)), known[0], &known, place(rank), &BRINGING);
+    let order = |rank| bringing::order_at(V1, &known, at(2_500), place(rank), &BRINGING);
+    assert_eq!(order(0), at(2_500), "as soon as the weights are whole");
     for rank in 1..6 {
-        assert!(order(rank) > order(rank - 1));
+        assert_eq!(order(rank).millis_since(order(rank - 1)), 600);
     }
-    assert!(at(6_100).has_passed(order(5)) || order(5) <= at(6_100));
-    let empty = bringing::order_at(None, known[0], &known, place(5), &BRINGING);
+    assert!(order(5) < at(6_100));
+    let late = bringing::order_at(V1, &known, at(7_000), place(5), &BRINGING);
+    assert_eq!(late, at(7_000), "weights that come late wait for nothing");
+    let empty = bringing::order_at(None, &known, at(2_500), place(5), &BRINGING);
     assert_eq!(
         empty,
-        at(0),
+        at(2_500),
         "an engine without weights has nothing to lose"
     );
 }
 
 #[test]
-fn half_of_the_engines_go_by_way_of_weights_that_come_due_first() {
-    let close =
-        |rank| bringing::goes_by_way_of(named(2, 0), named(3, 4_000), place(rank), &BRINGING);
-    assert_eq!((0..6).filter(|rank| close(*rank)).count(), 3);
-    let soon = bringing::goes_by_way_of(named(2, 0), named(3, 2_000), place(0), &BRINGING);
-    assert!(!soon, "the newer weights are there in time");
-    let known = [named(2, 0), named(3, 4_000)];
-    let direct = bringing::order_at(Some(Version(1)), known[1], &known, place(4), &BRINGING);
-    let by_way = bringing::order_at(Some(Version(2)), known[1], &known, place(1), &BRINGING);
-    assert!(direct <= at(6_100), "due by the older weights");
-    assert!(
-        by_way > direct,
-        "whoever has something that serves comes last"
+fn the_oldest_version_that_an_engine_lacks_sets_its_turn() {
+    let known = [named(2, 0), named(3, 3_000)];
+    let alone = bringing::order_at(V1, &known[..1], at(2_500), place(3), &BRINGING);
+    let both = bringing::order_at(V1, &known, at(2_500), place(3), &BRINGING);
+    assert_eq!(
+        alone, both,
+        "a newer version named meanwhile does not put it off"
     );
+    let next = bringing::order_at(Some(Version(2)), &known, at(5_500), place(3), &BRINGING);
+    assert_eq!(next.millis_since(both), 3_000, "it rests between the two");
 }
 
 #[test]
@@ -507,18 +531,120 @@
     let members = [11, 5, 9, 3];
     let mut ranks: Vec<u32> = members
         .iter()
-        .map(|member| bringing::place(*member, &members, Version(7)).rank)
+        .map(|member| bringing::place(*member, &members).rank)
         .collect();
     let mut shuffled = members;
     shuffled.reverse();
-    assert_eq!(
-        bringing::place(9, &shuffled, Version(7)),
-        bringing::place(9, &members, Version(7))
-    );
+    assert_eq!(bringing::place(9, &shuffled), bringing::place(9, &members));
     ranks.sort_unstable();
     assert_eq!(ranks, [0, 1, 2, 3]);
 }
 
+#[test]
+fn prompts_that_wait_for_other_gateways_count() {
+    let (mut fleet, keys) = fleet(2);
+    let model = model();
+    for (key, unread_tokens) in keys.iter().zip([9_000, 0]) {
+        let report = Report {
+            unread_tokens,
+            ..report(1, 8)
+        };
+        fleet.engine_mut(*key).note_report(report, at(0));
+    }
+    let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0);
+    assert_eq!(chosen(choice), Some(keys[1]));
+    let first = prediction::first_event_millis(fleet.engine(keys[0]), &model, 979, 0.0, at(0));
+    assert!(
+        first > 9_979.0 / 20.7,
+        "{first} ms, but all of them are read first"
+    );
+}
+
+#[test]
+fn what_came_since_a_report_counts_by_its_age() {
+    let (mut fleet, keys) = fleet(1);
+    let model = model();
+    fleet.engine_mut(keys[0]).note_report(report(1, 4), at(0));
+    let first = |now| {
+        let engine = fleet.engine(keys[0]);
+        prediction::first_event_millis(engine, &model, 979, 0.01, now)
+    };
+    assert!(first(at(200)) > first(at(20)) + 100.0);
+}
+
+#[test]
+fn a_backlog_grows_by_what_is_admitted_and_is_read_off() {
+    let model = model();
+    let mut backlog = Backlog::default();
+    let report = |active, memory_used| Report {
+        memory_used,
+        ..report(1, active)
+    };
+    backlog.note(&report(0, 0), &model, at(0));
+    let admitted = backlog.note(&report(4, 4_000), &model, at(50));
+    assert!((3_900..=4_000).contains(&admitted), "{admitted}");
+    let read = backlog.note(&report(4, 4_000), &model, at(150));
+    assert!(read < 3_000, "{read} are left after a tenth of a second");
+    let later = backlog.note(&report(4, 4_100), &model, at(1_150));
+    assert!(later < 100, "answers add to memory, too: {later}");
+    let gone = backlog.note(&report(0, 0), &model, at(1_200));
+    assert_eq!(gone, 0, "what is not in memory is not to be read");
+}
+
+#[test]
+fn an_engine_tells_since_when_it_takes_nothing() {
+    let (mut fleet, keys) = fleet(1);
+    let busy = Report {
+        is_busy: true,
+        ..report(1, 4)
+    };
+    let engine = fleet.engine_mut(keys[0]);
+    assert_eq!(engine.closed_millis(at(0)), None);
+    engine.note_report(busy.clone(), at(0));
+    engine.note_report(busy, at(50));
+    assert_eq!(engine.closed_millis(at(300)), Some(300));
+    engine.note_report(report(2, 0), at(400));
+    assert_eq!(engine.closed_millis(at(500)), None);
+}
+
+#[test]
+fn the_work_of_an_ordinary_service_is_measured() {
+    let (mut fleet, keys) = fleet(1);
+    let ordinary = Demand {
+        engines: None,
+        model: None,
+        target_millis: 100,
+        ..demand_of_nothing()
+    };
+    let predicted = |fleet: &Fleet| match admission::choose(fleet, &ordinary, at(0), 0) {
+        Choice::Send {
+            predicted_millis, ..
+        } => predicted_millis,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(
+        predicted(&fleet),
+        20.0,
+        "a part of the target, until it is known"
+    );
+    for _ in 0..50 {
+        // Twice as long as alone, beside as many others as it has slots.
+        fleet.engine_mut(keys[0]).note_work(80.0, 2.0);
+    }
+    assert!((predicted(&fleet) - 40.0).abs() < 1.0);
+}
+
+#[test]
+fn arrivals_are_averaged_over_the_last_seconds() {
+    let mut arrivals = Arrivals::default();
+    for turn in 0..1_000 {
+        arrivals.note(at(turn * 10));
+    }
+    let rate = arrivals.per_milli(at(10_000));
+    assert!((0.09..0.11).contains(&rate), "{rate}");
+    assert!(arrivals.per_milli(at(20_000)) < 0.01, "they have ceased");
+}
+
 #[test]
 fn bulk_leaves_part_of_the_link_free() {
     let mut pace = Pace::new(8_000_000);
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -209,6 +209,19 @@
         }
     }
 
+    /// Notes that the origin sent bytes of some chunk: what else was asked of it is not stalled, but
+    /// waits behind them on the origin's link.
+    pub fn origin_sent(&mut self, now: Instant) {
+        let stall_deadline = now.after_millis(self.terms.stall_millis);
+        let attempts = self
+            .open
+            .values_mut()
+            .filter_map(|chunk| chunk.attempt.as_mut());
+        for attempt in attempts.filter(|attempt| attempt.source == Source::Origin) {
+            attempt.stall_deadline = stall_deadline;
+        }
+    }
+
     /// Notes the end of an attempt; a late one of a dropped attempt counts only where it brought
     /// the chunk.
     pub fn end(&mut self, chunk: u32, attempt: u64, outcome: Outcome, now: Instant) {
--- a/crates/gingerpier_weights/tests/spreading.rs
+++ b/crates/gingerpier_weights/tests/spreading.rs
@@ -277,6 +277,37 @@
     Fetch::new(terms, plan, ReplicaKey(0), chunks)
 }
 
+#[test]
+fn chunks_that_wait_behind_others_on_the_origins_link_are_not_asked_for_again() {
+    let plan = Plan::new(1, &replicas(1, 1), 2);
+    let terms = Terms {
+        window: 8,
+        stall_millis: 100,
+        ..Terms::default()
+    };
+    let mut fetch = Fetch::new(terms, plan, ReplicaKey(0), 8);
+    let asked = asks(&mut fetch, Instant::from_millis(0));
+    assert_eq!(
+        asked.len(),
+        8,
+        "all at once, and the link carries one after the other"
+    );
+    for millis in (0..1_000).step_by(50) {
+        let now = Instant::from_millis(millis);
+        fetch.origin_sent(now);
+        assert_eq!(asks(&mut fetch, now), [], "at {millis}");
+    }
+    let silent = asks(&mut fetch, Instant::from_millis(1_100));
+    let dropped = silent
+        .iter()
+        .filter(|action| matches!(action, Action::Drop { .. }));
+    assert_eq!(
+        dropped.count(),
+        8,
+        "an origin that sends nothing is stalled"
+    );
+}
+
 #[test]
 fn questions_that_wait_at_others_do_not_keep_the_origin_from_being_asked() {
     const LATE_MILLIS: u64 = 2_000;
