--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -637,7 +637,15 @@
 #[test]
 fn arrivals_are_averaged_over_the_last_seconds() {
     let mut arrivals = Arrivals::default();
-    for turn in 0..1_000 {
+    for turn in 0..50 {
+        arrivals.note(at(turn * 10));
+    }
+    let soon = arrivals.per_milli(at(500));
+    assert!(
+        (0.09..0.11).contains(&soon),
+        "{soon} half a second after the first"
+    );
+    for turn in 50..1_000 {
         arrivals.note(at(turn * 10));
     }
     let rate = arrivals.per_milli(at(10_000));
