--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -12,7 +12,7 @@
     gingerpier_serving::{
         configuration::{Configuration, Route, RouteKey, Service, ServiceKey, ServiceKind},
         dialect::Names,
-        fleet::Engine,
+        engine::Engine,
         report::Version,
     },
     std::rc::Rc,
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -18,7 +18,8 @@
     gingerpier_serving::{
         admission::{self, Choice, Demand, Due},
         course::{Failure, Next, Standing},
-        fleet::{EngineKey, Seen},
+        engine::Seen,
+        fleet::EngineKey,
         report::Version,
     },
     std::rc::Rc,
@@ -189,24 +190,30 @@
         model.map_or_else(Vec::new, |model| self.state.due(model))
     }
 
+    /// Time within which the next event has its full worth, in milliseconds.
+    fn target_millis(&self, progress: &Progress) -> u64 {
+        match progress.has_begun() {
+            true => self.call.rules().pause_millis,
+            false => self.call.rules().target_millis,
+        }
+    }
+
     fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
         let call = self.call;
         let now = clock::now();
         let due = self.due();
+        let service = &call.target().name;
         let demand = Demand {
-            service: &call.target().name,
+            service,
             engines: call.engines(),
             model: call.model.as_deref(),
             due: &due,
             goes_on_with: progress.has_begun().then(|| progress.version()),
             prompt_tokens: call.prompt_tokens,
-            target_millis: match progress.has_begun() {
-                true => call.rules().pause_millis,
-                false => call.rules().target_millis,
-            },
+            target_millis: self.target_millis(progress),
             has_returned: call.has_returned || self.standing.attempts > 0,
             zone: &self.state.settings.zone,
-            others_per_milli: self.state.others_per_milli(&call.target().name, now),
+            others_per_milli: self.state.others_per_milli(service, now),
             tried: &self.tried,
         };
         let fleet = self.state.fleet.borrow();
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -7,7 +7,8 @@
 use {
     crate::{
         configuration::EngineModel,
-        fleet::{Engine, EngineKey, Fleet},
+        engine::Engine,
+        fleet::{EngineKey, Fleet},
         prediction,
         report::Version,
     },
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod configuration;
 pub mod course;
 pub mod dialect;
+pub mod engine;
 pub mod events;
 pub mod fleet;
 pub mod mirror;
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_serving/src/prediction.rs
@@ -5,7 +5,7 @@
 //! gateways is known from the engine's report, what this gateway sent since is counted exactly.
 
 use {
-    crate::{backlog, configuration::EngineModel, fleet::Engine},
+    crate::{backlog, configuration::EngineModel, engine::Engine},
     gingerpier_base::Instant,
 };
 
@@ -51,27 +51,35 @@
     unseen_per_milli: f64,
     now: Instant,
 ) -> f64 {
-    let slots = f64::from(model.slots);
+    let age = engine.report_age(now).unwrap_or_default();
+    let age = age.min(MOST_UNSEEN_MILLIS) as f64;
+    let unseen = ATTRACTION * unseen_per_milli * age;
     let seen = engine.seen(now);
-    let pace = engine.latest(now).pace.max(1.0);
-    let age = engine
-        .report_age(now)
-        .unwrap_or_default()
-        .min(MOST_UNSEEN_MILLIS);
-    let unseen = ATTRACTION * unseen_per_milli * age as f64;
     let requests = seen.requests + unseen;
-    let queue = (requests + 1.0 - slots).max(0.0) * work_millis(model);
+    let slots = f64::from(model.slots);
     let running = requests.min(slots);
-    // Whoever waits for a slot is read later, as part of the work that the queue stands for.
-    let ahead = (unseen * f64::from(model.usual_prompt)).min(slots * f64::from(model.usual_prompt));
-    let read =
-        (age as f64 * backlog::read_per_milli(model, running)).min(seen.unread_tokens as f64);
-    let tokens = prompt_tokens as f64 + seen.unread_tokens as f64 - read + ahead;
-    let chunks = model
-        .read_at_once
-        .map_or(0.0, |chunk| tokens / f64::from(chunk.max(1)));
-    let steps_between = (chunks - 1.0).max(0.0) * pass_millis(model, running);
-    let reading = tokens / model.read_per_milli + steps_between;
+    let queue = (requests + 1.0 - slots).max(0.0) * work_millis(model);
     let passes = FIRST_PASSES + LEFT_OF_PASS * running.min(1.0);
+    // Whoever waits for a slot is read later, as part of the work that the queue stands for.
+    let sent_since = unseen.min(slots) * f64::from(model.usual_prompt);
+    let ahead = left_to_read(model, seen.unread_tokens, running, age) + sent_since;
+    let reading = reading_millis(model, prompt_tokens as f64 + ahead, running);
+    let pace = engine.latest(now).pace.max(1.0);
     (queue + passes * pass_millis(model, running) + reading) * pace
 }
+
+/// Of `unread` prompt tokens, those that are left after `millis`.
+fn left_to_read(model: &EngineModel, unread: u64, running: f64, millis: f64) -> f64 {
+    let read = millis * backlog::read_per_milli(model, running);
+    (unread as f64 - read).max(0.0)
+}
+
+/// Milliseconds in which an engine with `running` requests reads `tokens` of prompts: a part in
+/// each pass, and the steps of those that run between two parts.
+fn reading_millis(model: &EngineModel, tokens: f64, running: f64) -> f64 {
+    let parts = model
+        .read_at_once
+        .map_or(0.0, |part| tokens / f64::from(part.max(1)));
+    let steps_between = (parts - 1.0).max(0.0) * pass_millis(model, running);
+    tokens / model.read_per_milli + steps_between
+}
