--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -116,7 +116,7 @@
         }
         for work in &works {
             if loader.carrier.held_share(&work.named) < WORTH_FINISHING {
-                give_up(&loader, work);
+                loader.carrier.give_up(&work.named, &work.task);
             }
         }
         tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
@@ -135,20 +135,11 @@
     let is_outdated = |work: &&Work| Some(work.named.version) < newest;
     for work in works.iter().filter(is_outdated) {
         if !loader.is_complete(work.named.version) {
-            give_up(loader, work);
+            loader.carrier.give_up(&work.named, &work.task);
         }
     }
 }
 
-fn give_up(loader: &Loader, work: &Work) {
-    tracing::info!(
-        version = work.named.version.0,
-        "weights given up for newer ones"
-    );
-    work.task.abort();
-    loader.carrier.forget(&work.named);
-}
-
 fn terms(loader: &Loader) -> Terms {
     weights::terms(loader.settings.version_within.0)
 }
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -14,6 +14,7 @@
 pub mod sources;
 
 use {
+    actix_rt::task::JoinHandle,
     bytes::Bytes,
     gingerpier_base::order,
     gingerpier_serving::{
@@ -117,8 +118,10 @@
         holding.map_or(0.0, Holding::held_share)
     }
 
-    /// Notes that a version is no longer fetched.
-    pub fn forget(&self, named: &Named) {
+    /// Gives up `task`, which brings a version here, for a newer one.
+    pub fn give_up<T>(&self, named: &Named, task: &JoinHandle<T>) {
+        tracing::info!(version = named.version.0, "weights given up for newer ones");
+        task.abort();
         let mut wanted = self.wanted.borrow_mut();
         wanted.retain(|other| other != named);
     }
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -78,7 +78,7 @@
     let mut older: Option<Named> = None;
     for work in under_way {
         if state.carrier.held_share(&work.named) < WORTH_FINISHING {
-            give_up(state, work);
+            state.carrier.give_up(&work.named, &work.task);
         } else {
             older = Some(work.named.clone());
         }
@@ -119,19 +119,10 @@
     };
     let under_way = works.iter().filter(|work| !work.task.is_finished());
     for work in under_way.filter(|work| work.named.version < newest) {
-        give_up(state, work);
+        state.carrier.give_up(&work.named, &work.task);
     }
 }
 
-fn give_up(state: &State, work: &Work) {
-    tracing::info!(
-        version = work.named.version.0,
-        "weights given up for newer ones"
-    );
-    work.task.abort();
-    state.carrier.forget(&work.named);
-}
-
 fn is_carrier(state: &State, named: &Named) -> bool {
     // What all engines hold already needs nobody to carry it.
     let fleet = state.fleet.borrow();
