--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -16,11 +16,9 @@
         writer::Message,
     },
     gingerpier_serving::{
-        admission::{self, Choice, Demand, Due},
         course::{Failure, Next, Standing},
         engine::Seen,
         fleet::EngineKey,
-        report::Version,
     },
     std::rc::Rc,
 };
@@ -28,10 +26,6 @@
 /// Longest body of an answer that is no stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Milliseconds from the word that an engine takes nothing more until its streams leave it: many
-/// end by themselves meanwhile.
-const MOVE_AFTER_MILLIS: u64 = 450;
-
 /// Bytes that a caller may send ahead of its answer.
 const MAX_AHEAD_BYTES: usize = 64 * 1024;
 
@@ -83,7 +77,7 @@
     /// True where the last choice found an engine that could run the request.
     pub(super) found_engine: bool,
     /// Number that is drawn for this request, against herds.
-    draw: u64,
+    pub(super) draw: u64,
     /// What was known of the load of the engine that was chosen last.
     pub(super) seen: Option<Seen>,
 }
@@ -164,78 +158,6 @@
         self.tried.push(engine);
     }
 
-    /// True where another engine could take the request now.
-    pub fn can_move(&mut self, progress: &Progress) -> bool {
-        let repeat = self.standing.repeat.is_idempotent();
-        let has_attempts = self.standing.attempts < self.standing.max_attempts;
-        repeat && has_attempts && self.choose(progress).is_some()
-    }
-
-    /// True where a stream leaves `engine`, which is about to take new weights, for another engine
-    /// that goes on with it within the pause that it may make; the retry is paid then.
-    ///
-    /// The engine waits for what it runs, and works at a part of its speed until the last stream has
-    /// ended: to read one prompt again elsewhere costs less.
-    pub fn leaves(&mut self, engine: EngineKey, progress: &Progress) -> bool {
-        let now = clock::now();
-        let closed = self.state.fleet.borrow().engine(engine).closed_millis(now);
-        if closed.is_none_or(|closed| closed < MOVE_AFTER_MILLIS) || !self.can_move(progress) {
-            return false;
-        }
-        self.state.take_retry(&self.call.target().name, now)
-    }
-
-    fn due(&self) -> Vec<Due> {
-        let model = self.call.model.as_deref();
-        model.map_or_else(Vec::new, |model| self.state.due(model))
-    }
-
-    /// Time within which the next event has its full worth, in milliseconds.
-    fn target_millis(&self, progress: &Progress) -> u64 {
-        match progress.has_begun() {
-            true => self.call.rules().pause_millis,
-            false => self.call.rules().target_millis,
-        }
-    }
-
-    fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
-        let call = self.call;
-        let now = clock::now();
-        let due = self.due();
-        let service = &call.target().name;
-        let demand = Demand {
-            service,
-            engines: call.engines(),
-            model: call.model.as_deref(),
-            due: &due,
-            goes_on_with: progress.has_begun().then(|| progress.version()),
-            prompt_tokens: call.prompt_tokens,
-            target_millis: self.target_millis(progress),
-            has_returned: call.has_returned || self.standing.attempts > 0,
-            zone: &self.state.settings.zone,
-            others_per_milli: self.state.others_per_milli(service, now),
-            tried: &self.tried,
-        };
-        let fleet = self.state.fleet.borrow();
-        let choice = admission::choose(&fleet, &demand, now, self.draw);
-        self.found_engine = choice != Choice::NoEngine;
-        match choice {
-            Choice::Send {
-                engine,
-                predicted_millis,
-            } => {
-                self.predicted_millis = predicted_millis;
-                self.seen = Some(fleet.engine(engine).seen(now));
-                Some(engine)
-            }
-            Choice::Full { predicted_millis } => {
-                self.predicted_millis = predicted_millis;
-                None
-            }
-            Choice::NoEngine => None,
-        }
-    }
-
     async fn attempt(
         &mut self,
         caller: &mut Connection,
@@ -275,29 +197,6 @@
         }
     }
 
-    /// Version that alone may run the request: that of the stream which goes on, or that which
-    /// the engine is known to hold once some version came due.
-    fn expect_version(&self, engine: EngineKey, progress: &Progress) -> Version {
-        if progress.has_begun() {
-            return progress.version();
-        }
-        let now = clock::now();
-        let least = admission::least_version(&self.due(), now);
-        let fleet = self.state.fleet.borrow();
-        let model = self.call.model.as_deref();
-        let held = model.and_then(|model| fleet.engine(engine).version_of(model, now));
-        held.filter(|held| least > Version::default() && *held >= least)
-            .unwrap_or_default()
-    }
-
-    /// True where newer weights than the engine's were named.
-    fn is_outdated(&self, engine: EngineKey) -> bool {
-        let fleet = self.state.fleet.borrow();
-        let model = self.call.model.as_deref();
-        let held = model.and_then(|model| fleet.engine(engine).version_of(model, clock::now()));
-        held.is_some_and(|held| self.due().iter().any(|due| due.version > held))
-    }
-
     async fn take(
         &mut self,
         caller: &mut Connection,
--- a/crates/gingerpier_gateway/src/callers/mod.rs
+++ b/crates/gingerpier_gateway/src/callers/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod call;
+pub mod choosing;
 pub mod ending;
 pub mod forward;
 pub mod stream;
