A stream does not leave for older weights that come due before it could begin there

Cause: streams moved 0.7 s before version 2 came due went to an engine of version 1 behind a narrow link; their connection took 0.6 s and their start 1.5 s more, 8.0 to 8.3 s after the naming. Change: within 2 s before a newer version is due, streams of an older one stay where they are. Test: a_stream_stays_where_its_weights_come_due_before_it_could_begin_elsewhere, fails without it.

--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -14,6 +14,11 @@
 /// end by themselves meanwhile.
 const MOVE_AFTER_MILLIS: u64 = 450;
 
+/// Milliseconds before a newer version is due from which on streams of an older one stay: one that
+/// is stuck on its way to another engine would begin there too late. The longest such way seen was 2.1 s
+/// from the move to the start, behind a narrow link, and 1.2 s lie between this and the bound.
+const MOVE_LEAD_MILLIS: u64 = 2_000;
+
 impl Course<'_, '_> {
     /// True where another engine could take the request now.
     pub fn can_move(&mut self, progress: &Progress) -> bool {
@@ -30,7 +35,10 @@
     pub fn leaves(&mut self, engine: EngineKey, progress: &Progress) -> bool {
         let now = clock::now();
         let closed = self.state.fleet.borrow().engine(engine).closed_millis(now);
-        if closed.is_none_or(|closed| closed < MOVE_AFTER_MILLIS) || !self.can_move(progress) {
+        let may_begin = now.after_millis(MOVE_LEAD_MILLIS);
+        let is_time = closed.is_some_and(|closed| closed >= MOVE_AFTER_MILLIS);
+        let would_be_late = admission::least_version(&self.due(), may_begin) > progress.version();
+        if !is_time || would_be_late || !self.can_move(progress) {
             return false;
         }
         self.state.take_retry(&self.call.target().name, now)
