Ask whether a stream leaves its engine in the order of what is seldom true

The due versions of the model were copied at each event of each stream, although the engine is hardly ever about to take new weights. The answer is the same.

--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -35,10 +35,13 @@
     pub fn leaves(&mut self, engine: EngineKey, progress: &Progress) -> bool {
         let now = clock::now();
         let closed = self.state.fleet.borrow().engine(engine).closed_millis(now);
+        // This is asked at each event of each stream, and seldom true.
+        if closed.is_none_or(|closed| closed < MOVE_AFTER_MILLIS) {
+            return false;
+        }
         let may_begin = now.after_millis(MOVE_LEAD_MILLIS);
-        let is_time = closed.is_some_and(|closed| closed >= MOVE_AFTER_MILLIS);
         let would_be_late = admission::least_version(&self.due(), may_begin) > progress.version();
-        if !is_time || would_be_late || !self.can_move(progress) {
+        if would_be_late || !self.can_move(progress) {
             return false;
         }
         self.state.take_retry(&self.call.target().name, now)
