Few relays of a zone ask the origin; the others take chunks from each other

Cause: each of 75 carriers (15 a zone) ranked first for some chunks and asked the origin, which takes 48 connections, for them and for the manifest: chunk questions failed there, fell through to holders and began anew.

Change: a relay's level is drawn from its own hash (one in eight highest, one in eight raised); the highest of a zone are its heads, and only they take chunks from other zones and the origin. Manifests are asked for at the origin by heads at once, by others 0.9 s later.

--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -75,10 +75,8 @@
 
 async fn fetch_along(carrier: &Rc<Carrier>, task: &Task) -> Named {
     let sources = Rc::new(Sources::new(task));
-    let mut order = Vec::new();
-    task.route.sources(0, &mut order);
     loop {
-        let named = manifest::hold(carrier, &sources, &order, &task.named).await;
+        let named = manifest::hold(carrier, &sources, &task.route, &task.named).await;
         take_shared(carrier, &named);
         take_laid(carrier, &named).await;
         let work = Work::new(carrier.clone(), sources.clone(), task, named.clone());
--- a/crates/gingerpier_gateway/src/weights/manifest.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest.rs
@@ -11,7 +11,7 @@
     bytes::Bytes,
     futures_util::future::{self, FutureExt},
     gingerpier_serving::dialect::{Call, Manifest, Named},
-    gingerpier_weights::plan::Source,
+    gingerpier_weights::{Route, plan::Source},
     std::{net::SocketAddr, rc::Rc},
 };
 
@@ -24,11 +24,15 @@
 /// Milliseconds before a source that failed is asked again.
 const PAUSE_MILLIS: u64 = 100;
 
+/// Milliseconds after which the origin is asked also by those that are not the first to take chunks:
+/// two copies of a manifest, its reads at the origin and two hops are over by then.
+const ORIGIN_LATER_MILLIS: u64 = 900;
+
 /// Sources that are asked at once. They are the first in order: those of the own zone, and then one
 /// of each other zone.
 const SOURCES_AT_ONCE: usize = 6;
 
-/// Brings the manifest of a version here, from whichever of `order` has it first; gives the version
+/// Brings the manifest of a version here, from whichever source of `route` has it first; gives the version
 /// that it turned out to be.
 ///
 /// Sources are asked side by side, each until it answers: any of them may be down for seconds,
@@ -37,19 +41,32 @@
 pub async fn hold(
     carrier: &Rc<Carrier>,
     sources: &Rc<Sources>,
-    order: &[Source],
+    route: &Route,
     named: &Named,
 ) -> Named {
     let is_here = |holdings: &Holdings| holdings.get(&named.model, named.version).is_some();
     if is_here(&carrier.holdings.borrow()) {
         return named.clone();
     }
+    let mut order = Vec::new();
+    route.sources(0, &mut order);
+    let origin_after = match route.is_near_origin() {
+        true => 0,
+        false => ORIGIN_LATER_MILLIS,
+    };
     let peers = order.iter().filter(|source| **source != Source::Origin);
     let origin = order.iter().filter(|source| **source == Source::Origin);
     let asked = origin.chain(peers.take(SOURCES_AT_ONCE));
     let asked = asked.filter_map(|source| Some((*source, sources.address(*source)?)));
     let asking = asked.map(|(source, address)| {
-        let answer = ask_until_had(carrier, source, address, named);
+        let after = match source {
+            Source::Origin => origin_after,
+            Source::Replica(_) | Source::Holder(_) => 0,
+        };
+        let answer = async move {
+            clock::pause(after).await;
+            ask_until_had(carrier, source, address, named).await
+        };
         answer.boxed_local()
     });
     let asking: Vec<_> = asking.collect();
--- a/crates/gingerpier_weights/src/relay.rs
+++ b/crates/gingerpier_weights/src/relay.rs
@@ -8,6 +8,12 @@
 //! Each chunk ranks the regions, the zones of a region and the relays of a zone. The first relay
 //! of a zone takes the chunk from the first relay of the zone ranked above its own, so that each
 //! chunk crosses each zone and region link once; the first of all takes it from the origin.
+//!
+//! The origin takes few connections, and zones may have many relays. So each relay has a level by its
+//! own hash, and ranks above those of lower ones. The relays of the highest level of a zone, its heads,
+//! are few where there are many relays; only they take chunks from other zones and the origin. Each of
+//! the others takes a chunk from one that ranks above it and is no head, another one for each chunk,
+//! and the first of them from a head: heads give each chunk once to their zone and once to the next.
 
 use {
     crate::plan::{Replica, ReplicaKey, Source},
@@ -15,6 +21,21 @@
     std::cmp::Reverse,
 };
 
+/// Level of a relay; the highest of a zone are its heads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Level {
+    /// Three in four: in zones of two or three mostly all, and all rank alike.
+    Usual,
+    /// One in eight, for zones that have none of the next level.
+    Raised,
+    /// One in eight: two to four of 15 to 30, of which five zones together stay below the connections
+    /// of a small origin (48).
+    Highest,
+}
+
+/// Least relays of a zone that are no heads, for heads to be left out by those that are no relays.
+const LEAST_OTHERS: usize = 3;
+
 /// Relays of one version.
 #[derive(Debug, Clone, Default)]
 pub struct Relays {
@@ -38,7 +59,14 @@
         let members = self.members(place.zone, chunk);
         let rank = members.iter().position(|member| *member == own);
         let (above, below) = members.split_at(rank.unwrap_or_default());
-        sources.extend(above.iter().copied().map(Source::Replica));
+        let head_count = self.head_count(&members).min(above.len());
+        let (heads, others) = above.split_at(head_count);
+        let mut others = others.to_vec();
+        let subject = self.subject ^ order::mix(place.identity ^ u64::from(chunk));
+        order::sort_by_score(subject, &mut others, |key| {
+            self.relays[key.0 as usize].identity
+        });
+        sources.extend(others.iter().chain(heads).copied().map(Source::Replica));
         let own_rank = self.zone_rank(&place, chunk);
         let mut firsts = self.firsts(chunk);
         firsts.retain(|first| self.rank_of(*first, chunk) > own_rank);
@@ -53,21 +81,58 @@
     /// relays of its zone, and then the first one of each other zone.
     pub fn sources_of_leaf(&self, zone: u64, chunk: u32, sources: &mut Vec<Source>) {
         sources.clear();
-        sources.extend(self.members(zone, chunk).into_iter().map(Source::Replica));
+        let mut members = self.members(zone, chunk);
+        let head_count = self.head_count(&members);
+        if members.len() - head_count >= LEAST_OTHERS {
+            members.rotate_left(head_count);
+        } else {
+            members.sort_by_key(|key| Reverse(self.score_of(*key, chunk)));
+        }
+        sources.extend(members.into_iter().map(Source::Replica));
         let firsts = self.firsts(chunk).into_iter();
         let others = firsts.filter(|first| self.relays[first.0 as usize].zone != zone);
         sources.extend(others.map(Source::Replica));
     }
 
-    /// Relays of `zone`, the first for `chunk` first.
+    /// True where `own` may be the first of its zone to take a chunk.
+    pub fn may_be_first(&self, own: ReplicaKey) -> bool {
+        let members = self.members(self.relays[own.0 as usize].zone, 0);
+        let heads = &members[..self.head_count(&members)];
+        heads.contains(&own)
+    }
+
+    /// Heads among the `members` of a zone; they come first.
+    fn head_count(&self, members: &[ReplicaKey]) -> usize {
+        let highest = members.first().map(|first| self.level(*first));
+        let heads = members
+            .iter()
+            .take_while(|key| Some(self.level(**key)) == highest);
+        heads.count()
+    }
+
+    /// Level of a relay, whoever else there is.
+    fn level(&self, key: ReplicaKey) -> Level {
+        let identity = self.relays[key.0 as usize].identity;
+        match order::score(order::mix(self.subject), identity) % 8 {
+            0 => Level::Highest,
+            1 => Level::Raised,
+            _ => Level::Usual,
+        }
+    }
+
+    /// Relays of `zone`, by level, and the first for `chunk` first.
     fn members(&self, zone: u64, chunk: u32) -> Vec<ReplicaKey> {
         let all = self.relays.iter().enumerate();
         let own = all.filter(|(_, relay)| relay.zone == zone);
         let mut members: Vec<ReplicaKey> = own.map(|(key, _)| ReplicaKey(key as u32)).collect();
-        members.sort_by_key(|key| Reverse(self.score(chunk, self.relays[key.0 as usize].identity)));
+        members.sort_by_key(|key| Reverse((self.level(*key), self.score_of(*key, chunk))));
         members
     }
 
+    fn score_of(&self, key: ReplicaKey, chunk: u32) -> u64 {
+        self.score(chunk, self.relays[key.0 as usize].identity)
+    }
+
     /// First relay of each zone, in the order in which the zones pass `chunk` on.
     fn firsts(&self, chunk: u32) -> Vec<ReplicaKey> {
         let mut zones: Vec<(ZoneRank, u64)> = self
--- a/crates/gingerpier_weights/src/route.rs
+++ b/crates/gingerpier_weights/src/route.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// True where this process may be among the first to take chunks: it is for few to ask the origin.
+    pub fn is_near_origin(&self) -> bool {
+        match self {
+            Self::Tree { .. } => true,
+            Self::Relay { relays, own } => relays.may_be_first(*own),
+            Self::Leaf { .. } => false,
+        }
+    }
+
     /// Chunks of the first `count` that this process is the first to take.
     pub fn entries(&self, count: u32) -> Vec<u32> {
         let mut sources = Vec::new();
