Loaders are told of named weights by gateways; gateways compress what they tell each other

Cause: every loader held a watch of named weights at the store (204 of them, each counted anew at each naming and every 20 s).

Change: gateways tell loaders at once of weights that were named; a loader that three gateways of its zone tell asks the store no more.

--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod callers;
 pub mod clock;
+pub mod compression;
 pub mod error;
 pub mod gateway;
 pub mod items;
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -18,18 +18,26 @@
 /// Milliseconds that a watch waits.
 const WATCH_MILLIS: u64 = 20_000;
 
+/// Milliseconds between looks at whether gateways still tell what operators write.
+const LOOK_MILLIS: u64 = 250;
+
 /// Milliseconds after a failed call.
 const RETRY_MILLIS: u64 = 500;
 
 /// Follows what operators write.
 ///
 /// A configuration may be large, and there are many loaders: one that gateways tell of it reads it
-/// once, and again only where what it needs of it has changed. Named weights it watches itself,
-/// as each moment counts.
+/// once, and again only where what it needs of it has changed. Named weights it watches itself only
+/// where few gateways tell it of them: the store counts each watch, and there are more loaders than
+/// anything else.
 pub async fn follow(loader: Rc<Loader>) {
     let mut client = Client::new(loader.settings.store);
     let mut in_step = None;
     loop {
+        if in_step.is_some() && loader.is_told_by_many() {
+            clock::pause(LOOK_MILLIS).await;
+            continue;
+        }
         let scope = match loader.is_told_enough() {
             true => Scope::Weights,
             false => Scope::Operators,
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -36,6 +36,9 @@
     },
 };
 
+/// Gateways of a zone of which one at least is taken to know what operators write.
+const MANY_GATEWAYS: usize = 3;
+
 /// A gateway that wants reports.
 #[derive(Debug, Clone)]
 pub struct Subscriber {
@@ -223,6 +226,15 @@
         })
     }
 
+    /// True where so many gateways of this zone tell what operators write that the store need not be
+    /// asked for it: one of them may be cut off or stand still.
+    pub fn is_told_by_many(&self) -> bool {
+        let subscribers = self.subscribers.borrow();
+        let near = subscribers.values();
+        let near = near.filter(|subscriber| subscriber.zone == self.settings.zone);
+        near.count() >= MANY_GATEWAYS && self.is_told_enough()
+    }
+
     /// Notes weights that operators named.
     pub fn note_named(&self, named: &Named) {
         let mut all = self.named.borrow_mut();
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -3,12 +3,16 @@
 
 use {
     crate::{
-        clock,
+        clock, compression,
         message::{self, SharedItem, Snapshot},
         state::State,
-        store::Client,
+        store::{Client, MAX_ANSWER_BYTES},
+    },
+    gingerpier_http1::{
+        connection::{Connection, Whole},
+        head::Request,
+        writer::Message,
     },
-    gingerpier_http1::{connection::Connection, head::Request, writer::Message},
     gingerpier_serving::{dialect::Call, mirror::Revision, watching::MOST_AGE_MILLIS},
     std::{net::SocketAddr, rc::Rc},
     tokio::net::TcpListener,
@@ -87,7 +91,17 @@
         return Message::response(404).body(b"");
     };
     wait_for_news(state, &question).await;
-    Message::response(200).body(&message::encode(&snapshot(state, question.after)))
+    let body = message::encode(&snapshot(state, question.after));
+    let takes_compressed = request.fields.lists("accept-encoding", compression::NAME);
+    let shrunk = takes_compressed
+        .then(|| compression::shrink(&body))
+        .flatten();
+    match shrunk {
+        Some(shrunk) => Message::response(200)
+            .field(b"content-encoding", compression::NAME.as_bytes())
+            .body(&shrunk),
+        None => Message::response(200).body(&body),
+    }
 }
 
 /// Returns once more is known than the asker has, or its time is over.
@@ -164,13 +178,28 @@
 async fn exchange(client: &mut Client, question: &Question, millis: u64) -> Option<Snapshot> {
     let call = Call::get(question.target());
     let whole = client.call(&call, millis).await.ok()?;
-    let snapshot = (whole.head.status == 200).then(|| message::decode(&whole.body))?;
+    if whole.head.status != 200 {
+        return None;
+    }
+    let snapshot = read_snapshot(&whole);
     if snapshot.is_none() {
         tracing::warn!(peer = %client.peer(), "a gateway's snapshot is not understood");
     }
     snapshot
 }
 
+fn read_snapshot(whole: &Whole) -> Option<Snapshot> {
+    if !whole
+        .head
+        .fields
+        .lists("content-encoding", compression::NAME)
+    {
+        return message::decode(&whole.body);
+    }
+    let body = compression::expand(&whole.body, MAX_ANSWER_BYTES).ok()?;
+    message::decode(&body)
+}
+
 fn take(state: &State, snapshot: Snapshot) {
     let at = Revision(snapshot.at);
     let items = snapshot.items.into_iter().map(SharedItem::item).collect();
@@ -214,7 +243,7 @@
         after,
         wait_millis: 0,
     };
-    let mut client = Client::new(peer);
+    let mut client = Client::of_gateway(peer);
     let Some(snapshot) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
         return;
     };
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -40,7 +40,9 @@
             true => LOOK_MILLIS,
             false => SUBSCRIBE_EVERY_MILLIS,
         };
-        clock::pause(pause).await;
+        // Loaders hear of named weights at once.
+        let next = clock::now().after_millis(pause);
+        clock::before(next, state.naming.notified()).await;
     }
 }
 
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -60,6 +60,8 @@
     pub zones: RefCell<Exchange>,
     /// Tells those who wait that the mirror has changed.
     pub news: Notify,
+    /// Tells that operators named weights.
+    pub naming: Notify,
     /// Weights that this gateway carries.
     pub carrier: Rc<Carrier>,
     /// True once the process is to stop.
@@ -94,6 +96,7 @@
             metrics: Metrics::default(),
             zones: RefCell::new(zones),
             news: Notify::new(),
+            naming: Notify::new(),
             carrier: Rc::new(Carrier::new(dialect)),
             is_stopping: Cell::new(false),
             has_left: Cell::new(false),
@@ -231,6 +234,7 @@
             version: named.version,
             at,
         });
+        self.naming.notify_one();
     }
 
     /// Newest weights named of each model.
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock,
+        clock, compression,
         error::{Error, Step as At},
         relay,
         state::State,
@@ -23,7 +23,7 @@
 };
 
 /// Longest answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Milliseconds without a byte after which an answer is given up.
 const STALL_MILLIS: u64 = 800;
@@ -54,6 +54,7 @@
 pub struct Client {
     peer: SocketAddr,
     connection: Option<Connection>,
+    takes_compressed: bool,
 }
 
 impl Client {
@@ -62,6 +63,16 @@
         Self {
             peer,
             connection: None,
+            takes_compressed: false,
+        }
+    }
+
+    /// Client of another gateway, which may compress what it answers.
+    pub const fn of_gateway(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            connection: None,
+            takes_compressed: true,
         }
     }
 
@@ -80,7 +91,11 @@
         let peer = self.peer;
         let deadline = clock::now().after_millis(millis);
         let resting = self.connection.take();
-        let begun = clock::before(deadline, begin(peer, resting, call)).await;
+        let request = match self.takes_compressed {
+            true => bytes_of_compressible(call, peer),
+            false => bytes_of(call, peer),
+        };
+        let begun = clock::before(deadline, begin(peer, resting, request)).await;
         let step = At::Exchange;
         let (mut connection, head) = begun.ok_or(Error::Late { step, peer })??;
         let body = read_body(&mut connection, &head, peer).await?;
@@ -104,11 +119,19 @@
         .body(&call.body)
 }
 
+/// Bytes of a call without a body, whose answer may come compressed.
+fn bytes_of_compressible(call: &Call, host: SocketAddr) -> Vec<u8> {
+    Message::request(call.method.as_bytes(), call.target.as_bytes())
+        .field(b"host", host.to_string().as_bytes())
+        .field(b"accept-encoding", compression::NAME.as_bytes())
+        .end()
+}
+
 /// Sends a call and reads the head of its answer.
 async fn begin(
     peer: SocketAddr,
     resting: Option<Connection>,
-    call: &Call,
+    request: Vec<u8>,
 ) -> Result<(Connection, Response), Error> {
     let mut connection = match resting {
         Some(connection) if connection.is_idle() => connection,
@@ -119,7 +142,6 @@
         })?,
     };
     let step = At::Exchange;
-    let request = bytes_of(call, peer);
     let written = connection.write(&request).await;
     written.map_err(|what| Error::Io { step, peer, what })?;
     let head = connection.response().await;
@@ -242,7 +264,7 @@
 
 fn follow_member(member: SocketAddr) -> Client {
     tracing::info!(watcher = %member, "store is followed through a gateway");
-    Client::new(member)
+    Client::of_gateway(member)
 }
 
 /// Addresses for other gateways of those of this zone.
