--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -30,6 +30,28 @@
     pub ending: Ending,
 }
 
+/// A kind of message between processes of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Kind {
+    /// A question to a loader for reports.
+    Subscription,
+    /// A report of a loader.
+    Report,
+    /// A digest of this zone for another.
+    Digest,
+    /// A digest of another zone for gateways of this one.
+    DigestPassedOn,
+    /// An answer that tells of the store.
+    Snapshot,
+}
+
+/// Label of a kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Message {
+    /// Kind.
+    pub kind: Kind,
+}
+
 /// Metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -39,6 +61,10 @@
     pub retries: Counter,
     /// Calls to the store.
     pub store_calls: Counter,
+    /// Messages between processes, sent or (reports) received.
+    pub messages: Family<Message, Counter>,
+    /// Their bytes, without the headers of the network.
+    pub message_bytes: Family<Message, Counter>,
     /// Revision of the store that is in force.
     pub revision: Gauge,
     /// Version of the configuration in force.
@@ -53,6 +79,8 @@
         let requests = Family::<Ended, Counter>::default();
         let retries = Counter::default();
         let store_calls = Counter::default();
+        let messages = Family::<Message, Counter>::default();
+        let message_bytes = Family::<Message, Counter>::default();
         let revision = Gauge::default();
         let configuration = Gauge::default();
         let bounds = [25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0];
@@ -60,6 +88,8 @@
         registry.register("requests", "Requests by ending", requests.clone());
         registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("store_calls", "Calls to the store", store_calls.clone());
+        registry.register("messages", "Messages between processes", messages.clone());
+        registry.register("message_bytes", "Bytes of them", message_bytes.clone());
         registry.register("revision", "Revision in force", revision.clone());
         registry.register(
             "configuration",
@@ -72,6 +102,8 @@
             requests,
             retries,
             store_calls,
+            messages,
+            message_bytes,
             revision,
             configuration,
             first,
@@ -80,6 +112,15 @@
 }
 
 impl Metrics {
+    /// Counts a message of `bytes` bytes.
+    pub fn note_message(&self, kind: Kind, bytes: usize) {
+        let label = Message { kind };
+        self.messages.get_or_create(&label).inc();
+        self.message_bytes
+            .get_or_create(&label)
+            .inc_by(bytes as u64);
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -5,6 +5,7 @@
     crate::{
         clock, compression,
         message::{self, SharedItem, Snapshot},
+        metrics::Kind,
         state::State,
         store::{Client, MAX_ANSWER_BYTES},
     },
@@ -96,6 +97,8 @@
     let shrunk = takes_compressed
         .then(|| compression::shrink(&body))
         .flatten();
+    let sent = shrunk.as_ref().map_or(body.len(), Vec::len);
+    state.metrics.note_message(Kind::Snapshot, sent);
     match shrunk {
         Some(shrunk) => Message::response(200)
             .field(b"content-encoding", compression::NAME.as_bytes())
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -4,6 +4,7 @@
     crate::{
         clock,
         message::{self, Datagram, Load, Member, Subscribe, Weights},
+        metrics::Kind,
         state::State,
         zones,
     },
@@ -33,6 +34,9 @@
         let message = message::encode(&Datagram::Subscribe(subscription(&state)));
         let loaders = loaders(&state);
         for loader in &loaders {
+            state
+                .metrics
+                .note_message(Kind::Subscription, message.len());
             // A datagram that can't be sent is as good as lost; the next one follows.
             let _ = socket.try_send_to(&message, *loader);
         }
@@ -113,7 +117,10 @@
             continue;
         };
         match message::decode(&bytes[..length]) {
-            Some(Datagram::Load(load)) => note(&state, &load),
+            Some(Datagram::Load(load)) => {
+                state.metrics.note_message(Kind::Report, length);
+                note(&state, &load);
+            }
             Some(Datagram::Digest(digest)) => zones::take(&state, &socket, digest),
             Some(Datagram::Subscribe(_)) | None => {}
         }
--- a/crates/gingerpier_gateway/src/zones.rs
+++ b/crates/gingerpier_gateway/src/zones.rs
@@ -4,6 +4,7 @@
     crate::{
         clock,
         message::{self, Datagram, Digest, DigestEngine, DigestHeld},
+        metrics::Kind,
         state::State,
     },
     gingerpier_base::Instant,
@@ -45,6 +46,7 @@
         for part in parts(&state, turn, now) {
             let bytes = message::encode(&Datagram::Digest(part));
             for receiver in &receivers {
+                state.metrics.note_message(Kind::Digest, bytes.len());
                 // A datagram that can't be sent is as good as lost; the next one follows.
                 let _ = socket.try_send_to(&bytes, *receiver);
             }
@@ -79,6 +81,9 @@
     };
     let bytes = message::encode(&Datagram::Digest(passed_on));
     for neighbour in state.zones.borrow().neighbours(now) {
+        state
+            .metrics
+            .note_message(Kind::DigestPassedOn, bytes.len());
         // A datagram that can't be sent is as good as lost; the next one follows.
         let _ = socket.try_send_to(&bytes, neighbour);
     }
