Few gateways hear every loader directly

Change: up to 16 gateways in all hear every loader, as before; a loader that reports to 16 four times a second spends half of what a node may. Nobody asks all before the gateways of its zone were named for a second.

--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -98,6 +98,9 @@
     }
     let subject = order::hash(&state.settings.peers);
     let mut chosen: Vec<IpAddr> = machines.into_iter().collect();
+    if count >= chosen.len() {
+        return chosen;
+    }
     order::sort_by_score(subject, &mut chosen, order::hash);
     chosen.truncate(count);
     tracing::info!(
--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -10,6 +10,9 @@
 //! takes the receivers by turns, so that one living sender and one living receiver are enough. Where no
 //! digest of a zone has come for a while, some of its engines are asked directly, more of them the
 //! longer it lasts ([`Exchange::sample`]); that is also how the first gateways of a zone are found.
+//!
+//! Digests are older than what loaders say themselves. So where there are few gateways in all, each hears
+//! the loaders of all zones directly, and no digests are sent.
 
 use {
     gingerpier_base::{Instant, order},
@@ -22,6 +25,14 @@
 /// Gateways of a zone that a sender sends to, by turns.
 const RECEIVERS: usize = 2;
 
+/// Most gateways of all zones that hear every loader directly. A loader that reports to 16 of them four
+/// times a second sends 7 KB/s, half of what a node may spend on control.
+const MOST_DIRECT: u32 = 16;
+
+/// Milliseconds from the first word of the gateways of the own zone until their number counts: two
+/// rounds of naming.
+const COUNTED_AFTER_MILLIS: u64 = 1_000;
+
 /// Milliseconds between two digests of one sender. With two senders a zone is heard every 250 ms on
 /// average, as often as loaders reported to other zones when each did so itself.
 const SEND_EVERY_MILLIS: u64 = 500;
@@ -140,6 +151,8 @@
     own_zone: String,
     zones: BTreeMap<String, Zone>,
     started: Instant,
+    /// When somebody named a gateway of the own zone first.
+    named: Option<Instant>,
     turn: usize,
     sent: Instant,
     has_news: bool,
@@ -162,6 +175,7 @@
             own_zone: own_zone.to_owned(),
             zones,
             started: now,
+            named: None,
             turn: 0,
             sent: now,
             has_news: false,
@@ -170,6 +184,9 @@
 
     /// Notes a gateway that somebody heard of.
     pub fn note_member(&mut self, zone: &str, member: SocketAddr, now: Instant) {
+        if zone == self.own_zone {
+            self.named = self.named.or(Some(now));
+        }
         if let Some(zone) = self.zone_mut(zone) {
             zone.members.insert(member, now);
         }
@@ -239,8 +256,14 @@
         for zone in self.zones.values_mut() {
             zone.forget(now);
         }
-        self.note_member(&self.own_zone.clone(), self.own, now);
-        let senders = self.zones[&self.own_zone].first(SENDERS, now);
+        if self.is_direct(now) {
+            return Vec::new();
+        }
+        let Some(own_zone) = self.zones.get_mut(&self.own_zone) else {
+            return Vec::new();
+        };
+        own_zone.members.insert(self.own, now);
+        let senders = own_zone.first(SENDERS, now);
         let Some(rank) = senders.iter().position(|sender| *sender == self.own) else {
             return Vec::new();
         };
@@ -282,14 +305,25 @@
         Reception::News
     }
 
+    /// True where there are so few gateways that each hears the loaders of all zones directly.
+    pub fn is_direct(&self, now: Instant) -> bool {
+        let counted = self.named.map(|at| at.after_millis(COUNTED_AFTER_MILLIS));
+        let is_counted = counted.is_some_and(|at| at.has_passed(now));
+        is_counted && self.gateway_count() <= MOST_DIRECT
+    }
+
     /// True where digests of `zone` come.
     pub fn is_heard(&self, zone: &str, now: Instant) -> bool {
         let heard = self.zones.get(zone).and_then(|zone| zone.heard);
         heard.is_some_and(|heard| now.millis_since(heard) < SILENT_MILLIS)
     }
 
-    /// Engines of another `zone` to ask directly: none while its digests come.
+    /// Engines of another `zone` to ask directly: all where there are few gateways, or else none while
+    /// its digests come.
     pub fn sample(&self, zone: &str, now: Instant) -> usize {
+        if self.is_direct(now) {
+            return usize::MAX;
+        }
         if self.is_heard(zone, now) {
             return 0;
         }
