A configuration that changes often or is large reaches gateways as one copy, and crosses regions for two

While a watcher read it, its own word of the store grew older than 1.2 s; the others of its zone gave it up and read the store themselves, a megabyte each; all 149 gateways, without contact for 0.9 s, asked gateways of other zones for it twice in 0.3 s; and a watch brought each version written since.

Change: bytes of an answer under way count as the store's word; a watch that would bring more than 1.5 whole copies is read as one copy; who was told by a watcher goes on with a watch, not with a read of everything; only the watchers of a zone ask gateways of other zones. A relay asks the origin for a manifest at once also where there are 16 relays or fewer: the test of sources that stand still took 0.9 s where the relay was no head.

--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -8,13 +8,18 @@
         metrics::Kind,
         state::State,
         store::{Client, MAX_ANSWER_BYTES},
+        weights::GatewayPlace,
     },
     gingerpier_http1::{
         connection::{Connection, Whole},
         head::Request,
         writer::Message,
     },
-    gingerpier_serving::{dialect::Call, mirror::Revision, watching::MOST_AGE_MILLIS},
+    gingerpier_serving::{
+        dialect::Call,
+        mirror::Revision,
+        watching::{self, MOST_AGE_MILLIS},
+    },
     std::{net::SocketAddr, rc::Rc},
     tokio::net::TcpListener,
 };
@@ -227,12 +232,24 @@
     }
 }
 
+/// Gateways to ask: those of the own zone, and where this one watches the store for it, those of all
+/// zones: a configuration of a megabyte would otherwise cross regions once for each gateway.
 fn peers(state: &State) -> Vec<SocketAddr> {
     let own = state.settings.control;
-    let heard = state.living_gateways().into_iter();
-    let heard = heard.map(|peer| SocketAddr::new(peer.address.ip(), own.port()));
-    let seeds = state.settings.seeds.iter().copied();
-    let mut peers: Vec<SocketAddr> = heard.chain(seeds).filter(|peer| *peer != own).collect();
+    let heard = state.living_gateways();
+    let control = |place: &GatewayPlace| SocketAddr::new(place.address.ip(), own.port());
+    let near = heard
+        .iter()
+        .filter(|place| place.zone == state.settings.zone);
+    let near: Vec<SocketAddr> = near.map(control).collect();
+    let mut peers: Vec<SocketAddr> = match watching::is_watcher(own, near.iter().copied()) {
+        true => {
+            let seeds = state.settings.seeds.iter().copied();
+            heard.iter().map(control).chain(seeds).collect()
+        }
+        false => near,
+    };
+    peers.retain(|peer| *peer != own);
     peers.sort_unstable();
     peers.dedup();
     fastrand::shuffle(&mut peers);
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -78,6 +78,8 @@
     arrivals: RefCell<HashMap<String, Arrivals>>,
     due: RefCell<HashMap<String, Vec<Due>>>,
     contact: Cell<Option<Instant>>,
+    /// When bytes of an answer of the store came last: a large one takes a second or more.
+    pub store_heard: Rc<Cell<Option<Instant>>>,
     started: Instant,
 }
 
@@ -108,6 +110,7 @@
             arrivals: RefCell::default(),
             due: RefCell::default(),
             contact: Cell::new(None),
+            store_heard: Rc::default(),
             started,
         }
     }
@@ -141,7 +144,13 @@
 
     /// Milliseconds since the store's last word.
     pub fn contact_age(&self) -> Option<u64> {
-        self.contact.get().map(|at| clock::now().millis_since(at))
+        // Bytes alone say nothing before anything is known.
+        let contact = self.contact.get()?;
+        let last = self
+            .store_heard
+            .get()
+            .map_or(contact, |heard| heard.max(contact));
+        Some(clock::now().millis_since(last))
     }
 
     /// True where the store has been silent for too long.
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -8,8 +8,9 @@
         state::State,
     },
     bytes::{Bytes, BytesMut},
+    gingerpier_base::Instant,
     gingerpier_http1::{
-        body::{Decoder, Part},
+        body::{Decoder, Framing, Part},
         connection::{Connection, Whole},
         head::Response,
         writer::Message,
@@ -19,7 +20,7 @@
         mirror::{Item, Revision},
         watching::{Step, Watching},
     },
-    std::{net::SocketAddr, rc::Rc},
+    std::{cell::Cell, net::SocketAddr, rc::Rc},
 };
 
 /// Longest answer, in bytes.
@@ -35,6 +36,12 @@
 /// than what others of its zone accept.
 const WATCH_MILLIS: u64 = 600;
 
+/// Bytes of an item beside its value, in the store's answers.
+const ITEM_BYTES: usize = 120;
+
+/// Bytes of a watch's answer that are never too many: 0.1 s of a link of 20 Mbit/s.
+const LEAST_LONG_BYTES: usize = 256 * 1024;
+
 /// A key behind all others.
 const LAST_KEY: &str = "~";
 
@@ -55,6 +62,10 @@
     peer: SocketAddr,
     connection: Option<Connection>,
     takes_compressed: bool,
+    /// Longest body that is taken.
+    most_bytes: usize,
+    /// When bytes of an answer came last, where somebody wants to know.
+    heard: Option<Rc<Cell<Option<Instant>>>>,
 }
 
 impl Client {
@@ -64,16 +75,23 @@
             peer,
             connection: None,
             takes_compressed: false,
+            most_bytes: MAX_ANSWER_BYTES,
+            heard: None,
         }
     }
 
+    /// Client that notes in `heard` when bytes of an answer came last.
+    pub fn noting(peer: SocketAddr, heard: Rc<Cell<Option<Instant>>>) -> Self {
+        let mut client = Self::new(peer);
+        client.heard = Some(heard);
+        client
+    }
+
     /// Client of another gateway, which may compress what it answers.
-    pub const fn of_gateway(peer: SocketAddr) -> Self {
-        Self {
-            peer,
-            connection: None,
-            takes_compressed: true,
-        }
+    pub fn of_gateway(peer: SocketAddr) -> Self {
+        let mut client = Self::new(peer);
+        client.takes_compressed = true;
+        client
     }
 
     /// Server that it asks.
@@ -98,13 +116,43 @@
         let begun = clock::before(deadline, begin(peer, resting, request)).await;
         let step = At::Exchange;
         let (mut connection, head) = begun.ok_or(Error::Late { step, peer })??;
-        let body = read_body(&mut connection, &head, peer).await?;
+        let body = self.read_body(&mut connection, &head).await?;
         let whole = Whole { head, body };
         if whole.head.keeps_alive() && connection.input.is_empty() {
             self.connection = Some(connection);
         }
         Ok(whole)
     }
+
+    async fn read_body(
+        &self,
+        connection: &mut Connection,
+        head: &Response,
+    ) -> Result<Bytes, Error> {
+        let peer = self.peer;
+        let step = At::Exchange;
+        let http = |what| Error::Http { step, peer, what };
+        let framing = head.framing().map_err(http)?;
+        if matches!(framing, Framing::Length(length) if length > self.most_bytes as u64) {
+            return Err(http(gingerpier_http1::error::Error::BodyTooLong));
+        }
+        let mut decoder = Decoder::new(framing);
+        let mut body = BytesMut::new();
+        loop {
+            let stalled = clock::now().after_millis(STALL_MILLIS);
+            let part = clock::before(stalled, connection.part(&mut decoder)).await;
+            match part.ok_or(Error::Late { step, peer })?.map_err(http)? {
+                Part::End => return Ok(body.freeze()),
+                Part::Data(data) => body.extend_from_slice(&data),
+            }
+            if let Some(heard) = &self.heard {
+                heard.set(Some(clock::now()));
+            }
+            if body.len() > self.most_bytes {
+                return Err(http(gingerpier_http1::error::Error::BodyTooLong));
+            }
+        }
+    }
 }
 
 /// Bytes of a call.
@@ -149,28 +197,6 @@
     Ok((connection, head))
 }
 
-async fn read_body(
-    connection: &mut Connection,
-    head: &Response,
-    peer: SocketAddr,
-) -> Result<Bytes, Error> {
-    let step = At::Exchange;
-    let http = |what| Error::Http { step, peer, what };
-    let mut decoder = Decoder::new(head.framing().map_err(http)?);
-    let mut body = BytesMut::new();
-    loop {
-        let stalled = clock::now().after_millis(STALL_MILLIS);
-        let part = clock::before(stalled, connection.part(&mut decoder)).await;
-        match part.ok_or(Error::Late { step, peer })?.map_err(http)? {
-            Part::End => return Ok(body.freeze()),
-            Part::Data(data) => body.extend_from_slice(&data),
-        }
-        if body.len() > MAX_ANSWER_BYTES {
-            return Err(http(gingerpier_http1::error::Error::BodyTooLong));
-        }
-    }
-}
-
 /// A whole copy of the store.
 pub struct Copy {
     /// Items.
@@ -241,7 +267,7 @@
 /// the store.
 pub async fn follow(state: Rc<State>) {
     let mut watching = Watching::new(state.settings.control);
-    let mut store = Client::new(state.settings.store);
+    let mut store = Client::noting(state.settings.store, state.store_heard.clone());
     let mut watcher: Option<Client> = None;
     let mut in_step = false;
     loop {
@@ -252,6 +278,8 @@
                 let mut client = known.unwrap_or_else(|| follow_member(member));
                 if relay::ask_watcher(&state, &mut client).await {
                     watcher = Some(client);
+                    // What it told reaches as far as a read of everything would.
+                    in_step = true;
                     clock::pause(BATCH_MILLIS).await;
                 } else {
                     tracing::warn!(watcher = %member, age = ?state.contact_age(), "gateway that watches the store does not answer");
@@ -310,6 +338,7 @@
 async fn watch_once(state: &State, client: &mut Client) -> Result<bool, Error> {
     state.metrics.store_calls.inc();
     let after = state.mirror.borrow().at();
+    client.most_bytes = longest_watch(state);
     let watched = watch(
         client,
         state.dialect,
@@ -317,8 +346,17 @@
         after,
         WATCH_MILLIS,
     )
-    .await?;
-    match watched {
+    .await;
+    client.most_bytes = MAX_ANSWER_BYTES;
+    let is_too_long = |error: &Error| matches!(error, Error::Http { what, .. } if *what == gingerpier_http1::error::Error::BodyTooLong);
+    if watched.as_ref().is_err_and(is_too_long) {
+        tracing::info!(
+            after = after.0,
+            "a watch brings more than a whole copy, which is read instead"
+        );
+        return Ok(false);
+    }
+    match watched? {
         Watched::HistoryGone => Ok(false),
         Watched::Changes(page) if page.items.is_empty() => is_current(state, client).await,
         Watched::Changes(page) => {
@@ -328,6 +366,15 @@
     }
 }
 
+/// Bytes of a watch's answer above which a whole copy is shorter: each version of a configuration that
+/// was written since would be in it.
+fn longest_watch(state: &State) -> usize {
+    let mirror = state.mirror.borrow();
+    let values = mirror.items().filter_map(|item| item.value);
+    let copy: usize = values.map(|value| value.len() * 4 / 3 + ITEM_BYTES).sum();
+    (copy * 3 / 2).max(LEAST_LONG_BYTES)
+}
+
 /// True where nothing changed behind what is known. A watch that hears nothing may be deaf; an
 /// empty page tells how far the store is, and costs no bytes.
 async fn is_current(state: &State, client: &mut Client) -> Result<bool, Error> {
--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -36,6 +36,21 @@
     until: Instant,
 }
 
+/// Who of `own` and the `members` of its zone watch the store.
+fn watchers(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+    let mut ranked: Vec<SocketAddr> = members.filter(|member| *member != own).collect();
+    ranked.push(own);
+    ranked.sort_by_key(|member| (Reverse(order::hash(member)), *member));
+    ranked.truncate(WATCHERS);
+    ranked
+}
+
+/// True where `own` is among those of its zone that watch the store; `members` are the others that
+/// are known.
+pub fn is_watcher(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> bool {
+    watchers(own, members).contains(&own)
+}
+
 /// What one member of a zone decides.
 #[derive(Debug, Clone)]
 pub struct Watching {
@@ -61,10 +76,7 @@
         if std::mem::take(&mut self.is_behind) {
             return Step::Store;
         }
-        let mut ranked: Vec<SocketAddr> = members.filter(|member| *member != self.own).collect();
-        ranked.push(self.own);
-        ranked.sort_by_key(|member| (Reverse(order::hash(member)), *member));
-        let watchers = &ranked[..ranked.len().min(WATCHERS)];
+        let watchers = watchers(self.own, members);
         if watchers.contains(&self.own) {
             return Step::Store;
         }
--- a/crates/gingerpier_serving/tests/watching.rs
+++ b/crates/gingerpier_serving/tests/watching.rs
@@ -4,7 +4,7 @@
     gingerpier_base::Instant,
     gingerpier_serving::{
         mirror::{Item, Mirror, Revision},
-        watching::{Step, WATCHERS, Watching},
+        watching::{self, Step, WATCHERS, Watching},
     },
     proptest::prelude::*,
     std::net::SocketAddr,
@@ -51,6 +51,14 @@
     assert!(asked.iter().all(|count| *count > 0), "{asked:?}");
 }
 
+#[test]
+fn those_that_watch_know_it() {
+    let all = members(13);
+    let watch = |own: &&SocketAddr| watching::is_watcher(**own, all.iter().copied());
+    assert_eq!(all.iter().filter(watch).count(), WATCHERS);
+    assert!(watching::is_watcher(member(1), [].into_iter()), "alone");
+}
+
 #[test]
 fn who_knows_of_nobody_watches_itself() {
     let own = member(1);
--- a/crates/gingerpier_weights/src/relay.rs
+++ b/crates/gingerpier_weights/src/relay.rs
@@ -33,6 +33,9 @@
 /// Least relays of the lowest level for those that are no relays to leave the others out.
 const LEAST_LOWEST: usize = 3;
 
+/// Relays that may all ask the origin for a manifest: a third of the connections of a small one.
+const FEW: usize = 16;
+
 /// Relays of one version.
 #[derive(Debug, Clone, Default)]
 pub struct Relays {
@@ -130,6 +133,11 @@
         sources.extend(others.map(Source::Replica));
     }
 
+    /// True where there are few relays in all.
+    pub const fn are_few(&self) -> bool {
+        self.relays.len() <= FEW
+    }
+
     /// True where `own` may be the first of its zone to take a chunk.
     pub fn may_be_first(&self, own: ReplicaKey) -> bool {
         let members = self.members(self.place(own).zone, 0);
--- a/crates/gingerpier_weights/src/route.rs
+++ b/crates/gingerpier_weights/src/route.rs
@@ -46,11 +46,12 @@
         }
     }
 
-    /// True where this process may be among the first to take chunks: it is for few to ask the origin.
+    /// True where this process may ask the origin for a manifest at once: it is among the first to take
+    /// chunks, or there are few relays.
     pub fn is_near_origin(&self) -> bool {
         match self {
             Self::Tree { .. } => true,
-            Self::Relay { relays, own } => relays.may_be_first(*own),
+            Self::Relay { relays, own } => relays.are_few() || relays.may_be_first(*own),
             Self::Leaf { .. } => false,
         }
     }
