A refusal of the store is no word of what is in force

Change: only bytes of an answer that was granted count. Test: client::a_refusal_is_no_word_of_what_is_in_force, which fails without the change.

--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -64,7 +64,7 @@
     takes_compressed: bool,
     /// Longest body that is taken.
     most_bytes: usize,
-    /// When bytes of an answer came last, where somebody wants to know.
+    /// When bytes of an answer that was granted came last, where somebody wants to know.
     heard: Option<Rc<Cell<Option<Instant>>>>,
 }
 
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Client that notes in `heard` when bytes of an answer came last.
+    /// Client that notes in `heard` when bytes of an answer that was granted came last.
     pub fn noting(peer: SocketAddr, heard: Rc<Cell<Option<Instant>>>) -> Self {
         let mut client = Self::new(peer);
         client.heard = Some(heard);
@@ -145,7 +145,8 @@
                 Part::End => return Ok(body.freeze()),
                 Part::Data(data) => body.extend_from_slice(&data),
             }
-            if let Some(heard) = &self.heard {
+            // A refusal says nothing of what is in force.
+            if let Some(heard) = self.heard.as_ref().filter(|_| head.status == 200) {
                 heard.set(Some(clock::now()));
             }
             if body.len() > self.most_bytes {
--- a/crates/gingerpier_gateway/tests/client.rs
+++ b/crates/gingerpier_gateway/tests/client.rs
@@ -4,8 +4,10 @@
     gingerpier_gateway::{error::Error, store::Client},
     gingerpier_serving::dialect::Call,
     std::{
+        cell::Cell,
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
+        rc::Rc,
         thread::{sleep, spawn},
         time::{Duration, Instant},
     },
@@ -74,3 +76,29 @@
     let error = ask(address).expect_err("it is given up");
     assert!(matches!(error, Error::Late { .. }), "{error}");
 }
+
+/// True where an answer with `status` counts as word of its server.
+fn is_word(status: u16) -> bool {
+    let address = serve(move |stream| {
+        let head = format!(
+            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+            BODY.len()
+        );
+        stream.write_all(head.as_bytes()).expect("written");
+        stream.write_all(BODY).expect("written");
+    });
+    actix_rt::System::new().block_on(async move {
+        let heard = Rc::new(Cell::new(None));
+        let call = Call::get("/everything".to_owned());
+        let mut client = Client::noting(address, heard.clone());
+        client.call(&call, BEGIN_MILLIS).await.expect("an answer");
+        heard.get().is_some()
+    })
+}
+
+#[test]
+fn a_refusal_is_no_word_of_what_is_in_force() {
+    assert!(is_word(200));
+    assert!(!is_word(429));
+    assert!(!is_word(503));
+}
