--- a/crates/gingerpier_serving/tests/zones.rs
+++ b/crates/gingerpier_serving/tests/zones.rs
@@ -37,7 +37,7 @@
 }
 
 #[derive(Clone)]
-struct Letter {
+struct Packet {
     due: u64,
     to: SocketAddr,
     zone: usize,
@@ -47,9 +47,9 @@
     is_passed_on: bool,
 }
 
-/// How a network treats letters, in per cent.
+/// What a network does to packets, in per cent.
 #[derive(Clone, Copy, Default)]
-struct Weather {
+struct Faults {
     lost: u64,
     late: u64,
     repeated: u64,
@@ -57,16 +57,16 @@
 
 struct Network {
     gateways: Vec<Gateway>,
-    letters: Vec<Letter>,
-    weather: Weather,
+    packets: Vec<Packet>,
+    faults: Faults,
     draws: u64,
     millis: u64,
-    /// Letters from one zone to another.
+    /// Packets from one zone to another.
     crossed: usize,
 }
 
 impl Network {
-    fn new(gateways_a_zone: usize, weather: Weather) -> Self {
+    fn new(gateways_a_zone: usize, faults: Faults) -> Self {
         let zones = names();
         let gateway = |zone: usize, number: usize| Gateway {
             zone,
@@ -82,8 +82,8 @@
         let places = (0..ZONES).flat_map(|zone| (0..gateways_a_zone).map(move |n| (zone, n)));
         Self {
             gateways: places.map(|(zone, number)| gateway(zone, number)).collect(),
-            letters: Vec::new(),
-            weather,
+            packets: Vec::new(),
+            faults,
             draws: 0,
             millis: 0,
             crossed: 0,
@@ -128,10 +128,10 @@
 
     fn send(&mut self) {
         let now = at(self.millis);
-        let mut letters = Vec::new();
+        let mut packets = Vec::new();
         for gateway in self.gateways.iter_mut().filter(|one| one.is_alive) {
             let receivers = gateway.exchange.poll(now);
-            letters.extend(receivers.into_iter().map(|to| Letter {
+            packets.extend(receivers.into_iter().map(|to| Packet {
                 due: 0,
                 to,
                 zone: gateway.zone,
@@ -141,29 +141,29 @@
                 is_passed_on: false,
             }));
         }
-        self.crossed += letters.len();
-        self.post(letters);
+        self.crossed += packets.len();
+        self.post(packets);
     }
 
-    fn post(&mut self, letters: Vec<Letter>) {
-        for letter in letters {
-            if self.draw() < self.weather.lost {
+    fn post(&mut self, packets: Vec<Packet>) {
+        for packet in packets {
+            if self.draw() < self.faults.lost {
                 continue;
             }
-            let late = if self.draw() < self.weather.late {
+            let late = if self.draw() < self.faults.late {
                 400
             } else {
                 0
             };
             let due = self.millis + late;
-            self.letters.push(Letter {
+            self.packets.push(Packet {
                 due,
-                ..letter.clone()
+                ..packet.clone()
             });
-            if self.draw() < self.weather.repeated {
-                self.letters.push(Letter {
+            if self.draw() < self.faults.repeated {
+                self.packets.push(Packet {
                     due: due + 50,
-                    ..letter
+                    ..packet
                 });
             }
         }
@@ -171,40 +171,40 @@
 
     fn deliver(&mut self) {
         let now = at(self.millis);
-        while let Some(index) = self.letters.iter().position(|one| one.due <= self.millis) {
-            let letter = self.letters.swap_remove(index);
+        while let Some(index) = self.packets.iter().position(|one| one.due <= self.millis) {
+            let packet = self.packets.swap_remove(index);
             let hearer = self.gateways.iter_mut();
             let hearer = hearer
                 .filter(|one| one.is_alive)
-                .find(|one| one.address == letter.to);
+                .find(|one| one.address == packet.to);
             let Some(hearer) = hearer else { continue };
-            let zone = name(letter.zone);
+            let zone = name(packet.zone);
             let heading = Heading {
                 zone: &zone,
-                sender: letter.sender,
-                stamp: letter.stamp,
+                sender: packet.sender,
+                stamp: packet.stamp,
                 part: 0,
-                gateway_count: letter.count,
+                gateway_count: packet.count,
             };
             if hearer.exchange.take(&heading, now) == Reception::Old {
                 continue;
             }
-            hearer.exchange.note_member(&zone, letter.sender, now);
-            if letter.is_passed_on {
+            hearer.exchange.note_member(&zone, packet.sender, now);
+            if packet.is_passed_on {
                 continue;
             }
             let neighbours = hearer.exchange.neighbours(now);
-            let passed_on = neighbours.into_iter().map(|to| Letter {
+            let passed_on = neighbours.into_iter().map(|to| Packet {
                 to,
                 is_passed_on: true,
-                ..letter.clone()
+                ..packet.clone()
             });
             self.post(passed_on.collect());
         }
     }
 
     /// Pairs of a living gateway and a zone that it does not hear.
-    fn deaf(&self) -> usize {
+    fn unheard(&self) -> usize {
         let now = at(self.millis);
         let living = self.gateways.iter().filter(|gateway| gateway.is_alive);
         living
@@ -215,13 +215,13 @@
     }
 }
 
-/// Letters that cross from one zone to another in ten seconds, once all is settled.
+/// Packets that cross from one zone to another in ten seconds, once all is settled.
 fn crossings(gateways_a_zone: usize) -> usize {
-    let mut network = Network::new(gateways_a_zone, Weather::default());
+    let mut network = Network::new(gateways_a_zone, Faults::default());
     network.run(4_000);
     network.crossed = 0;
     network.run(10_000);
-    assert_eq!(network.deaf(), 0, "all zones are heard everywhere");
+    assert_eq!(network.unheard(), 0, "all zones are heard everywhere");
     network.crossed
 }
 
@@ -233,16 +233,16 @@
         let crossed = crossings(count);
         assert!(
             crossed <= most,
-            "{crossed} letters, {count} gateways a zone"
+            "{crossed} packets, {count} gateways a zone"
         );
     }
 }
 
 #[test]
 fn zones_are_heard_again_after_their_senders_and_receivers_died() {
-    let mut network = Network::new(8, Weather::default());
+    let mut network = Network::new(8, Faults::default());
     network.run(4_000);
-    assert_eq!(network.deaf(), 0);
+    assert_eq!(network.unheard(), 0);
     for zone in 0..ZONES {
         let mut members: Vec<usize> = (0..network.gateways.len())
             .filter(|index| network.gateways[*index].zone == zone)
@@ -255,12 +255,12 @@
         }
     }
     network.run(4_500);
-    assert_eq!(network.deaf(), 0);
+    assert_eq!(network.unheard(), 0);
 }
 
 #[test]
 fn a_zone_without_gateways_is_asked_for_more_and_more_of_its_engines() {
-    let mut network = Network::new(7, Weather::default());
+    let mut network = Network::new(7, Faults::default());
     network.run(3_000);
     for gateway in network.gateways.iter_mut().filter(|one| one.zone == 2) {
         gateway.is_alive = false;
@@ -300,7 +300,7 @@
 
 #[test]
 fn where_there_are_few_gateways_all_engines_are_asked_and_no_digests_are_sent() {
-    let mut network = Network::new(5, Weather::default());
+    let mut network = Network::new(5, Faults::default());
     network.run(3_000);
     let now = at(network.millis);
     for gateway in &network.gateways {
@@ -353,11 +353,11 @@
 
     #[test]
     fn zones_are_heard_in_any_weather(lost in 0_u64..30, late in 0_u64..50, repeated in 0_u64..50, gateways in 6_usize..14) {
-        let mut network = Network::new(gateways, Weather { lost, late, repeated });
+        let mut network = Network::new(gateways, Faults { lost, late, repeated });
         network.run(5_000);
         // One look may fall into a gap that lost digests leave; not three in a row.
-        let deaf = (0..3).map(|_| { network.run(500); network.deaf() }).min();
-        prop_assert!(deaf.is_some_and(|deaf| deaf <= 1), "{deaf:?} deaf");
+        let unheard = (0..3).map(|_| { network.run(500); network.unheard() }).min();
+        prop_assert!(unheard.is_some_and(|unheard| unheard <= 1), "{unheard:?} unheard");
     }
 
     #[test]
