Neighbours and near gateways are told in one place each

The control addresses of a zone's other gateways were made in store and again in relay, and a loader counted the gateways of its zone in two places. A settings comment still said that one gateway of a zone carries weights.

--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -229,10 +229,15 @@
     /// True where so many gateways of this zone tell what operators write that the store need not be
     /// asked for it: one of them may be cut off or stand still.
     pub fn is_told_by_many(&self) -> bool {
+        self.near_gateway_count() >= MANY_GATEWAYS && self.is_told_enough()
+    }
+
+    /// Gateways of this zone that want reports.
+    pub fn near_gateway_count(&self) -> usize {
         let subscribers = self.subscribers.borrow();
         let near = subscribers.values();
-        let near = near.filter(|subscriber| subscriber.zone == self.settings.zone);
-        near.count() >= MANY_GATEWAYS && self.is_told_enough()
+        near.filter(|subscriber| subscriber.zone == self.settings.zone)
+            .count()
     }
 
     /// Notes weights that operators named.
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -108,10 +108,7 @@
 
 /// Milliseconds to the next report: so many that reports leave the link to answers.
 fn report_every(loader: &Loader) -> u64 {
-    let subscribers = loader.subscribers.borrow();
-    let near = subscribers.values();
-    let near = near.filter(|subscriber| subscriber.zone == loader.settings.zone);
-    let bytes = near.count() as f64 * REPORT_BYTES;
+    let bytes = loader.near_gateway_count() as f64 * REPORT_BYTES;
     let bytes_per_milli = loader.settings.link_bits_per_second as f64 * LINK_SHARE / 8_000.0;
     let millis = (bytes / bytes_per_milli) as u64;
     millis.clamp(REPORT_EVERY_MILLIS, REPORT_AT_LEAST_EVERY_MILLIS)
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -8,7 +8,6 @@
         metrics::Kind,
         state::State,
         store::{Client, MAX_ANSWER_BYTES},
-        weights::GatewayPlace,
     },
     gingerpier_http1::{
         connection::{Connection, Whole},
@@ -236,16 +235,12 @@
 /// zones: a configuration of a megabyte would otherwise cross regions once for each gateway.
 fn peers(state: &State) -> Vec<SocketAddr> {
     let own = state.settings.control;
-    let heard = state.living_gateways();
-    let control = |place: &GatewayPlace| SocketAddr::new(place.address.ip(), own.port());
-    let near = heard
-        .iter()
-        .filter(|place| place.zone == state.settings.zone);
-    let near: Vec<SocketAddr> = near.map(control).collect();
+    let near = state.neighbours();
     let mut peers: Vec<SocketAddr> = match watching::is_watcher(own, near.iter().copied()) {
         true => {
-            let seeds = state.settings.seeds.iter().copied();
-            heard.iter().map(control).chain(seeds).collect()
+            let heard = state.living_gateways().into_iter();
+            let heard = heard.map(|place| SocketAddr::new(place.address.ip(), own.port()));
+            heard.chain(state.settings.seeds.iter().copied()).collect()
         }
         false => near,
     };
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -325,6 +325,14 @@
         living.map(place).collect()
     }
 
+    /// Where other gateways of this zone that were heard of lately answer gateways.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let port = self.settings.control.port();
+        let neighbours = self.zones.borrow().neighbours(clock::now());
+        let control = |peer: SocketAddr| SocketAddr::new(peer.ip(), port);
+        neighbours.into_iter().map(control).collect()
+    }
+
     /// Gateways to count on when shares are made, on the safe side.
     fn gateway_count(&self) -> u32 {
         /// Gateways to expect where fewer have been heard of.
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -272,7 +272,7 @@
     let mut watcher: Option<Client> = None;
     let mut in_step = false;
     loop {
-        match watching.next(members(&state).into_iter(), clock::now()) {
+        match watching.next(state.neighbours().into_iter(), clock::now()) {
             Step::Store => in_step = ask_store(&state, &mut store, in_step).await,
             Step::Member(member) => {
                 let known = watcher.take().filter(|client| client.peer == member);
@@ -296,15 +296,6 @@
     Client::of_gateway(member)
 }
 
-/// Addresses for other gateways of those of this zone.
-fn members(state: &State) -> Vec<SocketAddr> {
-    let port = state.settings.control.port();
-    let living = state.living_gateways().into_iter();
-    let near = living.filter(|place| place.zone == state.settings.zone);
-    near.map(|place| SocketAddr::new(place.address.ip(), port))
-        .collect()
-}
-
 /// Asks the store for news, or for everything; false where everything has to be read next.
 async fn ask_store(state: &State, store: &mut Client, in_step: bool) -> bool {
     let step = if in_step {
--- a/crates/gingerpier_settings/src/gateway.rs
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -39,7 +39,7 @@
     pub retry_extra: u32,
     /// Window of the retry budget; default 10s.
     pub retry_window: Millis,
-    /// True where one gateway of each zone carries weights for its loaders; default false. Sooner
+    /// True where this gateway carries weights for the loaders of its zone; default false. Sooner
     /// on calm days, and worse where gateways are stopped while they carry.
     pub carries_weights: bool,
 }
