--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers, clock,
+        callers, clock, discovery,
         error::{Error, Step},
         log, relay, reports,
         state::State,
@@ -71,6 +71,8 @@
     tracing::info!(name = settings.name, zone = settings.zone, callers = %settings.callers, "gateway starts");
     let state = Rc::new(State::new(settings, dialect));
     let socket = Rc::new(socket);
+    actix_rt::spawn(discovery::greet(state.clone(), socket.clone()));
+    actix_rt::spawn(discovery::look(state.clone()));
     actix_rt::spawn(store::follow(state.clone()));
     actix_rt::spawn(relay::serve(state.clone(), control));
     actix_rt::spawn(relay::follow(state.clone()));
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -18,8 +18,10 @@
 //! ```
 
 pub mod callers;
+pub mod client;
 pub mod clock;
 pub mod compression;
+pub mod discovery;
 pub mod error;
 pub mod gateway;
 pub mod items;
@@ -30,6 +32,7 @@
 pub mod pool;
 pub mod relay;
 pub mod reports;
+pub mod snapshots;
 pub mod state;
 pub mod store;
 pub mod weights;
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -4,7 +4,7 @@
     super::{Loader, Subscriber},
     crate::{
         clock,
-        message::{self, Datagram, Load, Member, Subscribe},
+        message::{self, Datagram, Load, Member, Names, Subscribe},
         store::Client,
     },
     gingerpier_base::order,
@@ -167,15 +167,30 @@
     members.take(count.min(GATEWAYS_NAMED)).collect()
 }
 
+/// Names gateways to each other while the engine does not answer: after a restart of everything they know
+/// nobody.
+fn name_gateways(subscribers: &BTreeMap<SocketAddr, Subscriber>, socket: &UdpSocket, turn: u64) {
+    if !turn.is_multiple_of(GATEWAYS_EVERY) && subscribers.values().all(|one| one.has_gateways) {
+        return;
+    }
+    let gateways = gateways(subscribers, turn as usize);
+    let names = message::encode(&Datagram::Names(Names { gateways }));
+    for address in subscribers.keys() {
+        // A datagram that can't be sent is as good as lost; the next one follows.
+        let _ = socket.try_send_to(&names, *address);
+    }
+}
+
 /// Tells the gateways of this zone, and those of other zones now and then or where there is news.
 fn tell(loader: &Loader, socket: &UdpSocket, turn: u64, is_news: bool) {
+    let mut subscribers = loader.subscribers.borrow_mut();
+    let now = clock::now();
+    subscribers.retain(|_, subscriber| now.millis_since(subscriber.at) < SUBSCRIPTION_MILLIS);
     let report = loader.report.borrow();
     let Some(report) = report.as_ref() else {
+        name_gateways(&subscribers, socket, turn);
         return;
     };
-    let mut subscribers = loader.subscribers.borrow_mut();
-    let now = clock::now();
-    subscribers.retain(|_, subscriber| now.millis_since(subscriber.at) < SUBSCRIPTION_MILLIS);
     let names_every = GATEWAYS_EVERY * subscribers.len().div_ceil(GATEWAYS_NAMED).max(1) as u64;
     // Loaders of one zone name other gateways at the same time.
     let start = order::hash(&loader.settings.engine) as usize % GATEWAYS_NAMED;
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -178,6 +178,21 @@
     /// Between gateways.
     #[n(2)]
     Digest(#[n(0)] Digest),
+    /// From a gateway that starts, to one that may know others of its zone.
+    #[n(3)]
+    Hello(#[n(0)] Member),
+    /// Gateways that somebody knows.
+    #[n(4)]
+    Names(#[n(0)] Names),
+}
+
+/// Gateways, where there is nothing else to tell.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Names {
+    /// Gateways.
+    #[n(0)]
+    pub gateways: Vec<Member>,
 }
 
 /// An item of the store, as a peer knows it.
@@ -211,9 +226,6 @@
     /// True where the items are changes, not all that there is.
     #[cbor(n(2), default)]
     pub is_changes: bool,
-    /// Milliseconds since the store's last word; none where there was none.
-    #[cbor(n(3), default)]
-    pub age: Option<u64>,
 }
 
 impl SharedItem {
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -9,6 +9,7 @@
         state::State,
         store::{Client, MAX_ANSWER_BYTES},
     },
+    futures_util::future::join_all,
     gingerpier_http1::{
         connection::{Connection, Whole},
         head::Request,
@@ -17,7 +18,7 @@
     gingerpier_serving::{
         dialect::Call,
         mirror::Revision,
-        watching::{self, MOST_AGE_MILLIS},
+        watching::{self, Failure},
     },
     std::{net::SocketAddr, rc::Rc},
     tokio::net::TcpListener,
@@ -47,6 +48,10 @@
 /// Longest head of a question.
 const MAX_HEAD: usize = 4096;
 
+/// Field that tells the milliseconds since the store's last word: apart from the snapshot, which is the same
+/// for all who ask.
+const AGE_FIELD: &str = "age-millis";
+
 /// Milliseconds that a connection may rest.
 const REST_MILLIS: u64 = 10_000;
 
@@ -96,18 +101,20 @@
         return Message::response(404).body(b"");
     };
     wait_for_news(state, &question).await;
-    let body = message::encode(&snapshot(state, question.after));
     let takes_compressed = request.fields.lists("accept-encoding", compression::NAME);
-    let shrunk = takes_compressed
-        .then(|| compression::shrink(&body))
-        .flatten();
-    let sent = shrunk.as_ref().map_or(body.len(), Vec::len);
-    state.metrics.note_message(Kind::Snapshot, sent);
-    match shrunk {
-        Some(shrunk) => Message::response(200)
+    let packed = state
+        .snapshots
+        .pack(&state.mirror.borrow(), question.after, takes_compressed);
+    state
+        .metrics
+        .note_message(Kind::Snapshot, packed.bytes.len());
+    let age = state.word_age().to_string();
+    let answer = Message::response(200).field(AGE_FIELD.as_bytes(), age.as_bytes());
+    match packed.is_compressed {
+        true => answer
             .field(b"content-encoding", compression::NAME.as_bytes())
-            .body(&shrunk),
-        None => Message::response(200).body(&body),
+            .body(&packed.bytes),
+        false => answer.body(&packed.bytes),
     }
 }
 
@@ -122,19 +129,6 @@
     }
 }
 
-fn snapshot(state: &State, after: Revision) -> Snapshot {
-    let mirror = state.mirror.borrow();
-    let changes = mirror.changes_after(after);
-    let is_changes = changes.is_some();
-    let items = changes.unwrap_or_else(|| mirror.items().collect());
-    Snapshot {
-        at: mirror.at().0,
-        items: items.into_iter().map(SharedItem::new).collect(),
-        is_changes,
-        age: state.contact_age(),
-    }
-}
-
 /// What a gateway asks another.
 #[derive(Debug, Clone, Copy)]
 struct Question {
@@ -164,47 +158,80 @@
     }
 }
 
-/// Asks a gateway that watches the store for news, and takes it; false where its word does not
-/// count.
-pub async fn ask_watcher(state: &State, client: &mut Client) -> bool {
+/// Asks a gateway that watches the store for news, and takes it.
+///
+/// # Errors
+///
+/// Where its word does not count: it does not answer, or the store's last word there is older than
+/// `most_age` milliseconds.
+pub async fn ask_watcher(state: &State, client: &mut Client, most_age: u64) -> Result<(), Failure> {
     let question = Question {
         after: state.mirror.borrow().at(),
         wait_millis: WAIT_MILLIS,
     };
-    let Some(snapshot) = exchange(client, &question, WAIT_MILLIS + SLACK_MILLIS).await else {
-        return false;
+    let told = exchange(client, &question, WAIT_MILLIS + SLACK_MILLIS).await;
+    let told = told.ok_or(Failure::Silent)?;
+    take(state, told.snapshot);
+    if told.age > most_age {
+        return Err(Failure::Old);
+    }
+    state.note_contact(told.age);
+    Ok(())
+}
+
+/// Asks another gateway for all that it knows of the store; false where it does not know anything.
+pub async fn ask_first_copy(state: &State, peer: SocketAddr) -> bool {
+    let question = Question {
+        after: Revision::default(),
+        wait_millis: 0,
     };
-    let Some(age) = snapshot.age.filter(|age| *age <= MOST_AGE_MILLIS) else {
+    let mut client = Client::of_gateway(peer);
+    let Some(told) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
         return false;
     };
-    take(state, snapshot);
-    state.note_contact(age);
+    if told.snapshot.at == 0 {
+        return false;
+    }
+    tracing::info!(%peer, at = told.snapshot.at, had = 0, age = told.age, "snapshot taken from a gateway");
+    take(state, told.snapshot);
+    state.note_contact(told.age);
     true
 }
 
-async fn exchange(client: &mut Client, question: &Question, millis: u64) -> Option<Snapshot> {
+/// What another gateway told.
+struct Told {
+    snapshot: Snapshot,
+    /// Milliseconds since the store's last word there.
+    age: u64,
+}
+
+async fn exchange(client: &mut Client, question: &Question, millis: u64) -> Option<Told> {
     let call = Call::get(question.target());
     let whole = client.call(&call, millis).await.ok()?;
     if whole.head.status != 200 {
         return None;
     }
-    let snapshot = read_snapshot(&whole);
-    if snapshot.is_none() {
+    let told = read_told(&whole);
+    if told.is_none() {
         tracing::warn!(peer = %client.peer(), "a gateway's snapshot is not understood");
     }
-    snapshot
+    told
 }
 
-fn read_snapshot(whole: &Whole) -> Option<Snapshot> {
-    if !whole
-        .head
-        .fields
-        .lists("content-encoding", compression::NAME)
-    {
-        return message::decode(&whole.body);
-    }
-    let body = compression::expand(&whole.body, MAX_ANSWER_BYTES).ok()?;
-    message::decode(&body)
+fn read_told(whole: &Whole) -> Option<Told> {
+    let fields = &whole.head.fields;
+    let age = std::str::from_utf8(fields.get(AGE_FIELD)?)
+        .ok()?
+        .parse()
+        .ok()?;
+    let snapshot = match fields.lists("content-encoding", compression::NAME) {
+        true => message::decode(&compression::expand(&whole.body, MAX_ANSWER_BYTES).ok()?),
+        false => message::decode(&whole.body),
+    };
+    Some(Told {
+        snapshot: snapshot?,
+        age,
+    })
 }
 
 fn take(state: &State, snapshot: Snapshot) {
@@ -217,17 +244,16 @@
     }
 }
 
-/// Asks peers for as long as the store does not answer.
+/// Asks peers for as long as the store does not answer. Their answers are waited for: a large one takes
+/// its time, and another one beside it only makes both take longer.
 pub async fn follow(state: Rc<State>) {
     loop {
         clock::pause(ASK_EVERY_MILLIS).await;
         if !state.lacks_contact() {
             continue;
         }
-        for peer in peers(&state) {
-            let state = state.clone();
-            actix_rt::spawn(async move { ask(&state, peer).await });
-        }
+        let asks = peers(&state).into_iter().map(|peer| ask(&state, peer));
+        join_all(asks).await;
     }
 }
 
@@ -259,12 +285,12 @@
         wait_millis: 0,
     };
     let mut client = Client::of_gateway(peer);
-    let Some(snapshot) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
+    let Some(told) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
         return;
     };
-    if snapshot.at <= after.0 {
+    if told.snapshot.at <= after.0 {
         return;
     }
-    tracing::info!(%peer, at = snapshot.at, had = after.0, age = ?snapshot.age, "snapshot taken from a gateway");
-    take(state, snapshot);
+    tracing::info!(%peer, at = told.snapshot.at, had = after.0, age = told.age, "snapshot taken from a gateway");
+    take(state, told.snapshot);
 }
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock,
+        clock, discovery,
         message::{self, Datagram, Load, Member, Subscribe, Weights},
         metrics::Kind,
         state::State,
@@ -21,6 +21,10 @@
 /// Milliseconds between subscriptions.
 const SUBSCRIBE_EVERY_MILLIS: u64 = 500;
 
+/// Milliseconds between subscriptions of a gateway that knows no configuration yet: loaders name others to it,
+/// and may be starting, too.
+const START_EVERY_MILLIS: u64 = 100;
+
 /// Milliseconds between looks for loaders while none is known.
 const LOOK_MILLIS: u64 = 20;
 
@@ -40,9 +44,10 @@
             // A datagram that can't be sent is as good as lost; the next one follows.
             let _ = socket.try_send_to(&message, *loader);
         }
-        let pause = match loaders.is_empty() {
-            true => LOOK_MILLIS,
-            false => SUBSCRIBE_EVERY_MILLIS,
+        let pause = match (loaders.is_empty(), state.configuration().is_none()) {
+            (true, _) => LOOK_MILLIS,
+            (false, true) => START_EVERY_MILLIS,
+            (false, false) => SUBSCRIBE_EVERY_MILLIS,
         };
         // Loaders hear of named weights at once.
         let next = clock::now().after_millis(pause);
@@ -67,8 +72,10 @@
 
 /// Loaders to subscribe at.
 fn loaders(state: &State) -> BTreeSet<SocketAddr> {
+    let port = state.settings.peers.port();
     let Some(configuration) = state.configuration() else {
-        return BTreeSet::new();
+        let listed = state.first_loaders.borrow();
+        return listed.iter().map(|ip| SocketAddr::new(*ip, port)).collect();
     };
     let fleet = state.fleet.borrow();
     let services = configuration.services().iter();
@@ -78,7 +85,6 @@
         let zone = by_zone.entry(engine.record.zone.as_str()).or_default();
         zone.insert(engine.record.address.ip());
     }
-    let port = state.settings.peers.port();
     let chosen = by_zone.into_iter().flat_map(|(zone, machines)| {
         let chosen = match zone == state.settings.zone {
             true => machines.into_iter().collect(),
@@ -115,7 +121,7 @@
 pub async fn take(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut bytes = [0; MAX_DATAGRAM];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
+        let Ok((length, from)) = socket.recv_from(&mut bytes).await else {
             clock::pause(1).await;
             continue;
         };
@@ -125,6 +131,8 @@
                 note(&state, &load);
             }
             Some(Datagram::Digest(digest)) => zones::take(&state, &socket, digest),
+            Some(Datagram::Hello(member)) => discovery::answer(&state, &socket, from, member),
+            Some(Datagram::Names(names)) => note_gateways(&state, &names.gateways),
             Some(Datagram::Subscribe(_)) | None => {}
         }
     }
@@ -156,7 +164,8 @@
     has_changed && engine.record.zone == own_zone
 }
 
-fn note_gateways(state: &State, gateways: &[Member]) {
+/// Notes gateways that somebody named.
+pub fn note_gateways(state: &State, gateways: &[Member]) {
     let now = clock::now();
     let mut zones = state.zones.borrow_mut();
     for gateway in gateways {
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -6,6 +6,7 @@
         items::Reader,
         metrics::Metrics,
         pool::Pool,
+        snapshots::Snapshots,
         weights::{Carrier, GatewayPlace},
     },
     gingerpier_base::Instant,
@@ -23,7 +24,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap},
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         rc::Rc,
     },
     tokio::sync::Notify,
@@ -64,6 +65,10 @@
     pub news: Notify,
     /// Tells that operators named weights.
     pub naming: Notify,
+    /// Machines of engines of the own zone, for a gateway that knows no configuration yet.
+    pub first_loaders: RefCell<BTreeSet<IpAddr>>,
+    /// Snapshots that are told to other gateways.
+    pub snapshots: Snapshots,
     /// Weights that this gateway carries.
     pub carrier: Rc<Carrier>,
     /// True once the process is to stop.
@@ -101,6 +106,8 @@
             zones: RefCell::new(zones),
             news: Notify::new(),
             naming: Notify::new(),
+            first_loaders: RefCell::default(),
+            snapshots: Snapshots::default(),
             carrier: Rc::new(Carrier::new(dialect)),
             is_stopping: Cell::new(false),
             has_left: Cell::new(false),
@@ -153,6 +160,13 @@
         Some(clock::now().millis_since(last))
     }
 
+    /// Milliseconds since the store's last word, or since this process began to ask for a first one.
+    pub fn word_age(&self) -> u64 {
+        let heard = self.store_heard.get().max(self.contact.get());
+        let last = heard.unwrap_or(self.started).max(self.started);
+        clock::now().millis_since(last)
+    }
+
     /// True where the store has been silent for too long.
     pub fn lacks_contact(&self) -> bool {
         self.contact_age().is_none_or(|age| age > CONTACT_MILLIS)
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -1,35 +1,25 @@
 //! Calls to the platform's store.
 
+pub use crate::client::{Client, MAX_ANSWER_BYTES, bytes_of};
+
 use {
     crate::{
-        clock, compression,
+        clock,
         error::{Error, Step as At},
         relay,
         state::State,
     },
-    bytes::{Bytes, BytesMut},
     gingerpier_base::Instant,
-    gingerpier_http1::{
-        body::{Decoder, Framing, Part},
-        connection::{Connection, Whole},
-        head::Response,
-        writer::Message,
-    },
+    gingerpier_http1::connection::Whole,
     gingerpier_serving::{
-        dialect::{Call, Dialect, Page, Scope, Watched},
+        dialect::{Dialect, Page, Scope, Watched},
         mirror::{Item, Revision},
         watching::{Step, Watching},
     },
-    std::{cell::Cell, net::SocketAddr, rc::Rc},
+    std::{net::SocketAddr, rc::Rc},
 };
 
-/// Longest answer, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
-/// Milliseconds without a byte after which an answer is given up.
-const STALL_MILLIS: u64 = 800;
-
-/// Milliseconds within which the answer to a read begins.
+/// Milliseconds within which the answer to a read begins where the way is sound.
 const READ_MILLIS: u64 = 1_500;
 
 /// Milliseconds that a gateway's watch waits. With the pause behind it, its word is never older
@@ -39,8 +29,9 @@
 /// Bytes of an item beside its value, in the store's answers.
 const ITEM_BYTES: usize = 120;
 
-/// Bytes of a watch's answer that are never too many: 0.1 s of a link of 20 Mbit/s.
-const LEAST_LONG_BYTES: usize = 256 * 1024;
+/// Bytes of a watch's answer that are never too many: the largest value that the store takes, a megabyte
+/// in base64, and half as much again.
+const LEAST_LONG_BYTES: usize = 2 * 1024 * 1024;
 
 /// A key behind all others.
 const LAST_KEY: &str = "~";
@@ -51,161 +42,67 @@
 /// Milliseconds between questions to a gateway that watches.
 const BATCH_MILLIS: u64 = 20;
 
-/// Milliseconds after a failed call.
-const RETRY_MILLIS: u64 = 250;
+/// Most milliseconds of the pause after a first failed call; it doubles with each one that follows.
+const RETRY_MILLIS: u64 = 500;
+
+/// Most times that the pause after a failed call doubles: a store that is back is found within 2 s.
+const MOST_DOUBLINGS: u32 = 2;
+
+/// Milliseconds after which pages that were read are not worth keeping: the store remembers what changed
+/// since for 20 s, and less at times.
+const KEPT_MILLIS: u64 = 8_000;
 
 /// Milliseconds beyond its wait within which the answer to a watch begins.
 const WATCH_SLACK_MILLIS: u64 = 600;
 
-/// A connection to a server that is asked again and again.
-pub struct Client {
-    peer: SocketAddr,
-    connection: Option<Connection>,
-    takes_compressed: bool,
-    /// Longest body that is taken.
-    most_bytes: usize,
-    /// When bytes of an answer that was granted came last, where somebody wants to know.
-    heard: Option<Rc<Cell<Option<Instant>>>>,
+/// A copy of the store, as far as its pages have come.
+#[derive(Debug, Default)]
+pub struct Copy {
+    /// Items.
+    pub items: Vec<Item>,
+    /// Revision that all of them are at least as new as: that of the first page. Pages are no snapshot, and
+    /// whatever changed behind the first one comes with the next watch.
+    pub at: Revision,
+    /// When the first page was asked for; none before that.
+    begun: Option<Instant>,
 }
 
-impl Client {
-    /// Client of `peer`.
-    pub const fn new(peer: SocketAddr) -> Self {
-        Self {
-            peer,
-            connection: None,
-            takes_compressed: false,
-            most_bytes: MAX_ANSWER_BYTES,
-            heard: None,
-        }
-    }
-
-    /// Client that notes in `heard` when bytes of an answer that was granted came last.
-    pub fn noting(peer: SocketAddr, heard: Rc<Cell<Option<Instant>>>) -> Self {
-        let mut client = Self::new(peer);
-        client.heard = Some(heard);
-        client
-    }
-
-    /// Client of another gateway, which may compress what it answers.
-    pub fn of_gateway(peer: SocketAddr) -> Self {
-        let mut client = Self::new(peer);
-        client.takes_compressed = true;
-        client
-    }
-
-    /// Server that it asks.
-    pub const fn peer(&self) -> SocketAddr {
-        self.peer
-    }
-
-    /// Sends a call and reads its answer, which has to begin within `millis`. A long one takes the
-    /// time that it needs for as long as bytes come.
+impl Copy {
+    /// Reads the pages that are missing. What came stays where one can't be had, so that a next try goes on
+    /// from there.
     ///
     /// # Errors
     ///
-    /// Where the peer can't be reached or does not answer; the next call connects anew.
-    pub async fn call(&mut self, call: &Call, millis: u64) -> Result<Whole, Error> {
-        let peer = self.peer;
-        let deadline = clock::now().after_millis(millis);
-        let resting = self.connection.take();
-        let request = match self.takes_compressed {
-            true => bytes_of_compressible(call, peer),
-            false => bytes_of(call, peer),
-        };
-        let begun = clock::before(deadline, begin(peer, resting, request)).await;
-        let step = At::Exchange;
-        let (mut connection, head) = begun.ok_or(Error::Late { step, peer })??;
-        let body = self.read_body(&mut connection, &head).await?;
-        let whole = Whole { head, body };
-        if whole.head.keeps_alive() && connection.input.is_empty() {
-            self.connection = Some(connection);
-        }
-        Ok(whole)
-    }
-
-    async fn read_body(
-        &self,
-        connection: &mut Connection,
-        head: &Response,
-    ) -> Result<Bytes, Error> {
-        let peer = self.peer;
-        let step = At::Exchange;
-        let http = |what| Error::Http { step, peer, what };
-        let framing = head.framing().map_err(http)?;
-        if matches!(framing, Framing::Length(length) if length > self.most_bytes as u64) {
-            return Err(http(gingerpier_http1::error::Error::BodyTooLong));
+    /// Where a page can't be had.
+    pub async fn read(
+        &mut self,
+        client: &mut Client,
+        dialect: &dyn Dialect,
+        scope: Scope,
+        stale: bool,
+    ) -> Result<(), Error> {
+        let oldest = self.begun.map(|begun| begun.after_millis(KEPT_MILLIS));
+        if oldest.is_some_and(|oldest| oldest.has_passed(clock::now())) {
+            *self = Self::default();
         }
-        let mut decoder = Decoder::new(framing);
-        let mut body = BytesMut::new();
         loop {
-            let stalled = clock::now().after_millis(STALL_MILLIS);
-            let part = clock::before(stalled, connection.part(&mut decoder)).await;
-            match part.ok_or(Error::Late { step, peer })?.map_err(http)? {
-                Part::End => return Ok(body.freeze()),
-                Part::Data(data) => body.extend_from_slice(&data),
+            let asked = clock::now();
+            let after = self.items.last().map_or("", |item| item.key.as_str());
+            let call = dialect.list(scope, after, stale);
+            let whole = client.call(&call, READ_MILLIS).await?;
+            let page = read_page(client.peer(), dialect, &whole)?;
+            if self.begun.is_none() {
+                self.begun = Some(asked);
+                self.at = page.at;
             }
-            // A refusal says nothing of what is in force.
-            if let Some(heard) = self.heard.as_ref().filter(|_| head.status == 200) {
-                heard.set(Some(clock::now()));
-            }
-            if body.len() > self.most_bytes {
-                return Err(http(gingerpier_http1::error::Error::BodyTooLong));
+            self.items.extend(page.items);
+            if !page.has_more {
+                return Ok(());
             }
         }
     }
 }
 
-/// Bytes of a call.
-pub fn bytes_of(call: &Call, host: SocketAddr) -> Vec<u8> {
-    let message = Message::request(call.method.as_bytes(), call.target.as_bytes())
-        .field(b"host", host.to_string().as_bytes());
-    if call.body.is_empty() {
-        return message.end();
-    }
-    message
-        .field(b"content-type", b"application/json")
-        .body(&call.body)
-}
-
-/// Bytes of a call without a body, whose answer may come compressed.
-fn bytes_of_compressible(call: &Call, host: SocketAddr) -> Vec<u8> {
-    Message::request(call.method.as_bytes(), call.target.as_bytes())
-        .field(b"host", host.to_string().as_bytes())
-        .field(b"accept-encoding", compression::NAME.as_bytes())
-        .end()
-}
-
-/// Sends a call and reads the head of its answer.
-async fn begin(
-    peer: SocketAddr,
-    resting: Option<Connection>,
-    request: Vec<u8>,
-) -> Result<(Connection, Response), Error> {
-    let mut connection = match resting {
-        Some(connection) if connection.is_idle() => connection,
-        _ => Connection::connect(peer).await.map_err(|what| Error::Io {
-            step: At::Connect,
-            peer,
-            what,
-        })?,
-    };
-    let step = At::Exchange;
-    let written = connection.write(&request).await;
-    written.map_err(|what| Error::Io { step, peer, what })?;
-    let head = connection.response().await;
-    let head = head.map_err(|what| Error::Http { step, peer, what })?;
-    Ok((connection, head))
-}
-
-/// A whole copy of the store.
-pub struct Copy {
-    /// Items.
-    pub items: Vec<Item>,
-    /// Revision that all of them are at least as new as.
-    pub at: Revision,
-}
-
 /// Reads a whole copy of what `scope` covers.
 ///
 /// # Errors
@@ -217,20 +114,14 @@
     scope: Scope,
     stale: bool,
 ) -> Result<Copy, Error> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut at = None;
-    loop {
-        let after = items.last().map_or("", |item| item.key.as_str()).to_owned();
-        let call = dialect.list(scope, &after, stale);
-        let whole = client.call(&call, READ_MILLIS).await?;
-        let page = read_page(client.peer, dialect, &whole)?;
-        // Pages are no snapshot: whatever changed behind the first one comes with the next watch.
-        let at = *at.get_or_insert(page.at);
-        items.extend(page.items);
-        if !page.has_more {
-            return Ok(Copy { items, at });
-        }
-    }
+    let mut copy = Copy::default();
+    copy.read(client, dialect, scope, stale).await?;
+    Ok(copy)
+}
+
+/// Client of the store at `peer` that tells a dead connection from a slow way.
+pub fn client(peer: SocketAddr, dialect: &dyn Dialect) -> Client {
+    Client::new(peer).patient(dialect.list(Scope::Everything, LAST_KEY, true))
 }
 
 fn read_page(peer: SocketAddr, dialect: &dyn Dialect, whole: &Whole) -> Result<Page, Error> {
@@ -259,32 +150,70 @@
     let watched = dialect.read_watch(whole.head.status, &whole.body);
     watched.map_err(|what| Error::Answer {
         step: At::Read,
-        peer: client.peer,
+        peer: client.peer(),
         what,
     })
 }
 
+/// What a gateway's questions to the store go on from.
+struct Asking {
+    client: Client,
+    /// A copy that is being read.
+    copy: Copy,
+    /// True where changes behind the mirror's revision are not enough, and everything has to be read.
+    needs_copy: bool,
+    /// True where the last watch brought nothing although the store is ahead.
+    is_deaf: bool,
+    /// Calls that failed in a row.
+    failures: u32,
+}
+
 /// Keeps a gateway's mirror up to date, from the store or from a gateway of its zone that watches
 /// the store.
 pub async fn follow(state: Rc<State>) {
-    let mut watching = Watching::new(state.settings.control);
-    let mut store = Client::noting(state.settings.store, state.store_heard.clone());
+    let mut watching = Watching::new(state.settings.control, clock::now());
+    let small = state.dialect.list(Scope::Everything, LAST_KEY, true);
+    let client = Client::noting(state.settings.store, state.store_heard.clone()).patient(small);
+    let mut asking = Asking {
+        client,
+        copy: Copy::default(),
+        needs_copy: false,
+        is_deaf: false,
+        failures: 0,
+    };
     let mut watcher: Option<Client> = None;
-    let mut in_step = false;
+    let mut last = None;
     loop {
-        match watching.next(state.neighbours().into_iter(), clock::now()) {
-            Step::Store => in_step = ask_store(&state, &mut store, in_step).await,
+        let has_copy = state.mirror.borrow().at() > Revision::default();
+        let step = watching.next(&state.neighbours(), has_copy, clock::now());
+        let kind = std::mem::discriminant(&step);
+        if last.replace(kind) != Some(kind) && matches!(step, Step::Store | Step::Probe) {
+            tracing::info!(?step, has_copy, age = ?state.contact_age(), "store is asked by this gateway");
+        }
+        match step {
+            Step::Store => ask_store(&state, &mut asking).await,
+            Step::Probe => probe(&state, &mut asking, &mut watching).await,
+            Step::Wait(until) => clock::until(until).await,
+            Step::FirstCopy(member) => {
+                if !relay::ask_first_copy(&state, member).await {
+                    watching.note_without_copy(member);
+                }
+            }
             Step::Member(member) => {
-                let known = watcher.take().filter(|client| client.peer == member);
+                let known = watcher.take().filter(|client| client.peer() == member);
                 let mut client = known.unwrap_or_else(|| follow_member(member));
-                if relay::ask_watcher(&state, &mut client).await {
-                    watcher = Some(client);
-                    // What it told reaches as far as a read of everything would.
-                    in_step = true;
-                    clock::pause(BATCH_MILLIS).await;
-                } else {
-                    tracing::warn!(watcher = %member, age = ?state.contact_age(), "gateway that watches the store does not answer");
-                    watching.note_failure(member, clock::now());
+                let most_age = watching.most_age_millis(member, clock::now());
+                match relay::ask_watcher(&state, &mut client, most_age).await {
+                    Ok(()) => {
+                        watcher = Some(client);
+                        // What it told reaches as far as a read of everything would.
+                        asking.needs_copy = false;
+                        clock::pause(BATCH_MILLIS).await;
+                    }
+                    Err(failure) => {
+                        tracing::info!(watcher = %member, ?failure, age = ?state.contact_age(), "gateway that watches the store is passed over");
+                        watching.note_failure(member, failure, clock::now());
+                    }
                 }
             }
         }
@@ -296,40 +225,76 @@
     Client::of_gateway(member)
 }
 
-/// Asks the store for news, or for everything; false where everything has to be read next.
-async fn ask_store(state: &State, store: &mut Client, in_step: bool) -> bool {
-    let step = if in_step {
-        watch_once(state, store).await
+/// Asks the store for news, or for everything.
+async fn ask_store(state: &State, asking: &mut Asking) {
+    let has_copy = state.mirror.borrow().at() > Revision::default();
+    let step = if has_copy && !asking.needs_copy {
+        watch_once(state, asking).await
     } else {
-        read_once(state, store).await
+        read_once(state, asking).await
     };
     match step {
-        Ok(next) => {
+        Ok(()) => {
+            asking.failures = 0;
             state.note_contact(0);
-            if next {
+            if !asking.needs_copy && !asking.is_deaf {
                 clock::pause(PAUSE_MILLIS).await;
             }
-            next
         }
         Err(error) => {
             state.note_store_failure(&error);
-            clock::pause(RETRY_MILLIS + fastrand::u64(..RETRY_MILLIS)).await;
-            false
+            asking.pause_after_failure().await;
         }
     }
 }
 
-async fn read_once(state: &State, client: &mut Client) -> Result<bool, Error> {
+/// Asks the store how far it is, where other gateways are meant to watch it.
+async fn probe(state: &State, asking: &mut Asking, watching: &mut Watching) {
+    let asked = clock::now();
+    let is_current = is_current(state, &mut asking.client).await;
+    let millis = clock::now().millis_since(asked);
+    let is_ahead = matches!(is_current, Ok(false));
+    watching.note_probe(is_ahead, millis, clock::now());
+    match is_current {
+        Ok(true) => {
+            state.note_contact(0);
+            clock::pause(PAUSE_MILLIS).await;
+        }
+        Ok(false) => {}
+        Err(error) => {
+            state.note_store_failure(&error);
+            asking.pause_after_failure().await;
+        }
+    }
+}
+
+impl Asking {
+    /// Waits longer after each call that failed, and each time differently: whoever fails at the same moment
+    /// does not come back at the same moment.
+    async fn pause_after_failure(&mut self) {
+        let most = RETRY_MILLIS << self.failures.min(MOST_DOUBLINGS);
+        self.failures += 1;
+        clock::pause(fastrand::u64(BATCH_MILLIS..most)).await;
+    }
+}
+
+async fn read_once(state: &State, asking: &mut Asking) -> Result<(), Error> {
     state.metrics.store_calls.inc();
-    let copy = read_all(client, state.dialect, Scope::Everything, false).await?;
+    let Asking { client, copy, .. } = asking;
+    copy.read(client, state.dialect, Scope::Everything, false)
+        .await?;
+    let copy = std::mem::take(&mut asking.copy);
     state.replace(copy.items, copy.at);
-    Ok(true)
+    asking.needs_copy = false;
+    asking.is_deaf = false;
+    Ok(())
 }
 
-/// One watch; false where a whole read has to follow.
-async fn watch_once(state: &State, client: &mut Client) -> Result<bool, Error> {
+/// One watch. A call that fails loses nothing: the next one goes on from the same revision.
+async fn watch_once(state: &State, asking: &mut Asking) -> Result<(), Error> {
     state.metrics.store_calls.inc();
     let after = state.mirror.borrow().at();
+    let client = &mut asking.client;
     client.most_bytes = longest_watch(state);
     let watched = watch(
         client,
@@ -346,16 +311,24 @@
             after = after.0,
             "a watch brings more than a whole copy, which is read instead"
         );
-        return Ok(false);
+        asking.needs_copy = true;
+        return Ok(());
     }
     match watched? {
-        Watched::HistoryGone => Ok(false),
-        Watched::Changes(page) if page.items.is_empty() => is_current(state, client).await,
+        Watched::HistoryGone => asking.needs_copy = true,
+        Watched::Changes(page) if page.items.is_empty() => {
+            let is_behind = !is_current(state, &mut asking.client).await?;
+            // Something may have changed between the two answers: the next watch brings it at once. One that
+            // still brings nothing is deaf.
+            asking.needs_copy = is_behind && asking.is_deaf;
+            asking.is_deaf = is_behind;
+        }
         Watched::Changes(page) => {
+            asking.is_deaf = false;
             state.apply(page.items, page.at);
-            Ok(true)
         }
     }
+    Ok(())
 }
 
 /// Bytes of a watch's answer above which a whole copy is shorter: each version of a configuration that
@@ -373,6 +346,6 @@
     state.metrics.store_calls.inc();
     let call = state.dialect.list(Scope::Everything, LAST_KEY, false);
     let whole = client.call(&call, READ_MILLIS).await?;
-    let page = read_page(client.peer, state.dialect, &whole)?;
+    let page = read_page(client.peer(), state.dialect, &whole)?;
     Ok(page.at <= state.mirror.borrow().at())
 }
--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -42,6 +42,8 @@
     items: BTreeMap<String, Held>,
     /// Revisions at which keys went.
     gone: BTreeMap<String, Revision>,
+    /// Changes that were news.
+    change_count: u64,
 }
 
 impl Mirror {
@@ -50,6 +52,11 @@
         self.at
     }
 
+    /// Changes that were news so far: two mirrors of one process that differ have different counts.
+    pub const fn change_count(&self) -> u64 {
+        self.change_count
+    }
+
     /// Items held.
     pub fn items(&self) -> impl Iterator<Item = Item> {
         self.items.iter().map(|(key, held)| Item {
@@ -117,6 +124,7 @@
         if !is_news {
             return false;
         }
+        self.change_count += 1;
         match &item.value {
             Some(value) => {
                 let held = Held {
--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -1,10 +1,31 @@
 //! Who watches the store, and whom the others ask.
 //!
-//! A configuration may be large, the store may be a region away, and it counts each call. So some
-//! gateways of each zone watch the store, and the others are told by them. Who watches is a
-//! rendezvous order of the zone's members: no talk is needed, and where views differ, some more
-//! watch. A member that does not answer, or has not heard from the store lately, is passed over
-//! for a while; whoever notices asks the store itself at once.
+//! A configuration may be large, the store may be a region away behind a link that carries everything
+//! else, too, and it counts each call. So a few gateways of each zone watch the store, and the others
+//! are told by them. Who watches is a rendezvous order of the zone's members: no talk is needed, and
+//! where views differ, some more watch.
+//!
+//! Who asks widens slowly. A member that does not answer is passed over, and the next in order takes
+//! its place. A member whose word is old is passed over, too, but a store that is slow or a link that is
+//! full makes everybody's word old, and more askers make both worse: each pair that joins is given
+//! twice the time of the pair before it, and one that was not meant to watch first asks something small
+//! ([`Step::Probe`]). Where even that takes long, it is the way to the store that is slow, and the members
+//! are trusted again for a while.
+//!
+//! Who starts asks its neighbours for a first copy, and only the first in order asks the store where no
+//! neighbour has one.
+//!
+//! ```
+//! use gingerpier_base::Instant;
+//! use gingerpier_serving::watching::{Step, Watching};
+//!
+//! let own = "10.0.0.1:8000".parse().expect("an address");
+//! let now = Instant::from_millis(1_000);
+//! let mut watching = Watching::new(own, now);
+//! // Nobody else is known yet, but may be soon.
+//! assert!(matches!(watching.next(&[], false, now), Step::Wait(_)));
+//! assert_eq!(watching.next(&[], false, now.after_millis(2_000)), Step::Store);
+//! ```
 
 use {
     gingerpier_base::{Instant, order},
@@ -14,90 +35,223 @@
 /// Members of a zone that watch the store.
 pub const WATCHERS: usize = 2;
 
-/// Milliseconds since the store's last word above which a member's word does not count.
+/// Members that ask the store where nobody of the zone has a copy: a link between regions carries a
+/// megabyte in half a second.
+const FIRST_READERS: usize = 1;
+
+/// Milliseconds since the store's last word above which a watcher's word does not count.
 pub const MOST_AGE_MILLIS: u64 = 1_200;
 
-/// Milliseconds for which a member that failed is passed over.
-const SUSPENDED_MILLIS: u64 = 3_000;
+/// Times that the age which is accepted doubles from one pair of members to the next.
+const MOST_DOUBLINGS: usize = 4;
+
+/// Milliseconds for which a member that did not answer is passed over.
+const SILENT_MILLIS: u64 = 3_000;
+
+/// Milliseconds for which a member whose word was old is passed over: its answer may be on its way.
+const OLD_MILLIS: u64 = 1_000;
+
+/// Milliseconds that a small answer of the store takes at most where the way there is sound: twenty
+/// crossings between regions.
+const SOUND_MILLIS: u64 = 200;
+
+/// Milliseconds for which words of any age are accepted after the way to the store was seen to be slow.
+const LENIENT_MILLIS: u64 = 2_000;
+
+/// Milliseconds from the start within which a first neighbour is heard of, where there is one.
+const ALONE_MILLIS: u64 = 1_000;
+
+/// Milliseconds without a new neighbour after which all are taken to be known.
+const SETTLED_MILLIS: u64 = 250;
+
+/// Milliseconds from the start after which nobody waits for more neighbours.
+const MOST_SETTLING_MILLIS: u64 = 1_500;
+
+/// Milliseconds between looks for neighbours.
+const LOOK_MILLIS: u64 = 20;
 
 /// Whom to ask next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
-    /// The store.
+    /// The store, for what is new or for everything.
     Store,
-    /// A member that watches the store.
+    /// The store, for how far it is.
+    Probe,
+    /// A member, for what is new there.
     Member(SocketAddr),
+    /// A member, for a first copy, which it may not have.
+    FirstCopy(SocketAddr),
+    /// Nobody before then.
+    Wait(Instant),
+}
+
+/// Why a member's word does not count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// It did not answer.
+    Silent,
+    /// What it knows of the store is old, or nothing.
+    Old,
 }
 
 /// A member that failed, and until when it is passed over.
 #[derive(Debug, Clone, Copy)]
-struct Suspended {
+struct PassedOver {
     member: SocketAddr,
     until: Instant,
 }
 
-/// Who of `own` and the `members` of its zone watch the store.
-fn watchers(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+/// `own` and the `members` of its zone, in the order in which they watch the store.
+fn ranked(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
     let mut ranked: Vec<SocketAddr> = members.filter(|member| *member != own).collect();
     ranked.push(own);
     ranked.sort_by_key(|member| (Reverse(order::hash(member)), *member));
-    ranked.truncate(WATCHERS);
     ranked
 }
 
 /// True where `own` is among those of its zone that watch the store; `members` are the others that
 /// are known.
 pub fn is_watcher(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> bool {
-    watchers(own, members).contains(&own)
+    let mut ranked = ranked(own, members).into_iter().take(WATCHERS);
+    ranked.any(|member| member == own)
 }
 
 /// What one member of a zone decides.
 #[derive(Debug, Clone)]
 pub struct Watching {
     own: SocketAddr,
-    suspended: Vec<Suspended>,
-    /// True where the store has to be asked before any member.
-    is_behind: bool,
+    started: Instant,
+    /// Neighbours known, and when one was new last.
+    known: Vec<SocketAddr>,
+    newest_at: Instant,
+    /// Neighbours that were asked for a first copy and had none.
+    without_copy: Vec<SocketAddr>,
+    passed_over: Vec<PassedOver>,
+    /// Until when words of any age are accepted.
+    lenient_until: Option<Instant>,
+    /// True where a small answer has shown that the store is ahead, and the way to it sound.
+    may_stand_in: bool,
 }
 
 impl Watching {
-    /// State of the member `own`, which knows nothing yet.
-    pub const fn new(own: SocketAddr) -> Self {
+    /// State of the member `own`, which starts now and knows nothing yet.
+    pub const fn new(own: SocketAddr, now: Instant) -> Self {
         Self {
             own,
-            suspended: Vec::new(),
-            is_behind: true,
+            started: now,
+            known: Vec::new(),
+            newest_at: now,
+            without_copy: Vec::new(),
+            passed_over: Vec::new(),
+            lenient_until: None,
+            may_stand_in: false,
         }
     }
 
-    /// Whom to ask next; `members` are those of the zone that are known.
-    pub fn next(&mut self, members: impl Iterator<Item = SocketAddr>, now: Instant) -> Step {
-        self.suspended.retain(|one| !one.until.has_passed(now));
-        if std::mem::take(&mut self.is_behind) {
-            return Step::Store;
+    /// Whom to ask next; `members` are those of the zone that are known, and `has_copy` tells whether
+    /// this one has a copy of the store already.
+    pub fn next(&mut self, members: &[SocketAddr], has_copy: bool, now: Instant) -> Step {
+        self.passed_over.retain(|one| !one.until.has_passed(now));
+        self.note_known(members, now);
+        if !has_copy && !self.is_settled(now) {
+            return self.ask_for_first_copy(now);
         }
-        let watchers = watchers(self.own, members);
-        if watchers.contains(&self.own) {
+        let count = match has_copy {
+            true => WATCHERS,
+            false => FIRST_READERS,
+        };
+        let trusted = members.iter().copied().filter(|one| self.is_trusted(*one));
+        let mut watchers = ranked(self.own, trusted);
+        watchers.truncate(count);
+        if !watchers.contains(&self.own) {
+            self.may_stand_in = false;
+            // Members spread over the watchers.
+            let index = order::hash(&self.own) as usize % watchers.len();
+            return Step::Member(watchers[index]);
+        }
+        let is_meant_to = self.rank(self.own) < count;
+        if is_meant_to || std::mem::take(&mut self.may_stand_in) {
             return Step::Store;
         }
-        let is_trusted = |member: &&SocketAddr| {
-            let mut suspended = self.suspended.iter();
-            !suspended.any(|one| one.member == **member)
+        Step::Probe
+    }
+
+    /// Notes that the word of `member` does not count.
+    pub fn note_failure(&mut self, member: SocketAddr, failure: Failure, now: Instant) {
+        let millis = match failure {
+            Failure::Silent => SILENT_MILLIS,
+            Failure::Old => OLD_MILLIS,
         };
-        // Members spread over the watchers.
-        let first = order::hash(&self.own) as usize % watchers.len();
-        let turned = watchers[first..].iter().chain(&watchers[..first]);
-        turned
-            .filter(is_trusted)
-            .map(|member| Step::Member(*member))
-            .next()
-            .unwrap_or(Step::Store)
+        let until = now.after_millis(millis);
+        self.passed_over.push(PassedOver { member, until });
+    }
+
+    /// Notes that `member` has no copy of the store.
+    pub fn note_without_copy(&mut self, member: SocketAddr) {
+        self.without_copy.push(member);
+    }
+
+    /// Notes what came of [`Step::Probe`], which took `millis`: whether the store is ahead.
+    pub fn note_probe(&mut self, is_ahead: bool, millis: u64, now: Instant) {
+        if millis > SOUND_MILLIS {
+            self.lenient_until = Some(now.after_millis(LENIENT_MILLIS));
+            self.passed_over.clear();
+            return;
+        }
+        self.may_stand_in = is_ahead;
+    }
+
+    /// Milliseconds since the store's last word up to which the word of `member` counts.
+    pub fn most_age_millis(&self, member: SocketAddr, now: Instant) -> u64 {
+        if self
+            .lenient_until
+            .is_some_and(|until| !until.has_passed(now))
+        {
+            return u64::MAX;
+        }
+        let doublings = (self.rank(member) / WATCHERS).min(MOST_DOUBLINGS);
+        MOST_AGE_MILLIS << doublings
+    }
+
+    /// Members ahead of `member`, those that are passed over included.
+    fn rank(&self, member: SocketAddr) -> usize {
+        let order = |member: SocketAddr| (order::hash(&member), Reverse(member));
+        let others = self.known.iter().chain([&self.own]);
+        others
+            .filter(|other| order(**other) > order(member))
+            .count()
+    }
+
+    fn is_trusted(&self, member: SocketAddr) -> bool {
+        !self.passed_over.iter().any(|one| one.member == member)
+    }
+
+    fn note_known(&mut self, members: &[SocketAddr], now: Instant) {
+        let has_new = members.iter().any(|member| !self.known.contains(member));
+        if has_new {
+            self.newest_at = now;
+        }
+        self.known = members
+            .iter()
+            .copied()
+            .filter(|one| *one != self.own)
+            .collect();
+    }
+
+    /// True where no more neighbours are waited for.
+    fn is_settled(&self, now: Instant) -> bool {
+        let age = now.millis_since(self.started);
+        if self.known.is_empty() {
+            return age >= ALONE_MILLIS;
+        }
+        let quiet = now.millis_since(self.newest_at);
+        quiet >= SETTLED_MILLIS || age >= MOST_SETTLING_MILLIS
     }
 
-    /// Notes that `member` did not answer, or that its word was too old.
-    pub fn note_failure(&mut self, member: SocketAddr, now: Instant) {
-        let until = now.after_millis(SUSPENDED_MILLIS);
-        self.suspended.push(Suspended { member, until });
-        self.is_behind = true;
+    fn ask_for_first_copy(&self, now: Instant) -> Step {
+        let mut others = ranked(self.own, self.known.iter().copied()).into_iter();
+        let has_been_asked = |one: &SocketAddr| *one == self.own || self.without_copy.contains(one);
+        let next = others.find(|one| !has_been_asked(one));
+        next.map_or(Step::Wait(now.after_millis(LOOK_MILLIS)), Step::FirstCopy)
     }
 }
--- a/crates/gingerpier_serving/tests/watching.rs
+++ b/crates/gingerpier_serving/tests/watching.rs
@@ -4,7 +4,7 @@
     gingerpier_base::Instant,
     gingerpier_serving::{
         mirror::{Item, Mirror, Revision},
-        watching::{self, Step, WATCHERS, Watching},
+        watching::{self, Failure, MOST_AGE_MILLIS, Step, WATCHERS, Watching},
     },
     proptest::prelude::*,
     std::net::SocketAddr,
@@ -22,30 +22,41 @@
     Instant::from_millis(millis)
 }
 
-/// A member of a zone that has read the store once.
+/// A member of a zone that started long ago.
 fn settled(own: SocketAddr, all: &[SocketAddr]) -> Watching {
-    let mut watching = Watching::new(own);
-    let first = watching.next(all.iter().copied(), at(0));
-    assert_eq!(first, Step::Store, "who knows nothing asks the store");
+    let mut watching = Watching::new(own, at(0));
+    let first = watching.next(all, true, at(5_000));
+    assert!(matches!(first, Step::Store | Step::Member(_)), "{first:?}");
     watching
 }
 
+fn watchers(all: &[SocketAddr]) -> Vec<SocketAddr> {
+    let watches = |own: &&SocketAddr| watching::is_watcher(**own, all.iter().copied());
+    all.iter().filter(watches).copied().collect()
+}
+
+fn followers(all: &[SocketAddr]) -> Vec<SocketAddr> {
+    let watches = watchers(all);
+    let follows = all.iter().filter(|own| !watches.contains(own));
+    follows.copied().collect()
+}
+
 #[test]
 fn a_few_of_a_zone_watch_and_the_others_are_told_by_them() {
     let all = members(13);
-    let step = |own: &SocketAddr| settled(*own, &all).next(all.iter().copied(), at(10));
-    let watchers: Vec<SocketAddr> = all
+    let step = |own: &SocketAddr| settled(*own, &all).next(&all, true, at(5_010));
+    let watching: Vec<SocketAddr> = all
         .iter()
         .copied()
         .filter(|own| step(own) == Step::Store)
         .collect();
-    assert_eq!(watchers.len(), WATCHERS);
+    assert_eq!(watching.len(), WATCHERS);
     let mut asked = [0; WATCHERS];
-    for own in all.iter().filter(|own| !watchers.contains(own)) {
+    for own in all.iter().filter(|own| !watching.contains(own)) {
         let Step::Member(watcher) = step(own) else {
             panic!("{own} asks a member")
         };
-        let index = watchers.iter().position(|one| *one == watcher);
+        let index = watching.iter().position(|one| *one == watcher);
         asked[index.expect("it is a watcher")] += 1;
     }
     assert!(asked.iter().all(|count| *count > 0), "{asked:?}");
@@ -54,8 +65,7 @@
 #[test]
 fn those_that_watch_know_it() {
     let all = members(13);
-    let watch = |own: &&SocketAddr| watching::is_watcher(**own, all.iter().copied());
-    assert_eq!(all.iter().filter(watch).count(), WATCHERS);
+    assert_eq!(watchers(&all).len(), WATCHERS);
     assert!(watching::is_watcher(member(1), [].into_iter()), "alone");
 }
 
@@ -63,33 +73,126 @@
 fn who_knows_of_nobody_watches_itself() {
     let own = member(1);
     let mut watching = settled(own, &[]);
-    assert_eq!(watching.next([].into_iter(), at(10)), Step::Store);
-    assert_eq!(watching.next([own].into_iter(), at(20)), Step::Store);
+    assert_eq!(watching.next(&[], true, at(5_010)), Step::Store);
+    assert_eq!(watching.next(&[own], true, at(5_020)), Step::Store);
 }
 
 #[test]
-fn a_member_that_fails_is_passed_over_and_the_store_is_asked_at_once() {
+fn who_starts_alone_asks_the_store_within_a_second() {
+    let mut watching = Watching::new(member(1), at(0));
+    let step = (0..=100).find_map(|tenth| {
+        let step = watching.next(&[], false, at(tenth * 10));
+        (step == Step::Store).then_some(tenth * 10)
+    });
+    assert!(step.is_some_and(|millis| millis <= 1_000), "{step:?}");
+}
+
+#[test]
+fn who_starts_asks_each_neighbour_for_a_first_copy_and_the_store_only_where_it_is_first() {
     let all = members(13);
-    let follows = |own: &&SocketAddr| {
-        let step = settled(**own, &all).next(all.iter().copied(), at(10));
-        matches!(step, Step::Member(_))
-    };
-    let own = *all.iter().find(follows).expect("most of them");
+    let mut readers = 0;
+    for own in &all {
+        let others: Vec<SocketAddr> = all.iter().copied().filter(|one| one != own).collect();
+        let mut watching = Watching::new(*own, at(0));
+        let mut asked = 0;
+        while let Step::FirstCopy(member) = watching.next(&others, false, at(10)) {
+            assert_ne!(member, *own);
+            watching.note_without_copy(member);
+            asked += 1;
+        }
+        assert_eq!(asked, others.len());
+        match watching.next(&others, false, at(400)) {
+            Step::Store => readers += 1,
+            Step::Member(member) => assert!(watchers(&all).contains(&member)),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(readers, 1, "one of a zone where nobody has a copy");
+}
+
+#[test]
+fn a_member_that_is_silent_is_passed_over_and_the_next_in_order_takes_its_place() {
+    let all = members(13);
+    let rank = |own: &&SocketAddr| watching::is_watcher(**own, followers(&all).into_iter());
+    let followers = followers(&all);
+    // Those next in order would take the place of the first that fails.
+    let own = *followers.iter().find(|own| !rank(own)).expect("most");
     let mut watching = settled(own, &all);
-    let next = |watching: &mut Watching, millis| watching.next(all.iter().copied(), at(millis));
-    let Step::Member(first) = next(&mut watching, 10) else {
-        panic!("it follows a member")
-    };
-    watching.note_failure(first, at(20));
-    assert_eq!(next(&mut watching, 20), Step::Store);
-    let Step::Member(second) = next(&mut watching, 30) else {
-        panic!("it follows the other one")
+    let mut passed_over = Vec::new();
+    let mut now = at(5_010);
+    while let Step::Member(member) = watching.next(&all, true, now) {
+        assert!(!passed_over.contains(&member), "{member} was silent");
+        passed_over.push(member);
+        watching.note_failure(member, Failure::Silent, now);
+        now = now.after_millis(10);
+    }
+    assert!(passed_over.len() >= WATCHERS);
+    // Nobody is left before it: it looks how far the store is, and then takes the place of a watcher.
+    assert_eq!(watching.next(&all, true, now), Step::Probe);
+    watching.note_probe(true, 10, now);
+    assert_eq!(watching.next(&all, true, now), Step::Store);
+    assert_eq!(watching.next(&all, true, now), Step::Probe, "once each");
+    let later = now.after_millis(10_000);
+    assert!(matches!(watching.next(&all, true, later), Step::Member(_)));
+}
+
+#[test]
+fn a_slow_way_to_the_store_makes_nobody_stand_in() {
+    let all = members(13);
+    let own = followers(&all)[0];
+    let mut watching = settled(own, &all);
+    let now = at(5_010);
+    while let Step::Member(member) = watching.next(&all, true, now) {
+        watching.note_failure(member, Failure::Old, now);
+    }
+    assert_eq!(watching.next(&all, true, now), Step::Probe);
+    watching.note_probe(true, 700, now);
+    let Step::Member(member) = watching.next(&all, true, now) else {
+        panic!("the members are trusted again")
     };
-    assert_ne!(second, first);
-    watching.note_failure(second, at(40));
-    assert_eq!(next(&mut watching, 40), Step::Store);
-    assert_eq!(next(&mut watching, 50), Step::Store, "both are passed over");
-    assert_eq!(next(&mut watching, 10_000), Step::Member(first));
+    assert!(watching.most_age_millis(member, now) > 60_000);
+    let later = now.after_millis(3_000);
+    assert!(watching.most_age_millis(member, later) <= MOST_AGE_MILLIS);
+}
+
+/// All members of a zone, while nobody hears anything of the store: those that ask it for everything
+/// within `millis`.
+fn askers(all: &[SocketAddr], millis: u64) -> usize {
+    let mut members: Vec<(SocketAddr, Watching)> =
+        all.iter().map(|own| (*own, settled(*own, all))).collect();
+    let last_word = at(5_000);
+    let mut asking = std::collections::BTreeSet::new();
+    for step in 0..millis / 10 {
+        let now = last_word.after_millis(step * 10);
+        for (own, watching) in &mut members {
+            match watching.next(all, true, now) {
+                Step::Store => {
+                    asking.insert(*own);
+                }
+                Step::Probe => watching.note_probe(true, 10, now),
+                Step::Member(member) => {
+                    let age = now.millis_since(last_word);
+                    if age > watching.most_age_millis(member, now) {
+                        watching.note_failure(member, Failure::Old, now);
+                    }
+                }
+                Step::FirstCopy(_) | Step::Wait(_) => {}
+            }
+        }
+    }
+    asking.len()
+}
+
+#[test]
+fn those_that_ask_a_store_nobody_hears_from_widen_slowly() {
+    for count in [3, 13, 40] {
+        let all = members(count);
+        assert_eq!(askers(&all, 1_100), WATCHERS, "{count} members");
+        assert!(askers(&all, 2_200) <= 2 * WATCHERS, "{count} members");
+        assert!(askers(&all, 4_500) <= 3 * WATCHERS, "{count} members");
+    }
+    // Where the two are cut off alone, the third of three asks soon after their word is old.
+    assert_eq!(askers(&members(3), 1_500), 3);
 }
 
 fn item(key: u8, revision: u64, is_there: bool) -> Item {
