The bound of named weights counts from the earliest moment of the naming

Cause: gateways and loaders counted the bound from the moment at which they heard of a naming.

Change: gingerpier_serving::naming keeps the last moment at which a gateway certainly held all that the store held: the sending of the last call that was answered whole. A naming that is heard of counts from there, 2 s and a quarter of the bound back from hearing at most. What a loader hears by its own watch counts from hearing until a gateway tells more: without gateways nothing is sent to its engine. A loader's lead for manifests still counts from hearing. START_GRACE_MILLIS is as it was. Messages get fields with defaults only.

Conclusion: while the naming is heard of within 2 s of the acknowledgement, the deadline is never later than bound less margin; beyond that it is late by the rest, and only the margin is left for that.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -49,7 +49,7 @@
 /// Other loaders that are asked for what they hold.
 const MAX_HOLDERS: usize = 4;
 
-/// Milliseconds after weights were named by which manifests are there.
+/// Milliseconds after weights were heard of by which manifests are there.
 const MANIFEST_LEAD_MILLIS: u64 = 300;
 
 /// Milliseconds from the start for which the engine is waited for before weights are fetched.
@@ -245,10 +245,9 @@
 
 /// When the first chunk of weights that were just named is to be asked for at the origin.
 fn begins(loader: &Loader, named: &Named) -> Option<Instant> {
-    let known = loader.named(&named.model);
-    let own = known.iter().find(|known| known.version == named.version)?;
-    let begins = own.at.after_millis(MANIFEST_LEAD_MILLIS);
-    (clock::now().millis_since(own.at) < MANIFEST_LEAD_MILLIS).then_some(begins)
+    let heard = loader.heard(named)?;
+    let begins = heard.after_millis(MANIFEST_LEAD_MILLIS);
+    (clock::now().millis_since(heard) < MANIFEST_LEAD_MILLIS).then_some(begins)
 }
 
 /// True once the engine may be ordered to take `named`. While it carries out an order nothing is
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -122,7 +122,8 @@
         Some(Fact::Engine(record)) => {
             loader.fleet.borrow_mut().list(*record, item.revision);
         }
-        Some(Fact::Weights(named)) => loader.note_named(&named),
+        // Gateways that send requests here tell when the bound began; without any of them nothing starts.
+        Some(Fact::Weights(named)) => loader.note_named(&named, 0),
         Some(Fact::Other) | None => {}
     }
 }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -20,6 +20,7 @@
         dialect::{Dialect, Named},
         fleet::Fleet,
         mirror::Mirror,
+        naming::{Naming, Namings},
         report::{Report, Version},
     },
     gingerpier_settings::Loader as Settings,
@@ -97,7 +98,7 @@
     mirror: RefCell<Mirror>,
     fleet: RefCell<Fleet>,
     configuration: RefCell<Option<Configuration>>,
-    named: RefCell<HashMap<String, Vec<NamedAt>>>,
+    namings: RefCell<HashMap<String, Namings>>,
     /// Versions whose chunks are all here, and since when.
     complete: RefCell<Vec<NamedAt>>,
 }
@@ -121,7 +122,7 @@
             mirror: RefCell::default(),
             fleet: RefCell::default(),
             configuration: RefCell::default(),
-            named: RefCell::default(),
+            namings: RefCell::default(),
             complete: RefCell::default(),
         }
     }
@@ -240,27 +241,39 @@
             .count()
     }
 
-    /// Notes weights that operators named.
-    pub fn note_named(&self, named: &Named) {
-        let mut all = self.named.borrow_mut();
-        let known = all.entry(named.model.clone()).or_default();
-        if known.iter().any(|known| known.version >= named.version) {
-            return;
+    /// Notes weights that operators named `age` milliseconds ago or less.
+    pub fn note_named(&self, named: &Named, age: u64) {
+        let now = clock::now();
+        let earliest = Instant::from_millis(now.as_millis().saturating_sub(age));
+        let mut namings = self.namings.borrow_mut();
+        let known = namings.entry(named.model.clone()).or_default();
+        if known.note(named.version, earliest, now) {
+            tracing::info!(
+                model = named.model,
+                version = named.version.0,
+                age,
+                "weights named"
+            );
         }
-        tracing::info!(
-            model = named.model,
-            version = named.version.0,
-            "weights named"
-        );
-        known.push(NamedAt {
-            version: named.version,
-            at: clock::now(),
-        });
     }
 
     /// Weights of `model` that operators named, as far as known.
     pub fn named(&self, model: &str) -> Vec<NamedAt> {
-        self.named.borrow().get(model).cloned().unwrap_or_default()
+        let namings = self.namings.borrow();
+        let known = namings.get(model).into_iter().flat_map(Namings::iter);
+        let named_at = |naming: &Naming| NamedAt {
+            version: naming.version,
+            at: naming.at,
+        };
+        known.map(named_at).collect()
+    }
+
+    /// When it was first heard that operators named `named`.
+    pub fn heard(&self, named: &Named) -> Option<Instant> {
+        let namings = self.namings.borrow();
+        let mut known = namings.get(&named.model)?.iter();
+        let own = known.find(|known| known.version == named.version)?;
+        Some(own.heard)
     }
 
     /// Weights that the engine should hold; nothing where none are known to be wanted.
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -65,11 +65,12 @@
 }
 
 fn note(loader: &Loader, from: SocketAddr, subscribe: Subscribe) {
-    for weights in subscribe.named {
-        loader.note_named(&Named {
-            model: weights.model,
-            version: Version(weights.version),
-        });
+    for naming in subscribe.named {
+        let named = Named {
+            model: naming.model,
+            version: Version(naming.version),
+        };
+        loader.note_named(&named, naming.age);
     }
     let mut subscribers = loader.subscribers.borrow_mut();
     let known = subscribers.get(&from);
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -21,6 +21,21 @@
     pub version: u64,
 }
 
+/// Weights of a model that operators named.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Naming {
+    /// Model.
+    #[n(0)]
+    pub model: String,
+    /// Version.
+    #[n(1)]
+    pub version: u64,
+    /// Milliseconds since the earliest moment at which they can have been named.
+    #[cbor(n(2), default)]
+    pub age: u64,
+}
+
 /// A gateway asks a loader for reports, and tells what weights are named.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 #[cbor(map)]
@@ -30,7 +45,7 @@
     pub zone: String,
     /// Weights that operators named, as far as the gateway knows.
     #[n(1)]
-    pub named: Vec<Weights>,
+    pub named: Vec<Naming>,
     /// When the gateway sent this, in milliseconds of its own clock.
     #[cbor(n(2), default)]
     pub stamp: u64,
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -10,6 +10,7 @@
         store::{Client, MAX_ANSWER_BYTES},
     },
     futures_util::future::join_all,
+    gingerpier_base::Instant,
     gingerpier_http1::{
         connection::{Connection, Whole},
         head::Request,
@@ -48,9 +49,8 @@
 /// Longest head of a question.
 const MAX_HEAD: usize = 4096;
 
-/// Field that tells the milliseconds since the store's last word: apart from the snapshot, which is the same
-/// for all who ask.
-const AGE_FIELD: &str = "age-millis";
+/// Field with the [`Ages`] of a snapshot, apart from it: the snapshot is the same for all who ask.
+const AGES_FIELD: &str = "ages-millis";
 
 /// Milliseconds that a connection may rest.
 const REST_MILLIS: u64 = 10_000;
@@ -100,6 +100,7 @@
     let Some(question) = Question::parse(target) else {
         return Message::response(404).body(b"");
     };
+    let came = clock::now();
     wait_for_news(state, &question).await;
     let takes_compressed = request.fields.lists("accept-encoding", compression::NAME);
     let packed = state
@@ -108,8 +109,12 @@
     state
         .metrics
         .note_message(Kind::Snapshot, packed.bytes.len());
-    let age = state.word_age().to_string();
-    let answer = Message::response(200).field(AGE_FIELD.as_bytes(), age.as_bytes());
+    let ages = Ages {
+        word: state.word_age(),
+        fresh: state.fresh_age(),
+        held: clock::now().millis_since(came),
+    };
+    let answer = Message::response(200).field(AGES_FIELD.as_bytes(), ages.text().as_bytes());
     match packed.is_compressed {
         true => answer
             .field(b"content-encoding", compression::NAME.as_bytes())
@@ -171,11 +176,12 @@
     };
     let told = exchange(client, &question, WAIT_MILLIS + SLACK_MILLIS).await;
     let told = told.ok_or(Failure::Silent)?;
-    take(state, told.snapshot);
-    if told.age > most_age {
+    let age = told.ages.word;
+    take(state, told);
+    if age > most_age {
         return Err(Failure::Old);
     }
-    state.note_contact(told.age);
+    state.note_contact(age);
     Ok(())
 }
 
@@ -192,56 +198,88 @@
     if told.snapshot.at == 0 {
         return false;
     }
-    tracing::info!(%peer, at = told.snapshot.at, had = 0, age = told.age, "snapshot taken from a gateway");
-    take(state, told.snapshot);
-    state.note_contact(told.age);
+    tracing::info!(%peer, at = told.snapshot.at, had = 0, age = told.ages.word, "snapshot taken from a gateway");
+    state.note_contact(told.ages.word);
+    take(state, told);
     true
 }
 
+/// How old what a gateway tells is, in milliseconds when it is told.
+#[derive(Debug, Clone, Copy)]
+struct Ages {
+    /// Since the store's last word.
+    word: u64,
+    /// Since this was certainly all that the store held; none where that is not known.
+    fresh: Option<u64>,
+    /// For which the question was held until the answer was made.
+    held: u64,
+}
+
+impl Ages {
+    fn text(self) -> String {
+        let fresh = self
+            .fresh
+            .map_or_else(String::new, |fresh| fresh.to_string());
+        format!("{},{fresh},{}", self.word, self.held)
+    }
+
+    fn parse(text: &[u8]) -> Option<Self> {
+        let mut parts = std::str::from_utf8(text).ok()?.split(',');
+        let mut next = || parts.next();
+        Some(Self {
+            word: next()?.parse().ok()?,
+            fresh: next()?.parse().ok(),
+            held: next()?.parse().ok()?,
+        })
+    }
+}
+
 /// What another gateway told.
 struct Told {
     snapshot: Snapshot,
-    /// Milliseconds since the store's last word there.
-    age: u64,
+    ages: Ages,
+    /// When it was asked.
+    asked: Instant,
 }
 
 async fn exchange(client: &mut Client, question: &Question, millis: u64) -> Option<Told> {
     let call = Call::get(question.target());
+    let asked = clock::now();
     let whole = client.call(&call, millis).await.ok()?;
     if whole.head.status != 200 {
         return None;
     }
-    let told = read_told(&whole);
+    let told = read_told(&whole, asked);
     if told.is_none() {
         tracing::warn!(peer = %client.peer(), "a gateway's snapshot is not understood");
     }
     told
 }
 
-fn read_told(whole: &Whole) -> Option<Told> {
+fn read_told(whole: &Whole, asked: Instant) -> Option<Told> {
     let fields = &whole.head.fields;
-    let age = std::str::from_utf8(fields.get(AGE_FIELD)?)
-        .ok()?
-        .parse()
-        .ok()?;
+    let ages = Ages::parse(fields.get(AGES_FIELD)?)?;
     let snapshot = match fields.lists("content-encoding", compression::NAME) {
         true => message::decode(&compression::expand(&whole.body, MAX_ANSWER_BYTES).ok()?),
         false => message::decode(&whole.body),
     };
     Some(Told {
         snapshot: snapshot?,
-        age,
+        ages,
+        asked,
     })
 }
 
-fn take(state: &State, snapshot: Snapshot) {
-    let at = Revision(snapshot.at);
-    let items = snapshot.items.into_iter().map(SharedItem::item).collect();
-    if snapshot.is_changes {
+fn take(state: &State, told: Told) {
+    let at = Revision(told.snapshot.at);
+    let items = told.snapshot.items.into_iter();
+    let items = items.map(SharedItem::item).collect();
+    if told.snapshot.is_changes {
         state.apply(items, at);
     } else {
         state.replace(items, at);
     }
+    state.note_told(told.asked, told.ages.fresh, told.ages.held);
 }
 
 /// Asks peers for as long as the store does not answer. Their answers are waited for: a large one takes
@@ -291,6 +329,6 @@
     if told.snapshot.at <= after.0 {
         return;
     }
-    tracing::info!(%peer, at = told.snapshot.at, had = after.0, age = told.age, "snapshot taken from a gateway");
-    take(state, told.snapshot);
+    tracing::info!(%peer, at = told.snapshot.at, had = after.0, age = told.ages.word, "snapshot taken from a gateway");
+    take(state, told);
 }
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock, discovery,
-        message::{self, Datagram, Load, Member, Subscribe, Weights},
+        message::{self, Datagram, Load, Member, Subscribe},
         metrics::Kind,
         state::State,
         zones,
@@ -57,13 +57,9 @@
 
 fn subscription(state: &State) -> Subscribe {
     let configuration = state.configuration();
-    let named = state.named().into_iter().map(|named| Weights {
-        model: named.model,
-        version: named.version.0,
-    });
     Subscribe {
         zone: state.settings.zone.clone(),
-        named: named.collect(),
+        named: state.namings(),
         stamp: clock::now().as_millis(),
         configuration: configuration.as_ref().map_or(0, |known| known.version),
         weights_digest: configuration.map_or(0, |known| known.weights_digest()),
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -4,6 +4,7 @@
     crate::{
         clock,
         items::Reader,
+        message,
         metrics::Metrics,
         pool::Pool,
         snapshots::Snapshots,
@@ -18,6 +19,7 @@
         dialect::{Dialect, Fact, Named, Subject},
         fleet::{EngineKey, Fleet, Record},
         mirror::{Changes, Item, Mirror, Revision},
+        naming::{Freshness, Naming, Namings, Told},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -35,7 +37,10 @@
 /// engines are ordered 1.9 s before the bound at the latest.
 const VERSION_MARGIN_MILLIS: u64 = 1_700;
 
-/// Milliseconds after the start within which older weights may serve.
+/// Milliseconds from the start within which weights that are heard of may have been named long ago.
+const STARTING_MILLIS: u64 = 1_000;
+
+/// Milliseconds for which older weights may serve behind a naming that is heard of then.
 const START_GRACE_MILLIS: u64 = 3_000;
 
 /// Milliseconds without word from the store after which peers are asked.
@@ -81,8 +86,9 @@
     pub active: Cell<u32>,
     configuration: RefCell<Option<Rc<Configuration>>>,
     arrivals: RefCell<HashMap<String, Arrivals>>,
-    due: RefCell<HashMap<String, Vec<Due>>>,
+    namings: RefCell<HashMap<String, Namings>>,
     contact: Cell<Option<Instant>>,
+    fresh: Cell<Freshness>,
     /// When bytes of an answer of the store came last: a large one takes a second or more.
     pub store_heard: Rc<Cell<Option<Instant>>>,
     started: Instant,
@@ -115,8 +121,9 @@
             active: Cell::new(0),
             configuration: RefCell::default(),
             arrivals: RefCell::default(),
-            due: RefCell::default(),
+            namings: RefCell::default(),
             contact: Cell::new(None),
+            fresh: Cell::default(),
             store_heard: Rc::default(),
             started,
         }
@@ -172,6 +179,31 @@
         self.contact_age().is_none_or(|age| age > CONTACT_MILLIS)
     }
 
+    /// Notes that the mirror holds all that the store held at `asked`.
+    pub fn note_fresh(&self, asked: Instant) {
+        let mut fresh = self.fresh.get();
+        fresh.note_answer(asked);
+        self.fresh.set(fresh);
+    }
+
+    /// Notes how fresh another gateway's answer was, to a question that was sent at `asked` and that
+    /// it held for `held` milliseconds; nothing where it does not tell.
+    pub fn note_told(&self, asked: Instant, fresh_age: Option<u64>, held: u64) {
+        let Some(age_millis) = fresh_age else { return };
+        let told = Told {
+            held_millis: held,
+            age_millis,
+        };
+        let mut fresh = self.fresh.get();
+        fresh.note_told(asked, told, clock::now());
+        self.fresh.set(fresh);
+    }
+
+    /// Milliseconds since the mirror certainly held all that the store held.
+    pub fn fresh_age(&self) -> Option<u64> {
+        self.fresh.get().age(clock::now())
+    }
+
     /// Takes changes of the store up to `at`.
     pub fn apply(&self, changes: Changes, at: Revision) {
         let news = self.mirror.borrow_mut().apply(changes, at);
@@ -238,46 +270,72 @@
     /// Notes weights that operators named.
     pub fn note_named(&self, named: &Named) {
         let now = clock::now();
-        let mut due = self.due.borrow_mut();
-        let known = due.entry(named.model.clone()).or_default();
-        if known.iter().any(|known| known.version >= named.version) {
+        let earliest = self
+            .fresh
+            .get()
+            .earliest(self.settings.version_within.0, now);
+        let mut namings = self.namings.borrow_mut();
+        let known = namings.entry(named.model.clone()).or_default();
+        if !known.note(named.version, earliest, now) {
             return;
         }
-        let bound = self.settings.version_within.0;
-        let patience = if now.millis_since(self.started) < 1_000 {
-            START_GRACE_MILLIS
-        } else {
-            bound.saturating_sub(VERSION_MARGIN_MILLIS)
-        };
-        let at = now.after_millis(patience);
         tracing::info!(
             model = named.model,
             version = named.version.0,
+            age = now.millis_since(earliest),
             "weights named"
         );
-        known.push(Due {
-            version: named.version,
-            at,
-        });
         self.naming.notify_one();
     }
 
     /// Newest weights named of each model.
     pub fn named(&self) -> Vec<Named> {
-        let due = self.due.borrow();
-        let newest = |(model, known): (&String, &Vec<Due>)| {
-            let version = known.iter().map(|known| known.version).max()?;
+        let namings = self.namings.borrow();
+        let newest = |(model, known): (&String, &Namings)| {
             Some(Named {
                 model: model.clone(),
-                version,
+                version: known.newest()?.version,
             })
         };
-        due.iter().filter_map(newest).collect()
+        namings.iter().filter_map(newest).collect()
+    }
+
+    /// The same as loaders are told.
+    pub fn namings(&self) -> Vec<message::Naming> {
+        let now = clock::now();
+        let namings = self.namings.borrow();
+        let newest = |(model, known): (&String, &Namings)| {
+            let newest = known.newest()?;
+            Some(message::Naming {
+                model: model.clone(),
+                version: newest.version.0,
+                age: now.millis_since(newest.at),
+            })
+        };
+        namings.iter().filter_map(newest).collect()
     }
 
     /// Versions of `model` that come due, or came due already.
     pub fn due(&self, model: &str) -> Vec<Due> {
-        self.due.borrow().get(model).cloned().unwrap_or_default()
+        let namings = self.namings.borrow();
+        let known = namings.get(model).into_iter().flat_map(Namings::iter);
+        known.map(|naming| self.due_of(naming)).collect()
+    }
+
+    fn due_of(&self, naming: &Naming) -> Due {
+        let is_starting = naming.heard.millis_since(self.started) < STARTING_MILLIS;
+        let bound = self.settings.version_within.0;
+        let at = match is_starting {
+            true => naming.heard.after_millis(START_GRACE_MILLIS),
+            false => {
+                let patience = bound.saturating_sub(VERSION_MARGIN_MILLIS);
+                naming.at.after_millis(patience)
+            }
+        };
+        Due {
+            version: naming.version,
+            at,
+        }
     }
 
     /// Notes a request for `service` that is sent for the first time.
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -68,8 +68,8 @@
 }
 
 impl Copy {
-    /// Reads the pages that are missing. What came stays where one can't be had, so that a next try goes on
-    /// from there.
+    /// Reads the pages that are missing; gives when the first of all was asked for. What came stays where one
+    /// can't be had, so that a next try goes on from there.
     ///
     /// # Errors
     ///
@@ -80,24 +80,24 @@
         dialect: &dyn Dialect,
         scope: Scope,
         stale: bool,
-    ) -> Result<(), Error> {
+    ) -> Result<Instant, Error> {
         let oldest = self.begun.map(|begun| begun.after_millis(KEPT_MILLIS));
         if oldest.is_some_and(|oldest| oldest.has_passed(clock::now())) {
             *self = Self::default();
         }
         loop {
-            let asked = clock::now();
+            let begun = *self.begun.get_or_insert_with(clock::now);
+            let is_first = self.items.is_empty();
             let after = self.items.last().map_or("", |item| item.key.as_str());
             let call = dialect.list(scope, after, stale);
             let whole = client.call(&call, READ_MILLIS).await?;
             let page = read_page(client.peer(), dialect, &whole)?;
-            if self.begun.is_none() {
-                self.begun = Some(asked);
+            if is_first {
                 self.at = page.at;
             }
             self.items.extend(page.items);
             if !page.has_more {
-                return Ok(());
+                return Ok(begun);
             }
         }
     }
@@ -228,16 +228,17 @@
 /// Asks the store for news, or for everything.
 async fn ask_store(state: &State, asking: &mut Asking) {
     let has_copy = state.mirror.borrow().at() > Revision::default();
-    let step = if has_copy && !asking.needs_copy {
+    let current_at = if has_copy && !asking.needs_copy {
         watch_once(state, asking).await
     } else {
-        read_once(state, asking).await
+        read_once(state, asking).await.map(Some)
     };
-    match step {
-        Ok(()) => {
+    match current_at {
+        Ok(current_at) => {
             asking.failures = 0;
             state.note_contact(0);
-            if !asking.needs_copy && !asking.is_deaf {
+            if let Some(current_at) = current_at {
+                state.note_fresh(current_at);
                 clock::pause(PAUSE_MILLIS).await;
             }
         }
@@ -258,6 +259,7 @@
     match is_current {
         Ok(true) => {
             state.note_contact(0);
+            state.note_fresh(asked);
             clock::pause(PAUSE_MILLIS).await;
         }
         Ok(false) => {}
@@ -278,22 +280,26 @@
     }
 }
 
-async fn read_once(state: &State, asking: &mut Asking) -> Result<(), Error> {
+/// Reads everything; gives a moment at which the store held nothing else.
+async fn read_once(state: &State, asking: &mut Asking) -> Result<Instant, Error> {
     state.metrics.store_calls.inc();
     let Asking { client, copy, .. } = asking;
-    copy.read(client, state.dialect, Scope::Everything, false)
+    let begun = copy
+        .read(client, state.dialect, Scope::Everything, false)
         .await?;
     let copy = std::mem::take(&mut asking.copy);
     state.replace(copy.items, copy.at);
     asking.needs_copy = false;
     asking.is_deaf = false;
-    Ok(())
+    Ok(begun)
 }
 
-/// One watch. A call that fails loses nothing: the next one goes on from the same revision.
-async fn watch_once(state: &State, asking: &mut Asking) -> Result<(), Error> {
+/// One watch; gives a moment at which the store held nothing but what is known now, where one is known. A
+/// call that fails loses nothing: the next one goes on from the same revision.
+async fn watch_once(state: &State, asking: &mut Asking) -> Result<Option<Instant>, Error> {
     state.metrics.store_calls.inc();
     let after = state.mirror.borrow().at();
+    let asked = clock::now();
     let client = &mut asking.client;
     client.most_bytes = longest_watch(state);
     let watched = watch(
@@ -312,7 +318,7 @@
             "a watch brings more than a whole copy, which is read instead"
         );
         asking.needs_copy = true;
-        return Ok(());
+        return Ok(None);
     }
     match watched? {
         Watched::HistoryGone => asking.needs_copy = true,
@@ -322,13 +328,15 @@
             // still brings nothing is deaf.
             asking.needs_copy = is_behind && asking.is_deaf;
             asking.is_deaf = is_behind;
+            return Ok((!is_behind).then_some(asked));
         }
         Watched::Changes(page) => {
             asking.is_deaf = false;
             state.apply(page.items, page.at);
+            return Ok(Some(asked));
         }
     }
-    Ok(())
+    Ok(None)
 }
 
 /// Bytes of a watch's answer above which a whole copy is shorter: each version of a configuration that
--- a/crates/gingerpier_serving/src/bringing.rs
+++ b/crates/gingerpier_serving/src/bringing.rs
@@ -12,12 +12,12 @@
     gingerpier_base::{Instant, order},
 };
 
-/// Weights that operators named, and when this process learnt of them.
+/// Weights that operators named, and from when on their bound counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NamedAt {
     /// Version.
     pub version: Version,
-    /// When it was learnt.
+    /// From when on.
     pub at: Instant,
 }
 
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod events;
 pub mod fleet;
 pub mod mirror;
+pub mod naming;
 pub mod pace;
 pub mod prediction;
 pub mod report;
--- /dev/null
+++ b/crates/gingerpier_serving/src/naming.rs
@@ -0,0 +1,109 @@
+//! From which moment the bound of named weights counts.
+//!
+//! The bound runs from the store's acknowledgement, which no process sees: it hears of the naming
+//! later, over links that may be full and through processes that pause between questions. So it
+//! counts from the earliest moment at which the naming can have happened, which is the last one at
+//! which what it knew was all that the store held ([`Freshness`]). An answer proves what the store
+//! held when the call was sent, and no more: the store may have made it at once, and sent it for
+//! seconds. Who hears from another process adds what that one says of itself ([`Told`]).
+//!
+//! A later word may show that weights were named earlier than was thought; none moves a naming to a
+//! later moment. Loaders hear of namings by datagrams that are repeated, so the one that was least on
+//! its way counts.
+
+use {crate::report::Version, gingerpier_base::Instant};
+
+/// Most milliseconds by which a naming is taken to lie before it was heard of. A process that has
+/// lacked the store for 3 s is not held to the bound; one that counted further back would close engines
+/// before newer weights can be there, which take some 3 s to come to 20 engines.
+const MOST_BACK_MILLIS: u64 = 2_000;
+
+/// The bound divided by the most that this takes of it: the rest is for bringing the weights and for
+/// engines' turns.
+const MOST_BACK_DIVISOR: u64 = 4;
+
+/// What another process says of how fresh the knowledge is that it passes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// Milliseconds for which it kept the question until it answered.
+    pub held_millis: u64,
+    /// Milliseconds, when it answered, since what it knows was all that the store held.
+    pub age_millis: u64,
+}
+
+/// Last moment at which what a process knows was certainly all that the store held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Freshness(Option<Instant>);
+
+impl Freshness {
+    /// Notes that all was taken in which the store answered to a call that was sent at `asked`.
+    pub fn note_answer(&mut self, asked: Instant) {
+        self.0 = self.0.max(Some(asked));
+    }
+
+    /// Notes that all was taken in which another process answered by `now` to a question that was
+    /// sent at `asked`: no earlier than it had kept the question.
+    pub fn note_told(&mut self, asked: Instant, told: Told, now: Instant) {
+        let answered = asked.after_millis(told.held_millis).min(now);
+        let fresh = answered.as_millis().saturating_sub(told.age_millis);
+        self.note_answer(Instant::from_millis(fresh));
+    }
+
+    /// Milliseconds since that moment; none where there was none.
+    pub fn age(self, now: Instant) -> Option<u64> {
+        self.0.map(|fresh| now.millis_since(fresh))
+    }
+
+    /// Earliest moment at which weights that are heard of only `now` can have been named, as far back
+    /// as that counts where the bound is `within_millis`.
+    pub fn earliest(self, within_millis: u64, now: Instant) -> Instant {
+        let most_back = MOST_BACK_MILLIS.min(within_millis / MOST_BACK_DIVISOR);
+        let farthest = Instant::from_millis(now.as_millis().saturating_sub(most_back));
+        self.0.map_or(farthest, |fresh| fresh.clamp(farthest, now))
+    }
+}
+
+/// Named weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Naming {
+    /// Version.
+    pub version: Version,
+    /// When they were first heard of.
+    pub heard: Instant,
+    /// Earliest moment at which they can have been named, from which the bound counts.
+    pub at: Instant,
+}
+
+/// Weights of one model that were named, by rising version.
+#[derive(Debug, Clone, Default)]
+pub struct Namings(Vec<Naming>);
+
+impl Namings {
+    /// Takes the word, heard `now`, that `version` was named at `earliest` or later; true where it is
+    /// newer than all that were known.
+    pub fn note(&mut self, version: Version, earliest: Instant, now: Instant) -> bool {
+        if let Some(known) = self.0.iter_mut().find(|known| known.version == version) {
+            known.at = known.at.min(earliest);
+            return false;
+        }
+        if self.newest().is_some_and(|newest| newest.version > version) {
+            return false;
+        }
+        self.0.push(Naming {
+            version,
+            heard: now,
+            at: earliest.min(now),
+        });
+        true
+    }
+
+    /// The newest.
+    pub fn newest(&self) -> Option<&Naming> {
+        self.0.last()
+    }
+
+    /// Each of them.
+    pub fn iter(&self) -> impl Iterator<Item = &Naming> {
+        self.0.iter()
+    }
+}
