--- a/crates/gingerpier_serving/src/configuration.rs
+++ b/crates/gingerpier_serving/src/configuration.rs
@@ -174,6 +174,78 @@
     }
 }
 
+/// The part of a configuration that says what stands behind routes: all that loaders need of it.
+#[derive(Debug, Clone, Default)]
+pub struct Services {
+    /// Version of the configuration.
+    pub version: u64,
+    list: Vec<Service>,
+    /// Digest as it was told; none where it is to be counted here.
+    told_digest: Option<u64>,
+}
+
+impl Services {
+    /// Services of a configuration.
+    pub const fn new(version: u64, list: Vec<Service>) -> Self {
+        Self {
+            version,
+            list,
+            told_digest: None,
+        }
+    }
+
+    /// Services that another process told of, with the digest as that one counts it.
+    pub const fn told(version: u64, list: Vec<Service>, weights_digest: u64) -> Self {
+        Self {
+            version,
+            list,
+            told_digest: Some(weights_digest),
+        }
+    }
+
+    /// Services, in the order of their keys.
+    pub fn list(&self) -> &[Service] {
+        &self.list
+    }
+
+    /// What loaders need: engines' services and the origin, without ordinary services.
+    pub fn for_loaders(&self) -> Self {
+        let is_needed = |service: &&Service| !matches!(service.kind, ServiceKind::Plain);
+        let needed = self.list.iter().filter(is_needed).cloned();
+        Self::told(self.version, needed.collect(), self.weights_digest())
+    }
+
+    /// Engines' services.
+    pub fn engines(&self) -> impl Iterator<Item = (&Service, &EngineModel)> {
+        self.list.iter().filter_map(|service| match &service.kind {
+            ServiceKind::Engines(engines) => Some((service, &**engines)),
+            ServiceKind::Origin(_) | ServiceKind::Plain => None,
+        })
+    }
+
+    /// Where weights come from, if anywhere.
+    pub fn origin(&self) -> Option<Origin> {
+        self.list.iter().find_map(|service| match service.kind {
+            ServiceKind::Origin(origin) => Some(origin),
+            _ => None,
+        })
+    }
+
+    /// Digest of what loaders of weights need to know: engines' services and the origin.
+    pub fn weights_digest(&self) -> u64 {
+        if let Some(told) = self.told_digest {
+            return told;
+        }
+        let engines = self.engines();
+        let known: Vec<_> = engines
+            .map(|(service, engines)| (&service.name, &engines.models))
+            .collect();
+        let origin = self.origin();
+        let link = origin.map(|origin| (origin.link_bits_per_second, origin.max_connections));
+        order::hash(&(known, origin.map(|origin| origin.address), link))
+    }
+}
+
 /// A whole configuration.
 #[derive(Debug, Clone, Default)]
 pub struct Configuration {
@@ -182,7 +254,7 @@
     /// Bounds on callers.
     pub limits: Limits,
     routes: Vec<Route>,
-    services: Vec<Service>,
+    services: Services,
     tenants: Vec<Tenant>,
     by_host: HashMap<String, Vec<RouteKey>>,
     by_key: HashMap<String, TenantKey>,
@@ -219,7 +291,7 @@
             version,
             limits,
             routes,
-            services,
+            services: Services::new(version, services),
             tenants,
             by_host,
             by_key,
@@ -245,34 +317,27 @@
 
     /// A service.
     pub fn service(&self, key: ServiceKey) -> &Service {
-        &self.services[key.0 as usize]
+        &self.services.list[key.0 as usize]
     }
 
     /// Services, in the order of their keys.
     pub fn services(&self) -> &[Service] {
+        self.services.list()
+    }
+
+    /// The services as a part of their own.
+    pub const fn services_part(&self) -> &Services {
         &self.services
     }
 
     /// Where weights come from, if anywhere.
     pub fn origin(&self) -> Option<Origin> {
-        self.services.iter().find_map(|service| match service.kind {
-            ServiceKind::Origin(origin) => Some(origin),
-            _ => None,
-        })
+        self.services.origin()
     }
 
-    /// Digest of what loaders of weights need to know: engines' services and the origin.
+    /// Digest of what loaders of weights need to know.
     pub fn weights_digest(&self) -> u64 {
-        let mut known = Vec::new();
-        for service in &self.services {
-            match &service.kind {
-                ServiceKind::Engines(engines) => known.push((&service.name, &engines.models)),
-                ServiceKind::Origin(_) | ServiceKind::Plain => {}
-            }
-        }
-        let origin = self.origin();
-        let link = origin.map(|origin| (origin.link_bits_per_second, origin.max_connections));
-        order::hash(&(known, origin.map(|origin| origin.address), link))
+        self.services.weights_digest()
     }
 
     /// True where requests need a key.
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod admission;
 pub mod arrivals;
+pub mod asking;
 pub mod backlog;
 pub mod bringing;
 pub mod budget;
