Loaders ask gateways for the few figures that they need, not the store for everything

Cause: each loader read everything from the store at its start, and the list of engines before each fetch: up to 1.4 MB over a region's link for each of up to 204 loaders.

Change: gateways answer /figures on the port on which they give chunks: services of engines and of origins, version and digest, and the engines with zones and held versions (figures.rs). A loader asks one of its own zone at the start, where its digest differs from theirs, and before it fetches weights; the store's list of engines only where no gateway answers. Without a gateway it reads what operators write, not everything. It keeps no copy of the configuration. A watch over all that operators write ends once a gateway is heard. Gateways that are silent are forgotten also beside an engine that is not up: they would be taken to be heard for ever.

Conclusion: where gateways live, loaders cost the store nothing.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -4,7 +4,7 @@
     crate::{
         callers, clock, discovery,
         error::{Error, Step},
-        log, relay, reports,
+        figures, log, relay, reports,
         state::State,
         store,
         weights::{self, peers},
@@ -77,6 +77,7 @@
     actix_rt::spawn(relay::serve(state.clone(), control));
     actix_rt::spawn(relay::follow(state.clone()));
     actix_rt::spawn(peers::serve(state.carrier.clone(), chunks));
+    actix_rt::spawn(figures::keep(state.clone()));
     if state.settings.carries_weights {
         actix_rt::spawn(weights::relay::keep(state.clone()));
     }
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod compression;
 pub mod discovery;
 pub mod error;
+pub mod figures;
 pub mod gateway;
 pub mod items;
 pub mod loader;
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -114,11 +114,15 @@
         if !is_there && !is_time {
             continue;
         }
-        let held = loader.held(&wanted.model);
-        if held.is_some_and(|held| held >= wanted.version) {
+        if !is_missing(&loader, &works, &wanted) {
             continue;
         }
-        if works.iter().any(|work| work.named == wanted) {
+        follow::refresh(&loader).await;
+        // Where nothing is named, what others hold may have become known only now.
+        let Some(wanted) = loader.wanted() else {
+            continue;
+        };
+        if !is_missing(&loader, &works, &wanted) {
             continue;
         }
         for work in &works {
@@ -126,7 +130,8 @@
                 loader.carrier.give_up(&work.named, &work.task);
             }
         }
-        tracing::info!(version = wanted.version.0, held = ?held, "weights wanted");
+        let held = loader.held(&wanted.model);
+        tracing::info!(version = wanted.version.0, ?held, "weights wanted");
         loader.carrier.wanted.borrow_mut().push(wanted.clone());
         let task = actix_rt::spawn(bring(loader.clone(), wanted.clone()));
         works.push(Work {
@@ -136,6 +141,13 @@
     }
 }
 
+/// True where the engine lacks `wanted`, and it is not on its way yet.
+fn is_missing(loader: &Loader, works: &[Work], wanted: &Named) -> bool {
+    let held = loader.held(&wanted.model);
+    let is_held = held.is_some_and(|held| held >= wanted.version);
+    !is_held && works.iter().all(|work| work.named != *wanted)
+}
+
 /// Gives up what is still on its way of versions older than one that is whole here.
 fn drop_outdated(loader: &Loader, works: &[Work]) {
     let newest = loader.newest_complete();
@@ -152,7 +164,6 @@
 }
 
 async fn bring(loader: Rc<Loader>, wanted: Named) {
-    follow::refresh(&loader).await;
     let named = fetch::fetch(&loader.carrier, || task(&loader, &wanted)).await;
     loader.note_complete(named.version);
     loop {
@@ -245,7 +256,7 @@
 
 /// When the first chunk of weights that were just named is to be asked for at the origin.
 fn begins(loader: &Loader, named: &Named) -> Option<Instant> {
-    let heard = loader.heard(named)?;
+    let heard = loader.named_at(named)?;
     let begins = heard.after_millis(MANIFEST_LEAD_MILLIS);
     (clock::now().millis_since(heard) < MANIFEST_LEAD_MILLIS).then_some(begins)
 }
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -1,68 +1,143 @@
-//! What a loader learns from the store: few calls, since gateways tell it of new weights, too.
+//! What a loader learns of services, engines and named weights: from gateways, and with few calls
+//! from the store where these are not heard.
 
 use {
     super::Loader,
     crate::{
         clock,
         error::Error,
+        figures,
         store::{self, Client},
     },
     gingerpier_serving::{
-        dialect::{Fact, Scope, Subject, Watched},
+        asking::{Asking, Knowledge, Source, Step},
+        dialect::{Fact, Scope, Watched},
         fleet::Fleet,
-        mirror::{Changes, Item},
+        mirror::{Item, Revision},
     },
-    std::rc::Rc,
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// Milliseconds that a watch waits.
 const WATCH_MILLIS: u64 = 20_000;
 
-/// Milliseconds between looks at whether gateways still tell what operators write.
-const LOOK_MILLIS: u64 = 250;
+/// Milliseconds between looks at which gateways are heard.
+const LOOK_MILLIS: u64 = 100;
 
-/// Milliseconds after a failed call.
-const RETRY_MILLIS: u64 = 500;
+/// Gateways that are asked for the engines before the store is.
+const ENGINE_TRIES: usize = 2;
 
 /// Follows what operators write.
 ///
-/// A configuration may be large, and there are many loaders: one that gateways tell of it reads it
-/// once, and again only where what it needs of it has changed. Named weights it watches itself only
-/// where few gateways tell it of them: the store counts each watch, and there are more loaders than
-/// anything else.
+/// A configuration may be large, and there are many loaders: they ask gateways for what they need of
+/// it. Named weights a loader watches itself only where few gateways tell it of them: the store
+/// counts each watch.
 pub async fn follow(loader: Rc<Loader>) {
-    let mut client = Client::new(loader.settings.store);
-    let mut in_step = None;
+    let settings = &loader.settings;
+    let mut asking = Asking::new(settings.peers, settings.regions.len(), clock::now());
+    let mut client = Client::new(settings.store);
+    let mut is_in_step = false;
     loop {
-        if in_step.is_some() && loader.is_told_by_many() {
-            clock::pause(LOOK_MILLIS).await;
-            continue;
-        }
-        let scope = match loader.is_told_enough() {
-            true => Scope::Weights,
-            false => Scope::Operators,
-        };
-        // What was watched more narrowly has to be read before it is watched more widely.
-        let is_covered = in_step.is_some_and(|last| last == scope || scope == Scope::Weights);
-        let step = if is_covered {
-            watch(&loader, &mut client, scope).await
-        } else {
-            read(&loader, &mut client).await.map(|()| true)
-        };
-        match step {
-            Ok(next) => in_step = next.then_some(scope),
-            Err(error) => {
-                in_step = None;
-                tracing::warn!(cause = %error, "store does not answer");
-                clock::pause(RETRY_MILLIS + fastrand::u64(..RETRY_MILLIS)).await;
+        match next(&loader, &mut asking) {
+            Step::Gateway(gateway) => {
+                let answer = ask(&loader, gateway).await;
+                note(&loader, &mut asking, Source::Gateway, answer);
+            }
+            Step::Store => {
+                let answer = read(&loader, &mut client, Scope::Operators).await;
+                is_in_step = answer.is_ok();
+                note(&loader, &mut asking, Source::Store, answer);
+            }
+            Step::Weights if !is_in_step => {
+                let answer = read(&loader, &mut client, Scope::Weights).await;
+                is_in_step = answer.is_ok();
+                note_store(&mut asking, answer);
+            }
+            Step::Weights => {
+                let scope = scope(&loader);
+                let watched = tokio::select! {
+                    watched = watch(&loader, &mut client, scope) => Some(watched),
+                    () = until_other_work(&loader, &mut asking, scope) => None,
+                };
+                if let Some(watched) = watched {
+                    is_in_step = matches!(watched, Ok(true));
+                    note_store(&mut asking, watched.map(drop));
+                }
             }
+            Step::Wait(until) => {
+                let look = clock::now().after_millis(LOOK_MILLIS);
+                clock::until(until.min(look)).await;
+            }
+        }
+    }
+}
+
+fn next(loader: &Loader, asking: &mut Asking) -> Step {
+    let tellers = loader.tellers();
+    asking.next(&loader.heard(&tellers), clock::now())
+}
+
+/// What a watch covers. Where no gateway is heard it tells of the next configurations, too; one that
+/// was written just before is told by the next gateway that is heard.
+fn scope(loader: &Loader) -> Scope {
+    match loader.subscribers.borrow().is_empty() {
+        true => Scope::Operators,
+        false => Scope::Weights,
+    }
+}
+
+/// Returns once the figures are to be asked for, or a watch of `scope` is wider than it has to be: all
+/// loaders would get the next configuration at once.
+async fn until_other_work(loader: &Loader, asking: &mut Asking, scope: Scope) {
+    loop {
+        let is_due = matches!(next(loader, asking), Step::Gateway(_) | Step::Store);
+        let is_too_wide = scope == Scope::Operators && self::scope(loader) == Scope::Weights;
+        if is_due || is_too_wide {
+            return;
         }
+        clock::pause(LOOK_MILLIS).await;
     }
 }
 
-/// Reads engines anew. An old answer will do, and may be older than what the watch has brought:
-/// only the list of engines is taken from it.
+/// Notes how a question for figures ended. An answer that says less than gateways know is none.
+fn note(loader: &Loader, asking: &mut Asking, source: Source, answer: Result<(), Error>) {
+    let knowledge = loader.knowledge();
+    match &answer {
+        Ok(()) if knowledge == Knowledge::Enough => return asking.note_answer(source),
+        Ok(()) => tracing::warn!(?source, ?knowledge, "figures are not enough"),
+        Err(error) => tracing::warn!(?source, cause = %error, "no figures"),
+    }
+    asking.note_failure(source, clock::now(), fastrand::u64(..));
+}
+
+/// Notes how a question to the store for named weights ended.
+fn note_store(asking: &mut Asking, answer: Result<(), Error>) {
+    match answer {
+        Ok(()) => asking.note_answer(Source::Weights),
+        Err(error) => {
+            tracing::warn!(cause = %error, "store does not answer");
+            asking.note_failure(Source::Weights, clock::now(), fastrand::u64(..));
+        }
+    }
+}
+
+async fn ask(loader: &Loader, gateway: SocketAddr) -> Result<(), Error> {
+    let told = figures::ask(gateway).await?;
+    loader.note_services(told.services);
+    *loader.fleet.borrow_mut() = told.fleet;
+    Ok(())
+}
+
+/// Learns anew who the engines are: from a gateway, or by an old answer of the store.
 pub async fn refresh(loader: &Loader) {
+    let mut tellers = loader.tellers();
+    fastrand::shuffle(&mut tellers);
+    for gateway in tellers.into_iter().take(ENGINE_TRIES) {
+        match ask(loader, gateway).await {
+            Ok(()) => return,
+            Err(error) => tracing::warn!(cause = %error, "a gateway does not tell of engines"),
+        }
+    }
     let mut client = Client::new(loader.settings.store);
     match store::read_all(&mut client, loader.dialect, Scope::Engines, true).await {
         Ok(copy) => {
@@ -82,48 +157,34 @@
     }
 }
 
-async fn read(loader: &Loader, client: &mut Client) -> Result<(), Error> {
-    let copy = store::read_all(client, loader.dialect, Scope::Everything, false).await?;
-    let news = loader.mirror.borrow_mut().replace(copy.items, copy.at);
-    take(loader, news);
+async fn read(loader: &Loader, client: &mut Client, scope: Scope) -> Result<(), Error> {
+    let copy = store::read_all(client, loader.dialect, scope, false).await?;
+    take(loader, &copy.items, copy.at);
     Ok(())
 }
 
+/// Watches `scope`; false where it has to be read anew.
 async fn watch(loader: &Loader, client: &mut Client, scope: Scope) -> Result<bool, Error> {
-    let after = loader.mirror.borrow().at();
-    let dialect = loader.dialect;
-    match store::watch(client, dialect, scope, after, WATCH_MILLIS).await? {
+    let after = loader.at.get();
+    match store::watch(client, loader.dialect, scope, after, WATCH_MILLIS).await? {
         Watched::HistoryGone => Ok(false),
         Watched::Changes(page) => {
-            let news = loader.mirror.borrow_mut().apply(page.items, page.at);
-            take(loader, news);
+            take(loader, &page.items, page.at);
             Ok(true)
         }
     }
 }
 
-fn take(loader: &Loader, news: Changes) {
-    for item in news {
-        take_item(loader, &item);
-    }
-}
-
-fn take_item(loader: &Loader, item: &Item) {
-    if item.value.is_none() {
-        if let Subject::Engine(id) = loader.dialect.subject(&item.key) {
-            loader.fleet.borrow_mut().unlist(&id);
-        }
-        return;
-    }
-    match loader.items.read(item) {
-        Some(Fact::Configuration(configuration)) => {
-            *loader.configuration.borrow_mut() = Some(*configuration);
-        }
-        Some(Fact::Engine(record)) => {
-            loader.fleet.borrow_mut().list(*record, item.revision);
+fn take(loader: &Loader, items: &[Item], at: Revision) {
+    for item in items {
+        match loader.items.read(item) {
+            Some(Fact::Configuration(configuration)) => {
+                loader.note_services(configuration.services_part().for_loaders());
+            }
+            // Gateways that send requests here tell when the bound began; without any of them nothing starts.
+            Some(Fact::Weights(named)) => loader.note_named(&named, 0),
+            Some(Fact::Engine(_) | Fact::Other) | None => {}
         }
-        // Gateways that send requests here tell when the bound began; without any of them nothing starts.
-        Some(Fact::Weights(named)) => loader.note_named(&named, 0),
-        Some(Fact::Other) | None => {}
     }
+    loader.at.set(loader.at.get().max(at));
 }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -14,12 +14,13 @@
     },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
+        asking::{Heard, Knowledge},
         backlog::Backlog,
         bringing::NamedAt,
-        configuration::{Configuration, Origin, ServiceKind},
+        configuration::{Origin, Services},
         dialect::{Dialect, Named},
         fleet::Fleet,
-        mirror::Mirror,
+        mirror::Revision,
         naming::{Naming, Namings},
         report::{Report, Version},
     },
@@ -37,9 +38,6 @@
     },
 };
 
-/// Gateways of a zone of which one at least is taken to know what operators write.
-const MANY_GATEWAYS: usize = 3;
-
 /// A gateway that wants reports.
 #[derive(Debug, Clone)]
 pub struct Subscriber {
@@ -95,9 +93,10 @@
     is_ordering: Cell<bool>,
     /// Tells that gateways have to hear something at once.
     pub news: Notify,
-    mirror: RefCell<Mirror>,
+    /// Revision of the store up to which named weights are known.
+    at: Cell<Revision>,
     fleet: RefCell<Fleet>,
-    configuration: RefCell<Option<Configuration>>,
+    services: RefCell<Option<Services>>,
     namings: RefCell<HashMap<String, Namings>>,
     /// Versions whose chunks are all here, and since when.
     complete: RefCell<Vec<NamedAt>>,
@@ -119,9 +118,9 @@
             backlog: RefCell::default(),
             is_ordering: Cell::new(false),
             news: Notify::new(),
-            mirror: RefCell::default(),
+            at: Cell::default(),
             fleet: RefCell::default(),
-            configuration: RefCell::default(),
+            services: RefCell::default(),
             namings: RefCell::default(),
             complete: RefCell::default(),
         }
@@ -130,30 +129,19 @@
     /// Model that the engine is for.
     pub fn model(&self) -> Option<String> {
         let fleet = self.fleet.borrow();
-        let configuration = self.configuration.borrow();
-        let configuration = configuration.as_ref()?;
+        let services = self.services.borrow();
         let own = fleet.at_address(self.settings.engine);
-        let service = own.map(|key| fleet.engine(key).record.service.clone());
-        let mut services = configuration.services().iter();
-        let of_engines = |kind: &ServiceKind| match kind {
-            ServiceKind::Engines(engines) => engines.models.first().cloned(),
-            _ => None,
-        };
-        services.find_map(|entry| {
-            let fits = service.as_ref().is_none_or(|name| *name == entry.name);
-            of_engines(&entry.kind).filter(|_| fits)
+        let own = own.map(|key| &fleet.engine(key).record.service);
+        services.as_ref()?.engines().find_map(|(service, engines)| {
+            let fits = own.is_none_or(|own| *own == service.name);
+            engines.models.first().filter(|_| fits).cloned()
         })
     }
 
     /// Prompt tokens that the engine has yet to read, by its next `report`.
     pub fn unread_tokens(&self, report: &Report) -> u64 {
-        let configuration = self.configuration.borrow();
-        let services = configuration.iter().flat_map(|known| known.services());
-        let mut engines = services.filter_map(|service| match &service.kind {
-            ServiceKind::Engines(engines) => Some(engines),
-            _ => None,
-        });
-        let Some(engines) = engines.next() else {
+        let services = self.services.borrow();
+        let Some((_, engines)) = services.iter().flat_map(Services::engines).next() else {
             return 0;
         };
         self.backlog
@@ -163,8 +151,7 @@
 
     /// Where weights come from.
     pub fn origin(&self) -> Option<Origin> {
-        let configuration = self.configuration.borrow();
-        configuration.as_ref().and_then(Configuration::origin)
+        self.services.borrow().as_ref().and_then(Services::origin)
     }
 
     /// Machines with engines for the same model, this one included.
@@ -193,11 +180,22 @@
     }
 
     fn engine_service(&self) -> Option<String> {
-        let configuration = self.configuration.borrow();
-        let mut services = configuration.as_ref()?.services().iter();
-        services
-            .find(|service| matches!(service.kind, ServiceKind::Engines(_)))
-            .map(|service| service.name.clone())
+        let services = self.services.borrow();
+        let (service, _) = services.as_ref()?.engines().next()?;
+        Some(service.name.clone())
+    }
+
+    /// Takes what operators say of services, unless something newer is known. Those without a version
+    /// are as new as the answer that brought them.
+    pub fn note_services(&self, services: Services) {
+        let mut known = self.services.borrow_mut();
+        let last = known.as_ref().map_or(0, |known| known.version);
+        if services.version > 0 && services.version < last {
+            return;
+        }
+        let version = services.version;
+        tracing::info!(version, last, "figures taken");
+        *known = Some(services);
     }
 
     /// Gateways that asked for reports lately.
@@ -210,27 +208,48 @@
         subscribers.iter().map(place).collect()
     }
 
-    /// True where gateways tell what operators write, and the configuration read last still says
-    /// what they know of engines and origins.
-    pub fn is_told_enough(&self) -> bool {
-        let configuration = self.configuration.borrow();
-        let Some(configuration) = configuration.as_ref() else {
-            return false;
+    /// What is known of services, measured by what gateways know.
+    pub fn knowledge(&self) -> Knowledge {
+        let services = self.services.borrow();
+        let Some(services) = services.as_ref() else {
+            return Knowledge::Nothing;
         };
-        let known = configuration.weights_digest();
+        let known = services.weights_digest();
         let subscribers = self.subscribers.borrow();
         let newest = subscribers
             .values()
             .max_by_key(|subscriber| subscriber.configuration);
-        newest.is_some_and(|newest| {
-            newest.weights_digest == known || newest.configuration <= configuration.version
-        })
+        let is_enough = newest.is_none_or(|newest| {
+            newest.weights_digest == known || newest.configuration <= services.version
+        });
+        match is_enough {
+            true => Knowledge::Enough,
+            false => Knowledge::Outdated,
+        }
     }
 
-    /// True where so many gateways of this zone tell what operators write that the store need not be
-    /// asked for it: one of them may be cut off or stand still.
-    pub fn is_told_by_many(&self) -> bool {
-        self.near_gateway_count() >= MANY_GATEWAYS && self.is_told_enough()
+    /// Gateways that may be asked for figures: those with the newest configuration, of this zone where
+    /// there are any.
+    pub fn tellers(&self) -> Vec<SocketAddr> {
+        let subscribers = self.subscribers.borrow();
+        let versions = subscribers.values().map(|one| one.configuration);
+        let newest = versions.max();
+        let knowing = subscribers
+            .iter()
+            .filter(|(_, one)| Some(one.configuration) == newest);
+        let (near, afar): (Vec<_>, Vec<_>) =
+            knowing.partition(|(_, one)| one.zone == self.settings.zone);
+        let chosen = if near.is_empty() { afar } else { near };
+        chosen.into_iter().map(|(address, _)| *address).collect()
+    }
+
+    /// What is heard, where `tellers` may be asked.
+    pub fn heard<'t>(&self, tellers: &'t [SocketAddr]) -> Heard<'t> {
+        Heard {
+            gateways: tellers,
+            near_count: self.near_gateway_count(),
+            knowledge: self.knowledge(),
+        }
     }
 
     /// Gateways of this zone that want reports.
@@ -269,7 +288,7 @@
     }
 
     /// When it was first heard that operators named `named`.
-    pub fn heard(&self, named: &Named) -> Option<Instant> {
+    pub fn named_at(&self, named: &Named) -> Option<Instant> {
         let namings = self.namings.borrow();
         let mut known = namings.get(&named.model)?.iter();
         let own = known.find(|known| known.version == named.version)?;
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -186,6 +186,7 @@
 fn tell(loader: &Loader, socket: &UdpSocket, turn: u64, is_news: bool) {
     let mut subscribers = loader.subscribers.borrow_mut();
     let now = clock::now();
+    // Also beside an engine that is not up: who is heard decides whom this loader asks.
     subscribers.retain(|_, subscriber| now.millis_since(subscriber.at) < SUBSCRIPTION_MILLIS);
     let report = loader.report.borrow();
     let Some(report) = report.as_ref() else {
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -46,6 +46,8 @@
     pub dialect: &'static dyn Dialect,
     /// Chunks held.
     pub holdings: RefCell<Holdings>,
+    /// Message that tells loaders of services and engines, where this is a gateway that knows them.
+    pub figures: RefCell<Option<Bytes>>,
     /// Engine of this machine, where there is one.
     pub engine: Option<SocketAddr>,
     /// What that engine serves.
@@ -85,6 +87,7 @@
         Self {
             dialect,
             holdings: RefCell::default(),
+            figures: RefCell::default(),
             engine: None,
             served: RefCell::default(),
             wanted: RefCell::default(),
--- a/crates/gingerpier_gateway/src/weights/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Carrier,
-    crate::{clock, relay, store::Client},
+    crate::{clock, figures, relay, store::Client},
     bytes::Bytes,
     gingerpier_http1::{connection::Connection, head::Request, writer::Message},
     gingerpier_serving::{dialect::Named, report::Version},
@@ -131,6 +131,9 @@
 
 async fn reply(carrier: &Carrier, request: &Request) -> Vec<u8> {
     let target = std::str::from_utf8(request.target()).unwrap_or_default();
+    if target == figures::PATH {
+        return figures::reply(carrier);
+    }
     let Some(question) = Question::parse(target) else {
         return Message::response(404).body(b"");
     };
--- /dev/null
+++ b/crates/gingerpier_gateway/tests/figures.rs
@@ -0,0 +1,166 @@
+//! What gateways tell loaders: all that these need, and little.
+
+use {
+    gingerpier_base::Instant,
+    gingerpier_gateway::{figures, message},
+    gingerpier_serving::{
+        configuration::{
+            Configuration, EngineModel, Limits, Origin, Repeat, Route, Service, ServiceKey,
+            ServiceKind, Target, Tenant,
+        },
+        fleet::{Fleet, Record, State},
+        mirror::Revision,
+        report::{Held, Report, Version},
+    },
+    std::net::SocketAddr,
+};
+
+fn engine_model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        stride: 5,
+        step_millis: 9.27,
+        per_request_millis: 0.02,
+        per_thousand_tokens_millis: 0.03,
+        read_per_milli: 20.7,
+        read_at_once: Some(512),
+        usual_prompt: 900,
+        usual_answer: 90,
+        memory_tokens: 400_000,
+        models: vec!["m".to_owned()],
+    }
+}
+
+fn origin(port: u16) -> Origin {
+    Origin {
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        link_bits_per_second: 100_000_000,
+        max_connections: 48,
+    }
+}
+
+fn service(name: &str, kind: ServiceKind) -> Service {
+    Service {
+        name: name.to_owned(),
+        max_connections: 100,
+        kind,
+    }
+}
+
+/// A configuration of some thousand routes and client accounts.
+fn configuration(origin: Origin) -> Configuration {
+    let route = |number: u32| Route {
+        name: format!("route-{number}"),
+        host: "h.example".to_owned(),
+        prefix: format!("/{number}/"),
+        repeat: Repeat::Safe,
+        timeout_millis: 5_000,
+        target_millis: 500,
+        pause_millis: 200,
+        priority: 1,
+        targets: vec![Target {
+            service: ServiceKey(0),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_public: false,
+    };
+    let tenant = |number: u32| Tenant {
+        name: format!("account-{number}"),
+        priority: None,
+        keys: vec![format!("secret-{number}")],
+    };
+    let services = vec![
+        service("plain", ServiceKind::Plain),
+        service("models", ServiceKind::Engines(Box::new(engine_model()))),
+        service("origin", ServiceKind::Origin(origin)),
+    ];
+    let routes = (0..2_000).map(route).collect();
+    let tenants = (0..2_000).map(tenant).collect();
+    Configuration::new(7, Limits::default(), routes, services, tenants)
+}
+
+fn record(id: &str, zone: u8, number: u8, version: u64) -> Record {
+    let held = Held {
+        model: "m".to_owned(),
+        version: Version(version),
+    };
+    Record {
+        id: id.to_owned(),
+        service: "models".to_owned(),
+        address: SocketAddr::from(([10, 1, zone, number], 8_080)),
+        zone: format!("zone-{zone}"),
+        state: State::Ready,
+        slots: 16,
+        report: Report {
+            held: vec![held],
+            ..Report::default()
+        },
+    }
+}
+
+#[test]
+fn a_loader_learns_what_it_needs_in_a_few_kilobytes() {
+    let configuration = configuration(origin(8_006));
+    let now = Instant::from_millis(0);
+    let mut fleet = Fleet::default();
+    for number in 0..204_u8 {
+        let id = format!("engine-{number}");
+        fleet.list(record(&id, number % 5, number, 3), Revision(1));
+    }
+    let told = figures::figures(&configuration.services_part().for_loaders(), &fleet, now);
+    let bytes = message::encode(&told);
+    assert!(bytes.len() < 8_000, "{} bytes", bytes.len());
+    let text = String::from_utf8_lossy(&bytes);
+    for kept in ["secret", "account", "route-", "h.example", "plain"] {
+        assert!(!text.contains(kept), "{kept} is told");
+    }
+    let learnt = figures::told(message::decode(&bytes).expect("a message"));
+    let services = &learnt.services;
+    assert_eq!(services.version, 7);
+    assert_eq!(services.weights_digest(), configuration.weights_digest());
+    assert_eq!(services.origin(), configuration.origin());
+    assert_eq!(services.list(), &configuration.services()[1..]);
+    assert_eq!(learnt.fleet.of_service("models").count(), 204);
+    for (_, engine) in fleet.listed() {
+        let address = engine.record.address;
+        let key = learnt.fleet.at_address(address).expect("it was told");
+        let learnt = learnt.fleet.engine(key);
+        assert_eq!(learnt.record.zone, engine.record.zone);
+        assert_eq!(learnt.version_of("m", now), Some(Version(3)));
+    }
+}
+
+#[test]
+fn of_two_engines_at_one_address_the_one_that_is_there_is_told() {
+    let mut fleet = Fleet::default();
+    fleet.list(record("new", 1, 1, 4), Revision(9));
+    fleet.list(record("old", 1, 1, 2), Revision(3));
+    let now = Instant::from_millis(0);
+    let services = configuration(origin(8_006)).services_part().for_loaders();
+    let told = figures::figures(&services, &fleet, now);
+    assert_eq!(told.engines.len(), 1);
+    let learnt = figures::told(told).fleet;
+    let versions = learnt
+        .listed()
+        .map(|(_, engine)| engine.version_of("m", now));
+    assert_eq!(versions.collect::<Vec<_>>(), [Some(Version(4))]);
+}
+
+#[test]
+fn the_digest_tells_a_changed_origin() {
+    let digest = |port| configuration(origin(port)).services_part().weights_digest();
+    assert_eq!(digest(8_006), digest(8_006));
+    assert_ne!(digest(8_006), digest(8_007));
+}
+
+#[test]
+fn an_engine_that_names_what_the_message_lacks_is_left_out() {
+    let mut fleet = Fleet::default();
+    fleet.list(record("a", 1, 1, 4), Revision(1));
+    let now = Instant::from_millis(0);
+    let services = configuration(origin(8_006)).services_part().for_loaders();
+    let mut told = figures::figures(&services, &fleet, now);
+    told.engines[0].zone = 9;
+    assert_eq!(figures::told(told).fleet.listed().count(), 0);
+}
