--- a/crates/gingerpier_gateway/src/figures.rs
+++ b/crates/gingerpier_gateway/src/figures.rs
@@ -39,6 +39,9 @@
 /// between.
 const RENEW_MILLIS: u64 = 1_000;
 
+/// Milliseconds that lie between two of them at least: engines write some 20 times a second.
+const LEAST_PAUSE_MILLIS: u64 = 250;
+
 /// Keeps what this gateway tells up to date.
 pub async fn keep(state: Rc<State>) {
     loop {
@@ -47,6 +50,7 @@
             let figures = figures(&services, &state.fleet.borrow(), clock::now());
             *state.carrier.figures.borrow_mut() = Some(message::encode(&figures).into());
         }
+        clock::pause(LEAST_PAUSE_MILLIS).await;
         let next = clock::now().after_millis(RENEW_MILLIS);
         // Whether there was news or the time is over, the same follows.
         let _ = clock::before(next, state.news.notified()).await;
