--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -105,7 +105,7 @@
 fn ranked(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
     let mut ranked: Vec<SocketAddr> = members.filter(|member| *member != own).collect();
     ranked.push(own);
-    ranked.sort_by_key(|member| (Reverse(order::hash(member)), *member));
+    ranked.sort_by_cached_key(|member| (Reverse(order::hash(member)), *member));
     ranked
 }
 
