Weights named before a process started come due 3 s after its start, however late its first copy is

Cause: the grace for what the first copy brings counted from hearing, and only within a second of the start. A first copy that comes later, as it does behind a full link, gave older weights 4.3 s and more on top, past the operators' bound.

Change: the decision moves to `naming::Naming::due_at`; what came with the first copy comes due 3 s after the start, by when a process counts as one that has the store.

--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -19,7 +19,7 @@
         dialect::{Dialect, Fact, Named, Subject},
         fleet::{EngineKey, Fleet, Record},
         mirror::{Changes, Item, Mirror, Revision},
-        naming::{Freshness, Naming, Namings, Told},
+        naming::{Bound, Freshness, Naming, Namings, Told},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -32,17 +32,6 @@
     tokio::sync::Notify,
 };
 
-/// Milliseconds before the operators' bound at which older weights serve no more: the longest way seen
-/// from the choice of an engine to the start there was 1.4 s, through a queue that had just filled, and
-/// engines are ordered 1.9 s before the bound at the latest.
-const VERSION_MARGIN_MILLIS: u64 = 1_700;
-
-/// Milliseconds from the start within which weights that are heard of may have been named long ago.
-const STARTING_MILLIS: u64 = 1_000;
-
-/// Milliseconds for which older weights may serve behind a naming that is heard of then.
-const START_GRACE_MILLIS: u64 = 3_000;
-
 /// Milliseconds without word from the store after which peers are asked.
 const CONTACT_MILLIS: u64 = 900;
 
@@ -91,6 +80,8 @@
     fresh: Cell<Freshness>,
     /// When bytes of an answer of the store came last: a large one takes a second or more.
     pub store_heard: Rc<Cell<Option<Instant>>>,
+    /// When the first copy of the store was taken.
+    first_copy_at: Cell<Option<Instant>>,
     started: Instant,
 }
 
@@ -125,6 +116,7 @@
             contact: Cell::new(None),
             fresh: Cell::default(),
             store_heard: Rc::default(),
+            first_copy_at: Cell::default(),
             started,
         }
     }
@@ -220,6 +212,9 @@
         for item in news {
             self.take_item(&item);
         }
+        if self.first_copy_at.get().is_none() {
+            self.first_copy_at.set(Some(clock::now()));
+        }
         let at = self.mirror.borrow().at();
         self.metrics.revision.set(at.0 as i64);
         self.news.notify_waiters();
@@ -323,18 +318,14 @@
     }
 
     fn due_of(&self, naming: &Naming) -> Due {
-        let is_starting = naming.heard.millis_since(self.started) < STARTING_MILLIS;
-        let bound = self.settings.version_within.0;
-        let at = match is_starting {
-            true => naming.heard.after_millis(START_GRACE_MILLIS),
-            false => {
-                let patience = bound.saturating_sub(VERSION_MARGIN_MILLIS);
-                naming.at.after_millis(patience)
-            }
+        let bound = Bound {
+            started: self.started,
+            first_copy_at: self.first_copy_at.get(),
+            within_millis: self.settings.version_within.0,
         };
         Due {
             version: naming.version,
-            at,
+            at: naming.due_at(&bound),
         }
     }
 
--- a/crates/gingerpier_serving/src/naming.rs
+++ b/crates/gingerpier_serving/src/naming.rs
@@ -22,6 +22,15 @@
 /// engines' turns.
 const MOST_BACK_DIVISOR: u64 = 4;
 
+/// Milliseconds before the operators' bound at which older weights serve no more: the longest way seen
+/// from the choice of an engine to the start there was 1.4 s, through a queue that had just filled, and
+/// engines are ordered 1.9 s before the bound at the latest.
+const VERSION_MARGIN_MILLIS: u64 = 1_700;
+
+/// Milliseconds from a process's start for which older weights may serve behind a naming that its first copy
+/// of the store brought, which may be long past: by then it counts as one that has the store.
+const START_GRACE_MILLIS: u64 = 3_000;
+
 /// What another process says of how fresh the knowledge is that it passes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Told {
@@ -74,6 +83,29 @@
     pub at: Instant,
 }
 
+/// The operators' bound, at one process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bound {
+    /// When it started.
+    pub started: Instant,
+    /// When it took its first copy of the store; none while it has none.
+    pub first_copy_at: Option<Instant>,
+    /// Milliseconds from a naming to its last effect.
+    pub within_millis: u64,
+}
+
+impl Naming {
+    /// From when on older weights may start nothing.
+    pub fn due_at(&self, bound: &Bound) -> Instant {
+        let came_with_first_copy = bound.first_copy_at.is_none_or(|at| self.heard <= at);
+        if came_with_first_copy {
+            return bound.started.after_millis(START_GRACE_MILLIS);
+        }
+        let patience = bound.within_millis.saturating_sub(VERSION_MARGIN_MILLIS);
+        self.at.after_millis(patience)
+    }
+}
+
 /// Weights of one model that were named, by rising version.
 #[derive(Debug, Clone, Default)]
 pub struct Namings(Vec<Naming>);
--- a/crates/gingerpier_serving/tests/naming.rs
+++ b/crates/gingerpier_serving/tests/naming.rs
@@ -4,7 +4,7 @@
 use {
     gingerpier_base::Instant,
     gingerpier_serving::{
-        naming::{Freshness, Naming, Namings, Told},
+        naming::{Bound, Freshness, Naming, Namings, Told},
         report::Version,
     },
     proptest::prelude::*,
@@ -252,3 +252,32 @@
     assert_eq!(fresh.earliest(WITHIN, at(70_000)), at(68_000));
     assert_eq!(fresh.earliest(3_000, at(70_000)), at(69_250));
 }
+
+#[test]
+fn weights_named_before_a_process_started_come_due_soon_after_its_start_however_late_its_first_copy_is()
+ {
+    let started = Instant::from_millis(60_000);
+    for copy_after in [50, 900, 1_100, 2_500, 6_000] {
+        let first_copy = started.after_millis(copy_after);
+        let naming = Naming {
+            version: Version(2),
+            heard: first_copy,
+            at: first_copy,
+        };
+        let bound = Bound {
+            started,
+            first_copy_at: Some(first_copy),
+            within_millis: 8_000,
+        };
+        let due = naming.due_at(&bound);
+        assert_eq!(due, started.after_millis(3_000), "copy after {copy_after}");
+        // One that is named later has its time.
+        let later = first_copy.after_millis(1);
+        let naming = Naming {
+            heard: later,
+            at: later,
+            ..naming
+        };
+        assert_eq!(naming.due_at(&bound), later.after_millis(6_300));
+    }
+}
