Two red tests of sources given up without a reason: far links, and a process that did not run

No word can come before the link. A process that did not run for a while can do the same: it judges deadlines before it reads what came. Change: a test for each. Links with 60 ms each way; a backend server frozen for 1.5 s during its fetch.

--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -4,8 +4,10 @@
     gingerpier_fleet::{Caller, Error, Fleet, Spec, caller::Call, fleet::TOKEN, spec::Zone},
     gingerpier_standins::{
         engine::Ordered,
+        link,
         origin::{Control, Counts},
     },
+    std::time::Duration,
 };
 
 const MODEL: &str = "plate-notes";
@@ -202,22 +204,37 @@
     Ok(())
 }
 
-/// Starts a fleet at a slow pace, deploys, and checks that no backend server logged `event`.
-async fn deploy_slowly_without(event: &str, terms: &str) -> Result<Fleet, Error> {
-    let weights = format!("  send: 500kB/s\n  receive: 500kB/s\n{terms}");
-    let spec = Spec {
-        weights,
+/// Four backend servers that pass small chunks on at a slow pace.
+fn slow_spec(terms: &str) -> Spec {
+    Spec {
+        weights: format!("  send: 500kB/s\n  receive: 500kB/s\n{terms}"),
         chunk_bytes: 65_536,
         ..spec()
-    };
-    let fleet = Fleet::start(spec).await?;
+    }
+}
+
+/// Lines about `event` in the log of a backend server.
+fn lines_about(fleet: &Fleet, server: usize, event: &str) -> Vec<String> {
+    let name = &fleet.servers[server].name;
+    let log = fleet.log(name);
+    assert!(log.contains("event=started"), "{name} has no log");
+    let lines = log.lines().filter(|line| line.contains(event));
+    lines.map(ToOwned::to_owned).collect()
+}
+
+/// Deploys, and checks that no backend server logged `event`.
+async fn deploy_without(event: &str, fleet: &Fleet) -> Result<(), Error> {
     fleet.deploy(MODEL, MEGABYTES).await?;
-    for server in &fleet.servers {
-        let log = fleet.log(&server.name);
-        assert!(log.contains("event=started"), "{} has no log", server.name);
-        let seen: Vec<&str> = log.lines().filter(|line| line.contains(event)).collect();
-        assert_eq!(seen, [""; 0], "{}", server.name);
+    for (index, server) in fleet.servers.iter().enumerate() {
+        assert_eq!(lines_about(fleet, index, event), [""; 0], "{}", server.name);
     }
+    Ok(())
+}
+
+/// Starts a fleet at a slow pace, deploys, and checks that no backend server logged `event`.
+async fn deploy_slowly_without(event: &str, terms: &str) -> Result<Fleet, Error> {
+    let fleet = Fleet::start(slow_spec(terms)).await?;
+    deploy_without(event, &fleet).await?;
     Ok(fleet)
 }
 
@@ -236,3 +253,60 @@
     assert_eq!(counts.bytes, weights_bytes(&fleet, "v1"));
     Ok(())
 }
+
+#[actix_rt::test]
+async fn questions_at_a_far_source_do_not_queue_for_their_links() -> Result<(), Error> {
+    // One handshake fits well into a stall; a dozen, one after another, do not.
+    const DELAY_MILLIS: u64 = 60;
+    let spec = Spec {
+        links: true,
+        ..slow_spec("  stall: 1s\n")
+    };
+    let fleet = Fleet::start(spec).await?;
+    let far = link::Control {
+        delay_millis: DELAY_MILLIS,
+        ..link::Control::default()
+    };
+    for server in &fleet.servers {
+        let link = server.link.as_ref().expect("there is a link");
+        fleet.control(link.address("control"), &far).await?;
+    }
+    deploy_without("source_stalled", &fleet).await
+}
+
+#[actix_rt::test]
+async fn a_process_that_did_not_run_for_a_while_gives_up_no_source() -> Result<(), Error> {
+    // Longer than a stall may last, and shorter than a link may be silent.
+    const FROZEN: Duration = Duration::from_millis(1_500);
+    let fleet = Fleet::start(slow_spec("  stall: 1s\n")).await?;
+    let (_, digest) = fleet.gingerpier(&["token", TOKEN]).await?;
+    let account = format!("set account observatory key {} rate 100", digest.trim());
+    let serve =
+        "serve plate-notes in trivandrum replicas 2; serve plate-notes in kozhikode replicas 2";
+    fleet
+        .command(&format!("{account}; create model {MODEL} for lm; {serve}"))
+        .await?;
+    fleet
+        .create_version(MODEL, "v1", MEGABYTES, 1, None)
+        .await?;
+    fleet.command(&format!("roll out {MODEL} to v1")).await?;
+    fleet
+        .until("some chunks have moved", || async {
+            let table = fleet.table("show loading").await?;
+            let moved = table.rows.iter().any(|row| !row[7].starts_with("0/"));
+            Ok(if moved {
+                Ok(())
+            } else {
+                Err(format!("{:?}", table.rows))
+            })
+        })
+        .await?;
+    let frozen = &fleet.servers[0].child;
+    frozen.freeze();
+    actix_rt::time::sleep(FROZEN).await;
+    frozen.thaw();
+    fleet.until_live(MODEL, "v1").await?;
+    // The others may have given it up: it did say nothing. It has no reason to give them up.
+    assert_eq!(lines_about(&fleet, 0, "source_stalled"), [""; 0]);
+    Ok(())
+}
