A question does not queue for its link: one link for each pair, handshakes side by side

Cause: a box that begins a fetch asks one source for up to 12 chunks at once. Each question made a link of its own where there was none, and the source carried out handshakes one after another, waiting for each peer's answer. The last questions were not asked for as long as a dozen exchanges take; no word can come before, so all of them passed their deadline in the same look. A peer silent within its handshake held up everyone for 4 s. Change: questions that come together wait for one link; each handshake is a task of its own, 1,024 at most.

--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -19,6 +19,7 @@
         rc::{Rc, Weak},
         time::Duration,
     },
+    tokio::sync::Mutex,
 };
 
 /// The longest time between two reports of state, in milliseconds; the link itself tells sooner
@@ -35,7 +36,8 @@
     lists: RefCell<BTreeMap<usize, Vec<Peer>>>,
     /// Rises whenever the boxes change.
     generation: Cell<u64>,
-    links: RefCell<BTreeMap<Name, Link>>,
+    /// Links to other backend servers, each locked while it is being made.
+    links: RefCell<BTreeMap<Name, Rc<Mutex<Option<Link>>>>>,
     this: RefCell<Weak<Backend>>,
 }
 
@@ -64,6 +66,12 @@
         self.merge();
     }
 
+    /// Link to a backend server, where there is one.
+    fn link(&self, name: &Name) -> Rc<Mutex<Option<Link>>> {
+        let mut links = self.links.borrow_mut();
+        links.entry(name.clone()).or_default().clone()
+    }
+
     /// Forgets what an entry box told on a link that is down.
     fn forget(&self, link: &Link) {
         if self.lists.borrow_mut().remove(&link.id()).is_some() {
@@ -193,13 +201,17 @@
 
     /// Link to another backend server, made where there is none.
     ///
+    /// Questions that come together wait for one link: a handshake for each of them would keep the
+    /// last ones from being asked for longer than a stall may last.
+    ///
     /// # Errors
     ///
     /// Where it can't be reached.
     pub async fn link_to(&self, peer: &Peer) -> Result<Link, Error> {
-        let held = self.book.links.borrow().get(&peer.name).cloned();
-        if let Some(link) = held.filter(|link| !link.is_closed()) {
-            return Ok(link);
+        let place = self.book.link(&peer.name);
+        let mut held = place.lock().await;
+        if let Some(link) = held.as_ref().filter(|link| !link.is_closed()) {
+            return Ok(link.clone());
         }
         let address = peer.address.parse();
         let address = address.map_err(|what| Error::new(Step::Connect, &peer.name, what))?;
@@ -208,10 +220,7 @@
             name: peer.name.clone(),
         };
         let link = self.process.connect(address, &identity).await?;
-        self.book
-            .links
-            .borrow_mut()
-            .insert(peer.name.clone(), link.clone());
+        held.replace(link.clone());
         // The other end may ask on the same link.
         if let Some(backend) = self.strong() {
             actix_rt::spawn(backend.serve_link(link.clone()));
--- a/crates/gingerpier_daemon/src/process.rs
+++ b/crates/gingerpier_daemon/src/process.rs
@@ -5,7 +5,7 @@
     actix_rt::signal::unix::{SignalKind, signal},
     gingerpier_base::place::{Incarnation, Role},
     gingerpier_http::Listener,
-    gingerpier_link::{Credentials, Endpoint, Identity as Named, Link, Traffic},
+    gingerpier_link::{Credentials, Endpoint, Identity as Named, Incoming, Link, Traffic},
     gingerpier_settings::entry::Identity,
     gingerpier_wire::frame::Hello,
     std::{
@@ -13,14 +13,18 @@
         net::SocketAddr,
         path::PathBuf,
         rc::Rc,
+        sync::Arc,
     },
-    tokio::sync::watch,
+    tokio::sync::{Semaphore, watch},
 };
 
 /// Milliseconds between counts of the links' bytes.
 const TRAFFIC_MILLIS: u64 = 500;
 /// Milliseconds between looks at the files of keys.
 const KEYS_MILLIS: u64 = 1_000;
+/// Handshakes with peers at once: what peers that never end theirs may take of the memory. Far more
+/// than boxes that come back together.
+const HANDSHAKES_AT_ONCE: usize = 1_024;
 
 /// One run of one daemon.
 pub struct Process {
@@ -130,19 +134,36 @@
     }
 
     /// Serves links that peers make, each with `serve`, until the endpoint is closed.
-    pub async fn accept<F, S>(&self, serve: F)
+    pub async fn accept<F, S>(self: &Rc<Self>, serve: F)
     where
-        F: Fn(Link) -> S,
+        F: Fn(Link) -> S + 'static,
         S: Future<Output = ()> + 'static,
     {
         let endpoint = self.endpoint.borrow().clone();
-        while let Some(accepted) = endpoint.accept().await {
-            match accepted {
-                Ok(link) => {
-                    self.links.borrow_mut().push(link.clone());
-                    actix_rt::spawn(serve(link));
+        let serve = Rc::new(serve);
+        let handshakes = Arc::new(Semaphore::new(HANDSHAKES_AT_ONCE));
+        while let Some(incoming) = endpoint.accept().await {
+            let (process, serve) = (self.clone(), serve.clone());
+            let handshake = handshakes.clone().acquire_owned().await;
+            actix_rt::spawn(async move {
+                let link = process.authenticate(incoming).await;
+                drop(handshake);
+                if let Some(link) = link {
+                    serve(link).await;
                 }
-                Err(error) => tracing::warn!(event = "link_refused", %error),
+            });
+        }
+    }
+
+    async fn authenticate(&self, incoming: Incoming) -> Option<Link> {
+        match incoming.authenticate().await {
+            Ok(link) => {
+                self.links.borrow_mut().push(link.clone());
+                Some(link)
+            }
+            Err(error) => {
+                tracing::warn!(event = "link_refused", %error);
+                None
             }
         }
     }
--- a/crates/gingerpier_link/src/endpoint.rs
+++ b/crates/gingerpier_link/src/endpoint.rs
@@ -29,6 +29,11 @@
     inner: quinn::Endpoint,
 }
 
+/// A peer that wants to connect, and has not yet shown who it is.
+pub struct Incoming {
+    inner: quinn::Incoming,
+}
+
 /// A connection to an authenticated peer.
 #[derive(Clone)]
 pub struct Link {
@@ -115,16 +120,33 @@
         })
     }
 
-    /// Next link that a peer makes; none once the endpoint is closed.
-    pub async fn accept(&self) -> Option<Result<Link, Error>> {
-        let incoming = self.inner.accept().await?;
-        let address = incoming.remote_address();
-        Some(Self::authenticate(incoming, address).await)
+    /// Next peer that wants to connect; none once the endpoint is closed.
+    ///
+    /// Its handshake is for a task of its own: a peer that falls silent within it must not hold up
+    /// the others.
+    pub async fn accept(&self) -> Option<Incoming> {
+        let inner = self.inner.accept().await?;
+        Some(Incoming { inner })
+    }
+
+    /// Closes all links, and waits until the peers were told.
+    pub async fn close(&self) {
+        self.inner.close(VarInt::from_u32(0), b"stopped");
+        self.inner.wait_idle().await;
     }
+}
 
-    async fn authenticate(incoming: quinn::Incoming, address: SocketAddr) -> Result<Link, Error> {
+impl Incoming {
+    /// Carries out the handshake; the peer must show a certificate of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Where it shows none, or falls silent.
+    pub async fn authenticate(self) -> Result<Link, Error> {
+        let address = self.inner.remote_address();
         let wrong = |what: String| Error::new(Step::Authenticate, address, what);
-        let connecting = incoming.accept().map_err(|what| wrong(what.to_string()))?;
+        let accepted = self.inner.accept();
+        let connecting = accepted.map_err(|what| wrong(what.to_string()))?;
         let inner = connecting.await.map_err(|what| wrong(what.to_string()))?;
         let shown = inner
             .peer_identity()
@@ -134,12 +156,6 @@
         let peer = Identity::from_certificate(&certificate)?;
         Ok(Link { inner, peer })
     }
-
-    /// Closes all links, and waits until the peers were told.
-    pub async fn close(&self) {
-        self.inner.close(VarInt::from_u32(0), b"stopped");
-        self.inner.wait_idle().await;
-    }
 }
 
 impl Link {
