Time in which a process did not run counts against no source

Cause: a process that was not running found, when it ran again, all deadlines of its questions passed, and gave up its sources although what they had sent lay unread in its socket. Change: whoever drives a fetch tells it when a look was due; one that is late by more than 100 ms moves all deadlines by as much. Both settings: backend servers, and the fetch of gateways and loaders.

--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -166,14 +166,18 @@
         let (sender, mut ended) = mpsc::unbounded_channel();
         let mut asks = Asks::default();
         let mut actions = Vec::new();
+        let mut look_at = clock::now();
         loop {
             let Some(fetching) = weak.upgrade() else {
                 return;
             };
             self.follow_plan(&fetching, &manifest);
+            let now = clock::now();
             if let Some(machine) = fetching.machine.borrow_mut().as_mut() {
-                machine.poll(clock::now(), &mut actions);
+                machine.note_look(look_at, now);
+                machine.poll(now, &mut actions);
             }
+            look_at = now.after_millis(LOOK_MILLIS);
             for action in actions.drain(..) {
                 match action {
                     Action::Ask {
@@ -213,7 +217,7 @@
                 }
             }
             drop(fetching);
-            let next = actix_rt::time::timeout(Duration::from_millis(LOOK_MILLIS), ended.recv());
+            let next = actix_rt::time::timeout(clock::left(look_at), ended.recv());
             if let Ok(Some(Ended {
                 chunk,
                 attempt,
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -215,9 +215,13 @@
 
     async fn run(mut self) -> Ended {
         let started = clock::now();
+        let mut look_at = started;
         loop {
             let mut actions = std::mem::take(&mut self.actions);
-            self.fetch.poll(clock::now(), &mut actions);
+            let now = clock::now();
+            self.fetch.note_look(look_at, now);
+            self.fetch.poll(now, &mut actions);
+            look_at = now.after_millis(TICK_MILLIS);
             for action in actions {
                 match action {
                     Action::Ask {
@@ -252,8 +256,7 @@
                 tracing::error!("chunks of the origin do not fit the manifest; it is taken anew");
                 return Ended::Doubted;
             }
-            let tick = clock::now().after_millis(TICK_MILLIS);
-            if let Some(Some(event)) = clock::before(tick, self.events.recv()).await {
+            if let Some(Some(event)) = clock::before(look_at, self.events.recv()).await {
                 self.note(event);
                 while let Ok(event) = self.events.try_recv() {
                     self.note(event);
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -4,6 +4,9 @@
 //! on the same part of the version and the origin's link carries few chunks at a time. Each
 //! chunk has a deadline that moves on with progress and a last deadline that does not; where
 //! either passes, or the source fails or sends wrong bytes, the next source of the plan is taken.
+//!
+//! Deadlines measure the sources, so time in which this process itself did not run does not count:
+//! what they sent meanwhile has not been read yet. Whoever drives the fetch tells when a look was due.
 
 use {
     crate::{
@@ -44,6 +47,10 @@
 /// Least attempts at once.
 const LEAST_WIDTH: usize = 4;
 
+/// Milliseconds by which a look at deadlines may be late before this process counts as not having
+/// run: more than a busy machine's usual delay, and far less than a stall.
+const LATE_MILLIS: u64 = 100;
+
 /// Attempts more for each chunk that came.
 const WIDENING: usize = 2;
 
@@ -193,6 +200,23 @@
         }
     }
 
+    /// Notes that a look that was due at `due` is taken `now`: where it is late, all deadlines move by
+    /// as much.
+    pub fn note_look(&mut self, due: Instant, now: Instant) {
+        let lost_millis = now.millis_since(due);
+        if lost_millis <= LATE_MILLIS {
+            return;
+        }
+        for attempt in self
+            .open
+            .values_mut()
+            .filter_map(|chunk| chunk.attempt.as_mut())
+        {
+            attempt.stall_deadline = attempt.stall_deadline.after_millis(lost_millis);
+            attempt.last_deadline = attempt.last_deadline.after_millis(lost_millis);
+        }
+    }
+
     /// Starts `chunk` ahead of the window, because another replica waits for it here.
     pub fn want(&mut self, chunk: u32) {
         let known = (chunk as usize) < self.held.len();
--- a/crates/gingerpier_weights/tests/spreading.rs
+++ b/crates/gingerpier_weights/tests/spreading.rs
@@ -99,6 +99,33 @@
     assert_ne!(first, second);
 }
 
+#[test]
+fn time_in_which_the_process_did_not_run_counts_against_no_source() {
+    let at = Instant::from_millis;
+    let mut fetch = fetch(1);
+    asks(&mut fetch, at(0));
+    // A look was due at 50, and is taken at 950: 50 are left of the 100 that a stall may last.
+    fetch.note_look(at(50), at(950));
+    assert_eq!(asks(&mut fetch, at(960)), []);
+    assert_eq!(asks(&mut fetch, at(999)), []);
+    let later = asks(&mut fetch, at(1_000));
+    let [Action::Drop { .. }, Action::Ask { .. }] = later[..] else {
+        panic!("{later:?}")
+    };
+}
+
+#[test]
+fn looks_that_are_a_little_late_put_no_deadline_off() {
+    let at = Instant::from_millis;
+    let mut fetch = fetch(1);
+    asks(&mut fetch, at(0));
+    fetch.note_look(at(40), at(90));
+    let later = asks(&mut fetch, at(100));
+    let [Action::Drop { .. }, Action::Ask { .. }] = later[..] else {
+        panic!("{later:?}")
+    };
+}
+
 #[test]
 fn a_liar_is_not_asked_again() {
     let mut fetch = fetch(40);
