A red test of the words with which a source says that it waits itself

Cause: the lines of a scratch build show 600 ms between two words of a source that says each 300 ms that it waits: the count starts anew when the chunk is there and the question waits for its turn on the link. Change: a test with a stall of 550 ms, less than twice the time between two words.

--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -254,6 +254,15 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn a_source_says_that_it_waits_as_often_when_it_waits_for_its_own_link() -> Result<(), Error>
+{
+    // Less than two words apart. A chunk that arrives is sent on only behind others, so that all
+    // questions wait twice: for their chunk, and for the link.
+    deploy_slowly_without("source_stalled", "  stall: 550ms\n").await?;
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn questions_at_a_far_source_do_not_queue_for_their_links() -> Result<(), Error> {
     // One handshake fits well into a stall; a dozen, one after another, do not.
