One count of words for all that a question waits for

Cause: a source says each 300 ms that a chunk will still come, but the count began anew when the chunk was there and the question waited for its turn on the link: 600 ms without a word. Change: the count belongs to the question and goes on through both waits.

--- a/crates/gingerpier_daemon/src/backend/serving.rs
+++ b/crates/gingerpier_daemon/src/backend/serving.rs
@@ -7,7 +7,7 @@
     gingerpier_base::{Digest, Instant},
     gingerpier_link::{Error, Stream},
     gingerpier_wire::Reply,
-    std::{pin::pin, time::Duration},
+    std::pin::pin,
     tokio::sync::SemaphorePermit,
 };
 
@@ -16,16 +16,51 @@
 /// Milliseconds for which another box's ask is kept waiting.
 pub(super) const WAIT_MILLIS: u64 = 25_000;
 
+/// A peer's question, and when the peer is next told that it is still waited for.
+///
+/// One count goes on through all that a question waits for, so that the peer never waits for a word
+/// twice as long as it should.
+struct Waiting {
+    stream: Stream,
+    tell_at: Instant,
+}
+
+impl Waiting {
+    fn new(stream: Stream) -> Self {
+        Self {
+            stream,
+            tell_at: clock::now().after_millis(PENDING_MILLIS),
+        }
+    }
+
+    /// Tells the peer, where that is due, that what it asked for will still come.
+    async fn tell(&mut self) -> Result<(), Error> {
+        if self.tell_at.has_passed(clock::now()) {
+            self.stream.send(&Reply::Pending).await?;
+            self.tell_at = clock::now().after_millis(PENDING_MILLIS);
+        }
+        Ok(())
+    }
+
+    /// Output of `work`, where it comes before the peer is to be told.
+    async fn before_word<F: Future>(&self, work: F) -> Option<F::Output> {
+        let left = clock::left(self.tell_at);
+        actix_rt::time::timeout(left, work).await.ok()
+    }
+}
+
 impl Backend {
     /// Serves a manifest to a peer, which is told to wait while it is on its way here.
-    pub async fn serve_manifest(&self, mut stream: Stream, version: Digest, wait: bool) {
+    pub async fn serve_manifest(&self, stream: Stream, version: Digest, wait: bool) {
+        let mut waiting = Waiting::new(stream);
         let found = match self.weights.manifest(version) {
             None if wait => {
-                self.wait_for(&mut stream, version, |weights| weights.manifest(version))
+                self.wait_for(&mut waiting, version, |weights| weights.manifest(version))
                     .await
             }
             found => found,
         };
+        let mut stream = waiting.stream;
         let served = async {
             let Some(held) = found else {
                 return stream.send(&Reply::NotHeld).await;
@@ -44,7 +79,7 @@
     /// way here.
     pub async fn serve_chunk(
         &self,
-        mut stream: Stream,
+        stream: Stream,
         version: Digest,
         index: u32,
         offset: u32,
@@ -54,29 +89,31 @@
             let manifest = weights.manifest(version)?.manifest;
             weights.chunk(*manifest.chunks.get(index as usize)?)
         };
+        let mut waiting = Waiting::new(stream);
         let found = match held(&self.weights) {
             None if wait => {
                 if let Some(fetching) = self.weights.fetching(version) {
                     fetching.want(index);
                 }
-                self.wait_for(&mut stream, version, held).await
+                self.wait_for(&mut waiting, version, held).await
             }
             found => found,
         };
         let served = async {
             let rest = found.filter(|chunk| offset as usize <= chunk.len());
             let Some(rest) = rest.map(|chunk| chunk.slice(offset as usize..)) else {
-                return stream.send(&Reply::NotHeld).await;
+                return waiting.stream.send(&Reply::NotHeld).await;
             };
-            self.send_paced(&mut stream, rest).await
+            self.send_paced(&mut waiting, rest).await
         };
-        finish(served.await, stream).await;
+        finish(served.await, waiting.stream).await;
     }
 
-    async fn send_paced(&self, stream: &mut Stream, mut rest: Bytes) -> Result<(), Error> {
+    async fn send_paced(&self, waiting: &mut Waiting, mut rest: Bytes) -> Result<(), Error> {
         // Whole chunks one after another reach those who wait for them, and pass them on, sooner
         // than many at once.
-        let _turn = self.send_turn(stream).await?;
+        let _turn = self.send_turn(waiting).await?;
+        let stream = &mut waiting.stream;
         stream
             .send(&Reply::Chunk {
                 length: rest.len() as u32,
@@ -92,14 +129,13 @@
     }
 
     /// Waits for a turn to send; the peer is told meanwhile that its chunk will come.
-    async fn send_turn(&self, stream: &mut Stream) -> Result<Option<SemaphorePermit<'_>>, Error> {
+    async fn send_turn(&self, waiting: &mut Waiting) -> Result<Option<SemaphorePermit<'_>>, Error> {
         let mut turn = pin!(self.send_turns.acquire());
         loop {
-            let pause = Duration::from_millis(PENDING_MILLIS);
-            match actix_rt::time::timeout(pause, &mut turn).await {
-                Ok(turn) => return Ok(turn.ok()),
-                Err(_) => stream.send(&Reply::Pending).await?,
+            if let Some(turn) = waiting.before_word(&mut turn).await {
+                return Ok(turn.ok());
             }
+            waiting.tell().await?;
         }
     }
 
@@ -115,13 +151,12 @@
     }
 
     /// Waits until `look` finds something, as long as this box expects the version itself.
-    async fn wait_for<T, F>(&self, stream: &mut Stream, version: Digest, look: F) -> Option<T>
+    async fn wait_for<T, F>(&self, waiting: &mut Waiting, version: Digest, look: F) -> Option<T>
     where
         F: Fn(&Weights) -> Option<T>,
     {
         let mut arrivals = self.weights.arrivals();
         let deadline: Instant = clock::now().after_millis(WAIT_MILLIS);
-        let mut tell_at = clock::now().after_millis(PENDING_MILLIS);
         loop {
             if let Some(found) = look(&self.weights) {
                 return Some(found);
@@ -130,12 +165,9 @@
                 return None;
             }
             // Other chunks come all the time; the peer is told by the clock, not by their pauses.
-            if tell_at.has_passed(clock::now()) {
-                stream.send(&Reply::Pending).await.ok()?;
-                tell_at = clock::now().after_millis(PENDING_MILLIS);
-            }
+            waiting.tell().await.ok()?;
             // Without an arrival, the look is taken all the same.
-            let _ = actix_rt::time::timeout(clock::left(tell_at), arrivals.changed()).await;
+            let _ = waiting.before_word(arrivals.changed()).await;
         }
     }
 }
