--- a/crates/gingerpier_gateway/src/discovery.rs
+++ b/crates/gingerpier_gateway/src/discovery.rs
@@ -23,7 +23,7 @@
 /// Milliseconds without a name after which the list of engines is read.
 const SEEDS_MILLIS: u64 = 300;
 
-/// Most milliseconds of the pause after the list could not be read.
+/// Most milliseconds of the pause after the list could not be read, or named nobody: an answer may be old.
 const RETRY_MILLIS: u64 = 1_000;
 
 /// Gateways that one answer names: more would not fit into a datagram.
@@ -102,7 +102,10 @@
                     loaders = state.first_loaders.borrow().len(),
                     "list of engines read, to find other gateways"
                 );
-                return;
+                if !state.first_loaders.borrow().is_empty() {
+                    return;
+                }
+                clock::pause(RETRY_MILLIS).await;
             }
             Err(error) => {
                 state.note_store_failure(&error);
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -14,6 +14,7 @@
         dialect::{Fact, Scope, Watched},
         fleet::Fleet,
         mirror::{Item, Revision},
+        naming::OWN,
     },
     std::{net::SocketAddr, rc::Rc},
 };
@@ -35,7 +36,7 @@
 pub async fn follow(loader: Rc<Loader>) {
     let settings = &loader.settings;
     let mut asking = Asking::new(settings.peers, settings.regions.len(), clock::now());
-    let mut client = Client::new(settings.store);
+    let mut client = store::client(settings.store, loader.dialect);
     let mut is_in_step = false;
     loop {
         match next(&loader, &mut asking) {
@@ -44,7 +45,11 @@
                 note(&loader, &mut asking, Source::Gateway, answer);
             }
             Step::Store => {
-                let answer = read(&loader, &mut client, Scope::Operators).await;
+                // A gateway that is heard meanwhile tells the same in a hundredth of the bytes.
+                let answer = tokio::select! {
+                    answer = read(&loader, &mut client, Scope::Operators) => answer,
+                    () = until_told(&loader) => continue,
+                };
                 is_in_step = answer.is_ok();
                 note(&loader, &mut asking, Source::Store, answer);
             }
@@ -86,6 +91,13 @@
     }
 }
 
+/// Returns once a gateway is heard that can tell the figures.
+async fn until_told(loader: &Loader) {
+    while loader.tellers().is_empty() {
+        clock::pause(LOOK_MILLIS).await;
+    }
+}
+
 /// Returns once the figures are to be asked for, or a watch of `scope` is wider than it has to be: all
 /// loaders would get the next configuration at once.
 async fn until_other_work(loader: &Loader, asking: &mut Asking, scope: Scope) {
@@ -138,7 +150,7 @@
             Err(error) => tracing::warn!(cause = %error, "a gateway does not tell of engines"),
         }
     }
-    let mut client = Client::new(loader.settings.store);
+    let mut client = store::client(loader.settings.store, loader.dialect);
     match store::read_all(&mut client, loader.dialect, Scope::Engines, true).await {
         Ok(copy) => {
             let mut fleet = Fleet::default();
@@ -182,7 +194,7 @@
                 loader.note_services(configuration.services_part().for_loaders());
             }
             // Gateways that send requests here tell when the bound began; without any of them nothing starts.
-            Some(Fact::Weights(named)) => loader.note_named(&named, 0),
+            Some(Fact::Weights(named)) => loader.note_named(&named, OWN, 0),
             Some(Fact::Engine(_) | Fact::Other) | None => {}
         }
     }
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -21,7 +21,7 @@
         dialect::{Dialect, Named},
         fleet::Fleet,
         mirror::Revision,
-        naming::{Naming, Namings},
+        naming::{Naming, Namings, Teller},
         report::{Report, Version},
     },
     gingerpier_settings::Loader as Settings,
@@ -75,6 +75,8 @@
 pub struct Loader {
     /// Settings.
     pub settings: Settings,
+    /// Where gateways that the settings name answer loaders.
+    seeds: Vec<SocketAddr>,
     /// Words of the platform.
     pub dialect: &'static dyn Dialect,
     /// Reader of the store's items.
@@ -108,6 +110,7 @@
         let link = settings.link_bits_per_second;
         let carrier = Rc::new(Carrier::beside(dialect, settings.engine, link));
         Self {
+            seeds: Self::seeds(&settings),
             settings,
             dialect,
             items: Reader::new(dialect),
@@ -229,24 +232,32 @@
     }
 
     /// Gateways that may be asked for figures: those with the newest configuration, of this zone where
-    /// there are any.
+    /// there are any. One that starts wants reports before it knows a configuration, and can tell nothing.
     pub fn tellers(&self) -> Vec<SocketAddr> {
         let subscribers = self.subscribers.borrow();
         let versions = subscribers.values().map(|one| one.configuration);
         let newest = versions.max();
         let knowing = subscribers
             .iter()
-            .filter(|(_, one)| Some(one.configuration) == newest);
+            .filter(|(_, one)| Some(one.configuration) == newest && one.weights_digest != 0);
         let (near, afar): (Vec<_>, Vec<_>) =
             knowing.partition(|(_, one)| one.zone == self.settings.zone);
         let chosen = if near.is_empty() { afar } else { near };
         chosen.into_iter().map(|(address, _)| *address).collect()
     }
 
+    /// Where gateways that the settings name answer loaders.
+    fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+        let port = settings.peers.port();
+        let seeds = settings.seeds.iter();
+        seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+    }
+
     /// What is heard, where `tellers` may be asked.
-    pub fn heard<'t>(&self, tellers: &'t [SocketAddr]) -> Heard<'t> {
+    pub fn heard<'t>(&'t self, tellers: &'t [SocketAddr]) -> Heard<'t> {
         Heard {
             gateways: tellers,
+            seeds: &self.seeds,
             near_count: self.near_gateway_count(),
             knowledge: self.knowledge(),
         }
@@ -260,13 +271,13 @@
             .count()
     }
 
-    /// Notes weights that operators named `age` milliseconds ago or less.
-    pub fn note_named(&self, named: &Named, age: u64) {
+    /// Notes weights that operators named `age` milliseconds ago or less, by the word of `teller`.
+    pub fn note_named(&self, named: &Named, teller: Teller, age: u64) {
         let now = clock::now();
         let earliest = Instant::from_millis(now.as_millis().saturating_sub(age));
         let mut namings = self.namings.borrow_mut();
         let known = namings.entry(named.model.clone()).or_default();
-        if known.note(named.version, earliest, now) {
+        if known.note(named.version, teller, earliest, now) {
             tracing::info!(
                 model = named.model,
                 version = named.version.0,
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -10,6 +10,7 @@
     gingerpier_base::order,
     gingerpier_serving::{
         dialect::Named,
+        naming::Teller,
         report::{Report, Version},
     },
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc},
@@ -70,7 +71,7 @@
             model: naming.model,
             version: Version(naming.version),
         };
-        loader.note_named(&named, naming.age);
+        loader.note_named(&named, Teller(order::hash(&from)), naming.age);
     }
     let mut subscribers = loader.subscribers.borrow_mut();
     let known = subscribers.get(&from);
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -19,7 +19,7 @@
         dialect::{Dialect, Fact, Named, Subject},
         fleet::{EngineKey, Fleet, Record},
         mirror::{Changes, Item, Mirror, Revision},
-        naming::{Bound, Freshness, Naming, Namings, Told},
+        naming::{Bound, Freshness, Naming, Namings, OWN, Told},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -271,7 +271,7 @@
             .earliest(self.settings.version_within.0, now);
         let mut namings = self.namings.borrow_mut();
         let known = namings.entry(named.model.clone()).or_default();
-        if !known.note(named.version, earliest, now) {
+        if !known.note(named.version, OWN, earliest, now) {
             return;
         }
         tracing::info!(
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -26,6 +26,9 @@
 /// than what others of its zone accept.
 const WATCH_MILLIS: u64 = 600;
 
+/// Milliseconds that a watch waits after one that brought nothing although the store was ahead.
+const DEAF_WATCH_MILLIS: u64 = 50;
+
 /// Bytes of an item beside its value, in the store's answers.
 const ITEM_BYTES: usize = 120;
 
@@ -236,8 +239,9 @@
     match current_at {
         Ok(current_at) => {
             asking.failures = 0;
-            state.note_contact(0);
+            // What is deaf, or has to be read anew, is no word of what the store holds.
             if let Some(current_at) = current_at {
+                state.note_contact(0);
                 state.note_fresh(current_at);
                 clock::pause(PAUSE_MILLIS).await;
             }
@@ -255,6 +259,9 @@
     let is_current = is_current(state, &mut asking.client).await;
     let millis = clock::now().millis_since(asked);
     let is_ahead = matches!(is_current, Ok(false));
+    if is_current.is_ok() {
+        asking.failures = 0;
+    }
     watching.note_probe(is_ahead, millis, clock::now());
     match is_current {
         Ok(true) => {
@@ -302,14 +309,12 @@
     let asked = clock::now();
     let client = &mut asking.client;
     client.most_bytes = longest_watch(state);
-    let watched = watch(
-        client,
-        state.dialect,
-        Scope::Everything,
-        after,
-        WATCH_MILLIS,
-    )
-    .await;
+    // What the last watch did not bring is there already.
+    let wait = match asking.is_deaf {
+        true => DEAF_WATCH_MILLIS,
+        false => WATCH_MILLIS,
+    };
+    let watched = watch(client, state.dialect, Scope::Everything, after, wait).await;
     client.most_bytes = MAX_ANSWER_BYTES;
     let is_too_long = |error: &Error| matches!(error, Error::Http { what, .. } if *what == gingerpier_http1::error::Error::BodyTooLong);
     if watched.as_ref().is_err_and(is_too_long) {
--- a/crates/gingerpier_serving/src/asking.rs
+++ b/crates/gingerpier_serving/src/asking.rs
@@ -55,6 +55,8 @@
 pub struct Heard<'h> {
     /// Gateways that may be asked, all those with the newest word; empty where none is heard.
     pub gateways: &'h [SocketAddr],
+    /// Gateways that may be asked where none is heard; they may be old or down.
+    pub seeds: &'h [SocketAddr],
     /// Gateways of its own zone.
     pub near_count: usize,
     /// What is known.
@@ -127,6 +129,7 @@
         };
         let nobody = Heard {
             gateways: &[],
+            seeds: &[],
             near_count: 0,
             knowledge: Knowledge::Nothing,
         };
@@ -188,7 +191,12 @@
             return Step::Wait(now.after_millis(MOST_PAUSE_MILLIS));
         }
         if let Some(from) = self.figures_from {
-            return self.store_at(from, Step::Store, now);
+            let store = self.store_at(from, Step::Store, now);
+            return match (store, self.seed(heard.seeds, now)) {
+                (Step::Wait(one), Some(Step::Wait(other))) => Step::Wait(one.min(other)),
+                (Step::Wait(_), Some(seed)) => seed,
+                (store, _) => store,
+            };
         }
         if self.gateways.failures >= GATEWAY_TRIES {
             return self.store_at(self.gateways.until, Step::Store, now);
@@ -196,10 +204,24 @@
         if !self.gateways.until.has_passed(now) {
             return Step::Wait(self.gateways.until);
         }
-        // Loaders spread over the gateways, and each tries another one after a failure.
-        let first = order::hash(&self.own) as usize % heard.gateways.len();
-        let place = (first + self.gateways.failures as usize) % heard.gateways.len();
-        Step::Gateway(heard.gateways[place])
+        Step::Gateway(self.turned(heard.gateways))
+    }
+
+    /// What to do with `seeds` while no gateway is heard.
+    fn seed(&self, seeds: &[SocketAddr], now: Instant) -> Option<Step> {
+        if seeds.is_empty() {
+            return None;
+        }
+        Some(match self.gateways.until.has_passed(now) {
+            true => Step::Gateway(self.turned(seeds)),
+            false => Step::Wait(self.gateways.until),
+        })
+    }
+
+    /// One of `gateways`: loaders spread over them, and each tries another one after a failure.
+    fn turned(&self, gateways: &[SocketAddr]) -> SocketAddr {
+        let first = order::hash(&self.own) as usize % gateways.len();
+        gateways[(first + self.gateways.failures as usize) % gateways.len()]
     }
 
     fn weights(&self, now: Instant) -> Step {
--- a/crates/gingerpier_serving/src/naming.rs
+++ b/crates/gingerpier_serving/src/naming.rs
@@ -7,9 +7,8 @@
 //! held when the call was sent, and no more: the store may have made it at once, and sent it for
 //! seconds. Who hears from another process adds what that one says of itself ([`Told`]).
 //!
-//! A later word may show that weights were named earlier than was thought; none moves a naming to a
-//! later moment. Loaders hear of namings by datagrams that are repeated, so the one that was least on
-//! its way counts.
+//! Each of those that tell of a naming knows a moment before which it can't have happened, so the latest of
+//! these counts; of the words of one of them, which are repeated, the one that was least on its way.
 
 use {crate::report::Version, gingerpier_base::Instant};
 
@@ -106,36 +105,79 @@
     }
 }
 
+/// Who told of a naming, as any number that is its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Teller(pub u64);
+
+/// This process itself, by its own answers of the store.
+pub const OWN: Teller = Teller(0);
+
+/// Tellers of one naming that are remembered.
+const MOST_TELLERS: usize = 64;
+
+/// A naming, and the earliest moment at which it can have happened by each teller's word.
+#[derive(Debug, Clone)]
+struct Entry {
+    naming: Naming,
+    words: Vec<(Teller, Instant)>,
+}
+
+impl Entry {
+    fn take(&mut self, teller: Teller, earliest: Instant) {
+        let place = self.words.iter().position(|(known, _)| *known == teller);
+        match place {
+            Some(place) => self.words[place].1 = earliest.min(self.words[place].1),
+            None if self.words.len() < MOST_TELLERS => self.words.push((teller, earliest)),
+            None => return,
+        }
+        let latest = self.words.iter().map(|(_, earliest)| *earliest).max();
+        let heard = self.naming.heard;
+        self.naming.at = latest.map_or(heard, |latest| latest.min(heard));
+    }
+}
+
 /// Weights of one model that were named, by rising version.
 #[derive(Debug, Clone, Default)]
-pub struct Namings(Vec<Naming>);
+pub struct Namings(Vec<Entry>);
 
 impl Namings {
-    /// Takes the word, heard `now`, that `version` was named at `earliest` or later; true where it is
-    /// newer than all that were known.
-    pub fn note(&mut self, version: Version, earliest: Instant, now: Instant) -> bool {
-        if let Some(known) = self.0.iter_mut().find(|known| known.version == version) {
-            known.at = known.at.min(earliest);
+    /// Takes the word of `teller`, heard `now`, that `version` was named at `earliest` or later; true where
+    /// it is newer than all that were known.
+    pub fn note(
+        &mut self,
+        version: Version,
+        teller: Teller,
+        earliest: Instant,
+        now: Instant,
+    ) -> bool {
+        let mut known = self.0.iter_mut();
+        if let Some(known) = known.find(|known| known.naming.version == version) {
+            known.take(teller, earliest);
             return false;
         }
         if self.newest().is_some_and(|newest| newest.version > version) {
             return false;
         }
-        self.0.push(Naming {
-            version,
-            heard: now,
-            at: earliest.min(now),
-        });
+        let mut entry = Entry {
+            naming: Naming {
+                version,
+                heard: now,
+                at: now,
+            },
+            words: Vec::new(),
+        };
+        entry.take(teller, earliest);
+        self.0.push(entry);
         true
     }
 
     /// The newest.
     pub fn newest(&self) -> Option<&Naming> {
-        self.0.last()
+        self.0.last().map(|entry| &entry.naming)
     }
 
     /// Each of them.
     pub fn iter(&self) -> impl Iterator<Item = &Naming> {
-        self.0.iter()
+        self.0.iter().map(|entry| &entry.naming)
     }
 }
--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -5,12 +5,12 @@
 //! are told by them. Who watches is a rendezvous order of the zone's members: no talk is needed, and
 //! where views differ, some more watch.
 //!
-//! Who asks widens slowly. A member that does not answer is passed over, and the next in order takes
-//! its place. A member whose word is old is passed over, too, but a store that is slow or a link that is
-//! full makes everybody's word old, and more askers make both worse: each pair that joins is given
-//! twice the time of the pair before it, and one that was not meant to watch first asks something small
+//! Who asks widens slowly. A member that does not answer, or whose word is old, is passed over, and where
+//! none of those that are meant to watch is left, the next in order stand in. But a store that is slow or a
+//! link that is full makes everybody's word old, and more askers make both worse: each pair that joins is
+//! given half as much time again as the pair before it, and a stand-in first asks something small
 //! ([`Step::Probe`]). Where even that takes long, it is the way to the store that is slow, and the members
-//! are trusted again for a while.
+//! are trusted again for a while, once; then it stands in all the same, as nobody else may reach the store.
 //!
 //! Who starts asks its neighbours for a first copy, and only the first in order asks the store where no
 //! neighbour has one.
@@ -42,8 +42,8 @@
 /// Milliseconds since the store's last word above which a watcher's word does not count.
 pub const MOST_AGE_MILLIS: u64 = 1_200;
 
-/// Times that the age which is accepted doubles from one pair of members to the next.
-const MOST_DOUBLINGS: usize = 4;
+/// Pairs of members that are given more time than the pair before them.
+const MOST_PAIRS: usize = 5;
 
 /// Milliseconds for which a member that did not answer is passed over.
 const SILENT_MILLIS: u64 = 3_000;
@@ -55,8 +55,15 @@
 /// crossings between regions.
 const SOUND_MILLIS: u64 = 200;
 
-/// Milliseconds for which words of any age are accepted after the way to the store was seen to be slow.
-const LENIENT_MILLIS: u64 = 2_000;
+/// Times that a small answer took for which words of any age are accepted then: what is on its way to those
+/// that are meant to watch stands in the same queue.
+const LENIENT_ANSWERS: u64 = 2;
+
+/// Most milliseconds for which words of any age are accepted.
+const MOST_LENIENT_MILLIS: u64 = 1_000;
+
+/// Milliseconds after which they may be accepted again.
+const LENIENT_EVERY_MILLIS: u64 = 8_000;
 
 /// Milliseconds from the start within which a first neighbour is heard of, where there is one.
 const ALONE_MILLIS: u64 = 1_000;
@@ -127,9 +134,10 @@
     /// Neighbours that were asked for a first copy and had none.
     without_copy: Vec<SocketAddr>,
     passed_over: Vec<PassedOver>,
-    /// Until when words of any age are accepted.
-    lenient_until: Option<Instant>,
-    /// True where a small answer has shown that the store is ahead, and the way to it sound.
+    /// Until when words of any age are accepted, and from when on they may be again.
+    lenient_until: Instant,
+    lenient_again: Instant,
+    /// True where a small answer has shown that the store is ahead.
     may_stand_in: bool,
 }
 
@@ -143,7 +151,8 @@
             newest_at: now,
             without_copy: Vec::new(),
             passed_over: Vec::new(),
-            lenient_until: None,
+            lenient_until: now,
+            lenient_again: now,
             may_stand_in: false,
         }
     }
@@ -160,20 +169,29 @@
             true => WATCHERS,
             false => FIRST_READERS,
         };
-        let trusted = members.iter().copied().filter(|one| self.is_trusted(*one));
-        let mut watchers = ranked(self.own, trusted);
-        watchers.truncate(count);
-        if !watchers.contains(&self.own) {
+        let ranked = ranked(self.own, members.iter().copied());
+        if ranked.iter().take(count).any(|member| *member == self.own) {
+            return Step::Store;
+        }
+        let (meant, others) = ranked.split_at(count.min(ranked.len()));
+        let trusted = |pool: &[SocketAddr]| -> Vec<SocketAddr> {
+            let trusted = pool.iter().copied().filter(|one| self.is_trusted(*one));
+            trusted.take(count).collect()
+        };
+        let mut asked = trusted(meant);
+        if asked.is_empty() {
+            asked = trusted(others);
+        }
+        if !asked.contains(&self.own) {
             self.may_stand_in = false;
-            // Members spread over the watchers.
-            let index = order::hash(&self.own) as usize % watchers.len();
-            return Step::Member(watchers[index]);
+            // Members spread over those that are asked.
+            let index = (order::mix(order::hash(&self.own)) % asked.len() as u64) as usize;
+            return Step::Member(asked[index]);
         }
-        let is_meant_to = self.rank(self.own) < count;
-        if is_meant_to || std::mem::take(&mut self.may_stand_in) {
-            return Step::Store;
+        match std::mem::take(&mut self.may_stand_in) {
+            true => Step::Store,
+            false => Step::Probe,
         }
-        Step::Probe
     }
 
     /// Notes that the word of `member` does not count.
@@ -193,8 +211,11 @@
 
     /// Notes what came of [`Step::Probe`], which took `millis`: whether the store is ahead.
     pub fn note_probe(&mut self, is_ahead: bool, millis: u64, now: Instant) {
-        if millis > SOUND_MILLIS {
-            self.lenient_until = Some(now.after_millis(LENIENT_MILLIS));
+        let may_wait = self.lenient_again.has_passed(now);
+        if millis > SOUND_MILLIS && may_wait {
+            let lenient = (millis * LENIENT_ANSWERS).min(MOST_LENIENT_MILLIS);
+            self.lenient_until = now.after_millis(lenient);
+            self.lenient_again = now.after_millis(LENIENT_EVERY_MILLIS);
             self.passed_over.clear();
             return;
         }
@@ -203,14 +224,11 @@
 
     /// Milliseconds since the store's last word up to which the word of `member` counts.
     pub fn most_age_millis(&self, member: SocketAddr, now: Instant) -> u64 {
-        if self
-            .lenient_until
-            .is_some_and(|until| !until.has_passed(now))
-        {
+        if !self.lenient_until.has_passed(now) {
             return u64::MAX;
         }
-        let doublings = (self.rank(member) / WATCHERS).min(MOST_DOUBLINGS);
-        MOST_AGE_MILLIS << doublings
+        let pair = (self.rank(member) / WATCHERS).min(MOST_PAIRS);
+        (0..pair).fold(MOST_AGE_MILLIS, |age, _| age * 3 / 2)
     }
 
     /// Members ahead of `member`, those that are passed over included.
--- a/crates/gingerpier_serving/tests/asking.rs
+++ b/crates/gingerpier_serving/tests/asking.rs
@@ -36,6 +36,7 @@
 fn heard(gateways: &[SocketAddr], knowledge: Knowledge) -> Heard<'_> {
     Heard {
         gateways,
+        seeds: &[],
         near_count: gateways.len(),
         knowledge,
     }
@@ -255,3 +256,45 @@
         prop_assert!(store_calls > 0);
     }
 }
+
+#[test]
+fn a_loader_that_starts_asks_seeds_at_once_and_the_store_no_sooner_than_without_them() {
+    let own = "10.0.0.9:7700".parse().expect("an address");
+    let seeds = ["10.0.0.1:7700", "10.0.0.2:7700"].map(|seed| seed.parse().expect("an address"));
+    let start = Instant::from_millis(60_000);
+    let mut asking = Asking::new(own, 3, start);
+    let heard = Heard {
+        gateways: &[],
+        seeds: &seeds,
+        near_count: 0,
+        knowledge: Knowledge::Nothing,
+    };
+    let mut asked = std::collections::BTreeSet::new();
+    let mut store_at = None;
+    for millis in (0..20_000).step_by(10) {
+        let now = start.after_millis(millis);
+        match asking.next(&heard, now) {
+            Step::Gateway(seed) => {
+                asked.insert(seed);
+                asking.note_failure(Source::Gateway, now, 300);
+            }
+            Step::Store => {
+                store_at = store_at.or(Some(millis));
+                asking.note_failure(Source::Store, now, 4_000);
+            }
+            Step::Weights => asking.note_failure(Source::Weights, now, 4_000),
+            Step::Wait(_) => {}
+        }
+    }
+    assert_eq!(asked.len(), seeds.len());
+    let store_at = store_at.expect("seeds that are down do not keep it from the store");
+    assert!((2_000..9_000).contains(&store_at), "{store_at}");
+    let mut asking = Asking::new(own, 3, start);
+    assert!(matches!(asking.next(&heard, start), Step::Gateway(_)));
+    asking.note_answer(Source::Gateway);
+    let knowing = Heard {
+        knowledge: Knowledge::Enough,
+        ..heard
+    };
+    assert!(matches!(asking.next(&knowing, start), Step::Wait(_)));
+}
--- a/crates/gingerpier_settings/src/gateway.rs
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -57,6 +57,8 @@
     pub engine: SocketAddr,
     /// Address for other loaders and for gateways.
     pub peers: SocketAddr,
+    /// Gateways to ask for figures while none is heard; they may be old or down.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time after which only named weights serve; default 8s.
@@ -155,6 +157,7 @@
         let regions = section.list("regions", "zones, as ZONE=REGION", zone_region);
         let engine = section.required("engine", "address of the engine", unit::address);
         let peers = section.required("peers", "address for other processes", unit::address);
+        let seeds = section.list_or_empty("seeds", "gateways to ask", unit::address);
         let store = section.required("store", STORE, unit::address);
         let version_within = section.or("version_within", Millis(8_000), unit::millis);
         let link_bits_per_second = section.or("link", 1_000_000_000, link);
@@ -167,6 +170,7 @@
             regions: regions?,
             engine: engine?,
             peers: peers?,
+            seeds: seeds?,
             store: store?,
             version_within: version_within?,
         })
--- a/crates/gingerpier_settings/src/reader.rs
+++ b/crates/gingerpier_settings/src/reader.rs
@@ -124,6 +124,17 @@
         read.into_iter().collect()
     }
 
+    /// Values in a list that may be missing, and is empty then.
+    pub fn list_or_empty<T, F>(&mut self, key: &'static str, what: &str, parse: F) -> Option<Vec<T>>
+    where
+        F: Fn(&str) -> Result<T, String>,
+    {
+        match self.node(key) {
+            Some(_) => self.list(key, what, parse),
+            None => Some(Vec::new()),
+        }
+    }
+
     /// Section that must be there.
     pub fn section<T, F>(&mut self, key: &'static str, what: &str, read: F) -> Option<T>
     where
