--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -328,6 +328,7 @@
     match watched? {
         Watched::HistoryGone => asking.needs_copy = true,
         Watched::Changes(page) if page.items.is_empty() => {
+            let asked = clock::now();
             let is_behind = !is_current(state, &mut asking.client).await?;
             // Something may have changed between the two answers: the next watch brings it at once. One that
             // still brings nothing is deaf.
