--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -52,8 +52,9 @@
 /// Milliseconds after weights were heard of by which manifests are there.
 const MANIFEST_LEAD_MILLIS: u64 = 300;
 
-/// Milliseconds from the start for which the engine is waited for before weights are fetched.
-const ENGINE_AWAITED_MILLIS: u64 = 250;
+/// Milliseconds for which an engine that is not up is waited for once it is known what others hold: where
+/// everything starts, engines come up within some 0.3 s of each other and may hold it, too.
+const ENGINE_AWAITED_MILLIS: u64 = 500;
 
 /// Milliseconds between looks at what the engine holds.
 const LOOK_MILLIS: u64 = 50;
@@ -98,7 +99,7 @@
 /// Keeps the engine at the weights that are wanted.
 pub async fn keep(loader: Rc<Loader>) {
     let mut works: Vec<Work> = Vec::new();
-    let awaited = clock::now().after_millis(ENGINE_AWAITED_MILLIS);
+    let mut awaited: Option<Instant> = None;
     loop {
         clock::pause(LOOK_MILLIS).await;
         works.retain(Work::is_under_way);
@@ -110,7 +111,11 @@
         };
         // Where nothing is named, an engine that is not up yet may well hold what others will.
         let is_named = wanted.version > Version::default();
-        let is_time = is_named && awaited.has_passed(clock::now());
+        let now = clock::now();
+        if is_named {
+            awaited.get_or_insert(now.after_millis(ENGINE_AWAITED_MILLIS));
+        }
+        let is_time = awaited.is_some_and(|awaited| awaited.has_passed(now));
         if !is_there && !is_time {
             continue;
         }
