Whom a member asks is decided without comparing a large zone each with each

Cause: each question of a member compared all members given with all members known, and each question for a first copy sorted the whole zone again. With a thousand members that is a million comparisons a question.

Change: members that are the same as before are not noted anew; the next member to ask for a first copy is the least in the order instead of the first of a sorted copy. The order is written down once. What is decided is unchanged.

--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -108,11 +108,16 @@
     until: Instant,
 }
 
+/// Place of `member` in the order in which members watch the store; the least comes first.
+fn place(member: SocketAddr) -> (Reverse<u64>, SocketAddr) {
+    (Reverse(order::hash(&member)), member)
+}
+
 /// `own` and the `members` of its zone, in the order in which they watch the store.
 fn ranked(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
     let mut ranked: Vec<SocketAddr> = members.filter(|member| *member != own).collect();
     ranked.push(own);
-    ranked.sort_by_cached_key(|member| (Reverse(order::hash(member)), *member));
+    ranked.sort_by_cached_key(|member| place(*member));
     ranked
 }
 
@@ -233,11 +238,9 @@
 
     /// Members ahead of `member`, those that are passed over included.
     fn rank(&self, member: SocketAddr) -> usize {
-        let order = |member: SocketAddr| (order::hash(&member), Reverse(member));
+        let its_place = place(member);
         let others = self.known.iter().chain([&self.own]);
-        others
-            .filter(|other| order(**other) > order(member))
-            .count()
+        others.filter(|other| place(**other) < its_place).count()
     }
 
     fn is_trusted(&self, member: SocketAddr) -> bool {
@@ -245,6 +248,10 @@
     }
 
     fn note_known(&mut self, members: &[SocketAddr], now: Instant) {
+        // A large zone is not compared each with each at every question.
+        if self.known == members {
+            return;
+        }
         let has_new = members.iter().any(|member| !self.known.contains(member));
         if has_new {
             self.newest_at = now;
@@ -267,9 +274,9 @@
     }
 
     fn ask_for_first_copy(&self, now: Instant) -> Step {
-        let mut others = ranked(self.own, self.known.iter().copied()).into_iter();
-        let has_been_asked = |one: &SocketAddr| *one == self.own || self.without_copy.contains(one);
-        let next = others.find(|one| !has_been_asked(one));
+        let known = self.known.iter().copied();
+        let not_asked = known.filter(|one| !self.without_copy.contains(one));
+        let next = not_asked.min_by_key(|one| place(*one));
         next.map_or(Step::Wait(now.after_millis(LOOK_MILLIS)), Step::FirstCopy)
     }
 }
