--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -45,10 +45,12 @@
                 note(&loader, &mut asking, Source::Gateway, answer);
             }
             Step::Store => {
-                // A gateway that is heard meanwhile tells the same in a hundredth of the bytes.
+                // A gateway that is heard meanwhile tells the same in a hundredth of the bytes. Those that are
+                // heard already have failed.
+                let hears_nobody = loader.tellers().is_empty();
                 let answer = tokio::select! {
                     answer = read(&loader, &mut client, Scope::Operators) => answer,
-                    () = until_told(&loader) => continue,
+                    () = until_told(&loader), if hears_nobody => continue,
                 };
                 is_in_step = answer.is_ok();
                 note(&loader, &mut asking, Source::Store, answer);
