Loaders hear of named weights with the figures; a zone that starts settles sooner; the margin counts a choice's slack once

Change: figures name weights, with an age that is rough by a second and a teller of its own; a gateway alone for 0.3 s reads the store, and nobody waits over 0.4 s for more neighbours; tries at gateways pause 0.1 to 0.8 s; 1.2 s and, for the last turn, 1.4 s before the bound: a choice reckons with 0.4 s of the 1.4 s that were seen.

--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -16,7 +16,7 @@
 
 /// Milliseconds before a newer version is due from which on streams of an older one stay: one that
 /// is stuck on its way to another engine would begin there too late. The longest such way seen was 2.1 s
-/// from the move to the start, behind a narrow link, and 1.4 s lie between this and the bound.
+/// from the move to the start, behind a narrow link, and 1.2 s lie between this and the bound.
 const MOVE_LEAD_MILLIS: u64 = 2_000;
 
 impl Course<'_, '_> {
--- a/crates/gingerpier_gateway/src/discovery.rs
+++ b/crates/gingerpier_gateway/src/discovery.rs
@@ -18,10 +18,10 @@
 };
 
 /// Milliseconds between greetings.
-const HELLO_EVERY_MILLIS: u64 = 100;
+const HELLO_EVERY_MILLIS: u64 = 50;
 
 /// Milliseconds without a name after which the list of engines is read.
-const SEEDS_MILLIS: u64 = 300;
+const SEEDS_MILLIS: u64 = 150;
 
 /// Most milliseconds of the pause after the list could not be read, or named nobody: an answer may be old.
 const RETRY_MILLIS: u64 = 1_000;
--- a/crates/gingerpier_gateway/src/figures.rs
+++ b/crates/gingerpier_gateway/src/figures.rs
@@ -9,8 +9,8 @@
         clock,
         error::{Error, Step},
         message::{
-            self, DigestHeld, EngineFigures, Figures, OriginFigures, ServiceFigures, ToldEngine,
-            ToldService,
+            self, DigestHeld, EngineFigures, Figures, Naming, OriginFigures, ServiceFigures,
+            ToldEngine, ToldService,
         },
         state::State,
         store::Client,
@@ -47,7 +47,12 @@
     loop {
         if let Some(configuration) = state.configuration() {
             let services = configuration.services_part().for_loaders();
-            let figures = figures(&services, &state.fleet.borrow(), clock::now());
+            let mut figures = figures(&services, &state.fleet.borrow(), clock::now());
+            figures.named = state.namings();
+            for naming in &mut figures.named {
+                // What is told may have been made so long ago.
+                naming.age += RENEW_MILLIS;
+            }
             *state.carrier.figures.borrow_mut() = Some(message::encode(&figures).into());
         }
         clock::pause(LEAST_PAUSE_MILLIS).await;
@@ -71,6 +76,8 @@
     pub services: Services,
     /// Engines.
     pub fleet: Fleet,
+    /// Weights that operators named.
+    pub named: Vec<Naming>,
 }
 
 /// Asks a gateway.
@@ -109,6 +116,7 @@
         zones: Vec::new(),
         models: Vec::new(),
         engines: Vec::new(),
+        named: Vec::new(),
     };
     for place in 0..told.services.len() {
         for (key, engine) in fleet.of_service(&told.services[place].name) {
@@ -134,6 +142,7 @@
     Told {
         services: Services::told(figures.version, services, figures.weights_digest),
         fleet,
+        named: figures.named,
     }
 }
 
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -9,12 +9,14 @@
         figures,
         store::{self, Client},
     },
+    gingerpier_base::order,
     gingerpier_serving::{
         asking::{Asking, Knowledge, Source, Step},
-        dialect::{Fact, Scope, Watched},
+        dialect::{Fact, Named, Scope, Watched},
         fleet::Fleet,
         mirror::{Item, Revision},
-        naming::OWN,
+        naming::{OWN, Teller},
+        report::Version,
     },
     std::{net::SocketAddr, rc::Rc},
 };
@@ -138,6 +140,15 @@
 async fn ask(loader: &Loader, gateway: SocketAddr) -> Result<(), Error> {
     let told = figures::ask(gateway).await?;
     loader.note_services(told.services);
+    // It tells the age more roughly here than where it wants reports.
+    let teller = Teller(!order::hash(&gateway));
+    for naming in told.named {
+        let named = Named {
+            model: naming.model,
+            version: Version(naming.version),
+        };
+        loader.note_named(&named, teller, naming.age);
+    }
     *loader.fleet.borrow_mut() = told.fleet;
     Ok(())
 }
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -329,6 +329,9 @@
     /// Engines.
     #[n(5)]
     pub engines: Vec<ToldEngine>,
+    /// Weights that operators named.
+    #[cbor(n(6), default)]
+    pub named: Vec<Naming>,
 }
 
 /// An item of the store, as a peer knows it.
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -151,7 +151,7 @@
 }
 
 /// Milliseconds kept free before the operators' bound.
-const MARGIN_MILLIS: u64 = 1_600;
+const MARGIN_MILLIS: u64 = 1_400;
 
 /// Times of a change of weights that has to be over `within_millis` after its naming.
 pub const fn terms(within_millis: u64) -> Terms {
--- a/crates/gingerpier_serving/src/asking.rs
+++ b/crates/gingerpier_serving/src/asking.rs
@@ -27,17 +27,24 @@
 /// its start.
 const SPREAD_MILLIS: u64 = 2_000;
 
-/// Longest pause, in milliseconds, after a first failure.
+/// Longest pause, in milliseconds, after a first failure of the store.
 const LEAST_PAUSE_MILLIS: u64 = 500;
 
 /// Longest pause, in milliseconds, after any failure.
 const MOST_PAUSE_MILLIS: u64 = 16_000;
 
+/// Longest pause, in milliseconds, after a first failure of a gateway: one that starts knows a configuration
+/// within a second, and its answer is small.
+const LEAST_GATEWAY_PAUSE_MILLIS: u64 = 100;
+
+/// Longest pause, in milliseconds, after any failure of a gateway.
+const MOST_GATEWAY_PAUSE_MILLIS: u64 = 800;
+
 /// Doublings after which the longest pause is reached.
 const MOST_DOUBLINGS: u32 = 5;
 
 /// Failures of gateways in a row after which the store is asked once.
-const GATEWAY_TRIES: u32 = 4;
+const GATEWAY_TRIES: u32 = 8;
 
 /// What a loader knows of the figures.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,9 +102,9 @@
 }
 
 impl Backoff {
-    fn note_failure(&mut self, now: Instant, draw: u64) {
+    fn note_failure(&mut self, least: u64, most: u64, now: Instant, draw: u64) {
         let doublings = self.failures.min(MOST_DOUBLINGS);
-        let longest = (LEAST_PAUSE_MILLIS << doublings).min(MOST_PAUSE_MILLIS);
+        let longest = (least << doublings).min(most);
         self.failures += 1;
         self.until = now.after_millis(draw % (longest + 1));
     }
@@ -151,14 +158,15 @@
 
     /// Notes that `source` did not answer, or did not say what was asked; `draw` is any number.
     pub fn note_failure(&mut self, source: Source, now: Instant, draw: u64) {
-        match source {
-            Source::Gateway => self.gateways.note_failure(now, draw),
-            Source::Store => {
-                self.store.note_failure(now, draw);
-                self.gateways.failures = 0;
-            }
-            Source::Weights => self.store.note_failure(now, draw),
+        if source == Source::Gateway {
+            let (least, most) = (LEAST_GATEWAY_PAUSE_MILLIS, MOST_GATEWAY_PAUSE_MILLIS);
+            return self.gateways.note_failure(least, most, now, draw);
+        }
+        if source == Source::Store {
+            self.gateways.failures = 0;
         }
+        let (least, most) = (LEAST_PAUSE_MILLIS, MOST_PAUSE_MILLIS);
+        self.store.note_failure(least, most, now, draw);
     }
 
     /// Notes that `source` answered.
--- a/crates/gingerpier_serving/src/naming.rs
+++ b/crates/gingerpier_serving/src/naming.rs
@@ -22,9 +22,9 @@
 const MOST_BACK_DIVISOR: u64 = 4;
 
 /// Milliseconds before the operators' bound at which older weights serve no more: the longest way seen from the
-/// choice of an engine to the start there, through a queue that had just filled, 0.4 s of which a choice reckons
-/// with. That the naming is heard of late is counted by itself.
-const VERSION_MARGIN_MILLIS: u64 = 1_400;
+/// choice of an engine to the start there was 1.4 s, through a queue that had just filled, and a choice reckons
+/// with 0.4 s of it; 0.2 s are to spare. That a naming is heard of late is counted by itself.
+const VERSION_MARGIN_MILLIS: u64 = 1_200;
 
 /// Milliseconds from a process's start for which older weights may serve behind a naming that its first copy
 /// of the store brought, which may be long past: by then it counts as one that has the store.
--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -66,13 +66,13 @@
 const LENIENT_EVERY_MILLIS: u64 = 8_000;
 
 /// Milliseconds from the start within which a first neighbour is heard of, where there is one.
-const ALONE_MILLIS: u64 = 1_000;
+const ALONE_MILLIS: u64 = 300;
 
 /// Milliseconds without a new neighbour after which all are taken to be known.
-const SETTLED_MILLIS: u64 = 250;
+const SETTLED_MILLIS: u64 = 120;
 
 /// Milliseconds from the start after which nobody waits for more neighbours.
-const MOST_SETTLING_MILLIS: u64 = 1_500;
+const MOST_SETTLING_MILLIS: u64 = 400;
 
 /// Milliseconds between looks for neighbours.
 const LOOK_MILLIS: u64 = 20;
