A small question that fails at once is not asked again without a pause

Cause: while a long answer says nothing, a client asks something small on a connection of its own until it is answered or 5 s of silence are over. Where that connection is refused or reset at once, the next one followed at once: the store counts each.

Change: 250 ms lie between two of them at least; what comes of the long answer still ends the wait.

Conclusion: a store that turns a gateway or a loader away is asked four times a second at most in that time.

--- a/crates/gingerpier_gateway/src/client.rs
+++ b/crates/gingerpier_gateway/src/client.rs
@@ -36,6 +36,9 @@
 /// Milliseconds that a small answer may take.
 const SMALL_MILLIS: u64 = 1_500;
 
+/// Milliseconds from a small question that failed, which it may have done at once, to the next one.
+const SMALL_AGAIN_MILLIS: u64 = 250;
+
 /// A connection to a server that is asked again and again.
 pub struct Client {
     peer: SocketAddr,
@@ -186,11 +189,16 @@
     }
 }
 
-/// True where `peer` answers a small question on a new connection.
+/// True where `peer` answers a small question on a new connection; false once it may be asked again.
 async fn is_answered(peer: SocketAddr, small: &Call) -> bool {
-    let deadline = clock::now().after_millis(SMALL_MILLIS);
+    let asked = clock::now();
+    let deadline = asked.after_millis(SMALL_MILLIS);
     let answer = clock::before(deadline, begin(peer, None, bytes_of(small, peer))).await;
-    answer.is_some_and(|answer| answer.is_ok())
+    let is_answered = answer.is_some_and(|answer| answer.is_ok());
+    if !is_answered {
+        clock::until(asked.after_millis(SMALL_AGAIN_MILLIS)).await;
+    }
+    is_answered
 }
 
 /// Bytes of a call.
--- a/crates/gingerpier_gateway/tests/client.rs
+++ b/crates/gingerpier_gateway/tests/client.rs
@@ -8,6 +8,10 @@
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         rc::Rc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         thread::{sleep, spawn},
         time::{Duration, Instant},
     },
@@ -77,6 +81,36 @@
     assert!(matches!(error, Error::Late { .. }), "{error}");
 }
 
+/// Small questions, to connections that are closed as soon as they are made, while an answer says nothing.
+fn small_questions_that_fail() -> usize {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let came = Arc::new(AtomicUsize::new(0));
+    let counted = came.clone();
+    spawn(move || {
+        let (_silent, _) = listener.accept().expect("a caller");
+        for closed in listener.incoming().flatten() {
+            drop(closed);
+            counted.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let call = || Call::get("/small".to_owned());
+    let answer = actix_rt::System::new().block_on(async move {
+        let mut client = Client::new(address).patient(call());
+        client.call(&call(), BEGIN_MILLIS).await
+    });
+    assert!(matches!(answer, Err(Error::Late { .. })));
+    came.load(Ordering::Relaxed)
+}
+
+#[test]
+fn a_small_question_that_fails_at_once_is_not_asked_again_without_a_pause() {
+    let count = small_questions_that_fail();
+    println!("{count} small questions");
+    // 5 s of silence, and 250 ms at least between two of them.
+    assert!((1..=21).contains(&count), "{count} small questions");
+}
+
 /// True where an answer with `status` counts as word of its server.
 fn is_word(status: u16) -> bool {
     let address = serve(move |stream| {
