A loader's watches of the store have a pause between them, also where history is gone each time

Cause: a watch that ends with 410 was followed by a read at once, and that by the next watch. The store may forget its history as soon as it likes, and counts each call; one loader without gateways made as many calls as the way carries.

Change: 400 ms between watches, as gateways have them. Named weights that follow another change within 400 ms are heard that much later where a loader watches itself.

--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -24,6 +24,10 @@
 /// Milliseconds that a watch waits.
 const WATCH_MILLIS: u64 = 20_000;
 
+/// Milliseconds between watches, so that many changes cost one call, and a store that forgets its history
+/// at once is not read without a pause.
+const PAUSE_MILLIS: u64 = 400;
+
 /// Milliseconds between looks at which gateways are heard.
 const LOOK_MILLIS: u64 = 100;
 
@@ -71,6 +75,7 @@
                 if let Some(watched) = watched {
                     is_in_step = matches!(watched, Ok(true));
                     note_store(&mut asking, watched.map(drop));
+                    clock::pause(PAUSE_MILLIS).await;
                 }
             }
             Step::Wait(until) => {
