--- a/crates/gingerpier_gateway/src/figures.rs
+++ b/crates/gingerpier_gateway/src/figures.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        client::Client,
         clock,
         error::{Error, Step},
         message::{
@@ -13,7 +14,6 @@
             ToldEngine, ToldService,
         },
         state::State,
-        store::Client,
         weights::Carrier,
     },
     gingerpier_base::Instant,
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -3,8 +3,8 @@
 use {
     super::{Loader, follow},
     crate::{
+        client::Client,
         clock,
-        store::Client,
         weights::{self, fetch, holding, sources::Task},
     },
     gingerpier_base::{Instant, order},
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -3,12 +3,7 @@
 
 use {
     super::Loader,
-    crate::{
-        clock,
-        error::Error,
-        figures,
-        store::{self, Client},
-    },
+    crate::{client::Client, clock, error::Error, figures, store},
     gingerpier_base::order,
     gingerpier_serving::{
         asking::{Asking, Knowledge, Source, Step},
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -3,9 +3,9 @@
 use {
     super::{Loader, Subscriber},
     crate::{
+        client::Client,
         clock,
         message::{self, Datagram, Load, Member, Names, Subscribe},
-        store::Client,
     },
     gingerpier_base::order,
     gingerpier_serving::{
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -3,11 +3,11 @@
 
 use {
     crate::{
+        client::{Client, MAX_ANSWER_BYTES},
         clock, compression,
         message::{self, SharedItem, Snapshot},
         metrics::Kind,
         state::State,
-        store::{Client, MAX_ANSWER_BYTES},
     },
     futures_util::future::join_all,
     gingerpier_base::Instant,
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -1,9 +1,8 @@
 //! Calls to the platform's store.
 
-pub use crate::client::{Client, MAX_ANSWER_BYTES, bytes_of};
-
 use {
     crate::{
+        client::{Client, MAX_ANSWER_BYTES},
         clock,
         error::{Error, Step as At},
         relay,
@@ -12,7 +11,7 @@
     gingerpier_base::Instant,
     gingerpier_http1::connection::Whole,
     gingerpier_serving::{
-        dialect::{Dialect, Page, Scope, Watched},
+        dialect::{Call, Dialect, Page, Scope, Watched},
         mirror::{Item, Revision},
         watching::{Step, Watching},
     },
@@ -124,7 +123,12 @@
 
 /// Client of the store at `peer` that tells a dead connection from a slow way.
 pub fn client(peer: SocketAddr, dialect: &dyn Dialect) -> Client {
-    Client::new(peer).patient(dialect.list(Scope::Everything, LAST_KEY, true))
+    Client::new(peer).patient(small_question(dialect))
+}
+
+/// An empty page, which may be old: it costs a tenth of a call.
+fn small_question(dialect: &dyn Dialect) -> Call {
+    dialect.list(Scope::Everything, LAST_KEY, true)
 }
 
 fn read_page(peer: SocketAddr, dialect: &dyn Dialect, whole: &Whole) -> Result<Page, Error> {
@@ -175,10 +179,9 @@
 /// the store.
 pub async fn follow(state: Rc<State>) {
     let mut watching = Watching::new(state.settings.control, clock::now());
-    let small = state.dialect.list(Scope::Everything, LAST_KEY, true);
-    let client = Client::noting(state.settings.store, state.store_heard.clone()).patient(small);
+    let client = Client::noting(state.settings.store, state.store_heard.clone());
     let mut asking = Asking {
-        client,
+        client: client.patient(small_question(state.dialect)),
         copy: Copy::default(),
         needs_copy: false,
         is_deaf: false,
--- a/crates/gingerpier_gateway/src/weights/asking.rs
+++ b/crates/gingerpier_gateway/src/weights/asking.rs
@@ -7,10 +7,9 @@
         sources::Sources,
     },
     crate::{
-        clock,
+        client, clock,
         error::{Error, Step},
         pool::Pool,
-        store,
     },
     bytes::{Bytes, BytesMut},
     gingerpier_base::Instant,
@@ -227,7 +226,7 @@
             what,
         };
         let mut connection = self.connect().await?;
-        let request = store::bytes_of(question, peer);
+        let request = client::bytes_of(question, peer);
         connection.write(&request).await.map_err(|what| Error::Io {
             step: Step::Exchange,
             peer,
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -7,7 +7,7 @@
         holding, manifest,
         sources::{Sources, Task},
     },
-    crate::{clock, pool::Pool, store},
+    crate::{client::Client, clock, pool::Pool},
     actix_rt::task::JoinHandle,
     gingerpier_base::Instant,
     gingerpier_serving::dialect::Named,
@@ -124,7 +124,7 @@
         return;
     }
     let Some(engine) = carrier.engine else { return };
-    let mut client = store::Client::new(engine);
+    let mut client = Client::new(engine);
     for chunk in 0..manifest.digests.len() as u32 {
         let question = carrier.dialect.laid_chunk(&named.model, chunk);
         let Ok(whole) = client.call(&question, ENGINE_MILLIS).await else {
--- a/crates/gingerpier_gateway/src/weights/manifest.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest.rs
@@ -7,7 +7,7 @@
         peers::{Mode, Question},
         sources::Sources,
     },
-    crate::{clock, store},
+    crate::{client::Client, clock},
     bytes::Bytes,
     futures_util::future::{self, FutureExt},
     gingerpier_serving::dialect::{Call, Manifest, Named},
@@ -92,7 +92,7 @@
     address: SocketAddr,
     named: &Named,
 ) -> Had {
-    let mut client = store::Client::new(address);
+    let mut client = Client::new(address);
     let mut is_told = false;
     loop {
         let bytes = match source {
@@ -137,11 +137,7 @@
 
 /// Manifest of the origin, read until it came twice the same: it may be spoilt on its way, and
 /// everything else is checked against it.
-async fn origin_manifest(
-    carrier: &Carrier,
-    origin: &mut store::Client,
-    named: &Named,
-) -> Option<Bytes> {
+async fn origin_manifest(carrier: &Carrier, origin: &mut Client, named: &Named) -> Option<Bytes> {
     let question = carrier.dialect.manifest(named);
     let mut seen: Vec<Bytes> = Vec::new();
     for _ in 0..MANIFEST_READS {
@@ -159,7 +155,7 @@
 }
 
 /// Manifest of a peer; none where it has none yet.
-async fn peer_manifest(peer: &mut store::Client, named: &Named) -> Option<Bytes> {
+async fn peer_manifest(peer: &mut Client, named: &Named) -> Option<Bytes> {
     let question = Question {
         named: named.clone(),
         chunk: None,
--- a/crates/gingerpier_gateway/src/weights/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Carrier,
-    crate::{clock, figures, relay, store::Client},
+    crate::{client::Client, clock, figures, relay},
     bytes::Bytes,
     gingerpier_http1::{connection::Connection, head::Request, writer::Message},
     gingerpier_serving::{dialect::Named, report::Version},
--- a/crates/gingerpier_gateway/tests/client.rs
+++ b/crates/gingerpier_gateway/tests/client.rs
@@ -1,7 +1,7 @@
 //! A client of the store: a long answer may take its time while bytes come, silence may not.
 
 use {
-    gingerpier_gateway::{error::Error, store::Client},
+    gingerpier_gateway::{client::Client, error::Error},
     gingerpier_serving::dialect::Call,
     std::{
         cell::Cell,
