One piece of code for what stood twice: a question to another gateway, a told naming, held weights in messages

A first copy and news are asked of another gateway by one function; a first copy that another answer brought meanwhile is no longer taken again. Loaders take the word of a gateway on named weights in one place. Digests and figures write and read held weights by the same two functions. `named_at`, which gives when weights were heard of, is `heard_of`. Two tests of rollouts begin by one function; their assertions are as before.

--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -137,11 +137,8 @@
     Ok(())
 }
 
-#[actix_rt::test]
-async fn a_receiver_killed_midway_and_started_anew_is_completed_by_its_peers() -> Result<(), Error>
-{
-    let weights = "  send: 2MB/s\n  receive: 2MB/s\n".to_owned();
-    let mut fleet = Fleet::start(Spec { weights, ..spec() }).await?;
+/// Rolls a first version of so many megabytes out, until some of its chunks have moved.
+async fn roll_out_midway(fleet: &Fleet, megabytes: usize) -> Result<(), Error> {
     let (_, digest) = fleet.gingerpier(&["token", TOKEN]).await?;
     let account = format!("set account observatory key {} rate 100", digest.trim());
     let serve =
@@ -149,7 +146,9 @@
     fleet
         .command(&format!("{account}; create model {MODEL} for lm; {serve}"))
         .await?;
-    fleet.create_version(MODEL, "v1", 4, 1, None).await?;
+    fleet
+        .create_version(MODEL, "v1", megabytes, 1, None)
+        .await?;
     fleet.command(&format!("roll out {MODEL} to v1")).await?;
     fleet
         .until("some chunks have moved", || async {
@@ -161,7 +160,15 @@
                 Err(format!("{:?}", table.rows))
             })
         })
-        .await?;
+        .await
+}
+
+#[actix_rt::test]
+async fn a_receiver_killed_midway_and_started_anew_is_completed_by_its_peers() -> Result<(), Error>
+{
+    let weights = "  send: 2MB/s\n  receive: 2MB/s\n".to_owned();
+    let mut fleet = Fleet::start(Spec { weights, ..spec() }).await?;
+    roll_out_midway(&fleet, 4).await?;
     fleet.restart_server(0)?;
     fleet.until_live(MODEL, "v1").await?;
     for server in &fleet.servers {
@@ -288,28 +295,7 @@
     // Longer than a stall may last, and shorter than a link may be silent.
     const FROZEN: Duration = Duration::from_millis(1_500);
     let fleet = Fleet::start(slow_spec("  stall: 1s\n")).await?;
-    let (_, digest) = fleet.gingerpier(&["token", TOKEN]).await?;
-    let account = format!("set account observatory key {} rate 100", digest.trim());
-    let serve =
-        "serve plate-notes in trivandrum replicas 2; serve plate-notes in kozhikode replicas 2";
-    fleet
-        .command(&format!("{account}; create model {MODEL} for lm; {serve}"))
-        .await?;
-    fleet
-        .create_version(MODEL, "v1", MEGABYTES, 1, None)
-        .await?;
-    fleet.command(&format!("roll out {MODEL} to v1")).await?;
-    fleet
-        .until("some chunks have moved", || async {
-            let table = fleet.table("show loading").await?;
-            let moved = table.rows.iter().any(|row| !row[7].starts_with("0/"));
-            Ok(if moved {
-                Ok(())
-            } else {
-                Err(format!("{:?}", table.rows))
-            })
-        })
-        .await?;
+    roll_out_midway(&fleet, MEGABYTES).await?;
     let frozen = &fleet.servers[0].child;
     frozen.freeze();
     actix_rt::time::sleep(FROZEN).await;
--- a/crates/gingerpier_gateway/src/figures.rs
+++ b/crates/gingerpier_gateway/src/figures.rs
@@ -24,7 +24,7 @@
         engine::Engine,
         fleet::{Fleet, Record, State as EngineState},
         mirror::Revision,
-        report::{Held, Report, Version},
+        report::Report,
     },
     std::{net::SocketAddr, rc::Rc},
 };
@@ -204,10 +204,8 @@
 }
 
 fn told_engine(engine: &Engine, service: u32, told: &mut Figures, now: Instant) -> ToldEngine {
-    let held = engine.latest(now).held.iter().map(|held| DigestHeld {
-        model: place(&mut told.models, &held.model),
-        version: held.version.0,
-    });
+    let held = engine.latest(now).held.iter();
+    let held = held.filter_map(|held| DigestHeld::new(held, &mut told.models, usize::MAX));
     ToldEngine {
         address: engine.record.address,
         service,
@@ -228,12 +226,8 @@
 
 /// Record of an engine; nothing where it names what is not in the message.
 fn record(engine: &ToldEngine, figures: &Figures) -> Option<Record> {
-    let held = engine.held.iter().filter_map(|held| {
-        Some(Held {
-            model: figures.models.get(held.model as usize)?.clone(),
-            version: Version(held.version),
-        })
-    });
+    let held = engine.held.iter();
+    let held = held.filter_map(|held| held.held(&figures.models));
     Some(Record {
         // Loaders know engines by their addresses.
         id: engine.address.to_string(),
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -261,7 +261,7 @@
 
 /// When the first chunk of weights that were just named is to be asked for at the origin.
 fn begins(loader: &Loader, named: &Named) -> Option<Instant> {
-    let heard = loader.named_at(named)?;
+    let heard = loader.heard_of(named)?;
     let begins = heard.after_millis(MANIFEST_LEAD_MILLIS);
     (clock::now().millis_since(heard) < MANIFEST_LEAD_MILLIS).then_some(begins)
 }
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -7,11 +7,10 @@
     gingerpier_base::order,
     gingerpier_serving::{
         asking::{Asking, Knowledge, Source, Step},
-        dialect::{Fact, Named, Scope, Watched},
+        dialect::{Fact, Scope, Watched},
         fleet::Fleet,
         mirror::{Item, Revision},
         naming::{OWN, Teller},
-        report::Version,
     },
     std::{net::SocketAddr, rc::Rc},
 };
@@ -143,11 +142,7 @@
     // It tells the age more roughly here than where it wants reports.
     let teller = Teller(!order::hash(&gateway));
     for naming in told.named {
-        let named = Named {
-            model: naming.model,
-            version: Version(naming.version),
-        };
-        loader.note_named(&named, teller, naming.age);
+        loader.take_naming(naming, teller);
     }
     *loader.fleet.borrow_mut() = told.fleet;
     Ok(())
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -9,7 +9,7 @@
         clock,
         error::{Error, Step},
         items::Reader,
-        log,
+        log, message,
         weights::{Carrier, GatewayPlace, peers},
     },
     gingerpier_base::{Instant, order},
@@ -287,6 +287,15 @@
         }
     }
 
+    /// Takes the word of a gateway, `teller`, on weights that operators named.
+    pub fn take_naming(&self, naming: message::Naming, teller: Teller) {
+        let named = Named {
+            model: naming.model,
+            version: Version(naming.version),
+        };
+        self.note_named(&named, teller, naming.age);
+    }
+
     /// Weights of `model` that operators named, as far as known.
     pub fn named(&self, model: &str) -> Vec<NamedAt> {
         let namings = self.namings.borrow();
@@ -299,7 +308,7 @@
     }
 
     /// When it was first heard that operators named `named`.
-    pub fn named_at(&self, named: &Named) -> Option<Instant> {
+    pub fn heard_of(&self, named: &Named) -> Option<Instant> {
         let namings = self.namings.borrow();
         let mut known = namings.get(&named.model)?.iter();
         let own = known.find(|known| known.version == named.version)?;
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -8,11 +8,7 @@
         message::{self, Datagram, Load, Member, Names, Subscribe},
     },
     gingerpier_base::order,
-    gingerpier_serving::{
-        dialect::Named,
-        naming::Teller,
-        report::{Report, Version},
-    },
+    gingerpier_serving::{dialect::Named, naming::Teller, report::Report},
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
 };
@@ -67,11 +63,7 @@
 
 fn note(loader: &Loader, from: SocketAddr, subscribe: Subscribe) {
     for naming in subscribe.named {
-        let named = Named {
-            model: naming.model,
-            version: Version(naming.version),
-        };
-        loader.note_named(&named, Teller(order::hash(&from)), naming.age);
+        loader.take_naming(naming, Teller(order::hash(&from)));
     }
     let mut subscribers = loader.subscribers.borrow_mut();
     let known = subscribers.get(&from);
--- a/crates/gingerpier_gateway/src/message.rs
+++ b/crates/gingerpier_gateway/src/message.rs
@@ -367,6 +367,33 @@
     pub is_changes: bool,
 }
 
+impl DigestHeld {
+    /// What tells of `held`, whose model is named among `models`, at most `most` of them; nothing where there
+    /// is no more room.
+    pub fn new(held: &Held, models: &mut Vec<String>, most: usize) -> Option<Self> {
+        let known = models.iter().position(|model| *model == held.model);
+        if known.is_none() && models.len() >= most {
+            return None;
+        }
+        let model = known.unwrap_or_else(|| {
+            models.push(held.model.clone());
+            models.len() - 1
+        });
+        Some(Self {
+            model: model as u32,
+            version: held.version.0,
+        })
+    }
+
+    /// The weights that it tells of; nothing where `models` does not name the model.
+    pub fn held(&self, models: &[String]) -> Option<Held> {
+        Some(Held {
+            model: models.get(self.model as usize)?.clone(),
+            version: Version(self.version),
+        })
+    }
+}
+
 impl SharedItem {
     /// Item to be told.
     pub fn new(item: Item) -> Self {
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -185,23 +185,13 @@
     Ok(())
 }
 
-/// Asks another gateway for all that it knows of the store; false where it does not know anything.
+/// Asks another gateway for a first copy of the store; false where it has none.
 pub async fn ask_first_copy(state: &State, peer: SocketAddr) -> bool {
-    let question = Question {
-        after: Revision::default(),
-        wait_millis: 0,
-    };
-    let mut client = Client::of_gateway(peer);
-    let Some(told) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
-        return false;
-    };
-    if told.snapshot.at == 0 {
-        return false;
+    let age = ask(state, peer).await;
+    if let Some(age) = age {
+        state.note_contact(age);
     }
-    tracing::info!(%peer, at = told.snapshot.at, had = 0, age = told.ages.word, "snapshot taken from a gateway");
-    state.note_contact(told.ages.word);
-    take(state, told);
-    true
+    age.is_some()
 }
 
 /// How old what a gateway tells is, in milliseconds when it is told.
@@ -316,19 +306,21 @@
     peers
 }
 
-async fn ask(state: &State, peer: SocketAddr) {
+/// Takes what another gateway knows and this one does not; gives the milliseconds since the store's last word
+/// there, where there was any of it.
+async fn ask(state: &State, peer: SocketAddr) -> Option<u64> {
     let after = state.mirror.borrow().at();
     let question = Question {
         after,
         wait_millis: 0,
     };
     let mut client = Client::of_gateway(peer);
-    let Some(told) = exchange(&mut client, &question, ANSWER_MILLIS).await else {
-        return;
-    };
+    let told = exchange(&mut client, &question, ANSWER_MILLIS).await?;
     if told.snapshot.at <= after.0 {
-        return;
+        return None;
     }
-    tracing::info!(%peer, at = told.snapshot.at, had = after.0, age = told.ages.word, "snapshot taken from a gateway");
+    let age = told.ages.word;
+    tracing::info!(%peer, at = told.snapshot.at, had = after.0, age, "snapshot taken from a gateway");
     take(state, told);
+    Some(age)
 }
--- a/crates/gingerpier_gateway/src/zones.rs
+++ b/crates/gingerpier_gateway/src/zones.rs
@@ -10,7 +10,7 @@
     gingerpier_base::Instant,
     gingerpier_serving::{
         engine::Engine,
-        report::{Held, Report, Version},
+        report::Report,
         zones::{Heading, Reception},
     },
     std::{net::SocketAddr, rc::Rc},
@@ -108,11 +108,7 @@
 }
 
 fn report_of(told: &DigestEngine, models: &[String]) -> Report {
-    let held = told.held.iter().filter_map(|held| {
-        let model = models.get(held.model as usize)?.clone();
-        let version = Version(held.version);
-        Some(Held { model, version })
-    });
+    let held = told.held.iter().filter_map(|held| held.held(models));
     Report {
         held: held.collect(),
         is_busy: told.is_busy,
@@ -174,21 +170,8 @@
     models: &mut Vec<String>,
     now: Instant,
 ) -> DigestEngine {
-    let held = report.held.iter().filter_map(|held| {
-        let known = models.iter().position(|model| *model == held.model);
-        let model = match known {
-            Some(place) => place,
-            None if models.len() < MOST_MODELS => {
-                models.push(held.model.clone());
-                models.len() - 1
-            }
-            None => return None,
-        };
-        Some(DigestHeld {
-            model: model as u32,
-            version: held.version.0,
-        })
-    });
+    let held = report.held.iter();
+    let held = held.filter_map(|held| DigestHeld::new(held, models, MOST_MODELS));
     DigestEngine {
         address: engine.record.address,
         age: engine.report_age(now).unwrap_or_default() as u32,
