What may have been named before the start comes due 3 s after it, whatever copy came first

Cause: a process that starts counted what came with its first copy as named before the start. An answer of a neighbour without a copy was noted as such a copy, and so was an old one of a neighbour that is cut off; what the store then told counted as named when it was heard of.

Change: naming::Freshness::due_after_break tells by what was known for certain: where that does not reach past the start, older weights come due 3 s after it, or when the bound demands it from the last moment that is certain, whichever is later. The moment of the first copy is no longer kept. The test of what was named before the start asks the same of the new words (first copy at five moments, a later naming), and another one asks for a neighbour that is cut off, and for one that has the store.

--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -19,7 +19,7 @@
         dialect::{Dialect, Fact, Named, Subject},
         fleet::{EngineKey, Fleet, Record},
         mirror::{Changes, Item, Mirror, Revision},
-        naming::{Bound, Freshness, Naming, Namings, OWN, Told},
+        naming::{Freshness, Naming, Namings, OWN, Told},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -80,8 +80,6 @@
     fresh: Cell<Freshness>,
     /// When bytes of an answer of the store came last: a large one takes a second or more.
     pub store_heard: Rc<Cell<Option<Instant>>>,
-    /// When the first copy of the store was taken.
-    first_copy_at: Cell<Option<Instant>>,
     started: Instant,
 }
 
@@ -116,7 +114,6 @@
             contact: Cell::new(None),
             fresh: Cell::default(),
             store_heard: Rc::default(),
-            first_copy_at: Cell::default(),
             started,
         }
     }
@@ -212,9 +209,6 @@
         for item in news {
             self.take_item(&item);
         }
-        if self.first_copy_at.get().is_none() {
-            self.first_copy_at.set(Some(clock::now()));
-        }
         let at = self.mirror.borrow().at();
         self.metrics.revision.set(at.0 as i64);
         self.news.notify_waiters();
@@ -265,15 +259,14 @@
     /// Notes weights that operators named.
     pub fn note_named(&self, named: &Named) {
         let now = clock::now();
-        let earliest = self
-            .fresh
-            .get()
-            .earliest(self.settings.version_within.0, now);
+        let (fresh, within) = (self.fresh.get(), self.settings.version_within.0);
+        let earliest = fresh.earliest(within, now);
         let mut namings = self.namings.borrow_mut();
         let known = namings.entry(named.model.clone()).or_default();
         if !known.note(named.version, OWN, earliest, now) {
             return;
         }
+        known.note_break(fresh.due_after_break(self.started, within));
         tracing::info!(
             model = named.model,
             version = named.version.0,
@@ -318,14 +311,9 @@
     }
 
     fn due_of(&self, naming: &Naming) -> Due {
-        let bound = Bound {
-            started: self.started,
-            first_copy_at: self.first_copy_at.get(),
-            within_millis: self.settings.version_within.0,
-        };
         Due {
             version: naming.version,
-            at: naming.due_at(&bound),
+            at: naming.due_at(self.settings.version_within.0),
         }
     }
 
--- a/crates/gingerpier_serving/src/naming.rs
+++ b/crates/gingerpier_serving/src/naming.rs
@@ -26,9 +26,9 @@
 /// with 0.4 s of it; 0.2 s are to spare. That a naming is heard of late is counted by itself.
 const VERSION_MARGIN_MILLIS: u64 = 1_200;
 
-/// Milliseconds from a process's start for which older weights may serve behind a naming that its first copy
-/// of the store brought, which may be long past: by then it counts as one that has the store.
-const START_GRACE_MILLIS: u64 = 3_000;
+/// Milliseconds from the moment at which a process began to run for which older weights may serve behind a naming
+/// that may be long past: by then it counts as one that has the store.
+const BREAK_GRACE_MILLIS: u64 = 3_000;
 
 /// What another process says of how fresh the knowledge is that it passes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,6 +69,18 @@
         let farthest = Instant::from_millis(now.as_millis().saturating_sub(most_back));
         self.0.map_or(farthest, |fresh| fresh.clamp(farthest, now))
     }
+
+    /// When older weights come due behind a naming that is heard of now, where it may have been made before this
+    /// process began to run at `running_since`, at its start or after a standstill; none where it was made later. A
+    /// copy that is there already proves nothing: it may be empty, or an old one of a neighbour that is cut off.
+    pub fn due_after_break(self, running_since: Instant, within_millis: u64) -> Option<Instant> {
+        let back = running_since.after_millis(BREAK_GRACE_MILLIS);
+        match self.0 {
+            Some(fresh) if fresh >= running_since => None,
+            Some(fresh) => Some(back.max(fresh.after_millis(patience(within_millis)))),
+            None => Some(back),
+        }
+    }
 }
 
 /// Named weights.
@@ -80,31 +92,23 @@
     pub heard: Instant,
     /// Earliest moment at which they can have been named, from which the bound counts.
     pub at: Instant,
-}
-
-/// The operators' bound, at one process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Bound {
-    /// When it started.
-    pub started: Instant,
-    /// When it took its first copy of the store; none while it has none.
-    pub first_copy_at: Option<Instant>,
-    /// Milliseconds from a naming to its last effect.
-    pub within_millis: u64,
+    /// When older weights come due where they may have been named before this process began to run.
+    pub due_after_break: Option<Instant>,
 }
 
 impl Naming {
-    /// From when on older weights may start nothing.
-    pub fn due_at(&self, bound: &Bound) -> Instant {
-        let came_with_first_copy = bound.first_copy_at.is_none_or(|at| self.heard <= at);
-        if came_with_first_copy {
-            return bound.started.after_millis(START_GRACE_MILLIS);
-        }
-        let patience = bound.within_millis.saturating_sub(VERSION_MARGIN_MILLIS);
-        self.at.after_millis(patience)
+    /// From when on older weights may start nothing, where the bound is `within_millis`.
+    pub fn due_at(&self, within_millis: u64) -> Instant {
+        self.due_after_break
+            .unwrap_or_else(|| self.at.after_millis(patience(within_millis)))
     }
 }
 
+/// Milliseconds from a naming for which older weights serve.
+const fn patience(within_millis: u64) -> u64 {
+    within_millis.saturating_sub(VERSION_MARGIN_MILLIS)
+}
+
 /// Who told of a naming, as any number that is its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Teller(pub u64);
@@ -163,6 +167,7 @@
                 version,
                 heard: now,
                 at: now,
+                due_after_break: None,
             },
             words: Vec::new(),
         };
@@ -171,6 +176,13 @@
         true
     }
 
+    /// Notes when older weights come due behind the newest.
+    pub fn note_break(&mut self, due: Option<Instant>) {
+        if let Some(newest) = self.0.last_mut() {
+            newest.naming.due_after_break = due;
+        }
+    }
+
     /// The newest.
     pub fn newest(&self) -> Option<&Naming> {
         self.0.last().map(|entry| &entry.naming)
--- a/crates/gingerpier_serving/tests/naming.rs
+++ b/crates/gingerpier_serving/tests/naming.rs
@@ -4,7 +4,7 @@
 use {
     gingerpier_base::Instant,
     gingerpier_serving::{
-        naming::{Bound, Freshness, Naming, Namings, OWN, Teller, Told},
+        naming::{Freshness, Naming, Namings, OWN, Teller, Told},
         report::Version,
     },
     proptest::prelude::*,
@@ -253,35 +253,53 @@
     assert_eq!(fresh.earliest(3_000, at(70_000)), at(69_250));
 }
 
+/// When older weights come due at a process that runs since `running_since`, knows `fresh`, and hears of the
+/// naming at `heard`.
+fn due(running_since: Instant, fresh: Freshness, heard: Instant) -> Instant {
+    let mut namings = Namings::default();
+    assert!(namings.note(NAMED, OWN, fresh.earliest(WITHIN, heard), heard));
+    namings.note_break(fresh.due_after_break(running_since, WITHIN));
+    namings.newest().expect("known").due_at(WITHIN)
+}
+
 #[test]
 fn weights_named_before_a_process_started_come_due_soon_after_its_start_however_late_its_first_copy_is()
  {
-    let started = Instant::from_millis(60_000);
+    let started = at(60_000);
     for copy_after in [50, 900, 1_100, 2_500, 6_000] {
         let first_copy = started.after_millis(copy_after);
-        let naming = Naming {
-            version: Version(2),
-            heard: first_copy,
-            at: first_copy,
-        };
-        let bound = Bound {
-            started,
-            first_copy_at: Some(first_copy),
-            within_millis: 8_000,
-        };
-        let due = naming.due_at(&bound);
-        assert_eq!(due, started.after_millis(3_000), "copy after {copy_after}");
+        let mut fresh = Freshness::default();
+        let due_at = due(started, fresh, first_copy);
+        assert_eq!(
+            due_at,
+            started.after_millis(3_000),
+            "copy after {copy_after}"
+        );
         // One that is named later has its time.
+        fresh.note_answer(first_copy);
         let later = first_copy.after_millis(1);
-        let naming = Naming {
-            heard: later,
-            at: later,
-            ..naming
-        };
-        assert_eq!(naming.due_at(&bound), later.after_millis(6_800));
+        assert_eq!(due(started, fresh, later), first_copy.after_millis(6_800));
     }
 }
 
+#[test]
+fn what_a_neighbour_without_the_store_told_a_process_that_started_does_not_make_a_naming_recent() {
+    let started = at(100_000);
+    let told = |age_millis| {
+        let told = Told {
+            held_millis: 0,
+            age_millis,
+        };
+        let mut fresh = Freshness::default();
+        fresh.note_told(at(100_200), told, at(100_300));
+        fresh
+    };
+    // The neighbour was cut off for 30 s, and the naming may be as old.
+    assert_eq!(due(started, told(30_000), at(102_000)), at(103_000));
+    // One with the store knows that the naming was made after 99.5 s.
+    assert_eq!(due(started, told(700), at(100_800)), at(106_300));
+}
+
 #[test]
 fn of_several_that_tell_of_a_naming_the_one_that_knows_best_counts() {
     let mut namings = Namings::default();
