A process that stood still is as strict as one that starts about what was named meanwhile

Cause: the bound of named weights counts back from hearing by 2 s at most. A process that did not run for over 3.2 s lets older weights serve for 4.8 s from hearing, and is held to the bound again 3 s after it goes on.

Change: a gateway notes four times a second that it runs; where 2 s lie between two notes, it runs since the later one. What may have been named before that comes due 3 s after it, or when the bound demands it from the last moment that is certain, whichever is later. Where the store was silent while the process ran, all is as it was. A test of the arithmetic is added.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -36,6 +36,9 @@
 /// Milliseconds between sweeps of resting connections.
 const SWEEP_MILLIS: u64 = 1_000;
 
+/// Milliseconds between notes that the process runs.
+const RUNNING_MILLIS: u64 = 250;
+
 async fn listen(step: Step, peer: SocketAddr) -> Result<TcpListener, Error> {
     let listener = TcpListener::bind(peer).await;
     listener.map_err(|what| Error::Io { step, peer, what })
@@ -87,6 +90,7 @@
     actix_rt::spawn(answer_readiness(state.clone(), readiness));
     actix_rt::spawn(callers::accept(state.clone(), callers));
     actix_rt::spawn(sweep(state.clone()));
+    actix_rt::spawn(watch_running(state.clone()));
     actix_rt::spawn(note_hangups(hangup));
     terminate.recv().await;
     stop(&state).await;
@@ -100,6 +104,13 @@
     }
 }
 
+async fn watch_running(state: Rc<State>) {
+    loop {
+        clock::pause(RUNNING_MILLIS).await;
+        state.note_running();
+    }
+}
+
 async fn sweep(state: Rc<State>) {
     loop {
         clock::pause(SWEEP_MILLIS).await;
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -35,6 +35,10 @@
 /// Milliseconds without word from the store after which peers are asked.
 const CONTACT_MILLIS: u64 = 900;
 
+/// Milliseconds between two notes that the process runs above which it stood still: far above any work of its own,
+/// and below the 3 s in which the bound of named weights counts back from hearing far enough.
+const STANDSTILL_MILLIS: u64 = 2_000;
+
 /// What a gateway knows.
 pub struct State {
     /// Settings.
@@ -81,6 +85,9 @@
     /// When bytes of an answer of the store came last: a large one takes a second or more.
     pub store_heard: Rc<Cell<Option<Instant>>>,
     started: Instant,
+    /// When the process was last seen to run, and from when on it has run without a standstill.
+    ran_at: Cell<Instant>,
+    running_since: Cell<Instant>,
 }
 
 impl State {
@@ -115,7 +122,20 @@
             fresh: Cell::default(),
             store_heard: Rc::default(),
             started,
+            ran_at: Cell::new(started),
+            running_since: Cell::new(started),
+        }
+    }
+
+    /// Notes that the process runs; gives from when on it has done so without a standstill.
+    pub fn note_running(&self) -> Instant {
+        let now = clock::now();
+        let millis = now.millis_since(self.ran_at.replace(now));
+        if millis > STANDSTILL_MILLIS {
+            tracing::warn!(millis, "process stood still");
+            self.running_since.set(now);
         }
+        self.running_since.get()
     }
 
     /// Configuration in force.
@@ -266,7 +286,8 @@
         if !known.note(named.version, OWN, earliest, now) {
             return;
         }
-        known.note_break(fresh.due_after_break(self.started, within));
+        // What is heard may be read before any timer shows a standstill.
+        known.note_break(fresh.due_after_break(self.note_running(), within));
         tracing::info!(
             model = named.model,
             version = named.version.0,
--- a/crates/gingerpier_serving/tests/naming.rs
+++ b/crates/gingerpier_serving/tests/naming.rs
@@ -300,6 +300,23 @@
     assert_eq!(due(started, told(700), at(100_800)), at(106_300));
 }
 
+#[test]
+fn a_process_that_stood_still_is_as_strict_as_one_that_starts_and_no_stricter_than_the_bound() {
+    let last = at(100_000);
+    let mut fresh = Freshness::default();
+    fresh.note_answer(last);
+    for (stood_still, due_after) in [
+        (2_000, 6_800),
+        (3_700, 6_800),
+        (4_000, 7_000),
+        (9_000, 12_000),
+    ] {
+        let back = last.after_millis(stood_still);
+        let due_at = due(back, fresh, back.after_millis(100));
+        assert_eq!(due_at, last.after_millis(due_after), "{stood_still}");
+    }
+}
+
 #[test]
 fn of_several_that_tell_of_a_naming_the_one_that_knows_best_counts() {
     let mut namings = Namings::default();
