A naming that was heard of late counts back by a third of the bound

Cause: with a bound of 6 s the count went back by 1.5 s at most, and the margin no longer covers the rest: a naming heard of 3.3 s late came due at 6.6 s.

Change: a third instead of a quarter, so 2 s with a bound of 6 s.

Conclusion: a naming heard of more than some 2.2 s late still has less than the margin for engines with a queue.

--- a/crates/gingerpier_serving/src/naming.rs
+++ b/crates/gingerpier_serving/src/naming.rs
@@ -19,7 +19,7 @@
 
 /// The bound divided by the most that this takes of it: the rest is for bringing the weights and for
 /// engines' turns.
-const MOST_BACK_DIVISOR: u64 = 4;
+const MOST_BACK_DIVISOR: u64 = 3;
 
 /// Milliseconds before the operators' bound at which older weights serve no more: the longest way seen from the
 /// choice of an engine to the start there was 1.4 s, through a queue that had just filled, and a choice reckons
