Sight of a thread that gets to its work late, of late words, and of why a source was given up

Cause: logs could not tell apart why a source says nothing to all its askers: blocked, working, waiting for a processor, or packets lost. Change: process_late (by how much, and of it worked, waiting for a processor, blocked, from the system's count of the thread), word_late (late, or long in sending), source_stalled with when the source was last heard on any question, the link's round trip and its lost packets; one line of each of the first two in 500 ms, the others counted. Metric turn_delay_seconds.

--- a/crates/gingerpier_daemon/src/backend/asks.rs
+++ b/crates/gingerpier_daemon/src/backend/asks.rs
@@ -143,9 +143,16 @@
         }
     }
 
+    /// Notes that the source sent something for this ask.
+    fn heard(&self) {
+        self.fetching.progress_at(self.chunk, self.attempt);
+        let mut heard = self.fetching.heard.borrow_mut();
+        heard.insert(self.source, clock::now());
+    }
+
     fn take(&self, part: &[u8]) {
         self.taken.set(self.taken.get() + part.len());
-        self.fetching.progress_at(self.chunk, self.attempt);
+        self.heard();
         if self.source == Source::Origin {
             self.fetching.origin_sent();
         }
@@ -205,9 +212,9 @@
         stream.finish();
         let mut left = loop {
             match stream.receive::<Reply>().await? {
-                Reply::Pending => self.fetching.progress_at(self.chunk, self.attempt),
+                Reply::Pending => self.heard(),
                 Reply::Chunk { length } => {
-                    self.fetching.progress_at(self.chunk, self.attempt);
+                    self.heard();
                     break length as usize;
                 }
                 other => return Err(Failure::Failed(format!("{other:?}"))),
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -10,7 +10,7 @@
     },
     crate::clock,
     bytes::BytesMut,
-    gingerpier_base::{Digest, Name, order},
+    gingerpier_base::{Digest, Instant, Name, order},
     gingerpier_catalogue::Revision,
     gingerpier_services::weight_source,
     gingerpier_weights::{
@@ -48,6 +48,8 @@
     pub(super) partial: RefCell<BTreeMap<u32, Partial>>,
     /// What the plan was made from.
     basis: Cell<Option<Basis>>,
+    /// When each source last sent anything, by the plan's keys.
+    pub(super) heard: RefCell<BTreeMap<Source, Instant>>,
     /// Boxes of the plan, by the plan's keys.
     pub(super) replicas: RefCell<Vec<Peer>>,
 }
@@ -138,6 +140,7 @@
             origin_bytes: Cell::new(0),
             peer_bytes: Cell::new(0),
             partial: RefCell::default(),
+            heard: RefCell::default(),
             replicas: RefCell::default(),
             basis: Cell::new(None),
         });
@@ -203,8 +206,7 @@
                         attempt,
                     } => {
                         asks.drop(attempt);
-                        let source = fetching.describe(source);
-                        tracing::warn!(event = "source_stalled", weights = %fetching.version, chunk, source);
+                        self.log_stall(&fetching, chunk, source, now);
                     }
                     Action::Complete => {
                         tracing::info!(event = "version_complete", weights = %fetching.version,
@@ -235,6 +237,23 @@
         }
     }
 
+    /// One line for a source that was given up, with what tells a silent source from a lossy link and
+    /// from one question that was forgotten.
+    fn log_stall(&self, fetching: &Fetching, chunk: u32, source: Source, now: Instant) {
+        let heard_at = fetching.heard.borrow().get(&source).copied();
+        let heard_millis_ago = heard_at.map(|at| now.millis_since(at));
+        let link = fetching
+            .peer(source)
+            .and_then(|peer| self.held_link(&peer.name));
+        let path = link.map(|link| link.path());
+        let (rtt_micros, lost_packets) = path
+            .map(|path| (path.rtt.as_micros() as u64, path.lost_packets))
+            .unzip();
+        let source = fetching.describe(source);
+        tracing::warn!(event = "source_stalled", weights = %fetching.version, chunk, source,
+            heard_millis_ago, rtt_micros, lost_packets);
+    }
+
     /// Takes a new plan where the replicas have changed.
     fn follow_plan(&self, fetching: &Fetching, manifest: &Manifest) {
         let basis = Basis {
@@ -264,6 +283,8 @@
                 *machine = Some(made);
             }
         }
+        // The keys of the old plan mean nothing in the new one.
+        fetching.heard.take();
         fetching.replicas.replace(replicas);
     }
 
--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -199,6 +199,11 @@
         }
     }
 
+    /// Link to another backend server, where one was made and nobody makes it anew.
+    pub fn held_link(&self, name: &Name) -> Option<Link> {
+        self.book.link(name).try_lock().ok()?.clone()
+    }
+
     /// Link to another backend server, made where there is none.
     ///
     /// Questions that come together wait for one link: a handshake for each of them would keep the
--- a/crates/gingerpier_daemon/src/backend/serving.rs
+++ b/crates/gingerpier_daemon/src/backend/serving.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Backend, pace::PART_BYTES, weights::Weights},
-    crate::clock,
+    crate::{clock, lateness::Sieve},
     bytes::Bytes,
     gingerpier_base::{Digest, Instant},
     gingerpier_link::{Error, Stream},
@@ -13,6 +13,8 @@
 
 /// Milliseconds between words, to a peer or to the fetch here, that a chunk will still come.
 pub(super) const PENDING_MILLIS: u64 = 300;
+/// Milliseconds of delay of a word from which it is logged; less is usual on a busy machine.
+const LATE_WORD_MILLIS: u64 = 100;
 /// Milliseconds for which another box's ask is kept waiting.
 pub(super) const WAIT_MILLIS: u64 = 25_000;
 
@@ -35,13 +37,30 @@
 
     /// Tells the peer, where that is due, that what it asked for will still come.
     async fn tell(&mut self) -> Result<(), Error> {
-        if self.tell_at.has_passed(clock::now()) {
+        let begun = clock::now();
+        if self.tell_at.has_passed(begun) {
             self.stream.send(&Reply::Pending).await?;
-            self.tell_at = clock::now().after_millis(PENDING_MILLIS);
+            let now = clock::now();
+            let (late_millis, sent_millis) =
+                (begun.millis_since(self.tell_at), now.millis_since(begun));
+            self.note(late_millis, sent_millis, now);
+            self.tell_at = now.after_millis(PENDING_MILLIS);
         }
         Ok(())
     }
 
+    /// Logs a word that was begun late, or took long to send.
+    fn note(&self, late_millis: u64, sent_millis: u64, now: Instant) {
+        thread_local! { static LINES: Sieve = Sieve::default(); }
+        if late_millis.max(sent_millis) < LATE_WORD_MILLIS {
+            return;
+        }
+        if let Some(left_out) = LINES.with(|lines| lines.pass(now)) {
+            let peer = self.stream.peer();
+            tracing::warn!(event = "word_late", %peer, late_millis, sent_millis, left_out);
+        }
+    }
+
     /// Output of `work`, where it comes before the peer is to be told.
     async fn before_word<F: Future>(&self, work: F) -> Option<F::Output> {
         let left = clock::left(self.tell_at);
--- a/crates/gingerpier_daemon/src/lib.rs
+++ b/crates/gingerpier_daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod clock;
 pub mod entry;
 pub mod error;
+pub mod lateness;
 pub mod ledger;
 pub mod log;
 pub mod metrics;
--- a/crates/gingerpier_daemon/src/metrics.rs
+++ b/crates/gingerpier_daemon/src/metrics.rs
@@ -13,6 +13,9 @@
 /// Bounds of the time to an answer's first part, in seconds.
 const FIRST_PART_BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0];
 
+/// Bounds of the delay of the thread's turns, in seconds: from a usual one to one that outlasts a stall.
+const DELAY_BOUNDS: [f64; 8] = [0.002, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0];
+
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabel {
@@ -59,6 +62,8 @@
     pub orders_withheld: Counter,
     /// Calls of the key-value service.
     pub key_value_calls: Counter,
+    /// Seconds by which turns of the process's one thread were late.
+    pub turn_delay: Histogram,
     /// Bytes sent on links, with all that the transport adds.
     pub link_sent: Gauge,
     /// Bytes received on links, with all that the transport adds.
@@ -81,6 +86,7 @@
             chunks_corrupt: Family::default(),
             orders_withheld: Counter::default(),
             key_value_calls: Counter::default(),
+            turn_delay: Histogram::new(DELAY_BOUNDS),
             link_sent: Gauge::default(),
             link_received: Gauge::default(),
         };
@@ -134,6 +140,12 @@
             Unit::Bytes,
             self.link_received.clone(),
         );
+        registry.register_with_unit(
+            "turn_delay",
+            "Time by which turns of the process's thread were late",
+            Unit::Seconds,
+            self.turn_delay.clone(),
+        );
         registry.register(
             "chunks_corrupt",
             "Chunks that came wrong",
--- a/crates/gingerpier_daemon/src/process.rs
+++ b/crates/gingerpier_daemon/src/process.rs
@@ -1,7 +1,7 @@
 //! What both roles share: identity, keys, link endpoint, leaving.
 
 use {
-    crate::{clock, error::Error, ledger::Ledger, metrics::Metrics},
+    crate::{clock, error::Error, lateness, ledger::Ledger, metrics::Metrics},
     actix_rt::signal::unix::{SignalKind, signal},
     gingerpier_base::place::{Incarnation, Role},
     gingerpier_http::Listener,
@@ -204,6 +204,7 @@
                 clock::sleep(TRAFFIC_MILLIS).await;
             }
         });
+        actix_rt::spawn(lateness::watch(self.metrics.clone()));
         actix_rt::spawn(self.metrics.clone().serve(listener));
         Ok(address)
     }
--- a/crates/gingerpier_link/src/endpoint.rs
+++ b/crates/gingerpier_link/src/endpoint.rs
@@ -206,6 +206,15 @@
         self.inner.close(VarInt::from_u32(0), b"closed");
     }
 
+    /// What its way is like now.
+    pub fn path(&self) -> Path {
+        let path = self.inner.stats().path;
+        Path {
+            rtt: path.rtt,
+            lost_packets: path.lost_packets,
+        }
+    }
+
     /// Bytes sent and received, with all that the transport adds.
     pub fn traffic(&self) -> Traffic {
         let stats = self.inner.stats();
@@ -216,6 +225,15 @@
     }
 }
 
+/// What a link's way is like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Path {
+    /// Time there and back.
+    pub rtt: Duration,
+    /// Packets lost since the link was made.
+    pub lost_packets: u64,
+}
+
 /// Bytes of one link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Traffic {
--- a/crates/gingerpier_link/src/lib.rs
+++ b/crates/gingerpier_link/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use authority::Authority;
 pub use credentials::Credentials;
-pub use endpoint::{Endpoint, Incoming, Link, Traffic};
+pub use endpoint::{Endpoint, Incoming, Link, Path, Traffic};
 pub use error::{Error, Step};
 pub use identity::Identity;
 pub use stream::Stream;
