A red test of a source that does not run for less than a stall

Cause: with a stall of 550 ms, a source whose thread is not run for 250 ms can be given up by all its askers: words on one question come 300 ms apart, and each question is judged alone, even where its source spoke on another. Change: a test that freezes each backend server for 350 ms, one after another, while chunks move.

--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -305,3 +305,25 @@
     assert_eq!(lines_about(&fleet, 0, "source_stalled"), [""; 0]);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn a_source_that_did_not_run_for_less_than_a_stall_is_given_up_by_nobody() -> Result<(), Error>
+{
+    // A word may have been due just before; the rest of the stall is for speaking again.
+    const FROZEN: Duration = Duration::from_millis(350);
+    const RUNNING: Duration = Duration::from_millis(650);
+    const TIMES: usize = 4;
+    let fleet = Fleet::start(slow_spec("  stall: 550ms\n")).await?;
+    roll_out_midway(&fleet, MEGABYTES).await?;
+    for server in fleet.servers.iter().cycle().take(TIMES) {
+        server.child.freeze();
+        actix_rt::time::sleep(FROZEN).await;
+        server.child.thaw();
+        actix_rt::time::sleep(RUNNING).await;
+    }
+    fleet.until_live(MODEL, "v1").await?;
+    for index in 0..fleet.servers.len() {
+        assert_eq!(lines_about(&fleet, index, "source_stalled"), [""; 0]);
+    }
+    Ok(())
+}
