A peer that speaks on one question is not given up on the others

Cause: on a busy machine a source's thread waits for a processor for 100 to 1,400 ms at times. Change: whatever a peer sends moves the stall deadlines of all that is asked of it, as the origin's bytes do already. A question that its source never mentions is given up after two stalls all the same, and after its patience as before.

--- a/crates/gingerpier_daemon/src/backend/asks.rs
+++ b/crates/gingerpier_daemon/src/backend/asks.rs
@@ -143,19 +143,14 @@
         }
     }
 
-    /// Notes that the source sent something for this ask.
+    /// Notes that the source sent something.
     fn heard(&self) {
-        self.fetching.progress_at(self.chunk, self.attempt);
-        let mut heard = self.fetching.heard.borrow_mut();
-        heard.insert(self.source, clock::now());
+        self.fetching.heard(self.source, self.chunk, self.attempt);
     }
 
     fn take(&self, part: &[u8]) {
         self.taken.set(self.taken.get() + part.len());
         self.heard();
-        if self.source == Source::Origin {
-            self.fetching.origin_sent();
-        }
         let length = part.len() as u64;
         let (source, count) = match self.fetching.peer(self.source) {
             None => ("origin", &self.fetching.origin_bytes),
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -103,10 +103,16 @@
         }
     }
 
-    /// Notes bytes of some chunk from the origin.
-    pub(super) fn origin_sent(&self) {
+    /// Notes that `source` sent something on `chunk`.
+    pub(super) fn heard(&self, source: Source, chunk: u32, attempt: u64) {
+        let now = clock::now();
+        self.heard.borrow_mut().insert(source, now);
         if let Some(machine) = self.machine.borrow_mut().as_mut() {
-            machine.origin_sent(clock::now());
+            machine.progress(chunk, attempt, now);
+            match source.replica() {
+                Some(peer) => machine.peer_sent(peer, now),
+                None => machine.origin_sent(now),
+            }
         }
     }
 
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -5,6 +5,9 @@
 //! chunk has a deadline that moves on with progress and a last deadline that does not; where
 //! either passes, or the source fails or sends wrong bytes, the next source of the plan is taken.
 //!
+//! A peer that sends anything on one question is not stalled on its others, unless it never mentions
+//! them: whether its process runs and its link carries shows at all its questions together.
+//!
 //! Deadlines measure the sources, so time in which this process itself did not run does not count:
 //! what they sent meanwhile has not been read yet. Whoever drives the fetch tells when a look was due.
 
@@ -41,6 +44,13 @@
     }
 }
 
+impl Terms {
+    /// When a question that was last mentioned `now` counts as forgotten.
+    const fn forgotten_at(&self, now: Instant) -> Instant {
+        now.after_millis(FORGOTTEN_STALLS * self.stall_millis)
+    }
+}
+
 /// Attempts at once, for each chunk of the window: what others wait for here comes on top.
 const WIDTHS: usize = 4;
 
@@ -51,6 +61,10 @@
 /// run: more than a busy machine's usual delay, and far less than a stall.
 const LATE_MILLIS: u64 = 100;
 
+/// Stalls after which a question that its source never mentions counts as forgotten, although the
+/// source speaks on others: words on each question are due at least once in a stall.
+const FORGOTTEN_STALLS: u64 = 2;
+
 /// Attempts more for each chunk that came.
 const WIDENING: usize = 2;
 
@@ -96,7 +110,10 @@
 struct Attempt {
     number: u64,
     source: Source,
+    /// Until when the source may be silent; never after `forgotten_deadline`, but for the origin.
     stall_deadline: Instant,
+    /// Until when the source may be silent on this question.
+    forgotten_deadline: Instant,
     last_deadline: Instant,
 }
 
@@ -213,6 +230,7 @@
             .filter_map(|chunk| chunk.attempt.as_mut())
         {
             attempt.stall_deadline = attempt.stall_deadline.after_millis(lost_millis);
+            attempt.forgotten_deadline = attempt.forgotten_deadline.after_millis(lost_millis);
             attempt.last_deadline = attempt.last_deadline.after_millis(lost_millis);
         }
     }
@@ -228,8 +246,10 @@
     /// Notes that the source of `attempt` sent bytes, or said that it is still waiting itself.
     pub fn progress(&mut self, chunk: u32, attempt: u64, now: Instant) {
         let stall_deadline = now.after_millis(self.terms.stall_millis);
+        let forgotten_deadline = self.terms.forgotten_at(now);
         if let Some(under_way) = self.attempt_mut(chunk, attempt) {
             under_way.stall_deadline = stall_deadline;
+            under_way.forgotten_deadline = forgotten_deadline;
         }
     }
 
@@ -246,6 +266,19 @@
         }
     }
 
+    /// Notes that a peer sent something on any question: it runs, and its link carries, so its other
+    /// questions are not stalled. One that it never mentions is given up all the same.
+    pub fn peer_sent(&mut self, peer: ReplicaKey, now: Instant) {
+        let stall_deadline = now.after_millis(self.terms.stall_millis);
+        let attempts = self
+            .open
+            .values_mut()
+            .filter_map(|chunk| chunk.attempt.as_mut());
+        for attempt in attempts.filter(|attempt| attempt.source.replica() == Some(peer)) {
+            attempt.stall_deadline = stall_deadline.min(attempt.forgotten_deadline);
+        }
+    }
+
     /// Notes the end of an attempt; a late one of a dropped attempt counts only where it brought
     /// the chunk.
     pub fn end(&mut self, chunk: u32, attempt: u64, outcome: Outcome, now: Instant) {
@@ -399,6 +432,7 @@
             number,
             source,
             stall_deadline: now.after_millis(self.terms.stall_millis),
+            forgotten_deadline: self.terms.forgotten_at(now),
             last_deadline: now.after_millis(self.terms.patience_millis),
         });
         actions.push(Action::Ask {
--- a/crates/gingerpier_weights/src/plan.rs
+++ b/crates/gingerpier_weights/src/plan.rs
@@ -47,6 +47,16 @@
     Origin,
 }
 
+impl Source {
+    /// The replica that it is, if any.
+    pub const fn replica(self) -> Option<ReplicaKey> {
+        match self {
+            Self::Replica(key) | Self::Holder(key) => Some(key),
+            Self::Origin => None,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct ZoneGroup {
     region: u64,
