A source says something every 100 ms on each link on which something is awaited

Cause: words were due each 300 ms for each question, so with few questions open (the end of a fetch) 300 ms of a stall were gone before the source's thread was late at all; between a turn to send and the chunk's first bytes, up to twice a part's time, nothing could be said. Change: one word for a link each 100 ms while anything is awaited on it, on whichever question is first; the chunk begins with its first bytes, and words go on until then.

--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -1,7 +1,7 @@
 //! Links at a backend server: what entry boxes and other backend servers ask of it.
 
 use {
-    super::Backend,
+    super::{Backend, serving::Voice},
     crate::{clock, ledger::Origin},
     gingerpier_base::{
         Name,
@@ -112,15 +112,16 @@
     }
 
     async fn serve_link(self: Rc<Self>, link: Link) {
+        let voice = Rc::<Voice>::default();
         while let Ok(stream) = link.accept().await {
             let backend = self.clone();
-            let link = link.clone();
-            actix_rt::spawn(async move { backend.serve_stream(stream, link).await });
+            let (link, voice) = (link.clone(), voice.clone());
+            actix_rt::spawn(async move { backend.serve_stream(stream, link, voice).await });
         }
         self.book.forget(&link);
     }
 
-    async fn serve_stream(&self, mut stream: Stream, link: Link) {
+    async fn serve_stream(&self, mut stream: Stream, link: Link, voice: Rc<Voice>) {
         let request = match stream.receive::<Request>().await {
             Ok(request) => request,
             Err(error) => {
@@ -141,10 +142,11 @@
                 offset,
                 wait,
             } => {
-                self.serve_chunk(stream, version, index, offset, wait).await;
+                self.serve_chunk(stream, voice, version, index, offset, wait)
+                    .await;
             }
             Request::ManifestOf { version, wait } => {
-                self.serve_manifest(stream, version, wait).await;
+                self.serve_manifest(stream, voice, version, wait).await;
             }
             Request::Attempt(attempt) if from_entry => {
                 self.serve_attempt(stream, attempt, &link).await;
--- a/crates/gingerpier_daemon/src/backend/serving.rs
+++ b/crates/gingerpier_daemon/src/backend/serving.rs
@@ -7,44 +7,69 @@
     gingerpier_base::{Digest, Instant},
     gingerpier_link::{Error, Stream},
     gingerpier_wire::Reply,
-    std::pin::pin,
-    tokio::sync::SemaphorePermit,
+    std::{cell::Cell, pin::pin, rc::Rc},
 };
 
 /// Milliseconds between words, to a peer or to the fetch here, that a chunk will still come.
 pub(super) const PENDING_MILLIS: u64 = 300;
+/// Milliseconds between words on one link while anything is awaited on it: peers judge this box by all
+/// that it sends them, so what is left of their stall is for a process that does not run. One word for
+/// a link, not for each question, keeps the traffic at 10 small packets a second.
+const LINK_WORD_MILLIS: u64 = 100;
 /// Milliseconds of delay of a word from which it is logged; less is usual on a busy machine.
 const LATE_WORD_MILLIS: u64 = 100;
 /// Milliseconds for which another box's ask is kept waiting.
 pub(super) const WAIT_MILLIS: u64 = 25_000;
 
+/// When the peer of a link was last sent anything on weights.
+#[derive(Default)]
+pub(super) struct Voice(Cell<Instant>);
+
 /// A peer's question, and when the peer is next told that it is still waited for.
 ///
 /// One count goes on through all that a question waits for, so that the peer never waits for a word
 /// twice as long as it should.
 struct Waiting {
     stream: Stream,
+    voice: Rc<Voice>,
+    asked_at: Instant,
     tell_at: Instant,
 }
 
 impl Waiting {
-    fn new(stream: Stream) -> Self {
+    fn new(stream: Stream, voice: Rc<Voice>) -> Self {
+        let asked_at = clock::now();
         Self {
             stream,
-            tell_at: clock::now().after_millis(PENDING_MILLIS),
+            voice,
+            asked_at,
+            tell_at: asked_at.after_millis(PENDING_MILLIS),
         }
     }
 
+    /// When a word is due: for this question, or for the link, whichever comes first.
+    fn due(&self) -> Instant {
+        let Voice(said_at) = &*self.voice;
+        let silent_since = said_at.get().max(self.asked_at);
+        self.tell_at
+            .min(silent_since.after_millis(LINK_WORD_MILLIS))
+    }
+
+    /// Notes that the peer was sent something on this question.
+    fn said(&mut self) {
+        let now = clock::now();
+        self.voice.0.set(now);
+        self.tell_at = now.after_millis(PENDING_MILLIS);
+    }
+
     /// Tells the peer, where that is due, that what it asked for will still come.
     async fn tell(&mut self) -> Result<(), Error> {
-        let begun = clock::now();
-        if self.tell_at.has_passed(begun) {
+        let (due, begun) = (self.due(), clock::now());
+        if due.has_passed(begun) {
             self.stream.send(&Reply::Pending).await?;
             let now = clock::now();
-            let (late_millis, sent_millis) =
-                (begun.millis_since(self.tell_at), now.millis_since(begun));
-            self.note(late_millis, sent_millis, now);
-            self.tell_at = now.after_millis(PENDING_MILLIS);
+            self.note(begun.millis_since(due), now.millis_since(begun), now);
+            self.said();
         }
         Ok(())
     }
@@ -63,15 +88,32 @@
 
     /// Output of `work`, where it comes before the peer is to be told.
     async fn before_word<F: Future>(&self, work: F) -> Option<F::Output> {
-        let left = clock::left(self.tell_at);
+        let left = clock::left(self.due());
         actix_rt::time::timeout(left, work).await.ok()
     }
+
+    /// Output of `work`; the peer is told meanwhile that what it asked for will come.
+    async fn until<F: Future>(&mut self, work: F) -> Result<F::Output, Error> {
+        let mut work = pin!(work);
+        loop {
+            if let Some(output) = self.before_word(&mut work).await {
+                return Ok(output);
+            }
+            self.tell().await?;
+        }
+    }
 }
 
 impl Backend {
     /// Serves a manifest to a peer, which is told to wait while it is on its way here.
-    pub async fn serve_manifest(&self, stream: Stream, version: Digest, wait: bool) {
-        let mut waiting = Waiting::new(stream);
+    pub(super) async fn serve_manifest(
+        &self,
+        stream: Stream,
+        voice: Rc<Voice>,
+        version: Digest,
+        wait: bool,
+    ) {
+        let mut waiting = Waiting::new(stream, voice);
         let found = match self.weights.manifest(version) {
             None if wait => {
                 self.wait_for(&mut waiting, version, |weights| weights.manifest(version))
@@ -96,9 +138,10 @@
 
     /// Serves a chunk to a peer; with `wait`, the peer is told to wait while the chunk is on its
     /// way here.
-    pub async fn serve_chunk(
+    pub(super) async fn serve_chunk(
         &self,
         stream: Stream,
+        voice: Rc<Voice>,
         version: Digest,
         index: u32,
         offset: u32,
@@ -108,7 +151,7 @@
             let manifest = weights.manifest(version)?.manifest;
             weights.chunk(*manifest.chunks.get(index as usize)?)
         };
-        let mut waiting = Waiting::new(stream);
+        let mut waiting = Waiting::new(stream, voice);
         let found = match held(&self.weights) {
             None if wait => {
                 if let Some(fetching) = self.weights.fetching(version) {
@@ -131,33 +174,22 @@
     async fn send_paced(&self, waiting: &mut Waiting, mut rest: Bytes) -> Result<(), Error> {
         // Whole chunks one after another reach those who wait for them, and pass them on, sooner
         // than many at once.
-        let _turn = self.send_turn(waiting).await?;
-        let stream = &mut waiting.stream;
-        stream
-            .send(&Reply::Chunk {
-                length: rest.len() as u32,
-            })
-            .await?;
-        while !rest.is_empty() {
-            let part = rest.split_to(rest.len().min(PART_BYTES));
-            self.send_pace.pass(part.len()).await;
+        let _turn = waiting.until(self.send_turns.acquire()).await?;
+        let length = rest.len() as u32;
+        let mut part = rest.split_to(rest.len().min(PART_BYTES));
+        // Words can be said only before the chunk begins, so it begins with its first bytes.
+        waiting.until(self.send_pace.pass(part.len())).await?;
+        waiting.stream.send(&Reply::Chunk { length }).await?;
+        while !part.is_empty() {
             self.process.metrics.weights_given.inc_by(part.len() as u64);
-            stream.send_held(part).await?;
+            waiting.stream.send_held(part).await?;
+            waiting.said();
+            part = rest.split_to(rest.len().min(PART_BYTES));
+            self.send_pace.pass(part.len()).await;
         }
         Ok(())
     }
 
-    /// Waits for a turn to send; the peer is told meanwhile that its chunk will come.
-    async fn send_turn(&self, waiting: &mut Waiting) -> Result<Option<SemaphorePermit<'_>>, Error> {
-        let mut turn = pin!(self.send_turns.acquire());
-        loop {
-            if let Some(turn) = waiting.before_word(&mut turn).await {
-                return Ok(turn.ok());
-            }
-            waiting.tell().await?;
-        }
-    }
-
     /// True where this box fetches the version, or will as soon as it looks at its engines, or
     /// has not yet heard of the version that its peer asks for.
     fn expects(&self, version: Digest) -> bool {
