--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -226,7 +226,10 @@
             role: Role::Backend,
             name: peer.name.clone(),
         };
+        let begun = clock::now();
         let link = self.process.connect(address, &identity).await?;
+        let took_millis = clock::now().millis_since(begun);
+        tracing::info!(event = "link_made", peer = %peer.name, took_millis);
         held.replace(link.clone());
         // The other end may ask on the same link.
         if let Some(backend) = self.strong() {
--- a/crates/gingerpier_daemon/src/process.rs
+++ b/crates/gingerpier_daemon/src/process.rs
@@ -156,8 +156,11 @@
     }
 
     async fn authenticate(&self, incoming: Incoming) -> Option<Link> {
+        let begun = clock::now();
         match incoming.authenticate().await {
             Ok(link) => {
+                let took_millis = clock::now().millis_since(begun);
+                tracing::info!(event = "link_taken", peer = %link.peer(), took_millis);
                 self.links.borrow_mut().push(link.clone());
                 Some(link)
             }
