A red test of a source that hears of its assignment later than its peers

Cause: nobody_gives_up_a_source_that_is_only_waiting_itself failed on its count of the origin's bytes with no source given up: a box was asked for 6 chunks, answered NotHeld to all, and had the revision with its assignment in force some 2 ms later (in force at its peers 69 to 71 ms before). Its peer read the 6 chunks from the origin once more. Change: a test that freezes one backend server while a second version is rolled out, so that its peers ask it first. Which comes first after the freeze, the revision or the question, is chance, so it does not fail every time.

--- a/crates/gingerpier_fleet/tests/weights.rs
+++ b/crates/gingerpier_fleet/tests/weights.rs
@@ -327,3 +327,30 @@
     }
     Ok(())
 }
+
+#[actix_rt::test]
+async fn a_source_that_hears_late_of_its_assignment_is_waited_for() -> Result<(), Error> {
+    // Its peers have heard, and ask it on the links that the first version left.
+    const FROZEN: Duration = Duration::from_millis(1_200);
+    // One for each zone, so that the rollout has one step.
+    let mut spec = slow_spec("");
+    spec.zones.iter_mut().for_each(|zone| zone.backends = 1);
+    let fleet = Fleet::start(spec).await?;
+    fleet.deploy(MODEL, MEGABYTES).await?;
+    fleet
+        .create_version(MODEL, "v2", MEGABYTES, 2, None)
+        .await?;
+    let late = &fleet.servers[0].child;
+    late.freeze();
+    let roll_out = format!("roll out {MODEL} to v2 steps 100");
+    let rolled_out = fleet.command(&roll_out);
+    let (rolled_out, ()) = futures_util::join!(rolled_out, async {
+        actix_rt::time::sleep(FROZEN).await;
+        late.thaw();
+    });
+    rolled_out?;
+    fleet.until_live(MODEL, "v2").await?;
+    let wanted = weights_bytes(&fleet, "v1") + weights_bytes(&fleet, "v2");
+    assert_eq!(origin_counts(&fleet).await?.bytes, wanted);
+    Ok(())
+}
