A box that hears of its assignment later than its peers does not refuse them

Cause: as in the red test: a question may come before the revision that assigns the version to the box asked. Change: a box asked for a version that it is not to hold says for 1 s that it waits, and refuses only then.

--- a/crates/gingerpier_daemon/src/backend/serving.rs
+++ b/crates/gingerpier_daemon/src/backend/serving.rs
@@ -25,6 +25,11 @@
 #[derive(Default)]
 pub(super) struct Voice(Cell<Instant>);
 
+/// Milliseconds for which a box waits to hear that it is to hold what a peer asks for: the peer may
+/// have heard before it. A few times what a change takes to all boxes of a zone, and far less than
+/// reading from the origin what the peer would have from here.
+const HEARING_MILLIS: u64 = 1_000;
+
 /// A peer's question, and when the peer is next told that it is still waited for.
 ///
 /// One count goes on through all that a question waits for, so that the peer never waits for a word
@@ -201,18 +206,23 @@
         holders.any(|held| held.server == self.process.hello.name)
     }
 
-    /// Waits until `look` finds something, as long as this box expects the version itself.
+    /// Waits until `look` finds something, as long as this box expects the version itself, or may
+    /// still hear that it is to hold it.
     async fn wait_for<T, F>(&self, waiting: &mut Waiting, version: Digest, look: F) -> Option<T>
     where
         F: Fn(&Weights) -> Option<T>,
     {
         let mut arrivals = self.weights.arrivals();
-        let deadline: Instant = clock::now().after_millis(WAIT_MILLIS);
+        let begun = clock::now();
+        let deadline: Instant = begun.after_millis(WAIT_MILLIS);
+        let heard_by = begun.after_millis(HEARING_MILLIS);
         loop {
             if let Some(found) = look(&self.weights) {
                 return Some(found);
             }
-            if !self.expects(version) || deadline.has_passed(clock::now()) {
+            let now = clock::now();
+            let is_awaited = self.expects(version) || !heard_by.has_passed(now);
+            if !is_awaited || deadline.has_passed(now) {
                 return None;
             }
             // Other chunks come all the time; the peer is told by the clock, not by their pauses.
