Engines whose entries lapsed while the store was away have two seconds from its return to come back

Cause: a key that was gone took its engine off at once, whatever it went for. Where the store was away for 8 s and entries lapsed there, gateways had no or few engines until these had written again.

Change: a state machine without I/O tells whether the store was away, by calls that failed and by what another gateway tells of a return. What went up to the revision of the first answer, and what a list lacks, keeps its engine until 2 s from that answer, or 2.5 s from the last call that failed, whichever comes first. What goes behind that revision has left, as has an engine that said so.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -33,7 +33,7 @@
 /// Milliseconds between looks at whether work is left.
 const LOOK_MILLIS: u64 = 50;
 
-/// Milliseconds between sweeps of resting connections.
+/// Milliseconds between sweeps of resting connections and of engines that are not back.
 const SWEEP_MILLIS: u64 = 1_000;
 
 /// Milliseconds between notes that the process runs.
@@ -114,6 +114,7 @@
 async fn sweep(state: Rc<State>) {
     loop {
         clock::pause(SWEEP_MILLIS).await;
+        state.expire_engines();
         let fleet = state.fleet.borrow();
         let keep = |key: &_| !fleet.engine(*key).is_gone;
         state.pool.borrow_mut().sweep(keep);
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -19,6 +19,7 @@
     gingerpier_serving::{
         dialect::Call,
         mirror::Revision,
+        outage::Return,
         watching::{self, Failure},
     },
     std::{net::SocketAddr, rc::Rc},
@@ -113,6 +114,7 @@
         word: state.word_age(),
         fresh: state.fresh_age(),
         held: clock::now().millis_since(came),
+        last_return: ReturnAge::of(state),
     };
     let answer = Message::response(200).field(AGES_FIELD.as_bytes(), ages.text().as_bytes());
     match packed.is_compressed {
@@ -177,6 +179,7 @@
     let told = exchange(client, &question, WAIT_MILLIS + SLACK_MILLIS).await;
     let told = told.ok_or(Failure::Silent)?;
     let age = told.ages.word;
+    note_outage(state, &told);
     take(state, told);
     if age > most_age {
         return Err(Failure::Old);
@@ -203,6 +206,27 @@
     fresh: Option<u64>,
     /// For which the question was held until the answer was made.
     held: u64,
+    /// The store's last return; none where it was not away lately.
+    last_return: Option<ReturnAge>,
+}
+
+/// The store's last return, as told.
+#[derive(Debug, Clone, Copy)]
+struct ReturnAge {
+    /// Milliseconds for which entries that lapsed may still come back.
+    left: u64,
+    /// Revision at which the store was found.
+    revision: Revision,
+}
+
+impl ReturnAge {
+    fn of(state: &State) -> Option<Self> {
+        let last = state.last_return()?;
+        Some(Self {
+            left: last.until.millis_since(clock::now()),
+            revision: last.revision,
+        })
+    }
 }
 
 impl Ages {
@@ -210,7 +234,10 @@
         let fresh = self
             .fresh
             .map_or_else(String::new, |fresh| fresh.to_string());
-        format!("{},{fresh},{}", self.word, self.held)
+        let last_return = self.last_return.map_or_else(String::new, |last| {
+            format!(",{},{}", last.left, last.revision.0)
+        });
+        format!("{},{fresh},{}{last_return}", self.word, self.held)
     }
 
     fn parse(text: &[u8]) -> Option<Self> {
@@ -220,6 +247,12 @@
             word: next()?.parse().ok()?,
             fresh: next()?.parse().ok(),
             held: next()?.parse().ok()?,
+            last_return: next().zip(next()).and_then(|(left, revision)| {
+                Some(ReturnAge {
+                    left: left.parse().ok()?,
+                    revision: Revision(revision.parse().ok()?),
+                })
+            }),
         })
     }
 }
@@ -260,6 +293,21 @@
     })
 }
 
+/// Notes whether the store was away, before anything that it lacks is taken for gone.
+fn note_outage(state: &State, told: &Told) {
+    let ages = &told.ages;
+    // The answer was made so long after the question at least.
+    let made = told.asked.after_millis(ages.held);
+    let answered = ages
+        .fresh
+        .map(|fresh| Instant::from_millis(made.as_millis().saturating_sub(fresh)));
+    let last_return = ages.last_return.map(|last| Return {
+        revision: last.revision,
+        until: made.after_millis(last.left),
+    });
+    state.note_told_outage(answered, last_return);
+}
+
 fn take(state: &State, told: Told) {
     let at = Revision(told.snapshot.at);
     let items = told.snapshot.items.into_iter();
@@ -316,6 +364,7 @@
     };
     let mut client = Client::of_gateway(peer);
     let told = exchange(&mut client, &question, ANSWER_MILLIS).await?;
+    note_outage(state, &told);
     if told.snapshot.at <= after.0 {
         return None;
     }
--- a/crates/gingerpier_gateway/src/state.rs
+++ b/crates/gingerpier_gateway/src/state.rs
@@ -20,6 +20,7 @@
         fleet::{EngineKey, Fleet, Record},
         mirror::{Changes, Item, Mirror, Revision},
         naming::{Freshness, Naming, Namings, OWN, Told},
+        outage::{Absence, Outage, Return},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -82,6 +83,7 @@
     namings: RefCell<HashMap<String, Namings>>,
     contact: Cell<Option<Instant>>,
     fresh: Cell<Freshness>,
+    outage: Cell<Outage>,
     /// When bytes of an answer of the store came last: a large one takes a second or more.
     pub store_heard: Rc<Cell<Option<Instant>>>,
     started: Instant,
@@ -120,6 +122,7 @@
             namings: RefCell::default(),
             contact: Cell::new(None),
             fresh: Cell::default(),
+            outage: Cell::default(),
             store_heard: Rc::default(),
             started,
             ran_at: Cell::new(started),
@@ -161,10 +164,51 @@
 
     /// Notes that the store did not answer as it should.
     pub fn note_store_failure(&self, what: &dyn std::fmt::Display) {
+        self.with_outage(|outage| outage.note_failure(clock::now()));
         let age = self.contact_age();
         tracing::warn!(store = %self.settings.store, cause = %what, ?age, "store does not answer");
     }
 
+    /// Notes an answer of the store, which is at `revision`.
+    pub fn note_store_answer(&self, revision: Revision) {
+        let now = clock::now();
+        let known = self.last_return();
+        self.with_outage(|outage| outage.note_answer(revision, now));
+        if let Some(new) = self.last_return().filter(|new| Some(*new) != known) {
+            let millis = new.until.millis_since(now);
+            tracing::info!(
+                revision = revision.0,
+                millis,
+                "store has returned, lapsed engines are kept"
+            );
+        }
+    }
+
+    /// Notes what another gateway told of the store: when it last answered, and its last return.
+    pub fn note_told_outage(&self, answered: Option<Instant>, last_return: Option<Return>) {
+        let now = clock::now();
+        self.with_outage(|outage| {
+            // Whether the store was away is judged by what was known before.
+            if let Some(last_return) = last_return {
+                outage.note_told(last_return, now);
+            }
+            if let Some(answered) = answered {
+                outage.note_word(answered);
+            }
+        });
+    }
+
+    /// The store's last return, while entries that lapsed before it may come back.
+    pub fn last_return(&self) -> Option<Return> {
+        self.outage.get().last_return(clock::now())
+    }
+
+    fn with_outage(&self, change: impl FnOnce(&mut Outage)) {
+        let mut outage = self.outage.get();
+        change(&mut outage);
+        self.outage.set(outage);
+    }
+
     /// Milliseconds since the store's last word.
     pub fn contact_age(&self) -> Option<u64> {
         // Bytes alone say nothing before anything is known.
@@ -216,18 +260,21 @@
     /// Takes changes of the store up to `at`.
     pub fn apply(&self, changes: Changes, at: Revision) {
         let news = self.mirror.borrow_mut().apply(changes, at);
-        self.take(news);
+        self.take(news, |item| Absence::Event(item.revision));
     }
 
     /// Takes a whole copy of the store as of `at`.
     pub fn replace(&self, items: Vec<Item>, at: Revision) {
         let news = self.mirror.borrow_mut().replace(items, at);
-        self.take(news);
+        self.take(news, |_| Absence::Listed);
     }
 
-    fn take(&self, news: Changes) {
+    fn take(&self, news: Changes, absence: impl Fn(&Item) -> Absence) {
         for item in news {
-            self.take_item(&item);
+            match item.value {
+                Some(_) => self.take_item(&item),
+                None => self.take_absence(&item, absence(&item)),
+            }
         }
         let at = self.mirror.borrow().at();
         self.metrics.revision.set(at.0 as i64);
@@ -235,14 +282,6 @@
     }
 
     fn take_item(&self, item: &Item) {
-        let subject = self.dialect.subject(&item.key);
-        if item.value.is_none() {
-            if let Subject::Engine(id) = subject {
-                self.fleet.borrow_mut().unlist(&id);
-                tracing::info!(engine = id, revision = item.revision.0, "engine unlisted");
-            }
-            return;
-        }
         match self.items.read(item) {
             Some(Fact::Configuration(configuration)) => self.configure(*configuration),
             Some(Fact::Engine(record)) => self.list(*record, item.revision),
@@ -251,6 +290,33 @@
         }
     }
 
+    fn take_absence(&self, item: &Item, absence: Absence) {
+        let Subject::Engine(id) = self.dialect.subject(&item.key) else {
+            return;
+        };
+        let revision = item.revision.0;
+        let mut fleet = self.fleet.borrow_mut();
+        match self.outage.get().lapses_at(absence, clock::now()) {
+            Some(until) => {
+                fleet.lapse(&id, until);
+                tracing::info!(engine = id, revision, "engine lapsed");
+            }
+            None => {
+                fleet.unlist(&id);
+                tracing::info!(engine = id, revision, "engine unlisted");
+            }
+        }
+    }
+
+    /// Takes engines off that lapsed and are not back.
+    pub fn expire_engines(&self) {
+        let mut fleet = self.fleet.borrow_mut();
+        for key in fleet.expire(clock::now()) {
+            let id = &fleet.engine(key).record.id;
+            tracing::info!(engine = id, "engine unlisted, as it did not come back");
+        }
+    }
+
     fn configure(&self, configuration: Configuration) {
         let mut current = self.configuration.borrow_mut();
         let old = current.as_ref().map(|current| current.version);
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -65,6 +65,8 @@
     /// Revision that all of them are at least as new as: that of the first page. Pages are no snapshot, and
     /// whatever changed behind the first one comes with the next watch.
     pub at: Revision,
+    /// Revision of the last page.
+    pub newest_at: Revision,
     /// When the first page was asked for; none before that.
     begun: Option<Instant>,
 }
@@ -97,6 +99,7 @@
             if is_first {
                 self.at = page.at;
             }
+            self.newest_at = page.at;
             self.items.extend(page.items);
             if !page.has_more {
                 return Ok(begun);
@@ -298,6 +301,7 @@
         .read(client, state.dialect, Scope::Everything, false)
         .await?;
     let copy = std::mem::take(&mut asking.copy);
+    state.note_store_answer(copy.newest_at);
     state.replace(copy.items, copy.at);
     asking.needs_copy = false;
     asking.is_deaf = false;
@@ -341,6 +345,7 @@
         }
         Watched::Changes(page) => {
             asking.is_deaf = false;
+            state.note_store_answer(page.at);
             state.apply(page.items, page.at);
             return Ok(Some(asked));
         }
@@ -364,5 +369,6 @@
     let call = state.dialect.list(Scope::Everything, LAST_KEY, false);
     let whole = client.call(&call, READ_MILLIS).await?;
     let page = read_page(client.peer(), state.dialect, &whole)?;
+    state.note_store_answer(page.at);
     Ok(page.at <= state.mirror.borrow().at())
 }
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -101,6 +101,8 @@
     pub report: Option<(Report, Instant)>,
     /// True once it is no longer listed.
     pub is_gone: bool,
+    /// When it counts as gone unless it is listed again; none while its entry is there.
+    pub(crate) lapses_at: Option<Instant>,
     /// Revision at which it was listed last.
     pub(crate) revision: Revision,
     /// True where another engine was listed at its address later: it has ended.
@@ -128,6 +130,7 @@
             load: Load::default(),
             report: None,
             is_gone: false,
+            lapses_at: None,
             revision,
             is_replaced: false,
             rests_until: Instant::default(),
@@ -168,7 +171,8 @@
 
     /// True where it may be sent new work.
     pub fn is_open(&self, now: Instant) -> bool {
-        let is_there = !self.is_gone && !self.is_replaced;
+        let has_lapsed = self.lapses_at.is_some_and(|at| at.has_passed(now));
+        let is_there = !self.is_gone && !self.is_replaced && !has_lapsed;
         is_there && self.record.state == State::Ready && self.rests_until.has_passed(now)
     }
 
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{engine::Engine, mirror::Revision, report::Report},
+    gingerpier_base::Instant,
     std::{collections::HashMap, net::SocketAddr},
 };
 
@@ -70,6 +71,7 @@
         };
         engine.record = Record { state, ..record };
         engine.revision = revision;
+        engine.lapses_at = None;
         if engine.is_gone {
             engine.is_gone = false;
             let service = engine.record.service.clone();
@@ -108,12 +110,38 @@
         let key = self.by_id.get(id).copied()?;
         let engine = &mut self.engines[key.0 as usize];
         engine.is_gone = true;
+        engine.lapses_at = None;
         if let Some(keys) = self.by_service.get_mut(&engine.record.service) {
             keys.retain(|other| *other != key);
         }
         Some(key)
     }
 
+    /// Notes that an engine's entry is missing: unless it is back before `until`, it is gone. One that said
+    /// that it leaves is gone at once.
+    pub fn lapse(&mut self, id: &str, until: Instant) {
+        let Some(key) = self.find(id) else { return };
+        let engine = self.engine_mut(key);
+        match engine.record.state {
+            State::Ready => engine.lapses_at = Some(until),
+            State::Draining => {
+                self.unlist(id);
+            }
+        }
+    }
+
+    /// Takes engines off whose entries are still missing; gives them.
+    pub fn expire(&mut self, now: Instant) -> Vec<EngineKey> {
+        let is_over = |engine: &Engine| engine.lapses_at.is_some_and(|at| at.has_passed(now));
+        let over = self.listed().filter(|(_, engine)| is_over(engine));
+        let over: Vec<EngineKey> = over.map(|(key, _)| key).collect();
+        for key in &over {
+            let id = self.engine(*key).record.id.clone();
+            self.unlist(&id);
+        }
+        over
+    }
+
     /// Key of the engine with `id`.
     pub fn find(&self, id: &str) -> Option<EngineKey> {
         self.by_id.get(id).copied()
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod fleet;
 pub mod mirror;
 pub mod naming;
+pub mod outage;
 pub mod pace;
 pub mod prediction;
 pub mod report;
