--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -153,6 +153,8 @@
     started: Instant,
     /// When somebody named a gateway of the own zone first.
     named: Option<Instant>,
+    /// Loaders of the own zone.
+    loader_count: usize,
     turn: usize,
     sent: Instant,
     has_news: bool,
@@ -176,6 +178,7 @@
             zones,
             started: now,
             named: None,
+            loader_count: 0,
             turn: 0,
             sent: now,
             has_news: false,
@@ -192,6 +195,16 @@
         }
     }
 
+    /// Notes how many loaders the own zone has.
+    pub const fn note_loaders(&mut self, count: usize) {
+        self.loader_count = count;
+    }
+
+    /// Loaders of the own zone that this gateway hears directly.
+    pub const fn near_sample(&self, _now: Instant) -> usize {
+        self.loader_count
+    }
+
     /// Notes that others should soon hear something of this zone.
     pub const fn note_news(&mut self) {
         self.has_news = true;
@@ -305,6 +318,14 @@
         Reception::News
     }
 
+    /// Notes the `gateways` that a digest names.
+    pub fn note_told(&mut self, heading: &Heading<'_>, gateways: &[SocketAddr], now: Instant) {
+        self.note_member(heading.zone, heading.sender, now);
+        for gateway in gateways {
+            self.note_member(heading.zone, *gateway, now);
+        }
+    }
+
     /// True where there are so few gateways that each hears the loaders of all zones directly.
     pub fn is_direct(&self, now: Instant) -> bool {
         let counted = self.named.map(|at| at.after_millis(COUNTED_AFTER_MILLIS));
