--- a/crates/gingerpier_ablation/src/plot.rs
+++ b/crates/gingerpier_ablation/src/plot.rs
@@ -21,13 +21,18 @@
 /// Room for names on the left, in pixels.
 const NAMES_WIDTH: u32 = 130;
 
-/// Draws what `outcomes` say of `table` into an SVG file.
+/// Draws what `outcomes` say of `table` into an SVG file; mechanisms that were not played are left out.
 ///
 /// # Errors
 ///
 /// Where it can't be drawn or written.
 pub fn draw(table: &Table, outcomes: &[Outcome], path: &Path) -> Result<(), Error> {
-    let drawn = draw_all(table, outcomes, path);
+    let mut table = table.clone();
+    table.mechanism.retain(|mechanism| {
+        let mut days = table.day.iter();
+        days.any(|day| Effect::of(outcomes, &mechanism.name, day).is_some())
+    });
+    let drawn = draw_all(&table, outcomes, path);
     drawn.map_err(|cause| Error::Plot(cause.to_string()))
 }
 
--- a/crates/gingerpier_ablation/tests/ablation.rs
+++ b/crates/gingerpier_ablation/tests/ablation.rs
@@ -184,7 +184,9 @@
 
 #[test]
 fn results_are_written_as_a_table_and_a_plot() {
-    let table = Table::parse(TABLE).expect("a table");
+    let played = TABLE.split("[[day]]").next().expect("a part");
+    let other = played.replace("\"one\"", "\"two\"");
+    let table = Table::parse(&format!("{TABLE}{other}")).expect("a table");
     let outcomes = [
         outcome(NOTHING, 1, 0.5),
         outcome(NOTHING, 2, 0.6),
@@ -199,6 +201,7 @@
     plot::draw(&table, &outcomes, &path).expect("a plot");
     let plot = fs::read_to_string(path).expect("a plot");
     assert!(plot.contains("north, restart") && plot.contains("<circle"));
+    assert!(plot.contains("\none\n") && !plot.contains("\ntwo\n"));
 }
 
 fn git(folder: &Path, arguments: &[&str]) {
