--- a/crates/gingerpier_ablation/tests/ablation.rs
+++ b/crates/gingerpier_ablation/tests/ablation.rs
@@ -267,3 +267,53 @@
     let absent = tree.with(Path::new("/nowhere/no.patch"), never);
     assert!(matches!(absent, Err(Error::Tree(_))));
 }
+
+/// A program that stands in for the bench: it writes an entry with the last word of the file as worth.
+const BENCH: &str = r#"#!/bin/sh
+[ "$1" = run ] && [ "$2" = north.toml ] && [ "$3" = days/restart.toml ] || exit 1
+[ "$4 $5 $7 $8 $9" = "--no-cpu --seed --jobs 2 --why" ] || exit 1
+mkdir -p journal
+worth=0.5
+grep -q three file && worth=0.25
+cat > "journal/$$.json" <<END
+{"why":"${10}","head":"$(git rev-parse HEAD)","site":"north","ok":true,
+"days":[{"G":$worth,"name":"restart","seed":$6,"rules":{},"fault":null}]}
+END
+"#;
+
+#[test]
+fn what_is_missing_is_played_with_and_without_a_patch_and_not_again() {
+    use std::os::unix::fs::PermissionsExt;
+    let (_, tree, patch) = repository("ablation-runner");
+    fs::create_dir(tree.root().join(runner::JOURNAL)).expect("a folder");
+    let folder = patch.parent().expect("a folder");
+    let bench = folder.join("bench");
+    fs::write(&bench, BENCH).expect("written");
+    fs::set_permissions(&bench, fs::Permissions::from_mode(0o755)).expect("permissions");
+    let table = Table::parse(TABLE).expect("a table");
+    let runner = runner::Runner {
+        bench,
+        sites: [("north".to_owned(), "north.toml".into())].into(),
+        patches: folder.to_owned(),
+        at_once: 2,
+        jobs: 2,
+    };
+    for _ in 0..2 {
+        runner.play_all(&table, &tree, &[]).expect("played");
+        assert_eq!(file(&tree), "one\ntwo\n");
+        let journal = tree.root().join(runner::JOURNAL);
+        let outcomes = journal::outcomes(&journal, &tree.head().expect("a commit"));
+        let outcomes = outcomes.expect("entries");
+        assert_eq!(outcomes.len(), 4);
+        let effect = Effect::of(&outcomes, "one", &table.day[0]).expect("an effect");
+        assert_eq!((effect.with.mean, effect.without.mean), (0.5, 0.25));
+        assert_eq!(effect.gain.count, 2);
+    }
+    let unknown = runner::Runner {
+        sites: [].into(),
+        ..runner
+    };
+    let other = Table::parse(&TABLE.replace("[1, 2]", "[3]")).expect("a table");
+    let played = unknown.play_all(&other, &tree, &[]);
+    assert!(matches!(played, Err(Error::Site(_))));
+}
