--- a/crates/gingerpier_serving/tests/watching.rs
+++ b/crates/gingerpier_serving/tests/watching.rs
@@ -162,6 +162,28 @@
     assert_eq!(watching.next(&all, true, now), Step::Store);
 }
 
+/// Symptom: a gateway in touch served the configuration that was replaced 2.03 s ago.
+///
+/// Sequence: both watchers of its zone stand still. It asks one and the other, each for 650 ms, then asks the
+/// store how far it is, which takes 340 ms on a busy machine. That is taken for a slow way to the store, for
+/// which the watchers are trusted again: it asks both once more, for 650 ms each.
+///
+/// Cause: all members that failed were trusted again, also those that did not answer at all. A slow way to the
+/// store makes words old; it makes nobody silent.
+#[test]
+fn a_slow_way_to_the_store_does_not_bring_back_members_that_did_not_answer() {
+    let all = members(3);
+    let own = followers(&all)[0];
+    let mut watching = settled(own, &all);
+    let now = at(5_010);
+    while let Step::Member(member) = watching.next(&all, true, now) {
+        watching.note_failure(member, Failure::Silent, now);
+    }
+    assert_eq!(watching.next(&all, true, now), Step::Probe);
+    watching.note_probe(true, 340, now);
+    assert_eq!(watching.next(&all, true, now), Step::Store);
+}
+
 #[test]
 fn one_watcher_that_is_left_is_followed_by_all() {
     let all = members(13);
