Members that did not answer are not asked again where the way to the store is slow

Cause: after a small question to the store that took over 200 ms, all members that had failed were trusted again, also those that had not answered at all, for 650 ms each. A slow way to the store makes words old and nobody silent. Change: only those whose words were old are trusted again; where there are none, the answer decides at once.

--- a/crates/gingerpier_serving/src/watching.rs
+++ b/crates/gingerpier_serving/src/watching.rs
@@ -10,7 +10,8 @@
 //! link that is full makes everybody's word old, and more askers make both worse: each pair that joins is
 //! given half as much time again as the pair before it, and a stand-in first asks something small
 //! ([`Step::Probe`]). Where even that takes long, it is the way to the store that is slow, and the members
-//! are trusted again for a while, once; then it stands in all the same, as nobody else may reach the store.
+//! whose words were old are trusted again for a while, once; then it stands in all the same, as nobody else
+//! may reach the store.
 //!
 //! Who starts asks its neighbours for a first copy, and only the first in order asks the store where no
 //! neighbour has one.
@@ -105,6 +106,7 @@
 #[derive(Debug, Clone, Copy)]
 struct PassedOver {
     member: SocketAddr,
+    failure: Failure,
     until: Instant,
 }
 
@@ -206,7 +208,11 @@
             Failure::Old => OLD_MILLIS,
         };
         let until = now.after_millis(millis);
-        self.passed_over.push(PassedOver { member, until });
+        self.passed_over.push(PassedOver {
+            member,
+            failure,
+            until,
+        });
     }
 
     /// Notes that `member` has no copy of the store.
@@ -216,12 +222,15 @@
 
     /// Notes what came of [`Step::Probe`], which took `millis`: whether the store is ahead.
     pub fn note_probe(&mut self, is_ahead: bool, millis: u64, now: Instant) {
-        let may_wait = self.lenient_again.has_passed(now);
+        // A slow way makes words old. It makes nobody silent, and to ask those again would cost twice the time
+        // that a member may take, 1.3 s, without news.
+        let is_old = |one: &PassedOver| one.failure == Failure::Old;
+        let may_wait = self.lenient_again.has_passed(now) && self.passed_over.iter().any(is_old);
         if millis > SOUND_MILLIS && may_wait {
             let lenient = (millis * LENIENT_ANSWERS).min(MOST_LENIENT_MILLIS);
             self.lenient_until = now.after_millis(lenient);
             self.lenient_again = now.after_millis(LENIENT_EVERY_MILLIS);
-            self.passed_over.clear();
+            self.passed_over.retain(|one| !is_old(one));
             return;
         }
         self.may_stand_in = is_ahead;
