--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -31,8 +31,8 @@
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 1400;
 
-/// Subscribes at the loaders of this zone, or a sample of them where they are many, and at some of those of zones that are not heard through
-/// their gateways, again and again.
+/// Subscribes at the loaders of this zone, or a sample of them where they are many, and at some of those
+/// of zones that are not heard through their gateways, again and again.
 pub async fn subscribe(state: Rc<State>, socket: Rc<UdpSocket>) {
     loop {
         let message = message::encode(&Datagram::Subscribe(subscription(&state)));
--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -1,7 +1,7 @@
 //! What the gateways of one zone hear of the other zones.
 //!
-//! If every gateway heard every loader, what crosses between zones would grow with gateways times engines. So a few gateways of each zone, the
-//! first in a rendezvous order, send a digest of their zone (its engines' load, its gateways) to a
+//! If every gateway heard every loader, what crosses between zones would grow with gateways times engines.
+//! So a few gateways of each zone, the first in a rendezvous order, send a digest of their zone (its engines' load, its gateways) to a
 //! few gateways of each other zone, and those pass it on within theirs. What crosses a pair of zones
 //! does not grow with the gateways of either.
 //!
@@ -291,8 +291,8 @@
         own + counts.sum::<u32>()
     }
 
-    /// Gateways to which a digest of the own zone goes now, also of this zone where it is large; none where it is not the time, or others
-    /// send it.
+    /// Gateways to which a digest of the own zone goes now, also those of this zone where it is large; none
+    /// where it is not the time, or others send it.
     pub fn poll(&mut self, now: Instant) -> Vec<SocketAddr> {
         let every = match self.has_news {
             true => NEWS_EVERY_MILLIS,
