--- /dev/null
+++ b/crates/gingerpier_serving/tests/overload/callers.rs
@@ -0,0 +1,107 @@
+//! Callers, and what their requests were worth.
+
+use {crate::deployment::Deployment, gingerpier_serving::fleet::EngineKey, std::ops::Range};
+
+/// Worth of an answer that came late, where one in time is worth 1.
+const LATE_WORTH: f64 = 0.3;
+
+/// Worth of one that came in time for a caller that had been refused before.
+const RETURNED_WORTH: f64 = 0.65;
+
+/// Share of a request's worth that does not grow with its size.
+const FLAT_WORTH: f64 = 0.3;
+
+/// How a caller fared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It waits.
+    Open,
+    /// It has its whole answer.
+    Served,
+    /// It was refused twice, or is left without an end.
+    Refused,
+    /// It has nothing, or left.
+    Lost,
+}
+
+/// A caller with its one request.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// When it tried first, in milliseconds.
+    pub came_at: f64,
+    /// When it tried last.
+    pub tried_at: f64,
+    /// Gateway that it tried last.
+    pub gateway: usize,
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens of its answer.
+    pub answer: u64,
+    /// True where it comes back at once.
+    pub is_impatient: bool,
+    /// Times that it tried.
+    pub tries: u32,
+    /// When its first event came.
+    pub first_at: Option<f64>,
+    /// True where it was refused before.
+    pub has_returned: bool,
+    /// Engines that its last try went to.
+    pub tried: Vec<EngineKey>,
+    /// Attempt that runs for it.
+    pub attempt: Option<usize>,
+    /// How it fared.
+    pub outcome: Outcome,
+}
+
+impl Caller {
+    /// What its answer was worth, counted from its first try.
+    fn worth(&self, deployment: &Deployment) -> f64 {
+        let Some(first) = self.first_at.filter(|_| self.outcome == Outcome::Served) else {
+            return 0.0;
+        };
+        let target = deployment.target_millis as f64;
+        let share = match (
+            first - self.came_at <= target,
+            first - self.tried_at <= target,
+        ) {
+            (true, _) => 1.0,
+            (false, true) => RETURNED_WORTH,
+            (false, false) => LATE_WORTH,
+        };
+        share * self.size(deployment)
+    }
+
+    /// What it could have been worth: more where it is large.
+    fn size(&self, deployment: &Deployment) -> f64 {
+        let model = &deployment.model;
+        let usual = f64::from(model.usual_prompt + 10 * model.usual_answer);
+        FLAT_WORTH + (1.0 - FLAT_WORTH) * (self.prompt + 10 * self.answer) as f64 / usual
+    }
+}
+
+/// Worth of the requests that came first within `times`, a second.
+pub fn goodput(callers: &[Caller], deployment: &Deployment, times: &Range<f64>) -> f64 {
+    let came = callers
+        .iter()
+        .filter(|caller| times.contains(&caller.came_at));
+    let worth: f64 = came.map(|caller| caller.worth(deployment)).sum();
+    worth * 1_000.0 / (times.end - times.start)
+}
+
+/// Counts of requests: in time at the first try, in time at a later one, late, refused, lost or without an end.
+pub fn fates(callers: &[Caller], deployment: &Deployment) -> [usize; 5] {
+    let mut fates = [0; 5];
+    let target = deployment.target_millis as f64;
+    for caller in callers {
+        let first = caller.first_at.unwrap_or(f64::MAX);
+        let fate = match caller.outcome {
+            Outcome::Served if first - caller.came_at <= target => 0,
+            Outcome::Served if first - caller.tried_at <= target => 1,
+            Outcome::Served => 2,
+            Outcome::Refused => 3,
+            Outcome::Open | Outcome::Lost => 4,
+        };
+        fates[fate] += 1;
+    }
+    fates
+}
--- /dev/null
+++ b/crates/gingerpier_serving/tests/overload/deployment.rs
@@ -0,0 +1,152 @@
+//! Deployments that the model plays: one that is like a real one, and any number that are drawn.
+
+use {
+    crate::draw::Draw,
+    gingerpier_serving::{configuration::EngineModel, prediction},
+};
+
+/// Most times that a prompt or an answer is larger than the mean one.
+const LARGEST: f64 = 3.0;
+
+/// A deployment.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Seed of all that is drawn while it is played.
+    pub seed: u64,
+    /// How its engines work.
+    pub model: EngineModel,
+    /// Engines.
+    pub engines: usize,
+    /// Gateways.
+    pub gateways: usize,
+    /// Zones; engines and gateways are in them by turns.
+    pub zones: usize,
+    /// Requests that an engine lets wait.
+    pub queue: usize,
+    /// Milliseconds within which a first event has its full worth.
+    pub target_millis: u64,
+    /// Milliseconds between two reports of an engine to a gateway of its zone.
+    pub report_every_millis: u64,
+    /// The same to a gateway of another zone.
+    pub far_report_every_millis: u64,
+    /// Milliseconds of the way within a zone.
+    pub near_millis: f64,
+    /// Milliseconds of the way to another zone.
+    pub far_millis: f64,
+    /// Share of the callers that come back at once where they were refused.
+    pub impatient_share: f64,
+}
+
+impl Deployment {
+    /// Twelve engines and six gateways in three zones.
+    pub fn usual(seed: u64) -> Self {
+        Self {
+            seed,
+            model: EngineModel {
+                slots: 16,
+                stride: 5,
+                step_millis: 9.27,
+                per_request_millis: 0.0232,
+                per_thousand_tokens_millis: 0.0322,
+                read_per_milli: 20.7,
+                read_at_once: Some(2_048),
+                usual_prompt: 979,
+                usual_answer: 92,
+                memory_tokens: 317_000,
+                models: vec![super::MODEL.to_owned()],
+            },
+            engines: 12,
+            gateways: 6,
+            zones: 3,
+            queue: 32,
+            target_millis: 500,
+            report_every_millis: 50,
+            far_report_every_millis: 250,
+            near_millis: 1.0,
+            far_millis: 8.0,
+            impatient_share: 0.1,
+        }
+    }
+
+    /// A drawn one.
+    pub fn drawn(seed: u64) -> Self {
+        let mut draw = Draw::new(seed);
+        let usual = Self::usual(seed);
+        let slower = draw.factor(1.0 / 3.0, 1.0 / 0.3);
+        let slots = draw.whole(4, 32);
+        let usual_prompt = draw.factor(200.0, 2_000.0) as u32;
+        let usual_answer = draw.factor(30.0, 200.0) as u32;
+        let model = EngineModel {
+            slots,
+            stride: draw.whole(1, 8),
+            step_millis: 9.27 * slower,
+            per_request_millis: 0.0232 * slower,
+            per_thousand_tokens_millis: 0.0322 * slower,
+            read_per_milli: 20.7 / slower,
+            usual_prompt,
+            usual_answer,
+            // Room for all slots, or for three quarters of them.
+            memory_tokens: (f64::from(slots * (usual_prompt + usual_answer))
+                * draw.between(0.75, 8.0)) as u64
+                + 3 * u64::from(LARGEST as u32 * (usual_prompt + usual_answer)),
+            ..usual.model.clone()
+        };
+        let zones = draw.whole(1, 3) as usize;
+        let far_millis = draw.between(2.0, 40.0);
+        // What the largest prompt takes at an engine half full, with room for one beside it.
+        let passes = 2.5 * prediction::pass_millis(&model, f64::from(slots) / 2.0);
+        let largest = LARGEST * prediction::usual_reading_millis(&model);
+        let least = passes + 2.0 * largest + 2.0 * far_millis + 60.0;
+        Self {
+            engines: zones * draw.whole(2, 5) as usize,
+            gateways: zones * draw.whole(1, 4) as usize,
+            zones,
+            queue: 2 * slots as usize,
+            target_millis: (least * draw.between(1.2, 3.0)) as u64,
+            report_every_millis: u64::from(draw.whole(50, 150)),
+            far_report_every_millis: u64::from(draw.whole(110, 500)),
+            far_millis,
+            impatient_share: draw.between(0.0, 0.3),
+            model,
+            ..usual
+        }
+    }
+
+    /// Requests a millisecond that all engines can run.
+    pub fn capacity_per_milli(&self) -> f64 {
+        self.engines as f64 / prediction::work_millis(&self.model)
+    }
+
+    /// Longest time that a caller waits, in milliseconds.
+    pub const fn timeout_millis(&self) -> u64 {
+        if self.target_millis * 12 > 6_000 {
+            self.target_millis * 12
+        } else {
+            6_000
+        }
+    }
+
+    /// Longest time that a caller waits for a next event, in milliseconds.
+    pub const fn gap_millis(&self) -> u64 {
+        if self.target_millis * 4 > 2_000 {
+            self.target_millis * 4
+        } else {
+            2_000
+        }
+    }
+
+    /// Milliseconds of the way between two zones.
+    pub fn way_millis(&self, one: usize, other: usize) -> f64 {
+        if one % self.zones == other % self.zones {
+            self.near_millis
+        } else {
+            self.far_millis
+        }
+    }
+}
+
+/// Tokens around `usual`, at most [`LARGEST`] times as many.
+pub fn tokens(draw: &mut Draw, usual: u32) -> u64 {
+    let drawn = draw.pause(f64::from(usual)).min(LARGEST * f64::from(usual));
+    (drawn as u64).max(1)
+}
--- /dev/null
+++ b/crates/gingerpier_serving/tests/overload/gateway.rs
@@ -0,0 +1,178 @@
+//! A gateway: the product's own state, and the calls that the gateway's I/O makes of it.
+
+use {
+    crate::deployment::Deployment,
+    gingerpier_base::Instant,
+    gingerpier_serving::{
+        admission::{self, Choice, Demand},
+        arrivals::Arrivals,
+        budget::{Budget, Terms},
+        fleet::{EngineKey, Fleet, Record, State},
+        mirror::Revision,
+        report::{Held, Report, Version},
+    },
+};
+
+/// Retries for each request, and beyond that in a window.
+const RETRIES: (f64, u32) = (0.1, 24);
+
+/// Milliseconds of a window of the retry budget.
+const WINDOW_MILLIS: u64 = 10_000;
+
+/// A gateway.
+#[derive(Debug, Clone)]
+pub struct Gateway {
+    zone: usize,
+    fleet: Fleet,
+    arrivals: Arrivals,
+    budget: Budget,
+    /// Gateways that it knows of, itself included.
+    known_gateways: usize,
+    /// Counts its incarnations.
+    pub life: u32,
+}
+
+/// Name of the incarnation `life` of an engine.
+fn name(engine: usize, life: u32) -> String {
+    format!("{engine}/{life}")
+}
+
+impl Gateway {
+    /// A gateway that knows nothing but the list of engines, given by their incarnations.
+    pub fn new(zone: usize, deployment: &Deployment, lives: &[Option<u32>], life: u32) -> Self {
+        let terms = Terms {
+            ratio: RETRIES.0,
+            extra: RETRIES.1,
+            window_millis: WINDOW_MILLIS,
+            members: deployment.gateways as u32,
+        };
+        let mut gateway = Self {
+            zone,
+            fleet: Fleet::default(),
+            arrivals: Arrivals::default(),
+            budget: Budget::new(terms),
+            known_gateways: 1,
+            life,
+        };
+        for (engine, life) in lives.iter().enumerate() {
+            if let Some(life) = life {
+                gateway.list(deployment, engine, *life);
+            }
+        }
+        gateway
+    }
+
+    /// Takes an engine that is listed.
+    pub fn list(&mut self, deployment: &Deployment, engine: usize, life: u32) {
+        let record = Record {
+            id: name(engine, life),
+            service: super::SERVICE.to_owned(),
+            address: ([10, 0, 0, engine as u8], 80).into(),
+            zone: format!("z{}", engine % deployment.zones),
+            state: State::Ready,
+            slots: deployment.model.slots,
+            report: Report {
+                held: vec![Held {
+                    model: super::MODEL.to_owned(),
+                    version: Version(1),
+                }],
+                pace: 1.0,
+                ..Report::default()
+            },
+        };
+        self.fleet.list(record, Revision(u64::from(life) + 1));
+    }
+
+    /// Takes an engine off the list.
+    pub fn unlist(&mut self, engine: usize, life: u32) {
+        self.fleet.unlist(&name(engine, life));
+    }
+
+    /// Takes an engine's report, which names other gateways, too.
+    pub fn note_report(&mut self, at: ReportOf, report: Report, gateways: usize, now: Instant) {
+        self.known_gateways = self.known_gateways.max(gateways);
+        let Some(key) = self.fleet.find(&name(at.engine, at.life)) else {
+            return;
+        };
+        let engine = self.fleet.engine_mut(key);
+        match at.is_direct {
+            true => engine.note_report(report, now),
+            false => engine.note_passed_on(report, now),
+        }
+    }
+
+    /// Chooses an engine for a request.
+    pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Choice {
+        let others = (self.known_gateways - 1) as f64;
+        let zone = format!("z{}", self.zone);
+        let demand = Demand {
+            service: super::SERVICE,
+            engines: Some(&ask.deployment.model),
+            model: Some(super::MODEL),
+            due: &[],
+            goes_on_with: None,
+            prompt_tokens: ask.prompt,
+            target_millis: ask.deployment.target_millis,
+            has_returned: ask.has_returned,
+            zone: &zone,
+            others_per_milli: self.arrivals.per_milli(now) * others,
+            tried: ask.tried,
+        };
+        admission::choose(&self.fleet, &demand, now, ask.draw)
+    }
+
+    /// Notes a request that was sent to an engine; `is_first` where it is no retry.
+    pub fn note_sent(&mut self, key: EngineKey, prompt: u64, is_first: bool, now: Instant) {
+        if is_first {
+            self.arrivals.note(now);
+            self.budget.note_request(now);
+        }
+        self.fleet.engine_mut(key).note_sent(prompt, now);
+    }
+
+    /// Takes one retry.
+    pub fn take_retry(&mut self, now: Instant) -> bool {
+        self.budget.take(now)
+    }
+
+    /// An engine, to be changed.
+    pub fn engine_mut(&mut self, key: EngineKey) -> &mut gingerpier_serving::engine::Engine {
+        self.fleet.engine_mut(key)
+    }
+
+    /// Which engine of the model a key stands for, and which incarnation.
+    pub fn place_of(&self, key: EngineKey) -> (usize, u32) {
+        let id = &self.fleet.engine(key).record.id;
+        let (engine, life) = id.split_once('/').expect("a name of this model");
+        (
+            engine.parse().expect("a number"),
+            life.parse().expect("a number"),
+        )
+    }
+}
+
+/// Where a report comes from.
+#[derive(Debug, Clone, Copy)]
+pub struct ReportOf {
+    /// Engine.
+    pub engine: usize,
+    /// Its incarnation.
+    pub life: u32,
+    /// True where it came from the engine's own machine.
+    pub is_direct: bool,
+}
+
+/// What a gateway is asked.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// Deployment.
+    pub deployment: &'a Deployment,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// True where the caller was refused before, or an attempt failed.
+    pub has_returned: bool,
+    /// Engines that it went to already.
+    pub tried: &'a [EngineKey],
+    /// Drawn number.
+    pub draw: u64,
+}
--- /dev/null
+++ b/crates/gingerpier_serving/tests/overload/world.rs
@@ -0,0 +1,663 @@
+//! Callers, gateways, engines and the ways between them, in virtual time.
+
+use {
+    crate::{
+        callers::{Caller, Outcome},
+        deployment::{self, Deployment},
+        draw::Draw,
+        engine::{Brought, Engine, Job},
+        gateway::{Ask, Gateway, ReportOf},
+    },
+    gingerpier_base::Instant,
+    gingerpier_serving::{admission::Choice, backlog::Backlog, fleet::EngineKey, report::Report},
+    std::{cmp::Reverse, collections::BinaryHeap, ops::Range},
+};
+
+/// Engines that one request may go to.
+const MOST_ATTEMPTS: usize = 2;
+
+/// Milliseconds after which a caller of full engines may come again.
+const RETRY_FULL: Range<f64> = 600.0..1_600.0;
+
+/// The same where no engine could run the request.
+const RETRY_NO_ENGINE: Range<f64> = 1_000.0..1_900.0;
+
+/// Milliseconds that an engine rests after it refused a request.
+const FULL_REST_MILLIS: u64 = 60;
+
+/// Least milliseconds to a first event after which another engine may be asked, and times the target.
+const PATIENCE: (u64, u64) = (1_200, 3);
+
+/// Milliseconds until an engine that is silent, with no other to go to, is looked at again.
+const LOOK_MILLIS: f64 = 300.0;
+
+/// Milliseconds between an engine's end and the word that it is off the list.
+const LIST_MILLIS: f64 = 300.0;
+
+/// What comes to pass.
+#[derive(Debug, Clone)]
+enum Event {
+    /// The next request comes to a gateway.
+    Arrival(usize),
+    /// A caller tries.
+    Try(usize),
+    /// A caller gives up where its attempt shows nothing.
+    Leave(usize),
+    /// An attempt reaches its engine.
+    Reach(usize),
+    /// An attempt's caller left, and its engine learns of it.
+    Cancel(usize),
+    /// An engine's pass ends.
+    Pass { engine: usize, life: u32 },
+    /// A gateway gets an attempt's events, or learns that it failed.
+    Word(usize, Word),
+    /// A gateway looks whether an attempt shows anything.
+    Patience(usize),
+    /// An engine tells its load to a gateway.
+    Tell { engine: usize, gateway: usize },
+    /// A report reaches a gateway.
+    Hear {
+        gateway: usize,
+        of: ReportOf,
+        report: Box<Report>,
+        at: f64,
+    },
+    /// Engines end, or begin.
+    Switch { engines: Range<usize>, is_up: bool },
+    /// Gateways learn of it.
+    List {
+        engine: usize,
+        life: u32,
+        is_up: bool,
+    },
+    /// All gateways end, and begin without knowledge.
+    Restart,
+}
+
+/// What a gateway learns of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Word {
+    First,
+    Last,
+    Full,
+    Broken,
+    TimedOut,
+}
+
+/// An event and its time in microseconds; the number keeps those of one time in order.
+#[derive(Debug)]
+struct Timed(u64, u64, Event);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// An attempt of a gateway at an engine.
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    caller: usize,
+    gateway: usize,
+    gateway_life: u32,
+    key: EngineKey,
+    engine: usize,
+    engine_life: u32,
+    sent_at: f64,
+    predicted: f64,
+    is_waiting: bool,
+    is_over: bool,
+}
+
+/// A trigger: what goes wrong for a while.
+#[derive(Debug, Clone, Copy)]
+pub struct Trigger {
+    /// From when on, in milliseconds.
+    pub from: f64,
+    /// Until when.
+    pub until: f64,
+    /// Times as many requests as else.
+    pub burst: f64,
+    /// Share of the engines that end at its begin and begin at its end.
+    pub engines_lost: f64,
+    /// True where all gateways begin anew at its end.
+    pub restarts: bool,
+}
+
+/// What an engine held above its slots at worst.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Worst {
+    /// Requests above the slots, of which the engine had only this many.
+    pub above_slots: usize,
+    /// Requests refused while fewer than half the slots of the engines were taken and none waited.
+    pub refused_free: usize,
+}
+
+/// The model.
+pub struct World {
+    deployment: Deployment,
+    draw: Draw,
+    now: f64,
+    count: u64,
+    events: BinaryHeap<Reverse<Timed>>,
+    engines: Vec<Engine>,
+    backlogs: Vec<Backlog>,
+    gateways: Vec<Gateway>,
+    attempts: Vec<Attempt>,
+    /// Callers, in the order in which they came first.
+    pub callers: Vec<Caller>,
+    /// Load, as a part of the capacity.
+    load: f64,
+    trigger: Option<Trigger>,
+    /// What was worst.
+    pub worst: Worst,
+}
+
+impl World {
+    /// Plays a deployment at `load`, from empty engines on, until `until` milliseconds.
+    pub fn play(deployment: &Deployment, load: f64, trigger: Option<Trigger>, until: f64) -> Self {
+        let engine = Engine::new(deployment.model.clone(), deployment.queue);
+        let lives = vec![Some(0); deployment.engines];
+        let gateway = |index| Gateway::new(index, deployment, &lives, 0);
+        let mut world = Self {
+            draw: Draw::new(deployment.seed),
+            now: 0.0,
+            count: 0,
+            events: BinaryHeap::new(),
+            engines: vec![engine; deployment.engines],
+            backlogs: vec![Backlog::default(); deployment.engines],
+            gateways: (0..deployment.gateways).map(gateway).collect(),
+            attempts: Vec::new(),
+            callers: Vec::new(),
+            load,
+            trigger,
+            worst: Worst::default(),
+            deployment: deployment.clone(),
+        };
+        world.begin();
+        while let Some(Reverse(Timed(at, _, event))) = world.events.pop() {
+            world.now = at as f64 / 1_000.0;
+            if world.now > until {
+                break;
+            }
+            world.handle(event);
+        }
+        world
+    }
+
+    fn begin(&mut self) {
+        for gateway in 0..self.gateways.len() {
+            self.after(0.0, Event::Arrival(gateway));
+            for engine in 0..self.engines.len() {
+                let phase = self.draw.between(0.0, 50.0);
+                self.after(phase, Event::Tell { engine, gateway });
+            }
+        }
+        if let Some(trigger) = self.trigger {
+            let lost = 0..(self.engines.len() as f64 * trigger.engines_lost) as usize;
+            let ends = Event::Switch {
+                engines: lost.clone(),
+                is_up: false,
+            };
+            self.after(trigger.from, ends);
+            self.after(
+                trigger.until,
+                Event::Switch {
+                    engines: lost,
+                    is_up: true,
+                },
+            );
+            if trigger.restarts {
+                self.after(trigger.until, Event::Restart);
+            }
+        }
+    }
+
+    fn after(&mut self, millis: f64, event: Event) {
+        let at = ((self.now + millis.max(0.0)) * 1_000.0) as u64;
+        self.count += 1;
+        self.events.push(Reverse(Timed(at, self.count, event)));
+    }
+
+    const fn instant(&self) -> Instant {
+        // An instant of the product's clock is never near zero.
+        Instant::from_millis(1_000_000 + self.now as u64)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(gateway) => self.arrive(gateway),
+            Event::Try(caller) => self.attempt_first(caller),
+            Event::Leave(caller) => self.leave(caller),
+            Event::Reach(attempt) => self.reach(attempt),
+            Event::Cancel(attempt) => {
+                let Attempt {
+                    engine,
+                    engine_life,
+                    ..
+                } = self.attempts[attempt];
+                if self.engines[engine].life == engine_life {
+                    self.engines[engine].cancel(attempt);
+                }
+            }
+            Event::Pass { engine, life } => self.pass(engine, life),
+            Event::Word(attempt, word) => self.hear_word(attempt, word),
+            Event::Patience(attempt) => self.look(attempt),
+            Event::Tell { engine, gateway } => self.tell(engine, gateway),
+            Event::Hear {
+                gateway,
+                of,
+                report,
+                at,
+            } => self.hear(gateway, of, *report, at),
+            Event::Switch { engines, is_up } => {
+                engines.for_each(|engine| self.switch(engine, is_up))
+            }
+            Event::List {
+                engine,
+                life,
+                is_up,
+            } => self.list(engine, life, is_up),
+            Event::Restart => self.restart(),
+        }
+    }
+
+    fn is_triggered(&self) -> bool {
+        self.trigger
+            .is_some_and(|trigger| (trigger.from..trigger.until).contains(&self.now))
+    }
+
+    fn arrive(&mut self, gateway: usize) {
+        let burst = match self.trigger {
+            Some(trigger) if self.is_triggered() => trigger.burst,
+            _ => 1.0,
+        };
+        let per_milli = self.deployment.capacity_per_milli() * self.load * burst;
+        let mean = self.gateways.len() as f64 / per_milli;
+        let pause = self.draw.pause(mean);
+        self.after(pause, Event::Arrival(gateway));
+        let model = &self.deployment.model;
+        let caller = Caller {
+            came_at: self.now,
+            tried_at: self.now,
+            gateway,
+            prompt: deployment::tokens(&mut self.draw, model.usual_prompt),
+            answer: deployment::tokens(&mut self.draw, model.usual_answer),
+            is_impatient: self.draw.share() < self.deployment.impatient_share,
+            tries: 0,
+            first_at: None,
+            has_returned: false,
+            tried: Vec::new(),
+            attempt: None,
+            outcome: Outcome::Open,
+        };
+        self.callers.push(caller);
+        self.attempt_first(self.callers.len() - 1);
+    }
+
+    /// A caller's try, at a gateway that may be another than before.
+    fn attempt_first(&mut self, index: usize) {
+        let gateways = self.gateways.len();
+        let caller = &mut self.callers[index];
+        caller.has_returned = caller.tries > 0;
+        caller.tries += 1;
+        caller.tried_at = self.now;
+        caller.tried.clear();
+        if caller.tries > 1 {
+            caller.gateway =
+                (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
+        }
+        self.send(index, true);
+        let gap = self.deployment.gap_millis() as f64;
+        self.after(gap, Event::Leave(index));
+    }
+
+    fn choose(&mut self, index: usize) -> Choice {
+        let caller = &self.callers[index];
+        let ask = Ask {
+            deployment: &self.deployment,
+            prompt: caller.prompt,
+            has_returned: caller.has_returned || !caller.tried.is_empty(),
+            tried: &caller.tried,
+            draw: self.draw.number(),
+        };
+        self.gateways[caller.gateway].choose(&ask, self.instant())
+    }
+
+    fn send(&mut self, index: usize, is_first: bool) {
+        let (key, predicted) = match self.choose(index) {
+            Choice::Send {
+                engine,
+                predicted_millis,
+            } => (engine, predicted_millis),
+            Choice::Full { .. } => return self.refuse(index, &RETRY_FULL),
+            Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE),
+        };
+        let now = self.instant();
+        let caller = &mut self.callers[index];
+        let gateway = &mut self.gateways[caller.gateway];
+        gateway.note_sent(key, caller.prompt, is_first, now);
+        let (engine, engine_life) = gateway.place_of(key);
+        caller.tried.push(key);
+        caller.attempt = Some(self.attempts.len());
+        self.attempts.push(Attempt {
+            caller: index,
+            gateway: caller.gateway,
+            gateway_life: gateway.life,
+            key,
+            engine,
+            engine_life,
+            sent_at: self.now,
+            predicted,
+            is_waiting: true,
+            is_over: false,
+        });
+        let attempt = self.attempts.len() - 1;
+        let way = self.way(attempt);
+        self.after(way, Event::Reach(attempt));
+        let patience = PATIENCE.0.max(PATIENCE.1 * self.deployment.target_millis);
+        self.after(patience as f64, Event::Patience(attempt));
+    }
+
+    fn refuse(&mut self, index: usize, pause: &Range<f64>) {
+        let slots = self.engines.len() * self.deployment.model.slots as usize;
+        let taken: usize = self.engines.iter().map(|engine| engine.running.len()).sum();
+        if 2 * taken < slots && self.engines.iter().all(|engine| engine.queue.is_empty()) {
+            self.worst.refused_free += 1;
+        }
+        let caller = &mut self.callers[index];
+        caller.attempt = None;
+        if caller.first_at.is_some() || caller.tries > 1 {
+            caller.outcome = Outcome::Refused;
+            return;
+        }
+        let left = caller.came_at + self.deployment.timeout_millis() as f64 - self.now;
+        let pause = match caller.is_impatient {
+            true => 1.0,
+            false => self.draw.between(pause.start, pause.end).min(left / 3.0),
+        };
+        self.after(pause, Event::Try(index));
+    }
+
+    fn way(&self, attempt: usize) -> f64 {
+        let attempt = &self.attempts[attempt];
+        self.deployment.way_millis(attempt.gateway, attempt.engine)
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let Attempt {
+            caller,
+            engine,
+            engine_life,
+            is_over,
+            ..
+        } = self.attempts[attempt];
+        if is_over {
+            return;
+        }
+        let caller = &self.callers[caller];
+        let job = Job {
+            attempt,
+            prompt: caller.prompt,
+            unread: caller.prompt as f64,
+            answer: caller.answer,
+            written: 0,
+            deadline: caller.tried_at + self.deployment.timeout_millis() as f64,
+        };
+        let way = self.way(attempt);
+        let there = &mut self.engines[engine];
+        if !there.is_up || there.life != engine_life {
+            return self.after(way, Event::Word(attempt, Word::Broken));
+        }
+        if !there.take(job) {
+            return self.after(way, Event::Word(attempt, Word::Full));
+        }
+        let above = there
+            .requests()
+            .saturating_sub(self.deployment.model.slots as usize);
+        self.worst.above_slots = self.worst.above_slots.max(above);
+        self.begin_pass(engine);
+    }
+
+    fn begin_pass(&mut self, engine: usize) {
+        let life = self.engines[engine].life;
+        if let Some(millis) = self.engines[engine].begin_pass() {
+            self.after(millis, Event::Pass { engine, life });
+        }
+    }
+
+    fn pass(&mut self, engine: usize, life: u32) {
+        if self.engines[engine].life != life || !self.engines[engine].is_up {
+            return;
+        }
+        for brought in self.engines[engine].end_pass(self.now) {
+            let (attempt, word) = match brought {
+                Brought::First(attempt) => (attempt, Word::First),
+                Brought::Last(attempt) => (attempt, Word::Last),
+                Brought::TimedOut(attempt) => (attempt, Word::TimedOut),
+            };
+            let way = self.way(attempt);
+            self.after(way, Event::Word(attempt, word));
+        }
+        self.begin_pass(engine);
+    }
+
+    /// The attempt, where its gateway still has it.
+    fn open(&self, attempt: usize) -> Option<Attempt> {
+        let known = self.attempts[attempt];
+        let is_there = self.gateways[known.gateway].life == known.gateway_life;
+        (!known.is_over && is_there).then_some(known)
+    }
+
+    fn end(&mut self, attempt: usize) {
+        let known = &mut self.attempts[attempt];
+        known.is_over = true;
+        let prompt = self.callers[known.caller].prompt;
+        let engine = self.gateways[known.gateway].engine_mut(known.key);
+        engine.note_end(prompt, known.is_waiting);
+    }
+
+    fn hear_word(&mut self, attempt: usize, word: Word) {
+        let Some(known) = self.open(attempt) else {
+            return;
+        };
+        let now = self.instant();
+        let caller = &mut self.callers[known.caller];
+        let engine = self.gateways[known.gateway].engine_mut(known.key);
+        match word {
+            Word::First => {
+                engine.note_first(caller.prompt);
+                engine.note_lateness(self.now - known.sent_at - known.predicted);
+                self.attempts[attempt].is_waiting = false;
+                caller.first_at = caller.first_at.or(Some(self.now));
+            }
+            Word::Last => {
+                engine.note_success();
+                caller.outcome = Outcome::Served;
+                self.end(attempt);
+            }
+            Word::Full => {
+                engine.rest(now.after_millis(FULL_REST_MILLIS));
+                self.fail(attempt);
+            }
+            Word::Broken => {
+                engine.note_failure(now);
+                self.fail(attempt);
+            }
+            Word::TimedOut => {
+                caller.outcome = Outcome::Lost;
+                self.end(attempt);
+            }
+        }
+    }
+
+    /// What follows an attempt that brought no whole answer.
+    fn fail(&mut self, attempt: usize) {
+        self.end(attempt);
+        let Attempt {
+            caller, gateway, ..
+        } = self.attempts[attempt];
+        let can_move = matches!(self.choose(caller), Choice::Send { .. });
+        let has_attempts = self.callers[caller].tried.len() < MOST_ATTEMPTS;
+        let now = self.instant();
+        if can_move && has_attempts && self.gateways[gateway].take_retry(now) {
+            return self.send(caller, false);
+        }
+        self.refuse(caller, &RETRY_FULL);
+    }
+
+    /// An engine that shows nothing for long: another one may do better.
+    fn look(&mut self, attempt: usize) {
+        let Some(known) = self.open(attempt).filter(|known| known.is_waiting) else {
+            return;
+        };
+        let has_attempts = self.callers[known.caller].tried.len() < MOST_ATTEMPTS;
+        if !has_attempts || !matches!(self.choose(known.caller), Choice::Send { .. }) {
+            return self.after(LOOK_MILLIS, Event::Patience(attempt));
+        }
+        let now = self.instant();
+        self.gateways[known.gateway]
+            .engine_mut(known.key)
+            .note_silence(now);
+        let way = self.way(attempt);
+        self.after(way, Event::Cancel(attempt));
+        self.end(attempt);
+        if self.gateways[known.gateway].take_retry(now) {
+            self.send(known.caller, false);
+        } else {
+            self.callers[known.caller].outcome = Outcome::Lost;
+        }
+    }
+
+    fn leave(&mut self, index: usize) {
+        let caller = &self.callers[index];
+        let is_waiting = caller.outcome == Outcome::Open && caller.first_at.is_none();
+        let has_waited = self.now - caller.tried_at + 1.0 > self.deployment.gap_millis() as f64;
+        let Some(attempt) = caller.attempt.filter(|_| is_waiting && has_waited) else {
+            return;
+        };
+        self.callers[index].outcome = Outcome::Lost;
+        if self.open(attempt).is_some() {
+            let way = self.way(attempt);
+            self.after(way, Event::Cancel(attempt));
+            self.end(attempt);
+        }
+    }
+
+    fn tell(&mut self, engine: usize, gateway: usize) {
+        let deployment = &self.deployment;
+        let way = deployment.way_millis(gateway, engine);
+        let is_near = gateway % deployment.zones == engine % deployment.zones;
+        let every = match is_near {
+            true => deployment.report_every_millis,
+            false => deployment.far_report_every_millis,
+        };
+        self.after(every as f64, Event::Tell { engine, gateway });
+        let there = &self.engines[engine];
+        if !there.is_up {
+            return;
+        }
+        let mut report = there.report();
+        let of = ReportOf {
+            engine,
+            life: there.life,
+            is_direct: is_near || every <= 250,
+        };
+        let now = self.instant();
+        // Its machine asks it as often as the nearest gateway is told.
+        report.unread_tokens = self.backlogs[engine].note(&report, &self.deployment.model, now);
+        let report = Box::new(report);
+        let at = self.now;
+        self.after(
+            way,
+            Event::Hear {
+                gateway,
+                of,
+                report,
+                at,
+            },
+        );
+    }
+
+    fn hear(&mut self, gateway: usize, of: ReportOf, report: Report, at: f64) {
+        let as_of = if of.is_direct { self.now } else { at };
+        let as_of = Instant::from_millis(1_000_000 + as_of as u64);
+        let count = self.gateways.len();
+        self.gateways[gateway].note_report(of, report, count, as_of);
+    }
+
+    fn switch(&mut self, engine: usize, is_up: bool) {
+        let jobs: Vec<usize> = {
+            let there = &self.engines[engine];
+            there
+                .queue
+                .iter()
+                .chain(&there.running)
+                .map(|job| job.attempt)
+                .collect()
+        };
+        for attempt in jobs {
+            let way = self.way(attempt);
+            self.after(way, Event::Word(attempt, Word::Broken));
+        }
+        self.engines[engine].switch(is_up);
+        self.backlogs[engine] = Backlog::default();
+        let life = self.engines[engine].life;
+        self.after(
+            LIST_MILLIS,
+            Event::List {
+                engine,
+                life,
+                is_up,
+            },
+        );
+    }
+
+    fn list(&mut self, engine: usize, life: u32, is_up: bool) {
+        for gateway in &mut self.gateways {
+            match is_up {
+                true => gateway.list(&self.deployment, engine, life),
+                false => gateway.unlist(engine, life),
+            }
+        }
+    }
+
+    fn restart(&mut self) {
+        let lives: Vec<Option<u32>> = self
+            .engines
+            .iter()
+            .map(|engine| engine.is_up.then_some(engine.life))
+            .collect();
+        for attempt in 0..self.attempts.len() {
+            let Some(known) = self.open(attempt) else {
+                continue;
+            };
+            self.attempts[attempt].is_over = true;
+            let way = self.way(attempt);
+            self.after(way, Event::Cancel(attempt));
+            let caller = &mut self.callers[known.caller];
+            caller.attempt = None;
+            match caller.tries {
+                1 => self.after(20.0, Event::Try(known.caller)),
+                _ => caller.outcome = Outcome::Lost,
+            }
+        }
+        for (index, gateway) in self.gateways.iter_mut().enumerate() {
+            *gateway = Gateway::new(index, &self.deployment, &lives, gateway.life + 1);
+        }
+    }
+}
