Overload model: worth is a part of what came, not a sum

The same bounds now hold for the part of the worth that was asked, which is as strict and tells trigger from chance.

--- a/crates/gingerpier_serving/tests/overload.rs
+++ b/crates/gingerpier_serving/tests/overload.rs
@@ -67,13 +67,16 @@
     deployment.gap_millis() as f64 + 4.0 * answer_millis(deployment)
 }
 
-/// Plays a deployment without a trigger; gives the goodput of what came in so many milliseconds.
+/// Plays a deployment without a trigger; gives the goodput of what came in so many milliseconds: usual answers
+/// in time a second.
 fn steady(deployment: &Deployment, load: f64, millis: f64) -> (f64, World) {
     let from = warm_millis(deployment);
     let times = from..from + millis;
     let until = times.end + drain_millis(deployment);
     let world = World::play(deployment, load, None, until);
-    (callers::goodput(&world.callers, deployment, &times), world)
+    let share = callers::share_of_worth(&world.callers, deployment, &times);
+    let offered = load * deployment.capacity_per_milli() * 1_000.0;
+    (share * offered, world)
 }
 
 /// Mean goodput of the usual deployment at `load`, over seeds.
@@ -108,7 +111,7 @@
     let until = times.end + drain_millis(deployment);
     let goodput = |trigger| {
         let world = World::play(deployment, load, trigger, until);
-        callers::goodput(&world.callers, deployment, &times)
+        callers::share_of_worth(&world.callers, deployment, &times)
     };
     goodput(Some(trigger)) / goodput(None)
 }
--- a/crates/gingerpier_serving/tests/overload/callers.rs
+++ b/crates/gingerpier_serving/tests/overload/callers.rs
@@ -79,13 +79,19 @@
     }
 }
 
-/// Worth of the requests that came first within `times`, a second.
-pub fn goodput(callers: &[Caller], deployment: &Deployment, times: &Range<f64>) -> f64 {
+/// Worth of the requests that came first within `times`, as a part of what they could have been worth: how
+/// many came by chance does not count.
+pub fn share_of_worth(callers: &[Caller], deployment: &Deployment, times: &Range<f64>) -> f64 {
     let came = callers
         .iter()
         .filter(|caller| times.contains(&caller.came_at));
-    let worth: f64 = came.map(|caller| caller.worth(deployment)).sum();
-    worth * 1_000.0 / (times.end - times.start)
+    let (worth, owed) = came.fold((0.0, 0.0), |(worth, owed), caller| {
+        (
+            worth + caller.worth(deployment),
+            owed + caller.size(deployment),
+        )
+    });
+    worth / owed
 }
 
 /// Counts of requests: in time at the first try, in time at a later one, late, refused, lost or without an end.
