Under overload those that come first are taken first, and what predictions were wrong by bounds what is taken

Change: a caller that comes back is allowed 0.7 of the target, and the average error of an engine's predictions counts in what is taken, as far as the engine is full.

--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -18,8 +18,9 @@
 /// How much of its target a first event may be predicted to take.
 const TARGET_SHARE: f64 = 0.85;
 
-/// The same for a caller that came back after a refusal.
-const RETURN_SHARE: f64 = 1.0;
+/// The same for a caller that came back after a refusal. What it gets is worth about two thirds of an answer
+/// at the first try: where engines are full, those that come first are taken first.
+const RETURN_SHARE: f64 = 0.7;
 
 /// Milliseconds that another zone must be better by: about what predictions there are wrong by, as
 /// reports of other zones come five times less often, and a crossing is paid for.
@@ -99,7 +100,7 @@
 
 /// Decides where a request goes.
 pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: u64) -> Choice {
-    let mut best: Option<(f64, f64, EngineKey)> = None;
+    let mut best: Option<Candidate> = None;
     let open = fleet
         .of_service(demand.service)
         .filter(|(_, engine)| engine.is_open(now));
@@ -118,22 +119,47 @@
             continue;
         }
         let cost = predicted + late + penalty(engine, demand) + draw_of(key, draw);
-        if best.is_none_or(|(least, _, _)| cost < least) {
-            best = Some((cost, predicted, key));
+        if best.is_none_or(|best| cost < best.cost) {
+            best = Some(Candidate {
+                key,
+                cost,
+                predicted_millis: predicted,
+                expected_millis: predicted + error_when_full(engine, now),
+            });
         }
     }
-    let Some((_, predicted_millis, engine)) = best else {
+    let Some(best) = best else {
         return Choice::NoEngine;
     };
-    if predicted_millis > bound(demand) {
+    let predicted_millis = best.predicted_millis;
+    if best.expected_millis > bound(demand) {
         return Choice::Full { predicted_millis };
     }
     Choice::Send {
-        engine,
+        engine: best.key,
         predicted_millis,
     }
 }
 
+/// An engine that could run a request.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    key: EngineKey,
+    /// What engines are ranked by, in milliseconds.
+    cost: f64,
+    predicted_millis: f64,
+    /// Predicted milliseconds, and what predictions were wrong by.
+    expected_millis: f64,
+}
+
+/// Milliseconds by which a first event is expected to come later than predicted: what it was lately, as
+/// far as the engine is full. An engine that is free is not refused for what came late while it was not.
+fn error_when_full(engine: &Engine, now: Instant) -> f64 {
+    let slots = f64::from(engine.record.slots.max(1));
+    let fullness = (engine.occupancy(now) / slots).min(1.0);
+    engine.error_millis().max(0.0) * fullness
+}
+
 /// Oldest version that may start something at `starts`.
 pub fn least_version(due: &[Due], starts: Instant) -> Version {
     let passed = due.iter().filter(|due| due.at.has_passed(starts));
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -115,6 +115,7 @@
     failures_in_row: u32,
     failure_share: f64,
     lateness: f64,
+    error_millis: f64,
     /// Milliseconds that one request takes when it does not wait; none until one was answered.
     work_millis: Option<f64>,
     /// True from a request of which nothing came until one that was answered.
@@ -141,6 +142,7 @@
             failures_in_row: 0,
             failure_share: 0.0,
             lateness: 0.0,
+            error_millis: 0.0,
             work_millis: None,
             is_suspect: false,
             heard: None,
@@ -214,6 +216,12 @@
         self.lateness
     }
 
+    /// Milliseconds by which first events came later than predicted, on average; below zero where they came
+    /// earlier.
+    pub const fn error_millis(&self) -> f64 {
+        self.error_millis
+    }
+
     /// Milliseconds that one request takes here when it does not wait, as measured.
     pub const fn work_millis(&self) -> Option<f64> {
         self.work_millis
@@ -247,6 +255,8 @@
 
     /// Notes by how many milliseconds a first event came later than predicted.
     pub fn note_lateness(&mut self, millis: f64) {
+        let error = millis.clamp(-MOST_LATENESS_MILLIS, MOST_LATENESS_MILLIS);
+        self.error_millis += (error - self.error_millis) * LATENESS_WEIGHT;
         let late = (millis - LATENESS_FREE_MILLIS).clamp(0.0, MOST_LATENESS_MILLIS);
         self.lateness += (late - self.lateness) * LATENESS_WEIGHT;
     }
