--- /dev/null
+++ b/crates/gingerpier_gateway/src/state/naming.rs
@@ -0,0 +1,75 @@
+//! Weights that operators named, and from when on older ones may start nothing.
+
+use {
+    super::State,
+    crate::{clock, message},
+    gingerpier_serving::{
+        admission::Due,
+        dialect::Named,
+        naming::{Naming, Namings, OWN},
+    },
+};
+
+impl State {
+    /// Notes weights that operators named.
+    pub fn note_named(&self, named: &Named) {
+        let now = clock::now();
+        let (fresh, within) = (self.fresh.get(), self.settings.version_within.0);
+        let earliest = fresh.earliest(within, now);
+        let mut namings = self.namings.borrow_mut();
+        let known = namings.entry(named.model.clone()).or_default();
+        if !known.note(named.version, OWN, earliest, now) {
+            return;
+        }
+        // What is heard may be read before any timer shows a standstill.
+        known.note_break(fresh.due_after_break(self.note_running(), within));
+        tracing::info!(
+            model = named.model,
+            version = named.version.0,
+            age = now.millis_since(earliest),
+            "weights named"
+        );
+        self.naming.notify_one();
+    }
+
+    /// Newest weights named of each model.
+    pub fn named(&self) -> Vec<Named> {
+        let namings = self.namings.borrow();
+        let newest = |(model, known): (&String, &Namings)| {
+            Some(Named {
+                model: model.clone(),
+                version: known.newest()?.version,
+            })
+        };
+        namings.iter().filter_map(newest).collect()
+    }
+
+    /// The same as loaders are told.
+    pub fn namings(&self) -> Vec<message::Naming> {
+        let now = clock::now();
+        let namings = self.namings.borrow();
+        let newest = |(model, known): (&String, &Namings)| {
+            let newest = known.newest()?;
+            Some(message::Naming {
+                model: model.clone(),
+                version: newest.version.0,
+                age: now.millis_since(newest.at),
+            })
+        };
+        namings.iter().filter_map(newest).collect()
+    }
+
+    /// Versions of `model` that come due, or came due already.
+    pub fn due(&self, model: &str) -> Vec<Due> {
+        let namings = self.namings.borrow();
+        let known = namings.get(model).into_iter().flat_map(Namings::iter);
+        known.map(|naming| self.due_of(naming)).collect()
+    }
+
+    fn due_of(&self, naming: &Naming) -> Due {
+        Due {
+            version: naming.version,
+            at: naming.due_at(self.settings.version_within.0),
+        }
+    }
+}
