--- /dev/null
+++ b/crates/gingerpier_gateway/src/loader/versions.rs
@@ -0,0 +1,121 @@
+//! Versions of weights at a loader: those that operators named, those that are here whole, and the one that
+//! the engine holds.
+
+use {
+    super::Loader,
+    crate::{clock, message},
+    gingerpier_base::Instant,
+    gingerpier_serving::{
+        bringing::NamedAt,
+        dialect::Named,
+        naming::{Naming, Namings, Teller},
+        report::Version,
+    },
+};
+
+impl Loader {
+    /// Notes weights that operators named `age` milliseconds ago or less, by the word of `teller`.
+    pub fn note_named(&self, named: &Named, teller: Teller, age: u64) {
+        let now = clock::now();
+        let earliest = Instant::from_millis(now.as_millis().saturating_sub(age));
+        let mut namings = self.namings.borrow_mut();
+        let known = namings.entry(named.model.clone()).or_default();
+        if known.note(named.version, teller, earliest, now) {
+            tracing::info!(
+                model = named.model,
+                version = named.version.0,
+                age,
+                "weights named"
+            );
+        }
+    }
+
+    /// Takes the word of a gateway, `teller`, on weights that operators named.
+    pub fn take_naming(&self, naming: message::Naming, teller: Teller) {
+        let named = Named {
+            model: naming.model,
+            version: Version(naming.version),
+        };
+        self.note_named(&named, teller, naming.age);
+    }
+
+    /// Weights of `model` that operators named, as far as known.
+    pub fn named(&self, model: &str) -> Vec<NamedAt> {
+        let namings = self.namings.borrow();
+        let known = namings.get(model).into_iter().flat_map(Namings::iter);
+        let named_at = |naming: &Naming| NamedAt {
+            version: naming.version,
+            at: naming.at,
+        };
+        known.map(named_at).collect()
+    }
+
+    /// When it was first heard that operators named `named`.
+    pub fn heard_of(&self, named: &Named) -> Option<Instant> {
+        let namings = self.namings.borrow();
+        let mut known = namings.get(&named.model)?.iter();
+        let own = known.find(|known| known.version == named.version)?;
+        Some(own.heard)
+    }
+
+    /// Weights that the engine should hold; nothing where none are known to be wanted.
+    pub fn wanted(&self) -> Option<Named> {
+        let model = self.model()?;
+        let named = self.named(&model);
+        let newest = named.iter().map(|named| named.version).max();
+        let version = match newest {
+            Some(version) => version,
+            // Nothing was named: what other engines hold, or else what the origin has.
+            None => self.held_elsewhere(&model),
+        };
+        Some(Named { model, version })
+    }
+
+    fn held_elsewhere(&self, model: &str) -> Version {
+        let fleet = self.fleet.borrow();
+        let now = clock::now();
+        let versions = fleet
+            .listed()
+            .filter_map(|(_, engine)| engine.version_of(model, now));
+        versions.max().unwrap_or_default()
+    }
+
+    /// Notes that every chunk of `version` is here.
+    pub fn note_complete(&self, version: Version) {
+        if !self.is_complete(version) {
+            let at = clock::now();
+            self.complete.borrow_mut().push(NamedAt { version, at });
+        }
+    }
+
+    /// True where every chunk of `version` is here.
+    pub fn is_complete(&self, version: Version) -> bool {
+        let complete = self.complete.borrow();
+        complete.iter().any(|complete| complete.version == version)
+    }
+
+    /// Newest version whose chunks are all here.
+    pub fn newest_complete(&self) -> Option<Version> {
+        let complete = self.complete.borrow();
+        complete.iter().map(|complete| complete.version).max()
+    }
+
+    /// Since when a version newer than `held` is here whole; now where none is.
+    pub fn complete_since(&self, held: Option<Version>) -> Instant {
+        let complete = self.complete.borrow();
+        let newer = complete
+            .iter()
+            .filter(|complete| Some(complete.version) > held);
+        let first = newer.map(|complete| complete.at).min();
+        first.unwrap_or_else(clock::now)
+    }
+
+    /// Version of `model` that the engine holds.
+    pub fn held(&self, model: &str) -> Option<Version> {
+        let report = self.report.borrow();
+        let held = report.as_ref()?.held.iter();
+        held.filter(|held| held.model == model)
+            .map(|held| held.version)
+            .max()
+    }
+}
