--- a/crates/gingerpier_serving/tests/overload/world.rs
+++ b/crates/gingerpier_serving/tests/overload/world.rs
@@ -1,36 +1,21 @@
 //! Callers, gateways, engines and the ways between them, in virtual time.
 
+#[path = "attempts.rs"]
+mod attempts;
+
 use {
     crate::{
         callers::{Caller, Outcome},
-        deployment::{self, Deployment},
+        deployment::Deployment,
         draw::Draw,
-        engine::{Brought, Engine, Job},
-        gateway::{Ask, Gateway, ReportOf},
+        engine::{Brought, Engine},
+        gateway::{Gateway, ReportOf},
     },
     gingerpier_base::Instant,
-    gingerpier_serving::{admission::Choice, backlog::Backlog, fleet::EngineKey, report::Report},
+    gingerpier_serving::{backlog::Backlog, fleet::EngineKey, report::Report},
     std::{cmp::Reverse, collections::BinaryHeap, ops::Range},
 };
 
-/// Engines that one request may go to.
-const MOST_ATTEMPTS: usize = 2;
-
-/// Milliseconds after which a caller of full engines may come again.
-const RETRY_FULL: Range<f64> = 600.0..1_600.0;
-
-/// The same where no engine could run the request.
-const RETRY_NO_ENGINE: Range<f64> = 1_000.0..1_900.0;
-
-/// Milliseconds that an engine rests after it refused a request.
-const FULL_REST_MILLIS: u64 = 60;
-
-/// Least milliseconds to a first event after which another engine may be asked, and times the target.
-const PATIENCE: (u64, u64) = (1_200, 3);
-
-/// Milliseconds until an engine that is silent, with no other to go to, is looked at again.
-const LOOK_MILLIS: f64 = 300.0;
-
 /// Milliseconds between an engine's end and the word that it is off the list.
 const LIST_MILLIS: f64 = 300.0;
 
@@ -281,158 +266,6 @@
             .is_some_and(|trigger| (trigger.from..trigger.until).contains(&self.now))
     }
 
-    fn arrive(&mut self, gateway: usize) {
-        let burst = match self.trigger {
-            Some(trigger) if self.is_triggered() => trigger.burst,
-            _ => 1.0,
-        };
-        let per_milli = self.deployment.capacity_per_milli() * self.load * burst;
-        let mean = self.gateways.len() as f64 / per_milli;
-        let pause = self.draw.pause(mean);
-        self.after(pause, Event::Arrival(gateway));
-        let model = &self.deployment.model;
-        let caller = Caller {
-            came_at: self.now,
-            tried_at: self.now,
-            gateway,
-            prompt: deployment::tokens(&mut self.draw, model.usual_prompt),
-            answer: deployment::tokens(&mut self.draw, model.usual_answer),
-            is_impatient: self.draw.share() < self.deployment.impatient_share,
-            tries: 0,
-            first_at: None,
-            has_returned: false,
-            tried: Vec::new(),
-            attempt: None,
-            outcome: Outcome::Open,
-        };
-        self.callers.push(caller);
-        self.attempt_first(self.callers.len() - 1);
-    }
-
-    /// A caller's try, at a gateway that may be another than before.
-    fn attempt_first(&mut self, index: usize) {
-        let gateways = self.gateways.len();
-        let caller = &mut self.callers[index];
-        caller.has_returned = caller.tries > 0;
-        caller.tries += 1;
-        caller.tried_at = self.now;
-        caller.tried.clear();
-        if caller.tries > 1 {
-            caller.gateway =
-                (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
-        }
-        self.send(index, true);
-        let gap = self.deployment.gap_millis() as f64;
-        self.after(gap, Event::Leave(index));
-    }
-
-    fn choose(&mut self, index: usize) -> Choice {
-        let caller = &self.callers[index];
-        let ask = Ask {
-            deployment: &self.deployment,
-            prompt: caller.prompt,
-            has_returned: caller.has_returned || !caller.tried.is_empty(),
-            tried: &caller.tried,
-            draw: self.draw.number(),
-        };
-        self.gateways[caller.gateway].choose(&ask, self.instant())
-    }
-
-    fn send(&mut self, index: usize, is_first: bool) {
-        let (key, predicted) = match self.choose(index) {
-            Choice::Send {
-                engine,
-                predicted_millis,
-            } => (engine, predicted_millis),
-            Choice::Full { .. } => return self.refuse(index, &RETRY_FULL),
-            Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE),
-        };
-        let now = self.instant();
-        let caller = &mut self.callers[index];
-        let gateway = &mut self.gateways[caller.gateway];
-        gateway.note_sent(key, caller.prompt, is_first, now);
-        let (engine, engine_life) = gateway.place_of(key);
-        caller.tried.push(key);
-        caller.attempt = Some(self.attempts.len());
-        self.attempts.push(Attempt {
-            caller: index,
-            gateway: caller.gateway,
-            gateway_life: gateway.life,
-            key,
-            engine,
-            engine_life,
-            sent_at: self.now,
-            predicted,
-            is_waiting: true,
-            is_over: false,
-        });
-        let attempt = self.attempts.len() - 1;
-        let way = self.way(attempt);
-        self.after(way, Event::Reach(attempt));
-        let patience = PATIENCE.0.max(PATIENCE.1 * self.deployment.target_millis);
-        self.after(patience as f64, Event::Patience(attempt));
-    }
-
-    fn refuse(&mut self, index: usize, pause: &Range<f64>) {
-        let slots = self.engines.len() * self.deployment.model.slots as usize;
-        let taken: usize = self.engines.iter().map(|engine| engine.running.len()).sum();
-        if 2 * taken < slots && self.engines.iter().all(|engine| engine.queue.is_empty()) {
-            self.worst.refused_free += 1;
-        }
-        let caller = &mut self.callers[index];
-        caller.attempt = None;
-        if caller.first_at.is_some() || caller.tries > 1 {
-            caller.outcome = Outcome::Refused;
-            return;
-        }
-        let left = caller.came_at + self.deployment.timeout_millis() as f64 - self.now;
-        let pause = match caller.is_impatient {
-            true => 1.0,
-            false => self.draw.between(pause.start, pause.end).min(left / 3.0),
-        };
-        self.after(pause, Event::Try(index));
-    }
-
-    fn way(&self, attempt: usize) -> f64 {
-        let attempt = &self.attempts[attempt];
-        self.deployment.way_millis(attempt.gateway, attempt.engine)
-    }
-
-    fn reach(&mut self, attempt: usize) {
-        let Attempt {
-            caller,
-            engine,
-            engine_life,
-            is_over,
-            ..
-        } = self.attempts[attempt];
-        if is_over {
-            return;
-        }
-        let caller = &self.callers[caller];
-        let job = Job {
-            attempt,
-            prompt: caller.prompt,
-            unread: caller.prompt as f64,
-            answer: caller.answer,
-            written: 0,
-            deadline: caller.tried_at + self.deployment.timeout_millis() as f64,
-        };
-        let way = self.way(attempt);
-        let there = &mut self.engines[engine];
-        if !there.is_up || there.life != engine_life {
-            return self.after(way, Event::Word(attempt, Word::Broken));
-        }
-        if !there.take(job) {
-            return self.after(way, Event::Word(attempt, Word::Full));
-        }
-        let above = there
-            .requests()
-            .saturating_sub(self.deployment.model.slots as usize);
-        self.worst.above_slots = self.worst.above_slots.max(above);
-        self.begin_pass(engine);
-    }
-
     fn begin_pass(&mut self, engine: usize) {
         let life = self.engines[engine].life;
         if let Some(millis) = self.engines[engine].begin_pass() {
@@ -456,108 +289,6 @@
         self.begin_pass(engine);
     }
 
-    /// The attempt, where its gateway still has it.
-    fn open(&self, attempt: usize) -> Option<Attempt> {
-        let known = self.attempts[attempt];
-        let is_there = self.gateways[known.gateway].life == known.gateway_life;
-        (!known.is_over && is_there).then_some(known)
-    }
-
-    fn end(&mut self, attempt: usize) {
-        let known = &mut self.attempts[attempt];
-        known.is_over = true;
-        let prompt = self.callers[known.caller].prompt;
-        let engine = self.gateways[known.gateway].engine_mut(known.key);
-        engine.note_end(prompt, known.is_waiting);
-    }
-
-    fn hear_word(&mut self, attempt: usize, word: Word) {
-        let Some(known) = self.open(attempt) else {
-            return;
-        };
-        let now = self.instant();
-        let caller = &mut self.callers[known.caller];
-        let engine = self.gateways[known.gateway].engine_mut(known.key);
-        match word {
-            Word::First => {
-                engine.note_first(caller.prompt);
-                engine.note_lateness(self.now - known.sent_at - known.predicted);
-                self.attempts[attempt].is_waiting = false;
-                caller.first_at = caller.first_at.or(Some(self.now));
-            }
-            Word::Last => {
-                engine.note_success();
-                caller.outcome = Outcome::Served;
-                self.end(attempt);
-            }
-            Word::Full => {
-                engine.rest(now.after_millis(FULL_REST_MILLIS));
-                self.fail(attempt);
-            }
-            Word::Broken => {
-                engine.note_failure(now);
-                self.fail(attempt);
-            }
-            Word::TimedOut => {
-                caller.outcome = Outcome::Lost;
-                self.end(attempt);
-            }
-        }
-    }
-
-    /// What follows an attempt that brought no whole answer.
-    fn fail(&mut self, attempt: usize) {
-        self.end(attempt);
-        let Attempt {
-            caller, gateway, ..
-        } = self.attempts[attempt];
-        let can_move = matches!(self.choose(caller), Choice::Send { .. });
-        let has_attempts = self.callers[caller].tried.len() < MOST_ATTEMPTS;
-        let now = self.instant();
-        if can_move && has_attempts && self.gateways[gateway].take_retry(now) {
-            return self.send(caller, false);
-        }
-        self.refuse(caller, &RETRY_FULL);
-    }
-
-    /// An engine that shows nothing for long: another one may do better.
-    fn look(&mut self, attempt: usize) {
-        let Some(known) = self.open(attempt).filter(|known| known.is_waiting) else {
-            return;
-        };
-        let has_attempts = self.callers[known.caller].tried.len() < MOST_ATTEMPTS;
-        if !has_attempts || !matches!(self.choose(known.caller), Choice::Send { .. }) {
-            return self.after(LOOK_MILLIS, Event::Patience(attempt));
-        }
-        let now = self.instant();
-        self.gateways[known.gateway]
-            .engine_mut(known.key)
-            .note_silence(now);
-        let way = self.way(attempt);
-        self.after(way, Event::Cancel(attempt));
-        self.end(attempt);
-        if self.gateways[known.gateway].take_retry(now) {
-            self.send(known.caller, false);
-        } else {
-            self.callers[known.caller].outcome = Outcome::Lost;
-        }
-    }
-
-    fn leave(&mut self, index: usize) {
-        let caller = &self.callers[index];
-        let is_waiting = caller.outcome == Outcome::Open && caller.first_at.is_none();
-        let has_waited = self.now - caller.tried_at + 1.0 > self.deployment.gap_millis() as f64;
-        let Some(attempt) = caller.attempt.filter(|_| is_waiting && has_waited) else {
-            return;
-        };
-        self.callers[index].outcome = Outcome::Lost;
-        if self.open(attempt).is_some() {
-            let way = self.way(attempt);
-            self.after(way, Event::Cancel(attempt));
-            self.end(attempt);
-        }
-    }
-
     fn tell(&mut self, engine: usize, gateway: usize) {
         let deployment = &self.deployment;
         let way = deployment.way_millis(gateway, engine);
