Chunks that somebody holds are asked for there before the origin is

Cause: whoever is the first to take a chunk asked the origin, also for weights that engines serve already, and anew after the gateways that had taken them were killed.

Change: before the origin, two loaders are asked for a chunk: those whose engines serve the version, or, from a second after its naming on, any that may hold a part; of the own zone where there are any. The same in the trees of loaders that hear no gateway.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -13,7 +13,7 @@
         report::Version,
     },
     gingerpier_weights::{
-        Route,
+        Holders, Route,
         plan::{Plan, Replica, ReplicaKey, Source},
     },
     std::{net::SocketAddr, rc::Rc},
@@ -189,6 +189,7 @@
         route: Route::Tree {
             plan: tree(loader, &peers, named),
             own: ReplicaKey(0),
+            holders: holders(loader, &peers, named),
         },
         peers: loaders.clone().collect(),
         window: TREE_WINDOW,
@@ -228,6 +229,13 @@
     }
 }
 
+/// Loaders whose engines serve `named`: they have what the origin would give.
+fn holders(loader: &Loader, peers: &[super::Peer], named: &Named) -> Holders {
+    let serving = loader.serving(named);
+    let keys = (1..peers.len()).filter(|key| serving.contains(&peers[*key].ip));
+    Holders(keys.map(|key| ReplicaKey(key as u32)).collect())
+}
+
 fn tree(loader: &Loader, peers: &[super::Peer], named: &Named) -> Plan {
     let replicas: Vec<Replica> = peers
         .iter()
--- a/crates/gingerpier_gateway/src/loader/versions.rs
+++ b/crates/gingerpier_gateway/src/loader/versions.rs
@@ -8,9 +8,11 @@
     gingerpier_serving::{
         bringing::NamedAt,
         dialect::Named,
+        engine::Engine,
         naming::{Naming, Namings, Teller},
         report::Version,
     },
+    std::{collections::BTreeSet, net::IpAddr},
 };
 
 impl Loader {
@@ -71,6 +73,17 @@
         Some(Named { model, version })
     }
 
+    /// Machines whose engines serve exactly `named`, as far as known.
+    pub fn serving(&self, named: &Named) -> BTreeSet<IpAddr> {
+        let fleet = self.fleet.borrow();
+        let now = clock::now();
+        let serves = |engine: &Engine| engine.version_of(&named.model, now) == Some(named.version);
+        let serving = fleet.listed().filter(|(_, engine)| serves(engine));
+        serving
+            .map(|(_, engine)| engine.record.address.ip())
+            .collect()
+    }
+
     fn held_elsewhere(&self, model: &str) -> Version {
         let fleet = self.fleet.borrow();
         let now = clock::now();
--- a/crates/gingerpier_gateway/src/state/naming.rs
+++ b/crates/gingerpier_gateway/src/state/naming.rs
@@ -3,6 +3,7 @@
 use {
     super::State,
     crate::{clock, message},
+    gingerpier_base::Instant,
     gingerpier_serving::{
         admission::Due,
         dialect::Named,
@@ -44,6 +45,14 @@
         namings.iter().filter_map(newest).collect()
     }
 
+    /// When it was first heard that operators named `named`.
+    pub fn heard_of(&self, named: &Named) -> Option<Instant> {
+        let namings = self.namings.borrow();
+        let mut known = namings.get(&named.model)?.iter();
+        let own = known.find(|known| known.version == named.version)?;
+        Some(own.heard)
+    }
+
     /// The same as loaders are told.
     pub fn namings(&self) -> Vec<message::Naming> {
         let now = clock::now();
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -3,12 +3,13 @@
 use {
     super::{Carriers, GatewayPlace, fetch, sources::Task},
     crate::{clock, state::State, weights},
-    gingerpier_serving::{dialect::Named, report::Version},
+    gingerpier_base::order,
+    gingerpier_serving::{dialect::Named, engine::Engine, report::Version},
     gingerpier_weights::{
-        Route,
+        Holders, Route,
         plan::{ReplicaKey, Source},
     },
-    std::{net::SocketAddr, rc::Rc},
+    std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
 };
 
 /// Milliseconds from the start within which a gateway carries nothing: what it knows of other
@@ -38,6 +39,13 @@
 /// takes less time than the newer one would lose by starting over.
 const WORTH_FINISHING: f64 = 0.5;
 
+/// Milliseconds after weights were first heard of from which on others may hold chunks of them: before, whoever
+/// is the first to take a chunk would only ask in vain.
+const HELD_AFTER_MILLIS: u64 = 1_000;
+
+/// Most loaders of which some are asked for chunks before the origin: each is asked for one chunk in 16 then.
+const MOST_HOLDERS: usize = 32;
+
 /// A version on its way here.
 struct Work {
     named: Named,
@@ -143,14 +151,52 @@
     weights::carriers(known.into_iter(), &state.settings.regions, version)
 }
 
+/// Loaders that are asked for chunks of `named` before the origin: those whose engines serve it, or else, once it
+/// has been on its way for a while, all that may hold a part; of the own zone where there are any.
+fn holders(state: &State, named: &Named) -> Vec<SocketAddr> {
+    let now = clock::now();
+    let fleet = state.fleet.borrow();
+    let listed: Vec<&Engine> = fleet
+        .listed()
+        .map(|(_, engine)| engine)
+        .filter(|engine| engine.version_of(&named.model, now).is_some())
+        .collect();
+    let serves = |engine: &&Engine| engine.version_of(&named.model, now) == Some(named.version);
+    let mut chosen: Vec<&Engine> = listed.iter().copied().filter(serves).collect();
+    if chosen.is_empty() {
+        let heard = state.heard_of(named);
+        if heard.is_some_and(|heard| now.millis_since(heard) < HELD_AFTER_MILLIS) {
+            return Vec::new();
+        }
+        chosen = listed;
+    }
+    let is_near = |engine: &&Engine| engine.record.zone == state.settings.zone;
+    if chosen.iter().any(&is_near) {
+        chosen.retain(is_near);
+    }
+    let port = state.settings.peers.port();
+    let places = chosen.iter().map(|engine| engine.record.address.ip());
+    let places: BTreeSet<SocketAddr> = places.map(|ip| SocketAddr::new(ip, port)).collect();
+    let mut places: Vec<SocketAddr> = places.into_iter().collect();
+    order::sort_by_score(named.version.0, &mut places, order::hash);
+    places.truncate(MOST_HOLDERS);
+    places
+}
+
 fn task(state: &State, named: &Named) -> Task {
     let own = state.settings.peers;
     let carriers = known_carriers(state, named.version);
     let is_own = |address: &SocketAddr| *address == own;
-    let route = match carriers.addresses.iter().position(is_own) {
+    let relay_count = carriers.addresses.len();
+    let mut peers = carriers.addresses;
+    let own_key = peers.iter().position(is_own);
+    peers.extend(holders(state, named));
+    let holder_keys = relay_count..peers.len();
+    let route = match own_key {
         Some(key) => Route::Relay {
             relays: carriers.relays,
             own: ReplicaKey(key as u32),
+            holders: Holders(holder_keys.map(|key| ReplicaKey(key as u32)).collect()),
         },
         // Loaders that know fewer gateways asked for it.
         None => Route::Leaf {
@@ -165,7 +211,7 @@
     Task {
         named: named.clone(),
         route,
-        peers: carriers.addresses,
+        peers,
         origin,
         window: WINDOW,
         patience_millis: PATIENCE_MILLIS,
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -14,7 +14,7 @@
 use {
     crate::{
         plan::{Plan, ReplicaKey, Source},
-        route::Route,
+        route::{Holders, Route},
     },
     gingerpier_base::Instant,
     std::collections::{BTreeMap, BTreeSet},
@@ -147,7 +147,8 @@
 impl Fetch {
     /// Fetch by `own` of a version of `chunk_count` chunks.
     pub fn new(terms: Terms, plan: Plan, own: ReplicaKey, chunk_count: u32) -> Self {
-        Self::along(terms, Route::Tree { plan, own }, chunk_count)
+        let holders = Holders::default();
+        Self::along(terms, Route::Tree { plan, own, holders }, chunk_count)
     }
 
     /// Fetch of a version of `chunk_count` chunks along `route`.
@@ -197,7 +198,8 @@
     ///
     /// Keys of the old plan mean nothing in the new one, so blame is given anew.
     pub fn replan(&mut self, plan: Plan, own: ReplicaKey) {
-        self.route = Route::Tree { plan, own };
+        let holders = Holders::default();
+        self.route = Route::Tree { plan, own, holders };
         self.blamed.clear();
         for chunk in self.open.values_mut() {
             chunk.passed = 0;
--- a/crates/gingerpier_weights/src/lib.rs
+++ b/crates/gingerpier_weights/src/lib.rs
@@ -29,4 +29,4 @@
 pub use manifest::Manifest;
 pub use plan::Plan;
 pub use relay::Relays;
-pub use route::Route;
+pub use route::{Holders, Route};
--- a/crates/gingerpier_weights/src/route.rs
+++ b/crates/gingerpier_weights/src/route.rs
@@ -1,10 +1,38 @@
 //! From whom one process takes each chunk of a version.
 
-use crate::{
-    plan::{Plan, ReplicaKey, Source},
-    relay::Relays,
+use {
+    crate::{
+        plan::{Plan, ReplicaKey, Source},
+        relay::Relays,
+    },
+    gingerpier_base::order,
 };
 
+/// Holders that are asked for one chunk before the origin: one may have ended, and a third rarely has what two
+/// lack.
+const HOLDERS_ASKED: u64 = 2;
+
+/// Processes that may hold chunks already, and are asked for them before the origin is. What left the origin once
+/// then stays to be had while it is down, and its link is left to what nobody holds.
+#[derive(Debug, Clone, Default)]
+pub struct Holders(pub Vec<ReplicaKey>);
+
+impl Holders {
+    /// Puts those to ask for `chunk` before the origin among `sources`.
+    fn insert(&self, chunk: u32, sources: &mut Vec<Source>) {
+        let Some(origin) = sources.iter().position(|source| *source == Source::Origin) else {
+            return;
+        };
+        let count = self.0.len() as u64;
+        let first = order::mix(u64::from(chunk));
+        let asked = (0..HOLDERS_ASKED.min(count)).map(|step| {
+            let place = first.wrapping_add(step) % count;
+            Source::Holder(self.0[place as usize])
+        });
+        sources.splice(origin..origin, asked);
+    }
+}
+
 /// From whom chunks are taken.
 #[derive(Debug, Clone)]
 pub enum Route {
@@ -14,6 +42,8 @@
         plan: Plan,
         /// This process.
         own: ReplicaKey,
+        /// Who may hold chunks already.
+        holders: Holders,
     },
     /// As a relay for others.
     Relay {
@@ -21,6 +51,8 @@
         relays: Relays,
         /// This process.
         own: ReplicaKey,
+        /// Who may hold chunks already.
+        holders: Holders,
     },
     /// From relays, and then from others.
     Leaf {
@@ -37,8 +69,18 @@
     /// Writes the sources of `chunk` into `sources`, best first.
     pub fn sources(&self, chunk: u32, sources: &mut Vec<Source>) {
         match self {
-            Self::Tree { plan, own } => plan.sources(*own, chunk, sources),
-            Self::Relay { relays, own } => relays.sources_of_relay(*own, chunk, sources),
+            Self::Tree { plan, own, holders } => {
+                plan.sources(*own, chunk, sources);
+                holders.insert(chunk, sources);
+            }
+            Self::Relay {
+                relays,
+                own,
+                holders,
+            } => {
+                relays.sources_of_relay(*own, chunk, sources);
+                holders.insert(chunk, sources);
+            }
             Self::Leaf { relays, zone, rest } => {
                 relays.sources_of_leaf(*zone, chunk, sources);
                 sources.extend_from_slice(rest);
@@ -51,7 +93,7 @@
     pub fn is_near_origin(&self) -> bool {
         match self {
             Self::Tree { .. } => true,
-            Self::Relay { relays, own } => relays.are_few() || relays.may_be_first(*own),
+            Self::Relay { relays, own, .. } => relays.are_few() || relays.may_be_first(*own),
             Self::Leaf { .. } => false,
         }
     }
@@ -61,7 +103,8 @@
         let mut sources = Vec::new();
         let mut enters = |chunk: &u32| {
             self.sources(*chunk, &mut sources);
-            sources.first() == Some(&Source::Origin)
+            let mut waits = sources.iter();
+            waits.find(|source| !matches!(source, Source::Holder(_))) == Some(&Source::Origin)
         };
         (0..count).filter(|chunk| enters(chunk)).collect()
     }
