Those that come first go first where places are short, and a program that compares ways under overload

Cause: callers that come back had a fixed smaller share of the target (0.7 against 0.85). Under a steady load above the capacity each of them that is taken sends a first try away, which then can only come late; after an outage, with places free, a small share would refuse them for nothing.

Change: the share of those that come back falls from 0.85 to 0.25 of the target as first tries are refused (3% of them lately), by service; where none is refused they are treated alike. The decision is a machine of its own. The model of overload is a crate now, with a program that plays ways, load patterns, loads and seeds side by side and writes a table and a plot; its tests moved with it and hold more: a lost zone, a burst and a restart each alone at 0.8 and 1.5 times the capacity.

--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// What the request counts as: one that failed at an engine is as late as one that was refused.
+    const fn visit(&self) -> Visit {
+        match self.standing.attempts {
+            0 => self.call.visit,
+            _ => Visit::Returned,
+        }
+    }
+
     pub(super) fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
         let call = self.call;
         let now = clock::now();
@@ -74,7 +82,7 @@
             goes_on_with: progress.has_begun().then(|| progress.version()),
             prompt_tokens: call.prompt_tokens,
             target_millis: self.target_millis(progress),
-            has_returned: call.visit == Visit::Returned || self.standing.attempts > 0,
+            target_share: self.state.target_share(service, self.visit(), now),
             zone: &self.state.settings.zone,
             others_per_milli: self.state.others_per_milli(service, now),
             tried: &self.tried,
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -83,7 +83,9 @@
             ),
         };
         if ending == Ending::Refused {
-            self.state.note_refused(clock::now());
+            let service = &self.call.target().name;
+            self.state
+                .note_refused(service, self.call.visit, clock::now());
         }
         self.log(ending, progress);
         let names = self.state.dialect.names();
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -151,7 +151,8 @@
     fn note_attempt(&mut self, engine: EngineKey) {
         if self.standing.attempts == 0 {
             let service = &self.call.target().name;
-            self.state.note_request(service, clock::now());
+            self.state
+                .note_request(service, self.call.visit, clock::now());
         }
         self.standing.attempts += 1;
         self.sent_at = Some(clock::now());
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -22,6 +22,7 @@
         mirror::{Changes, Item, Mirror, Revision},
         naming::{Freshness, Namings},
         outage::{Absence, Outage},
+        precedence::Precedence,
         returns::{Returns, Visit},
         zones::Exchange,
     },
@@ -76,6 +77,7 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     arrivals: RefCell<HashMap<String, Arrivals>>,
     returns: RefCell<Returns>,
+    precedence: RefCell<HashMap<String, Precedence>>,
     namings: RefCell<HashMap<String, Namings>>,
     contact: Cell<Option<Instant>>,
     fresh: Cell<Freshness>,
@@ -116,6 +118,7 @@
             configuration: RefCell::default(),
             arrivals: RefCell::default(),
             returns: RefCell::new(Returns::new(started)),
+            precedence: RefCell::default(),
             namings: RefCell::default(),
             contact: Cell::new(None),
             fresh: Cell::default(),
@@ -224,7 +227,8 @@
     }
 
     /// Notes a request for `service` that is sent for the first time.
-    pub fn note_request(&self, service: &str, now: Instant) {
+    pub fn note_request(&self, service: &str, visit: Visit, now: Instant) {
+        self.note_fate(service, visit, false, now);
         let mut arrivals = self.arrivals.borrow_mut();
         match arrivals.get_mut(service) {
             Some(known) => known.note(now),
@@ -240,8 +244,27 @@
     }
 
     /// Notes that a request was refused.
-    pub fn note_refused(&self, now: Instant) {
+    pub fn note_refused(&self, service: &str, visit: Visit, now: Instant) {
         self.returns.borrow_mut().note_refused(now);
+        self.note_fate(service, visit, true, now);
+    }
+
+    fn note_fate(&self, service: &str, visit: Visit, is_refused: bool, now: Instant) {
+        let mut all = self.precedence.borrow_mut();
+        match all.get_mut(service) {
+            Some(known) => known.note(visit, is_refused, now),
+            None => {
+                let known = all.entry(service.to_owned()).or_default();
+                known.note(visit, is_refused, now);
+            }
+        }
+    }
+
+    /// Part of its target that a first event at `service` may be predicted to take, for a caller on such a visit.
+    pub fn target_share(&self, service: &str, visit: Visit, now: Instant) -> f64 {
+        let all = self.precedence.borrow();
+        let known = all.get(service).copied().unwrap_or_default();
+        known.share(visit, now)
     }
 
     /// Milliseconds after which a caller of `route` that comes back can be told from new ones, where that is known.
--- a/crates/gingerpier_serving/tests/overload/callers.rs
+++ b/crates/gingerpier_overload/src/callers.rs
@@ -1,13 +1,14 @@
 //! Callers, and what their requests were worth.
 
-use {crate::deployment::Deployment, gingerpier_serving::fleet::EngineKey, std::ops::Range};
+use {
+    crate::deployment::Deployment,
+    gingerpier_serving::{fleet::EngineKey, returns::Visit},
+    std::ops::Range,
+};
 
 /// Worth of an answer that came late, where one in time is worth 1.
 const LATE_WORTH: f64 = 0.3;
 
-/// Worth of one that came in time for a caller that had been refused before.
-const RETURNED_WORTH: f64 = 0.65;
-
 /// Share of a request's worth that does not grow with its size.
 const FLAT_WORTH: f64 = 0.3;
 
@@ -43,8 +44,8 @@
     pub tries: u32,
     /// When its first event came.
     pub first_at: Option<f64>,
-    /// True where it was refused before.
-    pub has_returned: bool,
+    /// Whether it was refused before.
+    pub visit: Visit,
     /// Engines that its last try went to.
     pub tried: Vec<EngineKey>,
     /// Attempt that runs for it.
@@ -65,7 +66,7 @@
             first - self.tried_at <= target,
         ) {
             (true, _) => 1.0,
-            (false, true) => RETURNED_WORTH,
+            (false, true) => deployment.returned_worth,
             (false, false) => LATE_WORTH,
         };
         share * self.size(deployment)
@@ -94,20 +95,45 @@
     worth / owed
 }
 
-/// Counts of requests: in time at the first try, in time at a later one, late, refused, lost or without an end.
-pub fn fates(callers: &[Caller], deployment: &Deployment) -> [usize; 5] {
-    let mut fates = [0; 5];
+/// Counts of callers, by how they fared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Fates {
+    /// In time at the first try.
+    pub in_time: usize,
+    /// In time at a later one.
+    pub returned_in_time: usize,
+    /// Late.
+    pub late: usize,
+    /// Refused for good.
+    pub refused: usize,
+    /// Without an answer or an end.
+    pub lost: usize,
+}
+
+impl Fates {
+    /// All of them.
+    pub const fn count(&self) -> usize {
+        self.in_time + self.returned_in_time + self.late + self.refused + self.lost
+    }
+}
+
+/// How those fared that came first within `times`.
+pub fn fates(callers: &[Caller], deployment: &Deployment, times: &Range<f64>) -> Fates {
+    let mut fates = Fates::default();
     let target = deployment.target_millis as f64;
-    for caller in callers {
+    let came = callers
+        .iter()
+        .filter(|caller| times.contains(&caller.came_at));
+    for caller in came {
         let first = caller.first_at.unwrap_or(f64::MAX);
-        let fate = match caller.outcome {
-            Outcome::Served if first - caller.came_at <= target => 0,
-            Outcome::Served if first - caller.tried_at <= target => 1,
-            Outcome::Served => 2,
-            Outcome::Refused => 3,
-            Outcome::Open | Outcome::Lost => 4,
+        let count = match caller.outcome {
+            Outcome::Served if first - caller.came_at <= target => &mut fates.in_time,
+            Outcome::Served if first - caller.tried_at <= target => &mut fates.returned_in_time,
+            Outcome::Served => &mut fates.late,
+            Outcome::Refused => &mut fates.refused,
+            Outcome::Open | Outcome::Lost => &mut fates.lost,
         };
-        fates[fate] += 1;
+        *count += 1;
     }
     fates
 }
--- a/crates/gingerpier_serving/tests/overload/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -2,12 +2,15 @@
 
 use {
     crate::draw::Draw,
-    gingerpier_serving::{configuration::EngineModel, prediction},
+    gingerpier_serving::{configuration::EngineModel, precedence::Way, prediction},
 };
 
 /// Most times that a prompt or an answer is larger than the mean one.
 const LARGEST: f64 = 3.0;
 
+/// Worth of an answer in time for a caller that had been refused before, where one at the first try is worth 1.
+pub const RETURNED_WORTH: f64 = 0.65;
+
 /// A deployment.
 #[derive(Debug, Clone)]
 pub struct Deployment {
@@ -35,6 +38,10 @@
     pub far_millis: f64,
     /// Share of the callers that come back at once where they were refused.
     pub impatient_share: f64,
+    /// How its gateways treat callers that come back.
+    pub way: Way,
+    /// Worth of an answer in time for those.
+    pub returned_worth: f64,
 }
 
 impl Deployment {
@@ -53,7 +60,7 @@
                 usual_prompt: 979,
                 usual_answer: 92,
                 memory_tokens: 317_000,
-                models: vec![super::MODEL.to_owned()],
+                models: vec![crate::MODEL.to_owned()],
             },
             engines: 12,
             gateways: 6,
@@ -65,6 +72,8 @@
             near_millis: 1.0,
             far_millis: 8.0,
             impatient_share: 0.1,
+            way: Way::default(),
+            returned_worth: RETURNED_WORTH,
         }
     }
 
--- a/crates/gingerpier_serving/tests/overload/engine.rs
+++ b/crates/gingerpier_overload/src/engine.rs
@@ -155,7 +155,7 @@
     pub fn report(&self) -> Report {
         Report {
             held: vec![Held {
-                model: super::MODEL.to_owned(),
+                model: crate::MODEL.to_owned(),
                 version: Version(1),
             }],
             queued: self.queue.len() as u32,
--- a/crates/gingerpier_serving/tests/overload/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -9,7 +9,9 @@
         budget::{Budget, Terms},
         fleet::{EngineKey, Fleet, Record, State},
         mirror::Revision,
+        precedence::Precedence,
         report::{Held, Report, Version},
+        returns::Visit,
     },
 };
 
@@ -26,6 +28,7 @@
     fleet: Fleet,
     arrivals: Arrivals,
     budget: Budget,
+    precedence: Precedence,
     /// Gateways that it knows of, itself included.
     known_gateways: usize,
     /// Counts its incarnations.
@@ -51,6 +54,7 @@
             fleet: Fleet::default(),
             arrivals: Arrivals::default(),
             budget: Budget::new(terms),
+            precedence: Precedence::new(deployment.way),
             known_gateways: 1,
             life,
         };
@@ -66,14 +70,14 @@
     pub fn list(&mut self, deployment: &Deployment, engine: usize, life: u32) {
         let record = Record {
             id: name(engine, life),
-            service: super::SERVICE.to_owned(),
+            service: crate::SERVICE.to_owned(),
             address: ([10, 0, 0, engine as u8], 80).into(),
             zone: format!("z{}", engine % deployment.zones),
             state: State::Ready,
             slots: deployment.model.slots,
             report: Report {
                 held: vec![Held {
-                    model: super::MODEL.to_owned(),
+                    model: crate::MODEL.to_owned(),
                     version: Version(1),
                 }],
                 pace: 1.0,
@@ -106,14 +110,14 @@
         let others = (self.known_gateways - 1) as f64;
         let zone = format!("z{}", self.zone);
         let demand = Demand {
-            service: super::SERVICE,
+            service: crate::SERVICE,
             engines: Some(&ask.deployment.model),
-            model: Some(super::MODEL),
+            model: Some(crate::MODEL),
             due: &[],
             goes_on_with: None,
             prompt_tokens: ask.prompt,
             target_millis: ask.deployment.target_millis,
-            has_returned: ask.has_returned,
+            target_share: self.precedence.share(ask.visit, now),
             zone: &zone,
             others_per_milli: self.arrivals.per_milli(now) * others,
             tried: ask.tried,
@@ -130,6 +134,11 @@
         self.fleet.engine_mut(key).note_sent(prompt, now);
     }
 
+    /// Notes whether a caller was refused.
+    pub fn note_fate(&mut self, visit: Visit, is_refused: bool, now: Instant) {
+        self.precedence.note(visit, is_refused, now);
+    }
+
     /// Takes one retry.
     pub fn take_retry(&mut self, now: Instant) -> bool {
         self.budget.take(now)
@@ -141,6 +150,10 @@
     }
 
     /// Which engine of the model a key stands for, and which incarnation.
+    ///
+    /// # Panics
+    ///
+    /// Where the engine was not listed here.
     pub fn place_of(&self, key: EngineKey) -> (usize, u32) {
         let id = &self.fleet.engine(key).record.id;
         let (engine, life) = id.split_once('/').expect("a name of this model");
@@ -169,8 +182,8 @@
     pub deployment: &'a Deployment,
     /// Tokens of the prompt.
     pub prompt: u64,
-    /// True where the caller was refused before, or an attempt failed.
-    pub has_returned: bool,
+    /// Whether the caller was refused before, or an attempt failed.
+    pub visit: Visit,
     /// Engines that it went to already.
     pub tried: &'a [EngineKey],
     /// Drawn number.
--- a/crates/gingerpier_serving/tests/overload/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -1,6 +1,5 @@
 //! Callers, gateways, engines and the ways between them, in virtual time.
 
-#[path = "attempts.rs"]
 mod attempts;
 
 use {
@@ -133,6 +132,7 @@
 }
 
 /// The model.
+#[derive(Debug)]
 pub struct World {
     deployment: Deployment,
     draw: Draw,
--- a/crates/gingerpier_serving/tests/overload/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -8,7 +8,7 @@
         engine::Job,
         gateway::Ask,
     },
-    gingerpier_serving::admission::Choice,
+    gingerpier_serving::{admission::Choice, returns::Visit},
     std::ops::Range,
 };
 
@@ -50,7 +50,7 @@
             is_impatient: self.draw.share() < self.deployment.impatient_share,
             tries: 0,
             first_at: None,
-            has_returned: false,
+            visit: Visit::First,
             tried: Vec::new(),
             attempt: None,
             outcome: Outcome::Open,
@@ -63,7 +63,10 @@
     pub(super) fn attempt_first(&mut self, index: usize) {
         let gateways = self.gateways.len();
         let caller = &mut self.callers[index];
-        caller.has_returned = caller.tries > 0;
+        caller.visit = match caller.tries {
+            0 => Visit::First,
+            _ => Visit::Returned,
+        };
         caller.tries += 1;
         caller.tried_at = self.now;
         caller.tried.clear();
@@ -81,7 +84,10 @@
         let ask = Ask {
             deployment: &self.deployment,
             prompt: caller.prompt,
-            has_returned: caller.has_returned || !caller.tried.is_empty(),
+            visit: match caller.tried.is_empty() {
+                true => caller.visit,
+                false => Visit::Returned,
+            },
             tried: &caller.tried,
             draw: self.draw.number(),
         };
@@ -101,6 +107,9 @@
         let caller = &mut self.callers[index];
         let gateway = &mut self.gateways[caller.gateway];
         gateway.note_sent(key, caller.prompt, is_first, now);
+        if is_first {
+            gateway.note_fate(caller.visit, false, now);
+        }
         let (engine, engine_life) = gateway.place_of(key);
         caller.tried.push(key);
         caller.attempt = Some(self.attempts.len());
@@ -129,7 +138,9 @@
         if 2 * taken < slots && self.engines.iter().all(|engine| engine.queue.is_empty()) {
             self.worst.refused_free += 1;
         }
+        let now = self.instant();
         let caller = &mut self.callers[index];
+        self.gateways[caller.gateway].note_fate(caller.visit, true, now);
         caller.attempt = None;
         if caller.first_at.is_some() || caller.tries > 1 {
             caller.outcome = Outcome::Refused;
--- a/crates/gingerpier_serving/tests/overload.rs
+++ b/crates/gingerpier_overload/tests/overload.rs
@@ -1,37 +1,12 @@
-//! Gateways and engines under more load than they can run, as a model without I/O.
-//!
-//! Engines batch as their description says; gateways are the product's own state (engines as known,
-//! predictions, admission, arrivals, retry budget) with the calls that a gateway makes of it. What is played
-//! is one deployment that is like a real one, and any number that are drawn.
-//!
-//! Left out are versions of weights, ordinary services, priorities and links that are full: each way takes
-//! as long as it takes.
-
-#[path = "overload/callers.rs"]
-mod callers;
-#[path = "overload/deployment.rs"]
-mod deployment;
-#[path = "overload/draw.rs"]
-mod draw;
-#[path = "overload/engine.rs"]
-mod engine;
-#[path = "overload/gateway.rs"]
-mod gateway;
-#[path = "overload/world.rs"]
-mod world;
-
-use {
-    deployment::Deployment,
-    gingerpier_serving::prediction,
-    std::ops::Range,
-    world::{Trigger, World},
-};
-
-/// Service that all engines belong to.
-const SERVICE: &str = "s";
+//! What holds under any load and after any trigger, on one deployment that is like a real one and on drawn ones.
 
-/// Model that all engines run.
-const MODEL: &str = "m";
+use gingerpier_overload::{
+    Deployment, callers,
+    pattern::Pattern,
+    play::{self, drain_millis, warm_millis},
+    world::World,
+};
+use gingerpier_serving::prediction;
 
 /// Deployments that are drawn: a debug build plays 200 in two minutes.
 const DRAWN: u64 = 40;
@@ -48,35 +23,15 @@
 /// Part of the capacity at which nobody may be refused.
 const LIGHT_LOAD: f64 = 1.0 / 3.0;
 
-/// Milliseconds of a trigger, and those until all is well again.
-const TRIGGER_MILLIS: (f64, f64) = (2_000.0, 5_000.0);
-
-/// Milliseconds that a usual answer takes at a full engine.
-fn answer_millis(deployment: &Deployment) -> f64 {
-    let model = &deployment.model;
-    f64::from(model.slots) * prediction::work_millis(model)
-}
-
-/// Milliseconds from empty engines until what comes is counted.
-fn warm_millis(deployment: &Deployment) -> f64 {
-    1_000.0 + 1.5 * answer_millis(deployment)
-}
-
-/// Milliseconds after which a caller has its answer, or never will.
-fn drain_millis(deployment: &Deployment) -> f64 {
-    deployment.gap_millis() as f64 + 4.0 * answer_millis(deployment)
-}
+/// Milliseconds from the end of a trigger until all is well again.
+const RECOVERY_MILLIS: f64 = 5_000.0;
 
 /// Plays a deployment without a trigger; gives the goodput of what came in so many milliseconds: usual answers
 /// in time a second.
 fn steady(deployment: &Deployment, load: f64, millis: f64) -> (f64, World) {
-    let from = warm_millis(deployment);
-    let times = from..from + millis;
-    let until = times.end + drain_millis(deployment);
-    let world = World::play(deployment, load, None, until);
-    let share = callers::share_of_worth(&world.callers, deployment, &times);
-    let offered = load * deployment.capacity_per_milli() * 1_000.0;
-    (share * offered, world)
+    let played = play::play(deployment, load, Pattern::Steady, millis);
+    println!("load {load}: {:?}", played.fates);
+    (played.goodput, played.world)
 }
 
 /// Mean goodput of the usual deployment at `load`, over seeds.
@@ -84,10 +39,7 @@
     let seeds = 1..=3;
     let all = seeds.map(|seed| {
         let deployment = Deployment::usual(seed);
-        let (goodput, world) = steady(&deployment, load, 8_000.0);
-        let fates = callers::fates(&world.callers, &deployment);
-        println!("load {load}: in time at once, later, late, refused, lost: {fates:?}");
-        goodput
+        steady(&deployment, load, 8_000.0).0
     });
     all.sum::<f64>() / 3.0
 }
@@ -105,9 +57,11 @@
 }
 
 /// Goodput from 5 s after a trigger on, as a part of that of a calm run.
-fn after_trigger(deployment: &Deployment, load: f64, trigger: Trigger, millis: f64) -> f64 {
-    let from = trigger.until + TRIGGER_MILLIS.1;
-    let times: Range<f64> = from..from + millis;
+fn after_trigger(deployment: &Deployment, load: f64, pattern: Pattern, millis: f64) -> f64 {
+    let trigger = pattern.trigger(deployment, warm_millis(deployment));
+    let trigger = trigger.expect("a trigger");
+    let from = trigger.until + RECOVERY_MILLIS;
+    let times = from..from + millis;
     let until = times.end + drain_millis(deployment);
     let goodput = |trigger| {
         let world = World::play(deployment, load, trigger, until);
@@ -116,57 +70,19 @@
     goodput(Some(trigger)) / goodput(None)
 }
 
-fn triggers(deployment: &Deployment) -> [(&'static str, Trigger); 4] {
-    let from = warm_millis(deployment);
-    let none = Trigger {
-        from,
-        until: from + TRIGGER_MILLIS.0,
-        burst: 1.0,
-        engines_lost: 0.0,
-        restarts: false,
-    };
-    [
-        ("burst", Trigger { burst: 4.0, ..none }),
-        (
-            "restart",
-            Trigger {
-                restarts: true,
-                ..none
-            },
-        ),
-        (
-            "engines lost",
-            Trigger {
-                engines_lost: 0.34,
-                ..none
-            },
-        ),
-        (
-            "all",
-            Trigger {
-                burst: 4.0,
-                engines_lost: 0.34,
-                restarts: true,
-                ..none
-            },
-        ),
-    ]
-}
-
 #[test]
 fn nothing_stays_of_a_trigger() {
-    for load in [0.8, 1.5] {
-        for (name, _) in triggers(&Deployment::usual(0)) {
-            let parts = (1..=4).map(|seed| {
-                let deployment = Deployment::usual(seed);
-                let triggers = triggers(&deployment);
-                let trigger = triggers.iter().find(|(other, _)| *other == name);
-                after_trigger(&deployment, load, trigger.expect("a trigger").1, 8_000.0)
-            });
-            let part = parts.sum::<f64>() / 4.0;
-            println!("load {load}, {name}: {part:.3} of the calm goodput");
-            assert!(part >= LEAST_OF_CALM, "load {load}, {name}: {part:.3}");
-        }
+    let patterns = Pattern::ALL
+        .into_iter()
+        .filter(|one| *one != Pattern::Steady);
+    for (load, pattern) in patterns.flat_map(|pattern| [(0.8, pattern), (1.5, pattern)]) {
+        let parts = (1..=4).map(|seed| {
+            let deployment = Deployment::usual(seed);
+            after_trigger(&deployment, load, pattern, 8_000.0)
+        });
+        let part = parts.sum::<f64>() / 4.0;
+        println!("load {load}, {pattern}: {part:.3} of the calm goodput");
+        assert!(part >= LEAST_OF_CALM, "load {load}, {pattern}: {part:.3}");
     }
 }
 
@@ -223,8 +139,7 @@
             light.worst.refused_free
         ));
     }
-    let (_, all) = triggers(&deployment)[3];
-    let part = after_trigger(&deployment, 0.8, all, millis);
+    let part = after_trigger(&deployment, 0.8, Pattern::All, millis);
     if part < LEAST_OF_CALM {
         broken.push(format!("{part:.2} after a trigger"));
     }
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -15,13 +15,6 @@
     gingerpier_base::{Instant, order},
 };
 
-/// How much of its target a first event may be predicted to take.
-const TARGET_SHARE: f64 = 0.85;
-
-/// The same for a caller that came back after a refusal. What it gets is worth about two thirds of an answer
-/// at the first try: where engines are full, those that come first are taken first.
-const RETURN_SHARE: f64 = 0.7;
-
 /// Milliseconds that another zone must be better by: about what predictions there are wrong by, as
 /// reports of other zones come five times less often, and a crossing is paid for.
 const OTHER_ZONE_MILLIS: f64 = 60.0;
@@ -69,8 +62,8 @@
     pub prompt_tokens: u64,
     /// Time within which an answer has its full worth, in milliseconds.
     pub target_millis: u64,
-    /// True where its caller was refused before.
-    pub has_returned: bool,
+    /// Part of that which a first event may be predicted to take.
+    pub target_share: f64,
     /// Zone of this gateway.
     pub zone: &'a str,
     /// Requests that other gateways send to the service in a millisecond, as far as known.
@@ -211,12 +204,7 @@
     if demand.engines.is_none() {
         return demand.target_millis as f64 * PLAIN_SHARE;
     }
-    let share = if demand.has_returned {
-        RETURN_SHARE
-    } else {
-        TARGET_SHARE
-    };
-    demand.target_millis as f64 * share
+    demand.target_millis as f64 * demand.target_share
 }
 
 /// Milliseconds drawn for an engine and a request, so that gateways which know the same do not all
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod naming;
 pub mod outage;
 pub mod pace;
+pub mod precedence;
 pub mod prediction;
 pub mod report;
 pub mod returns;
