An engine that takes nothing any more is ordered to take new weights without notice

Cause: a loader tells gateways 650 ms before an order, so that what waits at the engine begins. It did so also where the engine's weights had come due and gateways sent it nothing: its own measure was the operators' bound, 1.2 s later.

Change: the notice ends where the weights come due. What is between word and order is a function without I/O now, with a test.

--- a/crates/gingerpier_gateway/src/loader/change.rs
+++ b/crates/gingerpier_gateway/src/loader/change.rs
@@ -5,18 +5,12 @@
     super::Loader,
     crate::{client::Client, clock, weights::holding},
     gingerpier_base::Instant,
-    gingerpier_serving::dialect::{Named, Started},
+    gingerpier_serving::{
+        bringing,
+        dialect::{Named, Started},
+    },
 };
 
-/// Milliseconds between the word that an order is coming and the first change at the engine.
-/// Gateways hear it, and what waits at the engine begins meanwhile: a machine that stands still
-/// later on keeps no request back that would begin on the older weights when it wakes. The engine
-/// loses nothing by it, as what runs takes longer to end.
-const QUIET_MILLIS: u64 = 450;
-
-/// Milliseconds between the word that an order is coming and the order.
-const NOTICE_MILLIS: u64 = 650;
-
 /// Milliseconds after an order by which a report tells of it.
 const REPORTED_MILLIS: u64 = 100;
 
@@ -37,18 +31,14 @@
 }
 
 impl<'l> Notice<'l> {
-    /// Tells the gateways, and lets what waits at the engine begin. An engine that may serve
-    /// nothing has nothing that waits.
+    /// Tells the gateways, and lets what waits at the engine begin.
     pub async fn give(loader: &'l Loader, named: &Named) -> Self {
         loader.set_ordering(true);
-        let now = clock::now();
-        if !may_serve(loader, named) {
-            return Self { loader, ends: now };
-        }
-        clock::pause(QUIET_MILLIS).await;
+        let notice = bringing::notice(loader.tenure(&named.model), clock::now());
+        clock::until(notice.quiet_until).await;
         Self {
             loader,
-            ends: now.after_millis(NOTICE_MILLIS),
+            ends: notice.order_at,
         }
     }
 }
@@ -59,17 +49,6 @@
     }
 }
 
-/// True where the engine holds weights of the model that are not overdue.
-fn may_serve(loader: &Loader, named: &Named) -> bool {
-    let Some(held) = loader.held(&named.model) else {
-        return false;
-    };
-    let within = loader.settings.version_within.0;
-    let known = loader.named(&named.model);
-    let mut newer = known.iter().filter(|known| known.version > held);
-    !newer.any(|newer| newer.at.after_millis(within).has_passed(clock::now()))
-}
-
 /// Lays every chunk at the engine and reads each back right before the order; true where all of
 /// them lie there as they should.
 pub async fn lay(loader: &Loader, named: &Named) -> bool {
--- a/crates/gingerpier_gateway/src/loader/versions.rs
+++ b/crates/gingerpier_gateway/src/loader/versions.rs
@@ -6,7 +6,7 @@
     crate::{clock, message},
     gingerpier_base::Instant,
     gingerpier_serving::{
-        bringing::NamedAt,
+        bringing::{NamedAt, Tenure},
         dialect::Named,
         engine::Engine,
         naming::{Naming, Namings, Teller},
@@ -52,6 +52,19 @@
         known.map(named_at).collect()
     }
 
+    /// How long the engine may serve what it holds.
+    pub fn tenure(&self, model: &str) -> Tenure {
+        let Some(held) = self.held(model) else {
+            return Tenure::Empty;
+        };
+        let within = self.settings.version_within.0;
+        let namings = self.namings.borrow();
+        let known = namings.get(model).into_iter().flat_map(Namings::iter);
+        let newer = known.filter(|known| known.version > held);
+        let due = newer.map(|newer| newer.due_at(within)).min();
+        due.map_or(Tenure::Unbounded, Tenure::Until)
+    }
+
     /// When it was first heard that operators named `named`.
     pub fn heard_of(&self, named: &Named) -> Option<Instant> {
         let namings = self.namings.borrow();
--- a/crates/gingerpier_serving/src/bringing.rs
+++ b/crates/gingerpier_serving/src/bringing.rs
@@ -30,6 +30,49 @@
     pub margin_millis: u64,
 }
 
+/// Milliseconds between the word that an order is coming and the first change at the engine.
+/// Gateways hear it, and what waits at the engine begins meanwhile: a machine that stands still
+/// later on keeps no request back that would begin on the older weights when it wakes. The engine
+/// loses nothing by it, as what runs takes longer to end.
+const QUIET_MILLIS: u64 = 450;
+
+/// Milliseconds between the word that an order is coming and the order.
+const NOTICE_MILLIS: u64 = 650;
+
+/// How long an engine may serve the weights that it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tenure {
+    /// It holds none.
+    Empty,
+    /// Nothing newer was named.
+    Unbounded,
+    /// Until the instant, from which on gateways send it nothing.
+    Until(Instant),
+}
+
+/// What comes between the word that an order is coming and the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Notice {
+    /// Until when nothing is changed at the engine.
+    pub quiet_until: Instant,
+    /// When the order may be given.
+    pub order_at: Instant,
+}
+
+/// Notice given `now` of an order. An engine that takes nothing any more has nothing that waits, and all others are
+/// as idle as it where weights came late for everybody: there, each needless wait keeps callers from all engines.
+pub fn notice(tenure: Tenure, now: Instant) -> Notice {
+    let due = match tenure {
+        Tenure::Empty => now,
+        Tenure::Unbounded => now.after_millis(NOTICE_MILLIS),
+        Tenure::Until(due) => due.max(now),
+    };
+    Notice {
+        quiet_until: now.after_millis(QUIET_MILLIS).min(due),
+        order_at: now.after_millis(NOTICE_MILLIS).min(due),
+    }
+}
+
 /// Place of an engine among all that are to take new weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Place {
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -6,7 +6,7 @@
         admission::{self, Choice, Demand, Due},
         arrivals::Arrivals,
         backlog::Backlog,
-        bringing::{self, NamedAt, Place, Terms},
+        bringing::{self, NamedAt, Place, Tenure, Terms},
         budget::{self, Budget},
         configuration::{
             Configuration, EngineModel, Limits, Repeat, Route, Service, ServiceKey, ServiceKind,
@@ -664,3 +664,16 @@
     let took = last.millis_since(at(0));
     assert!((105..130).contains(&took), "{took} ms for 100 ms of link");
 }
+
+#[test]
+fn an_engine_that_takes_nothing_any_more_is_ordered_without_notice() {
+    let times = |standing| {
+        let notice = bringing::notice(standing, at(1_000));
+        [notice.quiet_until, notice.order_at].map(|time| time.millis_since(at(1_000)))
+    };
+    assert_eq!(times(Tenure::Unbounded), [450, 650]);
+    assert_eq!(times(Tenure::Empty), [0, 0]);
+    assert_eq!(times(Tenure::Until(at(900))), [0, 0], "overdue for 100 ms");
+    assert_eq!(times(Tenure::Until(at(1_300))), [300, 300]);
+    assert_eq!(times(Tenure::Until(at(5_000))), [450, 650]);
+}
