Overload program: gateways that hold callers for a moment, a way that was weighed

Whoever waits comes in at the edge of what predictions allow, where they are most often wrong. Not kept; the program can still play it (--hold).

--- a/crates/gingerpier_overload/src/callers.rs
+++ b/crates/gingerpier_overload/src/callers.rs
@@ -44,6 +44,8 @@
     pub tries: u32,
     /// When its first event came.
     pub first_at: Option<f64>,
+    /// Until when its gateway may hold it; none while it is not held.
+    pub held_until: Option<f64>,
     /// Whether it was refused before.
     pub visit: Visit,
     /// Engines that its last try went to.
--- a/crates/gingerpier_overload/src/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -40,6 +40,9 @@
     pub impatient_share: f64,
     /// How its gateways treat callers that come back.
     pub way: Way,
+    /// Milliseconds for which a gateway holds a caller whom all engines are too full for, before it refuses it; 0 for
+    /// none.
+    pub hold_millis: f64,
     /// Worth of an answer in time for those.
     pub returned_worth: f64,
 }
@@ -73,6 +76,7 @@
             far_millis: 8.0,
             impatient_share: 0.1,
             way: Way::default(),
+            hold_millis: 0.0,
             returned_worth: RETURNED_WORTH,
         }
     }
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -116,7 +116,7 @@
             due: &[],
             goes_on_with: None,
             prompt_tokens: ask.prompt,
-            target_millis: ask.deployment.target_millis,
+            target_millis: ask.target_millis,
             target_share: self.precedence.share(ask.visit, now),
             zone: &zone,
             others_per_milli: self.arrivals.per_milli(now) * others,
@@ -180,6 +180,8 @@
 pub struct Ask<'a> {
     /// Deployment.
     pub deployment: &'a Deployment,
+    /// Milliseconds that are left of the target.
+    pub target_millis: u64,
     /// Tokens of the prompt.
     pub prompt: u64,
     /// Whether the caller was refused before, or an attempt failed.
--- a/crates/gingerpier_overload/src/main.rs
+++ b/crates/gingerpier_overload/src/main.rs
@@ -35,6 +35,9 @@
     /// Worth of an answer in time for a caller that came back, where one at the first try is worth 1.
     #[arg(long, default_value_t = gingerpier_overload::deployment::RETURNED_WORTH)]
     returned_worth: f64,
+    /// Milliseconds for which gateways hold callers whom all engines are too full for.
+    #[arg(long, default_value_t = 0.0)]
+    hold: f64,
     /// Milliseconds that are counted.
     #[arg(long, default_value_t = 8_000.0)]
     millis: f64,
@@ -94,6 +97,7 @@
         let deployment = Deployment {
             way,
             returned_worth: options.returned_worth,
+            hold_millis: options.hold,
             ..deployment
         };
         let played = play::play(&deployment, load, pattern, options.millis);
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -25,6 +25,8 @@
     Arrival(usize),
     /// A caller tries.
     Try(usize),
+    /// A gateway looks again at a caller that it holds.
+    Again(usize),
     /// A caller gives up where its attempt shows nothing.
     Leave(usize),
     /// An attempt reaches its engine.
@@ -227,6 +229,7 @@
         match event {
             Event::Arrival(gateway) => self.arrive(gateway),
             Event::Try(caller) => self.attempt_first(caller),
+            Event::Again(caller) => self.send(caller, true),
             Event::Leave(caller) => self.leave(caller),
             Event::Reach(attempt) => self.reach(attempt),
             Event::Cancel(attempt) => {
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -21,6 +21,9 @@
 /// The same where no engine could run the request.
 const RETRY_NO_ENGINE: Range<f64> = 1_000.0..1_900.0;
 
+/// Milliseconds between looks at whether a caller that is held can be sent.
+const HOLD_LOOK_MILLIS: f64 = 10.0;
+
 /// Milliseconds that an engine rests after it refused a request.
 const FULL_REST_MILLIS: u64 = 60;
 
@@ -50,6 +53,7 @@
             is_impatient: self.draw.share() < self.deployment.impatient_share,
             tries: 0,
             first_at: None,
+            held_until: None,
             visit: Visit::First,
             tried: Vec::new(),
             attempt: None,
@@ -70,6 +74,7 @@
         caller.tries += 1;
         caller.tried_at = self.now;
         caller.tried.clear();
+        caller.held_until = None;
         if caller.tries > 1 {
             caller.gateway =
                 (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
@@ -81,8 +86,13 @@
 
     pub(super) fn choose(&mut self, index: usize) -> Choice {
         let caller = &self.callers[index];
+        let held = match caller.held_until {
+            Some(_) if caller.tried.is_empty() => self.now - caller.tried_at,
+            _ => 0.0,
+        };
         let ask = Ask {
             deployment: &self.deployment,
+            target_millis: self.deployment.target_millis.saturating_sub(held as u64),
             prompt: caller.prompt,
             visit: match caller.tried.is_empty() {
                 true => caller.visit,
@@ -100,6 +110,9 @@
                 engine,
                 predicted_millis,
             } => (engine, predicted_millis),
+            Choice::Full { .. } if self.holds(index) => {
+                return self.after(HOLD_LOOK_MILLIS, Event::Again(index));
+            }
             Choice::Full { .. } => return self.refuse(index, &RETRY_FULL),
             Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE),
         };
@@ -132,6 +145,14 @@
         self.after(patience as f64, Event::Patience(attempt));
     }
 
+    /// True where the gateway holds a caller a little longer.
+    fn holds(&mut self, index: usize) -> bool {
+        let until = self.now + self.deployment.hold_millis;
+        let caller = &mut self.callers[index];
+        let until = *caller.held_until.get_or_insert(until);
+        self.now + HOLD_LOOK_MILLIS <= until
+    }
+
     pub(super) fn refuse(&mut self, index: usize, pause: &Range<f64>) {
         let slots = self.engines.len() * self.deployment.model.slots as usize;
         let taken: usize = self.engines.iter().map(|engine| engine.running.len()).sum();
