A request that comes while a gateway starts waits for what that is about to learn

Cause: after a loss of power of everything, gateways answered 503 for 0.5 s (no configuration) and refused for another 0.5 s (no engine with the right weights); both came while most callers had one try left (of 285 tries in one zone in that second all were refused).

Change: within 2 s of the start of the process a request waits for the configuration and for an engine. It counts as late, as those that waited all look at once: it gets what others leave, and goes on waiting where engines are full. Whoever has a smaller share of the target is taken by an engine that is nearly idle at least: a quarter of a target of 400 ms is less than an idle engine needs for a usual prompt. Test of real processes: 503, 503, 503 -> answered.

--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -3,9 +3,11 @@
 use {
     super::{forward::Course, stream::Progress},
     crate::clock,
+    gingerpier_base::Instant,
     gingerpier_serving::{
         admission::{self, Choice, Demand, Due},
         fleet::EngineKey,
+        precedence,
         report::Version,
         returns::Visit,
     },
@@ -61,12 +63,18 @@
         }
     }
 
-    /// What the request counts as: one that failed at an engine is as late as one that was refused.
-    const fn visit(&self) -> Visit {
-        match self.standing.attempts {
+    /// Part of its target that a first event may be predicted to take. A request that failed at an engine is as late
+    /// as one that was refused; those that waited here are many, and all look at once.
+    fn target_share(&self, now: Instant) -> f64 {
+        if self.has_waited {
+            return precedence::LEFT_SHARE;
+        }
+        let visit = match self.standing.attempts {
             0 => self.call.visit,
             _ => Visit::Returned,
-        }
+        };
+        let service = &self.call.target().name;
+        self.state.target_share(service, visit, now)
     }
 
     pub(super) fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
@@ -82,7 +90,7 @@
             goes_on_with: progress.has_begun().then(|| progress.version()),
             prompt_tokens: call.prompt_tokens,
             target_millis: self.target_millis(progress),
-            target_share: self.state.target_share(service, self.visit(), now),
+            target_share: self.target_share(now),
             zone: &self.state.settings.zone,
             gateways: self.state.zones.borrow().gateway_count(),
             others_per_milli: self.state.others_per_milli(service, now),
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -5,6 +5,7 @@
         After,
         attempt::{self, Begun, Cause, Failed, Sent},
         call::{Call, Sending},
+        starting::{self, Waited},
         stream::{self, Progress},
     },
     crate::{clock, state::State},
@@ -76,6 +77,8 @@
     pub(super) cause: Option<Cause>,
     /// True where the last choice found an engine that could run the request.
     pub(super) found_engine: bool,
+    /// True where it waited while this process started.
+    pub(super) has_waited: bool,
     /// Number that is drawn for this request, against herds.
     pub(super) draw: u64,
     /// What was known of the load of the engine that was chosen last.
@@ -100,6 +103,7 @@
         sent_at: None,
         cause: None,
         found_engine: true,
+        has_waited: false,
         draw: fastrand::u64(..),
         seen: None,
     };
@@ -112,6 +116,11 @@
         let mut fallback = None;
         loop {
             let Some(engine) = self.choose(&progress) else {
+                match self.wait_for_start(caller).await {
+                    Waited::Again => continue,
+                    Waited::InVain => {}
+                    Waited::Left => return self.note_left(),
+                }
                 let next = self.standing.give_up();
                 return self.finish(caller, next, &progress, fallback).await;
             };
@@ -148,6 +157,17 @@
         }
     }
 
+    /// Waits a moment where no engine was known that could run the request, and this process is starting. Who has
+    /// waited for that is late, so it goes on waiting while those that come now take the places.
+    async fn wait_for_start(&mut self, caller: &mut Connection) -> Waited {
+        let is_first = self.standing.attempts == 0;
+        if !is_first || (self.found_engine && !self.has_waited) {
+            return Waited::InVain;
+        }
+        self.has_waited = true;
+        starting::wait(self.state, caller).await
+    }
+
     fn note_attempt(&mut self, engine: EngineKey) {
         if self.standing.attempts == 0 {
             let service = &self.call.target().name;
--- a/crates/gingerpier_gateway/src/callers/mod.rs
+++ b/crates/gingerpier_gateway/src/callers/mod.rs
@@ -6,6 +6,7 @@
 pub mod choosing;
 pub mod ending;
 pub mod forward;
+pub mod starting;
 pub mod stream;
 
 use {
@@ -15,6 +16,7 @@
     gingerpier_base::Instant,
     gingerpier_http1::{body::Decoder, connection::Connection, error::Error, head::Request},
     gingerpier_serving::configuration::Limits,
+    starting::Waited,
     std::rc::Rc,
     tokio::net::TcpListener,
 };
@@ -155,7 +157,18 @@
             return After::Close;
         }
     };
-    let after = match Call::read(state, request, &body, received) {
+    let call = loop {
+        let call = Call::read(state, request, &body, received);
+        if !matches!(call, Err(Refusal::NoConfiguration)) {
+            break call;
+        }
+        match starting::wait(state, connection).await {
+            Waited::Again => {}
+            Waited::InVain => break call,
+            Waited::Left => return After::Close,
+        }
+    };
+    let after = match call {
         Ok(call) => forward::forward(state, connection, &call).await,
         Err(refusal) => ending::refuse(state, connection, request, refusal).await,
     };
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -135,6 +135,11 @@
         self.configuration.borrow().clone()
     }
 
+    /// When this process started.
+    pub const fn started(&self) -> Instant {
+        self.started
+    }
+
     /// True where new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let knows = self.configuration.borrow().is_some();
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -9,7 +9,7 @@
         configuration::EngineModel,
         engine::Engine,
         fleet::{EngineKey, Fleet},
-        prediction,
+        precedence, prediction,
         report::Version,
     },
     gingerpier_base::{Instant, order},
@@ -40,6 +40,10 @@
 /// Most such parts: what is drawn must hold an engine with room.
 const MOST_PARTS: u32 = 4;
 
+/// Times an idle engine's first event at which an engine counts as one with room: whoever has a smaller share of the
+/// target is taken there at least, however large its prompt is.
+const NEARLY_IDLE: f64 = 1.25;
+
 /// Part of the bound up to which the best of all engines will do where none of the drawn ones did: it looks as good
 /// to all other gateways.
 const REST_SHARE: f64 = 0.75;
@@ -262,7 +266,14 @@
     if demand.engines.is_none() {
         return demand.target_millis as f64 * PLAIN_SHARE;
     }
-    demand.target_millis as f64 * demand.target_share
+    let share = demand.target_millis as f64 * demand.target_share;
+    match demand.engines {
+        Some(model) if demand.target_share < precedence::TARGET_SHARE => {
+            let idle = prediction::idle_first_millis(model, demand.prompt_tokens);
+            share.max(idle * NEARLY_IDLE)
+        }
+        _ => share,
+    }
 }
 
 /// Milliseconds drawn for an engine and a request, so that gateways which know the same do not all
--- a/crates/gingerpier_serving/src/precedence.rs
+++ b/crates/gingerpier_serving/src/precedence.rs
@@ -16,7 +16,7 @@
 const SMALLER_SHARE: f64 = 0.7;
 
 /// The same where those that come first leave little: an engine with a free slot begins within about that.
-const LEFT_SHARE: f64 = 0.25;
+pub const LEFT_SHARE: f64 = 0.25;
 
 /// Share of first tries refused from which on callers that come back get only what those leave.
 const SHORT_SHARE: f64 = 0.03;
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_serving/src/prediction.rs
@@ -42,6 +42,11 @@
     f64::from(model.usual_prompt) / model.read_per_milli
 }
 
+/// Milliseconds to the first event of a request with `prompt_tokens` at an engine without other work.
+pub fn idle_first_millis(model: &EngineModel, prompt_tokens: u64) -> f64 {
+    FIRST_PASSES * pass_millis(model, 0.0) + reading_millis(model, prompt_tokens as f64, 0.0)
+}
+
 /// Predicted milliseconds to the first event of a request with `prompt_tokens` at `engine`, where
 /// so many requests of other gateways come to each engine in a millisecond.
 pub fn first_event_millis(
