A request that waits for a gateway to start is refused once its time is over

Found by reading the change: the wait looked at the start of the process alone, so a request of a route with 1.2 s could be held for 2 s and end as one that may have run. Test of real processes: 504 before, 503 and no run after.

--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -161,7 +161,8 @@
     /// waited for that is late, so it goes on waiting while those that come now take the places.
     async fn wait_for_start(&mut self, caller: &mut Connection) -> Waited {
         let is_first = self.standing.attempts == 0;
-        if !is_first || (self.found_engine && !self.has_waited) {
+        let has_time = !self.call.deadline.has_passed(clock::now());
+        if !is_first || !has_time || (self.found_engine && !self.has_waited) {
             return Waited::InVain;
         }
         self.has_waited = true;
