--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -5,7 +5,7 @@
     crate::clock,
     gingerpier_base::Instant,
     gingerpier_serving::{
-        admission::{self, Choice, Demand, Due},
+        admission::{self, Census, Choice, Demand, Due},
         fleet::EngineKey,
         precedence,
         report::Version,
@@ -77,16 +77,14 @@
         self.state.target_share(service, visit, now)
     }
 
-    pub(super) fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
+    fn demand<'d>(&'d self, due: &'d [Due], progress: &Progress, now: Instant) -> Demand<'d> {
         let call = self.call;
-        let now = clock::now();
-        let due = self.due();
         let service = &call.target().name;
-        let demand = Demand {
+        Demand {
             service,
             engines: call.engines(),
             model: call.model.as_deref(),
-            due: &due,
+            due,
             goes_on_with: progress.has_begun().then(|| progress.version()),
             prompt_tokens: call.prompt_tokens,
             target_millis: self.target_millis(progress),
@@ -95,8 +93,22 @@
             gateways: self.state.zones.borrow().gateway_count(),
             others_per_milli: self.state.others_per_milli(service, now),
             tried: &self.tried,
-        };
+        }
+    }
+
+    /// Why no engine would do, by counts.
+    pub(super) fn census(&self) -> Census {
+        let now = clock::now();
+        let due = self.due();
+        let demand = self.demand(&due, &Progress::default(), now);
+        admission::census(&self.state.fleet.borrow(), &demand, now)
+    }
+
+    pub(super) fn choose(&mut self, progress: &Progress) -> Option<EngineKey> {
+        let now = clock::now();
+        let due = self.due();
         let fleet = self.state.fleet.borrow();
+        let demand = self.demand(&due, progress, now);
         let choice = admission::choose(&fleet, &demand, now, self.draw);
         self.found_engine = choice != Choice::NoEngine;
         match choice {
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -10,7 +10,7 @@
     },
     crate::{
         clock, log,
-        metrics::{Ended, Ending},
+        metrics::{Ended, Ending, Reason, Refusal as Refused},
         state::State,
     },
     gingerpier_http1::{connection::Connection, head::Request},
@@ -86,6 +86,12 @@
             let service = &self.call.target().name;
             self.state
                 .note_refused(service, self.call.visit, clock::now());
+            let reason = match self.found_engine {
+                true => Reason::Full,
+                false => Reason::NoEngine,
+            };
+            let refusals = &self.state.metrics.refusals;
+            refusals.get_or_create(&Refused { reason }).inc();
         }
         self.log(ending, progress);
         let names = self.state.dialect.names();
@@ -132,6 +138,9 @@
             return;
         }
         let now = clock::now();
+        // A census looks at every engine, so not every line has one.
+        let has_census = ending == Ending::Refused && log::allows_census();
+        let engines = has_census.then(|| self.census());
         let fleet = self.state.fleet.borrow();
         let engine = self.tried.last().map(|key| fleet.engine(*key));
         tracing::info!(
@@ -152,6 +161,7 @@
             prompt = self.call.prompt_tokens,
             visit = ?self.call.visit,
             took = now.millis_since(self.call.received),
+            engines = engines.map(tracing::field::display),
             "request"
         );
     }
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -115,6 +115,7 @@
     loop {
         clock::pause(SWEEP_MILLIS).await;
         state.expire_engines();
+        state.count_engines();
         let fleet = state.fleet.borrow();
         let keep = |key: &_| !fleet.engine(*key).is_gone;
         state.pool.borrow_mut().sweep(keep);
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -5,6 +5,7 @@
 pub mod follow;
 pub mod report;
 mod versions;
+mod waiting;
 
 use {
     crate::{
@@ -315,6 +316,7 @@
     actix_rt::spawn(peers::serve(loader.carrier.clone(), listener));
     actix_rt::spawn(report::take(loader.clone(), socket.clone()));
     actix_rt::spawn(report::send(loader.clone(), socket));
+    actix_rt::spawn(waiting::tell(loader.clone()));
     actix_rt::spawn(bring::keep(loader));
     loop {
         tokio::select! {
--- a/crates/gingerpier_gateway/src/log.rs
+++ b/crates/gingerpier_gateway/src/log.rs
@@ -5,8 +5,9 @@
 
 use {
     crate::clock,
+    gingerpier_base::Instant,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         io::Write,
         sync::{Arc, Mutex, PoisonError},
     },
@@ -104,6 +105,9 @@
     }
 }
 
+/// Milliseconds between two lines with a census of the engines: it takes some 0.2 ms where there are 3,000.
+const CENSUS_EVERY_MILLIS: u64 = 50;
+
 #[derive(Debug, Default)]
 struct Allowance {
     second: u64,
@@ -113,6 +117,20 @@
 
 thread_local! {
     static ALLOWANCE: RefCell<Allowance> = RefCell::default();
+    static LAST_CENSUS: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
+/// True where one more line may have a census of the engines.
+pub fn allows_census() -> bool {
+    let now = clock::now();
+    let next = LAST_CENSUS
+        .get()
+        .map(|last| last.after_millis(CENSUS_EVERY_MILLIS));
+    let is_allowed = next.is_none_or(|next| next.has_passed(now));
+    if is_allowed {
+        LAST_CENSUS.set(Some(now));
+    }
+    is_allowed
 }
 
 /// True where one more line about a request may be written in this second.
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -30,6 +30,31 @@
     pub ending: Ending,
 }
 
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Reason {
+    /// No engine could run it.
+    NoEngine,
+    /// All engines that could run it would have been too late.
+    Full,
+}
+
+/// Label of a reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: Reason,
+}
+
+/// Label of engines that stand alike.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Engines {
+    /// Service.
+    pub service: String,
+    /// What keeps them from taking a usual request.
+    pub standing: String,
+}
+
 /// A kind of message between processes of the system.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Kind {
@@ -57,6 +82,10 @@
     registry: Registry,
     /// Requests by ending.
     pub requests: Family<Ended, Counter>,
+    /// Refused requests by reason.
+    pub refusals: Family<Refusal, Counter>,
+    /// Listed engines by service and by what keeps them from taking a usual request.
+    pub engines: Family<Engines, Gauge>,
     /// Attempts at engines beyond the first.
     pub retries: Counter,
     /// Calls to the store.
@@ -77,6 +106,8 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("gingerpier");
         let requests = Family::<Ended, Counter>::default();
+        let refusals = Family::<Refusal, Counter>::default();
+        let engines = Family::<Engines, Gauge>::default();
         let retries = Counter::default();
         let store_calls = Counter::default();
         let messages = Family::<Message, Counter>::default();
@@ -86,6 +117,8 @@
         let bounds = [25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0];
         let first = Histogram::new(bounds);
         registry.register("requests", "Requests by ending", requests.clone());
+        registry.register("refusals", "Refused requests", refusals.clone());
+        registry.register("engines", "Listed engines by standing", engines.clone());
         registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("store_calls", "Calls to the store", store_calls.clone());
         registry.register("messages", "Messages between processes", messages.clone());
@@ -100,6 +133,8 @@
         Self {
             registry,
             requests,
+            refusals,
+            engines,
             retries,
             store_calls,
             messages,
--- /dev/null
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -0,0 +1,98 @@
+//! Engines as they are listed, lapse and go, and how many stand how.
+
+use {
+    super::State,
+    crate::{clock, metrics::Engines},
+    gingerpier_serving::{
+        admission::{self, Demand, Standing},
+        configuration::ServiceKind,
+        dialect::Subject,
+        fleet::Record,
+        mirror::{Item, Revision},
+        outage::Absence,
+    },
+};
+
+/// Time within which the usual request that engines are counted for has its full worth, in milliseconds: the longest
+/// of usual targets, so that only engines with a queue count as full.
+const USUAL_TARGET_MILLIS: u64 = 1_000;
+
+impl State {
+    pub(super) fn take_absence(&self, item: &Item, absence: Absence) {
+        let Subject::Engine(id) = self.dialect.subject(&item.key) else {
+            return;
+        };
+        let revision = item.revision.0;
+        let mut fleet = self.fleet.borrow_mut();
+        match self.outage.get().lapses_at(absence, clock::now()) {
+            Some(until) => {
+                fleet.lapse(&id, until);
+                tracing::info!(engine = id, revision, "engine lapsed");
+            }
+            None => {
+                fleet.unlist(&id);
+                tracing::info!(engine = id, revision, "engine unlisted");
+            }
+        }
+    }
+
+    /// Takes engines off that lapsed and are not back.
+    pub fn expire_engines(&self) {
+        let mut fleet = self.fleet.borrow_mut();
+        for key in fleet.expire(clock::now()) {
+            let id = &fleet.engine(key).record.id;
+            tracing::info!(engine = id, "engine unlisted, as it did not come back");
+        }
+    }
+
+    pub(super) fn list(&self, record: Record, revision: Revision) {
+        let mut fleet = self.fleet.borrow_mut();
+        let id = record.id.clone();
+        let state = record.state;
+        let known = fleet.find(&id).map(|key| fleet.engine(key).record.state);
+        if known != Some(state) {
+            let address = record.address;
+            tracing::info!(engine = id, %address, service = record.service, ?state, "engine listed");
+        }
+        fleet.list(record, revision);
+    }
+
+    /// Counts listed engines by what keeps them from taking a usual request.
+    pub fn count_engines(&self) {
+        let Some(configuration) = self.configuration() else {
+            return;
+        };
+        let now = clock::now();
+        let fleet = self.fleet.borrow();
+        for service in configuration.services() {
+            let ServiceKind::Engines(engines) = &service.kind else {
+                continue;
+            };
+            let model = engines.models.first().map(String::as_str);
+            let due = model.map_or_else(Vec::new, |model| self.due(model));
+            let demand = Demand {
+                service: &service.name,
+                engines: Some(engines),
+                model,
+                due: &due,
+                goes_on_with: None,
+                prompt_tokens: engines.usual_prompt.into(),
+                target_millis: USUAL_TARGET_MILLIS,
+                target_share: 1.0,
+                zone: &self.settings.zone,
+                gateways: 1,
+                others_per_milli: 0.0,
+                tried: &[],
+            };
+            let census = admission::census(&fleet, &demand, now);
+            for standing in Standing::ALL {
+                let label = Engines {
+                    service: service.name.clone(),
+                    standing: standing.word().to_owned(),
+                };
+                let gauge = self.metrics.engines.get_or_create(&label).clone();
+                gauge.set(census.count(standing).into());
+            }
+        }
+    }
+}
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows, shared by its tasks on one thread.
 
 mod contact;
+mod engines;
 mod naming;
 
 use {
@@ -17,8 +18,8 @@
         arrivals::Arrivals,
         budget::{Budget, Terms},
         configuration::Configuration,
-        dialect::{Dialect, Fact, Subject},
-        fleet::{EngineKey, Fleet, Record},
+        dialect::{Dialect, Fact},
+        fleet::{EngineKey, Fleet},
         mirror::{Changes, Item, Mirror, Revision},
         naming::{Freshness, Namings},
         outage::{Absence, Outage},
@@ -179,33 +180,6 @@
         }
     }
 
-    fn take_absence(&self, item: &Item, absence: Absence) {
-        let Subject::Engine(id) = self.dialect.subject(&item.key) else {
-            return;
-        };
-        let revision = item.revision.0;
-        let mut fleet = self.fleet.borrow_mut();
-        match self.outage.get().lapses_at(absence, clock::now()) {
-            Some(until) => {
-                fleet.lapse(&id, until);
-                tracing::info!(engine = id, revision, "engine lapsed");
-            }
-            None => {
-                fleet.unlist(&id);
-                tracing::info!(engine = id, revision, "engine unlisted");
-            }
-        }
-    }
-
-    /// Takes engines off that lapsed and are not back.
-    pub fn expire_engines(&self) {
-        let mut fleet = self.fleet.borrow_mut();
-        for key in fleet.expire(clock::now()) {
-            let id = &fleet.engine(key).record.id;
-            tracing::info!(engine = id, "engine unlisted, as it did not come back");
-        }
-    }
-
     fn configure(&self, configuration: Configuration) {
         let mut current = self.configuration.borrow_mut();
         let old = current.as_ref().map(|current| current.version);
@@ -219,18 +193,6 @@
         *current = Some(Rc::new(configuration));
     }
 
-    fn list(&self, record: Record, revision: Revision) {
-        let mut fleet = self.fleet.borrow_mut();
-        let id = record.id.clone();
-        let state = record.state;
-        let known = fleet.find(&id).map(|key| fleet.engine(key).record.state);
-        if known != Some(state) {
-            let address = record.address;
-            tracing::info!(engine = id, %address, service = record.service, ?state, "engine listed");
-        }
-        fleet.list(record, revision);
-    }
-
     /// Notes a request for `service` that is sent for the first time.
     pub fn note_request(&self, service: &str, visit: Visit, now: Instant) {
         self.note_fate(service, visit, false, now);
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -4,6 +4,9 @@
 //! ([`prediction`](crate::prediction)); a request that would come too late everywhere is refused at
 //! once, with a time to come back, instead of making others late.
 
+mod census;
+
+pub use census::{Census, Standing, census};
 use {
     crate::{
         configuration::EngineModel,
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -171,10 +171,14 @@
             .max()
     }
 
+    /// True where its entry has been missing for too long.
+    pub(crate) fn has_lapsed(&self, now: Instant) -> bool {
+        self.lapses_at.is_some_and(|at| at.has_passed(now))
+    }
+
     /// True where it may be sent new work.
     pub fn is_open(&self, now: Instant) -> bool {
-        let has_lapsed = self.lapses_at.is_some_and(|at| at.has_passed(now));
-        let is_there = !self.is_gone && !self.is_replaced && !has_lapsed;
+        let is_there = !self.is_gone && !self.is_replaced && !self.has_lapsed(now);
         is_there && self.record.state == State::Ready && self.rests_until.has_passed(now)
     }
 
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -39,5 +39,6 @@
 pub mod prediction;
 pub mod report;
 pub mod returns;
+pub mod unnamed;
 pub mod watching;
 pub mod zones;
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -114,6 +114,32 @@
     }
 }
 
+#[test]
+fn a_census_tells_what_keeps_each_engine_from_a_request() {
+    let (model, tried) = (model(), []);
+    let demand = demand(&model, &[], &tried);
+    let count = |fleet: &Fleet| admission::census(fleet, &demand, at(1_000)).to_string();
+    assert_eq!(count(&Fleet::default()), "none");
+    let (mut fleet, keys) = fleet(6);
+    let empty = Report {
+        held: Vec::new(),
+        ..report(1, 0)
+    };
+    fleet.engine_mut(keys[0]).note_report(empty, at(900));
+    fleet.engine_mut(keys[1]).note_report(report(1, 200), at(900));
+    fleet.engine_mut(keys[2]).note_report(report(1, 0), at(0));
+    fleet.engine_mut(keys[3]).note_failure(at(900));
+    let busy = Report {
+        is_busy: true,
+        ..report(1, 0)
+    };
+    fleet.engine_mut(keys[4]).note_report(busy, at(900));
+    assert_eq!(
+        count(&fleet),
+        "empty:1,ordered:1,resting:1,silent:1,full:1,open:1"
+    );
+}
+
 #[test]
 fn a_leaving_engine_takes_nothing_and_does_not_come_back() {
     let (mut fleet, keys) = fleet(1);
