Weights that nobody named are brought again: gateways ask the origin what it has, and tell loaders what there is

Cause: a circle of waits. Where nothing was named and no engine holds weights, a loader asked gateways for version 0, which gateways do not carry, and left the origin to them; while it waited for version 0 it never looked again at what others hold. Change: serving::unnamed. A gateway whose engines lack weights that nobody named asks the origin what it has, one of a zone after the other, and at once tells loaders, with what engines hold; a loader that is not told asks the origin itself after a while. Every wait ends with time alone. Versions that the origin does not have are given up, so that they block no others.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -83,6 +83,7 @@
     actix_rt::spawn(figures::keep(state.clone()));
     if state.settings.carries_weights {
         actix_rt::spawn(weights::relay::keep(state.clone()));
+        actix_rt::spawn(weights::search::keep(state.clone()));
     }
     actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
     actix_rt::spawn(zones::tell(state.clone(), socket.clone()));
--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -58,6 +58,9 @@
 /// Milliseconds between looks at what the engine holds.
 const LOOK_MILLIS: u64 = 50;
 
+/// Milliseconds between looks at what other engines hold, while the origin is asked what it has and no gateway is heard.
+const REFRESH_MILLIS: u64 = 5_000;
+
 /// Milliseconds after a failed round.
 const PAUSE_MILLIS: u64 = 200;
 
@@ -81,19 +84,27 @@
 pub async fn keep(loader: Rc<Loader>) {
     let mut works: Vec<Work> = Vec::new();
     let mut awaited: Option<Instant> = None;
+    let mut refreshed = clock::now();
     loop {
         clock::pause(LOOK_MILLIS).await;
         works.retain(Work::is_under_way);
         drop_outdated(&loader, &works);
+        if is_alone_with_origin(&loader, &works) {
+            let next = refreshed.after_millis(REFRESH_MILLIS);
+            if next.has_passed(clock::now()) {
+                follow::refresh(&loader).await;
+                refreshed = clock::now();
+            }
+        }
         // Weights may come while the engine is not up yet; one that is up tells first what it has.
         let is_there = loader.report.borrow().is_some();
         let Some(wanted) = loader.wanted() else {
             continue;
         };
-        // Where nothing is named, an engine that is not up yet may well hold what others will.
-        let is_named = wanted.version > Version::default();
+        // Where nothing is known, an engine that is not up yet may well hold what others will.
+        let is_known = wanted.version > Version::default();
         let now = clock::now();
-        if is_named {
+        if is_known {
             awaited.get_or_insert(now.after_millis(ENGINE_AWAITED_MILLIS));
         }
         let is_time = awaited.is_some_and(|awaited| awaited.has_passed(now));
@@ -134,6 +145,12 @@
     !is_held && works.iter().all(|work| work.named != *wanted)
 }
 
+/// True while what the origin has is on its way here, and no gateway tells what there is.
+fn is_alone_with_origin(loader: &Loader, works: &[Work]) -> bool {
+    let is_unknown = |work: &Work| work.named.version == Version::default();
+    loader.subscribers.borrow().is_empty() && works.iter().any(is_unknown)
+}
+
 /// Gives up what is still on its way of versions older than one that is whole here.
 fn drop_outdated(loader: &Loader, works: &[Work]) {
     let newest = loader.newest_complete();
@@ -200,7 +217,9 @@
         begins: begins(loader, named),
     };
     let gateways = loader.gateways();
-    if gateways.is_empty() || !loader.settings.weights_from_gateways {
+    // Gateways carry what has a number. Where they did not tell of any for long, the origin is asked without them.
+    let is_unknown = named.version == Version::default();
+    if gateways.is_empty() || is_unknown || !loader.settings.weights_from_gateways {
         return by_trees;
     }
     let carriers = weights::carriers(
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -12,7 +12,7 @@
         clock,
         error::{Error, Step},
         items::Reader,
-        log,
+        log, message,
         weights::{Carrier, GatewayPlace, peers},
     },
     gingerpier_base::{Instant, order},
@@ -26,6 +26,7 @@
         mirror::Revision,
         naming::Namings,
         report::Report,
+        unnamed::Patience,
     },
     gingerpier_settings::Loader as Settings,
     std::{
@@ -56,6 +57,8 @@
     pub configuration: u64,
     /// What that says of engines and origins, as a digest.
     pub weights_digest: u64,
+    /// Weights that it says are to be had although nobody named them.
+    pub unnamed: Vec<message::Weights>,
 }
 
 /// A machine with an engine of the same service.
@@ -105,6 +108,8 @@
     namings: RefCell<HashMap<String, Namings>>,
     /// Versions whose chunks are all here, and since when.
     complete: RefCell<Vec<NamedAt>>,
+    /// How long others are waited for, where no weights are known.
+    patience: RefCell<Patience>,
 }
 
 impl Loader {
@@ -129,6 +134,7 @@
             services: RefCell::default(),
             namings: RefCell::default(),
             complete: RefCell::default(),
+            patience: RefCell::default(),
         }
     }
 
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -74,6 +74,7 @@
         has_gateways: known.is_some_and(|known| known.has_gateways),
         configuration: subscribe.configuration,
         weights_digest: subscribe.weights_digest,
+        unnamed: subscribe.unnamed,
     };
     let is_new = subscribers.insert(from, subscriber).is_none();
     if is_new {
--- a/crates/gingerpier_gateway/src/loader/versions.rs
+++ b/crates/gingerpier_gateway/src/loader/versions.rs
@@ -4,13 +4,14 @@
 use {
     super::Loader,
     crate::{clock, message},
-    gingerpier_base::Instant,
+    gingerpier_base::{Instant, order},
     gingerpier_serving::{
         bringing::{NamedAt, Tenure},
         dialect::Named,
         engine::Engine,
         naming::{Naming, Namings, Teller},
         report::Version,
+        unnamed::Known,
     },
     std::{collections::BTreeSet, net::IpAddr},
 };
@@ -73,19 +74,44 @@
         Some(own.heard)
     }
 
-    /// Weights that the engine should hold; nothing where none are known to be wanted.
+    /// Weights that the engine should hold, as far as known; version 0, which stands for what the origin has, once
+    /// others have been waited for long enough.
     pub fn wanted(&self) -> Option<Named> {
         let model = self.model()?;
         let named = self.named(&model);
-        let newest = named.iter().map(|named| named.version).max();
-        let version = match newest {
-            Some(version) => version,
-            // Nothing was named: what other engines hold, or else what the origin has.
-            None => self.held_elsewhere(&model),
+        let known = Known {
+            named: named.iter().map(|named| named.version).max(),
+            found: self.told_unnamed(&model),
+            held: self.held_elsewhere(&model),
+        };
+        let mut patience = self.patience.borrow_mut();
+        let version = match known.wanted() {
+            Some(version) => {
+                patience.end();
+                version
+            }
+            None if self.held(&model).is_some() => {
+                patience.end();
+                return None;
+            }
+            None => {
+                let hears = !self.subscribers.borrow().is_empty();
+                let place = order::hash(&self.settings.engine);
+                let is_over = patience.is_over(hears, place, clock::now());
+                is_over.then(Version::default)?
+            }
         };
         Some(Named { model, version })
     }
 
+    /// Newest version of `model` that gateways say is to be had although nobody named it.
+    fn told_unnamed(&self, model: &str) -> Option<Version> {
+        let subscribers = self.subscribers.borrow();
+        let told = subscribers.values().flat_map(|one| &one.unnamed);
+        let of_model = told.filter(|told| told.model == model);
+        of_model.map(|told| Version(told.version)).max()
+    }
+
     /// Machines whose engines serve exactly `named`, as far as known.
     pub fn serving(&self, named: &Named) -> BTreeSet<IpAddr> {
         let fleet = self.fleet.borrow();
@@ -97,13 +123,13 @@
             .collect()
     }
 
-    fn held_elsewhere(&self, model: &str) -> Version {
+    fn held_elsewhere(&self, model: &str) -> Option<Version> {
         let fleet = self.fleet.borrow();
         let now = clock::now();
         let versions = fleet
             .listed()
             .filter_map(|(_, engine)| engine.version_of(model, now));
-        versions.max().unwrap_or_default()
+        versions.max()
     }
 
     /// Notes that every chunk of `version` is here.
--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -59,6 +59,9 @@
     /// What that says of engines and origins of weights, as a digest.
     #[cbor(n(4), default)]
     pub weights_digest: u64,
+    /// Weights that are to be had although nobody named them, as far as the gateway knows.
+    #[cbor(n(5), default)]
+    pub unnamed: Vec<Weights>,
 }
 
 /// A gateway.
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -63,6 +63,7 @@
         stamp: clock::now().as_millis(),
         configuration: configuration.as_ref().map_or(0, |known| known.version),
         weights_digest: configuration.map_or(0, |known| known.weights_digest()),
+        unnamed: state.unnamed(),
     }
 }
 
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -3,6 +3,9 @@
 mod contact;
 mod engines;
 mod naming;
+mod unnamed;
+
+pub use unnamed::models;
 
 use {
     crate::{
@@ -24,6 +27,7 @@
         naming::{Freshness, Namings},
         outage::{Absence, Outage},
         precedence::Precedence,
+        report::Version,
         returns::{Returns, Visit},
         zones::Exchange,
     },
@@ -80,6 +84,8 @@
     returns: RefCell<Returns>,
     precedence: RefCell<HashMap<String, Precedence>>,
     namings: RefCell<HashMap<String, Namings>>,
+    /// Newest version of each model that the origin was found to have.
+    found: RefCell<HashMap<String, Version>>,
     contact: Cell<Option<Instant>>,
     fresh: Cell<Freshness>,
     outage: Cell<Outage>,
@@ -121,6 +127,7 @@
             returns: RefCell::new(Returns::new(started)),
             precedence: RefCell::default(),
             namings: RefCell::default(),
+            found: RefCell::default(),
             contact: Cell::new(None),
             fresh: Cell::default(),
             outage: Cell::default(),
--- a/crates/gingerpier_gateway/src/state/naming.rs
+++ b/crates/gingerpier_gateway/src/state/naming.rs
@@ -7,6 +7,7 @@
         admission::Due,
         dialect::Named,
         naming::{Naming, Namings, OWN},
+        report::Version,
     },
 };
 
@@ -44,6 +45,12 @@
         namings.iter().filter_map(newest).collect()
     }
 
+    /// Newest weights of `model` that were named.
+    pub fn newest_named(&self, model: &str) -> Option<Version> {
+        let namings = self.namings.borrow();
+        Some(namings.get(model)?.newest()?.version)
+    }
+
     /// True where others may hold a part of `named`: it was never named, or was heard of `millis` ago, or may have been
     /// named before this process began to run.
     pub fn may_be_held(&self, named: &Named, millis: u64) -> bool {
--- /dev/null
+++ b/crates/gingerpier_gateway/src/state/unnamed.rs
@@ -0,0 +1,84 @@
+//! Weights that operators have not named.
+
+use {
+    super::State,
+    crate::{clock, message},
+    gingerpier_serving::{
+        configuration::{Configuration, ServiceKind},
+        dialect::Named,
+        report::Version,
+        unnamed::Known,
+    },
+    std::rc::Rc,
+};
+
+/// Models that engines of `configuration` are for, each with its service.
+pub fn models(configuration: &Configuration) -> impl Iterator<Item = (&str, &str)> {
+    configuration.services().iter().filter_map(|service| {
+        let ServiceKind::Engines(engines) = &service.kind else {
+            return None;
+        };
+        Some((service.name.as_str(), engines.models.first()?.as_str()))
+    })
+}
+
+impl State {
+    /// What is known of the weights of `model` at engines of `service`.
+    pub fn known_weights(&self, service: &str, model: &str) -> Known {
+        let now = clock::now();
+        let fleet = self.fleet.borrow();
+        let held = fleet
+            .of_service(service)
+            .filter(|(key, engine)| fleet.at_address(engine.record.address) == Some(*key))
+            .filter_map(|(_, engine)| engine.version_of(model, now));
+        Known {
+            named: self.newest_named(model),
+            found: self.found.borrow().get(model).copied(),
+            held: held.max(),
+        }
+    }
+
+    /// True where an engine of `service` lacks weights of `model`.
+    pub fn lacks_weights(&self, service: &str, model: &str) -> bool {
+        let now = clock::now();
+        let fleet = self.fleet.borrow();
+        fleet.of_service(service).any(|(key, engine)| {
+            let is_there = fleet.at_address(engine.record.address) == Some(key);
+            is_there && engine.version_of(model, now).is_none()
+        })
+    }
+
+    /// Version of `model` that the origin was found to have.
+    pub fn found(&self, model: &str) -> Option<Version> {
+        self.found.borrow().get(model).copied()
+    }
+
+    /// Notes what the origin was found to have; loaders hear of it at once.
+    pub fn note_found(&self, found: Named) {
+        let known = self
+            .found
+            .borrow_mut()
+            .insert(found.model.clone(), found.version);
+        if known != Some(found.version) {
+            tracing::info!(model = found.model, version = found.version.0, known = ?known, "origin found to have weights");
+            self.naming.notify_one();
+        }
+    }
+
+    /// What loaders are told of weights that nobody named: each of them would otherwise have to ask everybody.
+    pub fn unnamed(&self) -> Vec<message::Weights> {
+        let configuration: Option<Rc<Configuration>> = self.configuration();
+        let Some(configuration) = configuration else {
+            return Vec::new();
+        };
+        let told = models(&configuration).filter_map(|(service, model)| {
+            let known = self.known_weights(service, model);
+            let version = known.wanted().filter(|_| known.named.is_none())?;
+            Some(message::Weights {
+                model: model.to_owned(),
+                version: version.0,
+            })
+        });
+        told.collect()
+    }
+}
--- a/crates/gingerpier_gateway/src/weights/holding.rs
+++ b/crates/gingerpier_gateway/src/weights/holding.rs
@@ -78,6 +78,12 @@
         self.0.iter().find(is)
     }
 
+    /// Holdings of a model.
+    pub fn of_model(&self, model: &str) -> impl Iterator<Item = &Holding> {
+        let is = move |holding: &&Holding| holding.manifest.model == model;
+        self.0.iter().filter(is)
+    }
+
     /// Holding of a version, to be changed.
     pub fn get_mut(&mut self, model: &str, version: Version) -> Option<&mut Holding> {
         let is = |holding: &&mut Holding| {
--- a/crates/gingerpier_gateway/src/weights/manifest.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest.rs
@@ -117,6 +117,22 @@
     }
 }
 
+/// Asks the origin for the manifest of `named`, of its newest version where that is 0, and holds it; gives the
+/// version that it is of.
+pub async fn ask_origin(carrier: &Carrier, origin: &mut Client, named: &Named) -> Option<Named> {
+    let bytes = origin_manifest(carrier, origin, named).await?;
+    let manifest = carrier.dialect.read_manifest(200, &bytes).ok()?;
+    let source = origin.peer();
+    Some(note_manifest(
+        carrier,
+        Had {
+            manifest,
+            bytes,
+            source,
+        },
+    ))
+}
+
 fn note_manifest(carrier: &Carrier, had: Had) -> Named {
     let Had {
         manifest,
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -11,6 +11,7 @@
 pub mod manifest;
 pub mod peers;
 pub mod relay;
+pub mod search;
 pub mod sources;
 
 use {
@@ -135,6 +136,19 @@
         holding.is_some_and(Holding::is_complete)
     }
 
+    /// What is here or on its way of a model's weights.
+    pub fn carried(&self, model: &str) -> Carried {
+        let holdings = self.holdings.borrow();
+        let of_model = || holdings.of_model(model);
+        let is_wanted =
+            |wanted: &Named| wanted.model == model && wanted.version > Version::default();
+        Carried {
+            is_known: self.wanted.borrow().iter().any(is_wanted),
+            is_whole: of_model().any(Holding::is_complete),
+            chunks: of_model().map(Holding::held_count).sum(),
+        }
+    }
+
     /// Takes a chunk whose digest was found right, and wakes those who wait for it.
     pub fn put(&self, named: &Named, chunk: u32, bytes: Bytes) {
         let mut holdings = self.holdings.borrow_mut();
@@ -150,6 +164,17 @@
     }
 }
 
+/// What is here or on its way of a model's weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Carried {
+    /// True where some version is on its way here.
+    pub is_known: bool,
+    /// True where a version is here whole.
+    pub is_whole: bool,
+    /// Chunks of all versions that are here.
+    pub chunks: usize,
+}
+
 /// Milliseconds kept free before the operators' bound.
 const MARGIN_MILLIS: u64 = 1_400;
 
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -66,11 +66,13 @@
         let wanted: Vec<Named> = asked.into_iter().chain(named).collect();
         for named in wanted {
             let is_known = works.iter().any(|work| work.named == named);
-            if named.version > Version::default() && !is_known {
+            let is_to_be_had = !is_not_to_be_had(&state, &named);
+            if named.version > Version::default() && !is_known && is_to_be_had {
                 carry(&state, &mut works, named);
             }
         }
         drop_outdated(&state, &works);
+        drop_not_to_be_had(&state, &mut works);
     }
 }
 
@@ -131,6 +133,26 @@
     }
 }
 
+/// True where nobody named `named`, and the origin was found to have another version.
+fn is_not_to_be_had(state: &State, named: &Named) -> bool {
+    let found = state.found(&named.model);
+    let is_unnamed = state.newest_named(&named.model).is_none();
+    is_unnamed && found.is_some_and(|found| found != named.version)
+}
+
+/// Gives up versions of which nothing came and which the origin does not have: while one is on its way, older ones
+/// that are to be had would be refused to loaders for good.
+fn drop_not_to_be_had(state: &State, works: &mut Vec<Work>) {
+    works.retain(|work| {
+        let is_empty = state.carrier.held_count(&work.named) == 0;
+        let is_over = is_empty && is_not_to_be_had(state, &work.named);
+        if is_over {
+            state.carrier.give_up(&work.named, &work.task);
+        }
+        !is_over
+    });
+}
+
 /// True where some engine lacks `named`: what all hold already needs nobody to carry it.
 fn is_needed(state: &State, named: &Named) -> bool {
     let fleet = state.fleet.borrow();
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -126,7 +126,9 @@
         ..report(1, 0)
     };
     fleet.engine_mut(keys[0]).note_report(empty, at(900));
-    fleet.engine_mut(keys[1]).note_report(report(1, 200), at(900));
+    fleet
+        .engine_mut(keys[1])
+        .note_report(report(1, 200), at(900));
     fleet.engine_mut(keys[2]).note_report(report(1, 0), at(0));
     fleet.engine_mut(keys[3]).note_failure(at(900));
     let busy = Report {
