--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -58,7 +58,7 @@
     /// What that says of engines and origins, as a digest.
     pub weights_digest: u64,
     /// Weights that it says are to be had although nobody named them.
-    pub unnamed: Vec<message::Weights>,
+    pub unnamed: Vec<message::Unnamed>,
 }
 
 /// A machine with an engine of the same service.
--- a/crates/gingerpier_gateway/src/loader/versions.rs
+++ b/crates/gingerpier_gateway/src/loader/versions.rs
@@ -81,8 +81,10 @@
         let named = self.named(&model);
         let known = Known {
             named: named.iter().map(|named| named.version).max(),
-            found: self.told_unnamed(&model),
-            held: self.held_elsewhere(&model),
+            found: self.told_unnamed(&model, true),
+            held: self
+                .held_elsewhere(&model)
+                .max(self.told_unnamed(&model, false)),
         };
         let mut patience = self.patience.borrow_mut();
         let version = match known.wanted() {
@@ -104,11 +106,11 @@
         Some(Named { model, version })
     }
 
-    /// Newest version of `model` that gateways say is to be had although nobody named it.
-    fn told_unnamed(&self, model: &str) -> Option<Version> {
+    /// Newest version of `model` that gateways say the origin has, or else that engines hold, although nobody named it.
+    fn told_unnamed(&self, model: &str, is_found: bool) -> Option<Version> {
         let subscribers = self.subscribers.borrow();
         let told = subscribers.values().flat_map(|one| &one.unnamed);
-        let of_model = told.filter(|told| told.model == model);
+        let of_model = told.filter(|told| told.model == model && told.is_found == is_found);
         of_model.map(|told| Version(told.version)).max()
     }
 
--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -40,6 +40,21 @@
     pub age: u64,
 }
 
+/// Weights that nobody named.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Unnamed {
+    /// Model.
+    #[n(0)]
+    pub model: String,
+    /// Version.
+    #[n(1)]
+    pub version: u64,
+    /// True where the origin was found to have them; else an engine is said to hold them.
+    #[n(2)]
+    pub is_found: bool,
+}
+
 /// A gateway asks a loader for reports, and tells what weights are named.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 #[cbor(map)]
@@ -61,7 +76,7 @@
     pub weights_digest: u64,
     /// Weights that are to be had although nobody named them, as far as the gateway knows.
     #[cbor(n(5), default)]
-    pub unnamed: Vec<Weights>,
+    pub unnamed: Vec<Unnamed>,
 }
 
 /// A gateway.
--- a/crates/gingerpier_gateway/src/state/unnamed.rs
+++ b/crates/gingerpier_gateway/src/state/unnamed.rs
@@ -6,7 +6,6 @@
     gingerpier_serving::{
         configuration::{Configuration, ServiceKind},
         dialect::Named,
-        report::Version,
         unnamed::Known,
     },
     std::rc::Rc,
@@ -31,10 +30,18 @@
             .of_service(service)
             .filter(|(key, engine)| fleet.at_address(engine.record.address) == Some(*key))
             .filter_map(|(_, engine)| engine.version_of(model, now));
+        Known {
+            held: held.max(),
+            ..self.known_origin(model)
+        }
+    }
+
+    /// The same, but for what engines hold.
+    pub fn known_origin(&self, model: &str) -> Known {
         Known {
             named: self.newest_named(model),
             found: self.found.borrow().get(model).copied(),
-            held: held.max(),
+            held: None,
         }
     }
 
@@ -48,11 +55,6 @@
         })
     }
 
-    /// Version of `model` that the origin was found to have.
-    pub fn found(&self, model: &str) -> Option<Version> {
-        self.found.borrow().get(model).copied()
-    }
-
     /// Notes what the origin was found to have; loaders hear of it at once.
     pub fn note_found(&self, found: Named) {
         let known = self
@@ -66,7 +68,7 @@
     }
 
     /// What loaders are told of weights that nobody named: each of them would otherwise have to ask everybody.
-    pub fn unnamed(&self) -> Vec<message::Weights> {
+    pub fn unnamed(&self) -> Vec<message::Unnamed> {
         let configuration: Option<Rc<Configuration>> = self.configuration();
         let Some(configuration) = configuration else {
             return Vec::new();
@@ -74,9 +76,10 @@
         let told = models(&configuration).filter_map(|(service, model)| {
             let known = self.known_weights(service, model);
             let version = known.wanted().filter(|_| known.named.is_none())?;
-            Some(message::Weights {
+            Some(message::Unnamed {
                 model: model.to_owned(),
                 version: version.0,
+                is_found: known.found.is_some(),
             })
         });
         told.collect()
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -139,13 +139,12 @@
     /// What is here or on its way of a model's weights.
     pub fn carried(&self, model: &str) -> Carried {
         let holdings = self.holdings.borrow();
-        let of_model = || holdings.of_model(model);
+        let of_model = holdings.of_model(model);
         let is_wanted =
             |wanted: &Named| wanted.model == model && wanted.version > Version::default();
         Carried {
             is_known: self.wanted.borrow().iter().any(is_wanted),
-            is_whole: of_model().any(Holding::is_complete),
-            chunks: of_model().map(Holding::held_count).sum(),
+            chunks: of_model.map(Holding::held_count).sum(),
         }
     }
 
@@ -169,8 +168,6 @@
 pub struct Carried {
     /// True where some version is on its way here.
     pub is_known: bool,
-    /// True where a version is here whole.
-    pub is_whole: bool,
     /// Chunks of all versions that are here.
     pub chunks: usize,
 }
--- a/crates/gingerpier_gateway/src/weights/relay.rs
+++ b/crates/gingerpier_gateway/src/weights/relay.rs
@@ -66,8 +66,8 @@
         let wanted: Vec<Named> = asked.into_iter().chain(named).collect();
         for named in wanted {
             let is_known = works.iter().any(|work| work.named == named);
-            let is_to_be_had = !is_not_to_be_had(&state, &named);
-            if named.version > Version::default() && !is_known && is_to_be_had {
+            let has_number = named.version > Version::default();
+            if has_number && !is_known && may_be_had(&state, &named) {
                 carry(&state, &mut works, named);
             }
         }
@@ -133,11 +133,8 @@
     }
 }
 
-/// True where nobody named `named`, and the origin was found to have another version.
-fn is_not_to_be_had(state: &State, named: &Named) -> bool {
-    let found = state.found(&named.model);
-    let is_unnamed = state.newest_named(&named.model).is_none();
-    is_unnamed && found.is_some_and(|found| found != named.version)
+fn may_be_had(state: &State, named: &Named) -> bool {
+    state.known_origin(&named.model).may_be_had(named.version)
 }
 
 /// Gives up versions of which nothing came and which the origin does not have: while one is on its way, older ones
@@ -145,7 +142,7 @@
 fn drop_not_to_be_had(state: &State, works: &mut Vec<Work>) {
     works.retain(|work| {
         let is_empty = state.carrier.held_count(&work.named) == 0;
-        let is_over = is_empty && is_not_to_be_had(state, &work.named);
+        let is_over = is_empty && !may_be_had(state, &work.named);
         if is_over {
             state.carrier.give_up(&work.named, &work.task);
         }
--- a/crates/gingerpier_gateway/src/weights/search.rs
+++ b/crates/gingerpier_gateway/src/weights/search.rs
@@ -62,7 +62,10 @@
     Seen {
         is_lacking: known.named.is_none() && state.lacks_weights(service, model),
         is_known: known.wanted().is_some() || carried.is_known,
-        is_whole: carried.is_whole,
+        is_whole: known.wanted().is_some_and(|version| {
+            let model = model.to_owned();
+            state.carrier.is_complete(&Named { model, version })
+        }),
         chunks: carried.chunks,
         rank: rank(state, model),
     }
--- a/crates/gingerpier_serving/src/unnamed.rs
+++ b/crates/gingerpier_serving/src/unnamed.rs
@@ -26,6 +26,11 @@
     pub fn wanted(self) -> Option<Version> {
         self.named.or(self.found).or(self.held)
     }
+
+    /// True where `version` may be had, as far as known: it was named, or the origin was not found to have another one.
+    pub fn may_be_had(self, version: Version) -> bool {
+        self.named.is_some() || self.found.is_none_or(|found| found == version)
+    }
 }
 
 /// Milliseconds from the moment at which nothing is known of any weights until the first gateway of a zone asks the
@@ -55,7 +60,7 @@
     pub is_lacking: bool,
     /// True where some version is known.
     pub is_known: bool,
-    /// True where a version of the model is here whole.
+    /// True where the version that engines are to hold is here whole.
     pub is_whole: bool,
     /// Chunks of the model that are here.
     pub chunks: usize,
--- a/crates/gingerpier_weights/src/fetch.rs
+++ b/crates/gingerpier_weights/src/fetch.rs
@@ -455,10 +455,16 @@
             .nth(state.passed)
             .copied()
         else {
+            // Where nobody else is left, those that sent wrong bytes are asked again: what they sent may have been spoilt
+            // on its way, and a fetch without sources would wait for good.
+            let has_asked = state.passed > 0;
             state.passed = 0;
             let doublings = state.rounds.min(MOST_DOUBLINGS);
             state.not_before = now.after_millis(self.terms.pause_millis << doublings);
             state.rounds += 1;
+            if !has_asked {
+                self.blamed.clear();
+            }
             return;
         };
         let is_held_up = match source {
--- a/crates/gingerpier_weights/tests/spreading.rs
+++ b/crates/gingerpier_weights/tests/spreading.rs
@@ -3,7 +3,7 @@
 use {
     gingerpier_base::{Digest, Instant, order},
     gingerpier_weights::{
-        Fetch, Manifest, Plan,
+        Fetch, Manifest, Plan, Relays, Route,
         fetch::{Action, Outcome, Terms},
         manifest::{Builder, Error},
         plan::{Replica, ReplicaKey, Source},
@@ -157,6 +157,33 @@
     assert!(fetch.is_complete() && liar.is_some());
 }
 
+/// A process that is no relay has no origin to turn to. Chunks of all its sources were spoilt once each, on their way;
+/// it asked nobody from then on, for as long as it knew the same sources.
+#[test]
+fn sources_that_each_sent_a_wrong_chunk_once_are_asked_again_where_nobody_else_is_left() {
+    let relays = Relays::new(1, replicas(1, 2));
+    let zone = replicas(1, 2)[0].zone;
+    let rest = Vec::new();
+    let route = Route::Leaf { relays, zone, rest };
+    let mut fetch = Fetch::along(Terms::default(), route, 1);
+    let mut now = Instant::from_millis(1_000);
+    let mut spoilt = 0;
+    while !fetch.is_complete() {
+        for action in asks(&mut fetch, now) {
+            if let Action::Ask { chunk, attempt, .. } = action {
+                let outcome = match spoilt < 2 {
+                    true => Outcome::Corrupt,
+                    false => Outcome::Held,
+                };
+                spoilt += 1;
+                fetch.end(chunk, attempt, outcome, now);
+            }
+        }
+        now = now.after_millis(100);
+        assert!(now < Instant::from_millis(20_000), "{spoilt} were asked");
+    }
+}
+
 #[test]
 fn a_busy_origin_is_asked_again_when_it_says() {
     let plan = Plan::new(1, &replicas(1, 1), 2);
