--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -2,10 +2,12 @@
 
 mod figures;
 mod snapshot;
+mod waits;
 
 pub use {
     figures::{EngineFigures, Figures, OriginFigures, ServiceFigures, ToldEngine, ToldService},
     snapshot::{SharedItem, Snapshot},
+    waits::{RouteWaits, Waits},
 };
 use {
     gingerpier_serving::report::{Born, Held, Report, Version},
