--- a/crates/gingerpier_gateway/src/items.rs
+++ b/crates/gingerpier_gateway/src/items.rs
@@ -15,8 +15,8 @@
 /// field in each.
 const MOST_TOLD: usize = 100;
 
-/// Items that can't be read which are told of one by one, each once a revision; others are only counted. Another writer
-/// may leave thousands of them.
+/// Entries of engines that can't be read which are told of one by one, each once a revision; others are only counted.
+/// Another writer may leave thousands of them. What operators write is always told of.
 const MOST_UNREAD_TOLD: usize = 100;
 
 /// Longest entry of an engine that is read, in bytes: some 300 are usual.
@@ -95,8 +95,11 @@
             return;
         }
         self.left_out.set(self.left_out.get() + 1);
-        if unread.len() < MOST_UNREAD_TOLD {
-            unread.insert((key.to_owned(), revision));
+        let is_entry = matches!(self.dialect.subject(key), Subject::Engine(_));
+        if unread.len() < MOST_UNREAD_TOLD || !is_entry {
+            if unread.len() < MOST_UNREAD_TOLD {
+                unread.insert((key.to_owned(), revision));
+            }
             tracing::error!(key, revision, cause = %error, "item not understood");
         }
     }
--- a/crates/gingerpier_gateway/src/loader/waiting.rs
+++ b/crates/gingerpier_gateway/src/loader/waiting.rs
@@ -74,7 +74,8 @@
         return Some((Wait::Engine, loader.wanted()));
     }
     let Some(wanted) = loader.wanted() else {
-        return Some((Wait::Version, None));
+        let holds = loader.model().and_then(|model| loader.held(&model));
+        return holds.is_none().then_some((Wait::Version, None));
     };
     if loader.held(&wanted.model) >= Some(wanted.version) {
         return None;
--- a/crates/gingerpier_gateway/src/log.rs
+++ b/crates/gingerpier_gateway/src/log.rs
@@ -105,7 +105,8 @@
     }
 }
 
-/// Milliseconds between two lines with a census of the engines: it takes some 0.2 ms where there are 3,000.
+/// Milliseconds between two lines with a census of the engines, which passes over all of them as a decision does: that takes
+/// 0.1 to 0.2 ms where there are 3,000.
 const CENSUS_EVERY_MILLIS: u64 = 50;
 
 #[derive(Debug, Default)]
