--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
         error::{Error, Step},
         figures, log, relay, reports,
         state::State,
-        store, waits,
+        store,
         weights::{self, peers},
         zones,
     },
@@ -81,7 +81,6 @@
     actix_rt::spawn(relay::follow(state.clone()));
     actix_rt::spawn(peers::serve(state.carrier.clone(), chunks));
     actix_rt::spawn(figures::keep(state.clone()));
-    actix_rt::spawn(waits::learn(state.clone()));
     if state.settings.carries_weights {
         actix_rt::spawn(weights::relay::keep(state.clone()));
         actix_rt::spawn(weights::search::keep(state.clone()));
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -36,6 +36,5 @@
 pub mod snapshots;
 pub mod state;
 pub mod store;
-pub mod waits;
 pub mod weights;
 pub mod zones;
--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -2,12 +2,10 @@
 
 mod figures;
 mod snapshot;
-mod waits;
 
 pub use {
     figures::{EngineFigures, Figures, OriginFigures, ServiceFigures, ToldEngine, ToldService},
     snapshot::{SharedItem, Snapshot},
-    waits::{RouteWaits, Waits},
 };
 use {
     gingerpier_serving::report::{Born, Held, Report, Version},
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -8,7 +8,6 @@
         message::{self, SharedItem, Snapshot},
         metrics::Kind,
         state::State,
-        waits,
     },
     futures_util::future::join_all,
     gingerpier_base::Instant,
@@ -99,9 +98,6 @@
     if target == METRICS_PATH {
         return Message::response(200).body(state.metrics.text().as_bytes());
     }
-    if target == waits::PATH {
-        return Message::response(200).body(&waits::reply(state));
-    }
     let Some(question) = Question::parse(target) else {
         return Message::response(404).body(b"");
     };
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -11,7 +11,6 @@
     crate::{
         clock,
         items::{Reader, slim},
-        message::RouteWaits,
         metrics::Metrics,
         pool::Pool,
         snapshots::Snapshots,
@@ -224,25 +223,6 @@
         self.returns.borrow_mut().take(route, wait, now)
     }
 
-    /// How long callers wait, as far as it was learnt in calm moments.
-    pub fn learnt_waits(&self) -> Vec<RouteWaits> {
-        let returns = self.returns.borrow();
-        let learnt = returns.learnt().map(|(route, range)| RouteWaits {
-            route: route.to_owned(),
-            least: *range.start(),
-            most: *range.end(),
-        });
-        learnt.collect()
-    }
-
-    /// Takes what another gateway learnt of how long callers wait.
-    pub fn take_waits(&self, routes: Vec<RouteWaits>) {
-        let mut returns = self.returns.borrow_mut();
-        for told in routes {
-            returns.take_learnt(&told.route, told.least..=told.most);
-        }
-    }
-
     /// Notes that a request was refused.
     pub fn note_refused(&self, service: &str, visit: Visit, now: Instant) {
         self.returns.borrow_mut().note_refused(now);
--- a/crates/gingerpier_serving/src/returns.rs
+++ b/crates/gingerpier_serving/src/returns.rs
@@ -7,8 +7,7 @@
 //!
 //! A process may start where many are refused all the time, as after a loss of power of everything. Then those who came
 //! back are among the waits that it sees, and only callers who all wait equally long at first stand out: as one narrow
-//! peak at the upper end, while those who came back are spread below. That is told until a calm moment tells more. What
-//! others learnt in calm moments it is told by them.
+//! peak at the upper end, while those who came back are spread below. That is told until a calm moment tells more.
 //!
 //! What operators set as a route's time says nothing of how long callers wait, so it is not looked at: a change of
 //! it must not turn all callers into returning ones.
@@ -228,30 +227,6 @@
         self.calm.refused += 1.0;
     }
 
-    /// Ranges that were learnt in calm moments, with their routes, for a gateway that starts.
-    pub fn learnt(&self) -> impl Iterator<Item = (&str, &RangeInclusive<u64>)> {
-        let calm = self.routes.iter().filter(|(_, waits)| waits.is_calm);
-        calm.filter_map(|(route, waits)| Some((route.as_str(), waits.range.as_ref()?)))
-    }
-
-    /// Takes a range that another gateway learnt in calm moments, unless one was learnt here; those of impossible ends
-    /// are passed over.
-    pub fn take_learnt(&mut self, route: &str, range: RangeInclusive<u64>) {
-        if range.is_empty()
-            || (self.routes.len() >= MOST_ROUTES && !self.routes.contains_key(route))
-        {
-            return;
-        }
-        let waits = self.routes.entry(route.to_owned()).or_default();
-        if !waits.is_calm {
-            *waits = Waits {
-                is_calm: true,
-                range: Some(range),
-                ..Waits::default()
-            };
-        }
-    }
-
     /// Milliseconds after which a caller of `route` that comes back can be told from new ones, where that is known.
     pub fn told_apart_millis(&self, route: &str) -> Option<u64> {
         let range = self.routes.get(route)?.range.as_ref()?;
--- a/crates/gingerpier_serving/tests/returns.rs
+++ b/crates/gingerpier_serving/tests/returns.rs
@@ -155,26 +155,6 @@
     assert_eq!(visit, Visit::First);
 }
 
-/// A gateway that starts into an overload learns nothing of drawn waits by itself; its neighbours may have.
-#[test]
-fn drawn_waits_that_a_neighbour_learnt_are_taken_over() {
-    let neighbour = learnt(10_000, |step| 5_000 + drawn(step));
-    let mut returns = learnt_in_overload(|step| 5_000 + drawn(step));
-    for (route, range) in neighbour.learnt() {
-        returns.take_learnt(route, range.clone());
-    }
-    assert_eq!(
-        returns.take(ROUTE, Some(4_500), at(12_000)),
-        Visit::Returned
-    );
-    assert_eq!(returns.take(ROUTE, Some(5_500), at(12_000)), Visit::First);
-    // Overload changes nothing of it, and one that learnt itself keeps its own.
-    let mut own = learnt(10_000, |_| 2_000);
-    own.take_learnt(ROUTE, 5_000..=6_000);
-    assert_eq!(own.take(ROUTE, Some(2_000), at(10_000)), Visit::First);
-    assert_eq!(returns.learnt().count(), 1);
-}
-
 #[test]
 fn waits_that_are_drawn_from_no_range_tell_nothing() {
     // Every fifth caller waits a fifth as long as the others.
