One piece of code for engines that are there, for services of engines, and for what comes unseen

Pure moves: Fleet::present in place of three filters by address, Services::engines in place of two matches, unseen_per_milli shared by choices and the census.

--- a/crates/gingerpier_gateway/src/figures.rs
+++ b/crates/gingerpier_gateway/src/figures.rs
@@ -119,12 +119,9 @@
         named: Vec::new(),
     };
     for place in 0..told.services.len() {
-        for (key, engine) in fleet.of_service(&told.services[place].name) {
-            // An engine that ended may stay listed beside the one that took its address.
-            if fleet.at_address(engine.record.address) == Some(key) {
-                let engine = told_engine(engine, place as u32, &mut told, now);
-                told.engines.push(engine);
-            }
+        for (_, engine) in fleet.present(&told.services[place].name) {
+            let engine = told_engine(engine, place as u32, &mut told, now);
+            told.engines.push(engine);
         }
     }
     told
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -5,7 +5,6 @@
     crate::{clock, metrics::Engines},
     gingerpier_serving::{
         admission::{self, Demand, Standing},
-        configuration::ServiceKind,
         dialect::Subject,
         fleet::Record,
         mirror::{Item, Revision},
@@ -97,10 +96,7 @@
         };
         let now = clock::now();
         let fleet = self.fleet.borrow();
-        for service in configuration.services() {
-            let ServiceKind::Engines(engines) = &service.kind else {
-                continue;
-            };
+        for (service, engines) in configuration.services_part().engines() {
             let model = engines.models.first().map(String::as_str);
             let due = model.map_or_else(Vec::new, |model| self.due(model));
             let demand = Demand {
--- a/crates/gingerpier_gateway/src/state/unnamed.rs
+++ b/crates/gingerpier_gateway/src/state/unnamed.rs
@@ -3,20 +3,13 @@
 use {
     super::State,
     crate::{clock, message},
-    gingerpier_serving::{
-        configuration::{Configuration, ServiceKind},
-        dialect::Named,
-        unnamed::Known,
-    },
-    std::rc::Rc,
+    gingerpier_serving::{configuration::Configuration, dialect::Named, unnamed::Known},
 };
 
 /// Models that engines of `configuration` are for, each with its service.
 pub fn models(configuration: &Configuration) -> impl Iterator<Item = (&str, &str)> {
-    configuration.services().iter().filter_map(|service| {
-        let ServiceKind::Engines(engines) = &service.kind else {
-            return None;
-        };
+    let engines = configuration.services_part().engines();
+    engines.filter_map(|(service, engines)| {
         Some((service.name.as_str(), engines.models.first()?.as_str()))
     })
 }
@@ -26,10 +19,8 @@
     pub fn known_weights(&self, service: &str, model: &str) -> Known {
         let now = clock::now();
         let fleet = self.fleet.borrow();
-        let held = fleet
-            .of_service(service)
-            .filter(|(key, engine)| fleet.at_address(engine.record.address) == Some(*key))
-            .filter_map(|(_, engine)| engine.version_of(model, now));
+        let present = fleet.present(service);
+        let held = present.filter_map(|(_, engine)| engine.version_of(model, now));
         Known {
             held: held.max(),
             ..self.known_origin(model)
@@ -49,10 +40,8 @@
     pub fn lacks_weights(&self, service: &str, model: &str) -> bool {
         let now = clock::now();
         let fleet = self.fleet.borrow();
-        fleet.of_service(service).any(|(key, engine)| {
-            let is_there = fleet.at_address(engine.record.address) == Some(key);
-            is_there && engine.version_of(model, now).is_none()
-        })
+        let mut present = fleet.present(service);
+        present.any(|(_, engine)| engine.version_of(model, now).is_none())
     }
 
     /// Notes what the origin was found to have; loaders hear of it at once.
@@ -70,8 +59,7 @@
     /// What loaders are told of weights that nobody named, while some engine lacks them: a loader that hears 36 gateways
     /// would else get some 1.8 KB a second of it, worked out from 25 bytes a word.
     pub fn unnamed(&self) -> Vec<message::Unnamed> {
-        let configuration: Option<Rc<Configuration>> = self.configuration();
-        let Some(configuration) = configuration else {
+        let Some(configuration) = self.configuration() else {
             return Vec::new();
         };
         let told = models(&configuration).filter_map(|(service, model)| {
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -161,10 +161,7 @@
     is_looked_at: impl Fn(EngineKey) -> bool,
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
-    let open = fleet
-        .of_service(demand.service)
-        .filter(|(_, engine)| engine.is_open(now));
-    let unseen_per_milli = demand.others_per_milli / (open.count().max(1) as f64);
+    let unseen_per_milli = unseen_per_milli(fleet, demand, now);
     for (key, engine) in fleet.of_service(demand.service) {
         if !is_looked_at(key) || demand.tried.contains(&key) {
             continue;
@@ -191,6 +188,13 @@
     best
 }
 
+/// Requests of other gateways that come to each open engine in a millisecond.
+fn unseen_per_milli(fleet: &Fleet, demand: &Demand<'_>, now: Instant) -> f64 {
+    let listed = fleet.of_service(demand.service);
+    let open = listed.filter(|(_, engine)| engine.is_open(now)).count();
+    demand.others_per_milli / (open.max(1) as f64)
+}
+
 /// An engine that could run a request.
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
--- a/crates/gingerpier_serving/src/admission/census.rs
+++ b/crates/gingerpier_serving/src/admission/census.rs
@@ -4,7 +4,7 @@
 //! different mends, so a line of a refusal and the metrics count engines by what keeps them from taking it.
 
 use {
-    super::{Demand, bound, error_when_full, least_version, predict},
+    super::{Demand, bound, error_when_full, least_version, predict, unseen_per_milli},
     crate::{
         engine::Engine,
         fleet::{Fleet, State},
@@ -110,9 +110,7 @@
 /// Counts the listed engines of the service by what keeps them from taking the request.
 pub fn census(fleet: &Fleet, demand: &Demand<'_>, now: Instant) -> Census {
     let mut census = Census::default();
-    let open = fleet.of_service(demand.service);
-    let open = open.filter(|(_, engine)| engine.is_open(now)).count();
-    let unseen_per_milli = demand.others_per_milli / (open.max(1) as f64);
+    let unseen_per_milli = unseen_per_milli(fleet, demand, now);
     for (key, engine) in fleet.of_service(demand.service) {
         let standing = match demand.tried.contains(&key) {
             true => Standing::Tried,
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -321,6 +321,15 @@
         keys.iter().map(|key| (*key, self.engine(*key)))
     }
 
+    /// Those of them that are there: an engine that ended may stay listed beside the one that took its address.
+    pub fn present<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (EngineKey, &'a Engine)> + use<'a> {
+        self.of_service(service)
+            .filter(|(_, engine)| !engine.is_replaced)
+    }
+
     /// All engines that are listed.
     pub fn listed(&self) -> impl Iterator<Item = (EngineKey, &Engine)> {
         let all = self.engines.iter().enumerate();
