Sight: lines about requests tell its mark, and whether an engine that broke a connection has ended

Lines could not tell whether two requests are the same one (a return has a new id), nor whether an engine ended or only a connection did. A new connection after a broken one tells whether somebody still listens (Ended, Alive, Unknown). Decisions are as before, but for the wait of one round trip (100 ms at most) before a further try.

--- a/crates/gingerpier_gateway/src/callers/attempt.rs
+++ b/crates/gingerpier_gateway/src/callers/attempt.rs
@@ -163,6 +163,33 @@
     Err(garbled())
 }
 
+/// Whether an engine that broke a connection has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Aftermath {
+    /// Nobody answers at its address any more.
+    Ended,
+    /// It takes connections: it broke off one answer, or a link or a peer did.
+    Alive,
+    /// Neither is known: the way there may be cut.
+    Unknown,
+}
+
+/// Milliseconds within which a refusal comes back from an address where nobody listens: a round trip between regions,
+/// many times over.
+const AFTERMATH_MILLIS: u64 = 100;
+
+/// Asks the machine at `address`, by a new connection, whether somebody still listens there.
+pub async fn aftermath(address: std::net::SocketAddr) -> Aftermath {
+    let deadline = clock::now().after_millis(AFTERMATH_MILLIS);
+    match clock::before(deadline, Connection::connect(address)).await {
+        Some(Ok(_)) => Aftermath::Alive,
+        Some(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Aftermath::Ended
+        }
+        Some(Err(_)) | None => Aftermath::Unknown,
+    }
+}
+
 async fn connect(address: std::net::SocketAddr, now: Instant) -> Result<Connection, Failed> {
     let deadline = now.after_millis(CONNECT_MILLIS);
     let connected = clock::before(deadline, Connection::connect(address)).await;
--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -13,6 +13,7 @@
         configuration::{Configuration, Route, RouteKey, Service, ServiceKey, ServiceKind},
         dialect::Names,
         engine::Engine,
+        mark::{Mark, Subject},
         report::Version,
         returns::Visit,
     },
@@ -48,6 +49,8 @@
     pub deadline: Instant,
     /// Whether its caller was refused before.
     pub visit: Visit,
+    /// What it is known by when it comes again.
+    pub mark: Mark,
 }
 
 impl<'a> Call<'a> {
@@ -88,6 +91,12 @@
         let prompt_tokens = fields
             .text(names.tokens)
             .and_then(|text| text.split(',').next()?.trim().parse().ok());
+        let mark = Mark::of(&Subject {
+            host,
+            target: request.target(),
+            account: tenant.as_deref().unwrap_or_default(),
+            body,
+        });
         Ok(Self {
             request,
             body,
@@ -100,6 +109,7 @@
             caller_deadline,
             deadline,
             visit,
+            mark,
             configuration,
         })
     }
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -4,7 +4,7 @@
     super::{
         After,
         answer::{self, Refusal},
-        attempt::{Cause, Failed},
+        attempt::{Aftermath, Cause, Failed},
         forward::{Course, Whole},
         stream::Progress,
     },
@@ -30,7 +30,12 @@
 const FULL_REST_MILLIS: u64 = 60;
 
 impl Course<'_, '_> {
-    pub(super) fn note_failed(&mut self, engine: EngineKey, failed: Failed) {
+    pub(super) fn note_failed(
+        &mut self,
+        engine: EngineKey,
+        failed: Failed,
+        aftermath: Option<Aftermath>,
+    ) {
         self.cause = Some(failed.cause);
         let now = clock::now();
         let mut fleet = self.state.fleet.borrow_mut();
@@ -47,6 +52,8 @@
                 engine = engine.record.id,
                 cause = ?failed.cause,
                 failure = ?failed.failure,
+                mark = %self.call.mark,
+                aftermath = ?aftermath,
                 report_age = ?engine.report_age(now),
                 attempts = self.standing.attempts,
                 "attempt failed"
@@ -146,6 +153,7 @@
         tracing::info!(
             id = self.call.id(self.state.dialect.names()),
             outcome = ?ending,
+            mark = %self.call.mark,
             route = self.call.rules().name,
             configuration = self.call.configuration.version,
             engine = engine.map(|engine| engine.record.id.as_str()),
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         After,
-        attempt::{self, Begun, Cause, Failed, Sent},
+        attempt::{self, Aftermath, Begun, Cause, Failed, Sent},
         call::{Call, Sending},
         starting::{self, Waited},
         stream::{self, Progress},
@@ -144,7 +144,8 @@
                     }
                 }
             };
-            self.note_failed(engine, failed);
+            let aftermath = self.aftermath(engine, failed).await;
+            self.note_failed(engine, failed, aftermath);
             let now = clock::now();
             let can_move = self.choose(&progress).is_some();
             let pay = || can_move && self.state.take_retry(&self.call.target().name, now);
@@ -157,6 +158,15 @@
         }
     }
 
+    /// What became of an engine that broke a connection.
+    async fn aftermath(&self, engine: EngineKey, failed: Failed) -> Option<Aftermath> {
+        if failed.cause != Cause::Broken {
+            return None;
+        }
+        let address = self.state.fleet.borrow().engine(engine).record.address;
+        Some(attempt::aftermath(address).await)
+    }
+
     /// Waits a moment where no engine was known that could run the request, and this process is starting. Who has
     /// waited for that is late, so it goes on waiting while those that come now take the places.
     async fn wait_for_start(&mut self, caller: &mut Connection) -> Waited {
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod engine;
 pub mod events;
 pub mod fleet;
+pub mod mark;
 pub mod mirror;
 pub mod naming;
 pub mod outage;
