Requests under which three engines ended are sent no more, by no gateway

Cause: nothing was known of a request beyond its one exchange, so each return and each further try started at zero. Change: a request has a mark (host, target, client account, body). Where an engine breaks a connection and nobody listens at its address any more, or it starts again, that counts against all requests that ran there (serving::suspects); gateways tell each other at once, twice again, and by a digest each second to one that may have missed it. A whole answer to the same mark refutes it. One with an end against it runs at one engine at a time, where few others run (serving::trials); from the third event on it is refused at once with the truth, what is under way is broken off, and an operator may let it go (/held, /release/MARK). Ends of one moment count once, and not at all where an eighth of all engines ended together.

--- a/crates/gingerpier_gateway/src/callers/attempt.rs
+++ b/crates/gingerpier_gateway/src/callers/attempt.rs
@@ -178,15 +178,27 @@
 /// many times over.
 const AFTERMATH_MILLIS: u64 = 100;
 
+/// Milliseconds for which a new connection has to stay: an engine that ends breaks its connections before its port is closed.
+const STAYS_MILLIS: u64 = 30;
+
 /// Asks the machine at `address`, by a new connection, whether somebody still listens there.
 pub async fn aftermath(address: std::net::SocketAddr) -> Aftermath {
-    let deadline = clock::now().after_millis(AFTERMATH_MILLIS);
-    match clock::before(deadline, Connection::connect(address)).await {
-        Some(Ok(_)) => Aftermath::Alive,
+    let now = clock::now();
+    let connected = clock::before(
+        now.after_millis(AFTERMATH_MILLIS),
+        Connection::connect(address),
+    );
+    let mut connection = match connected.await {
+        Some(Ok(connection)) => connection,
         Some(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Aftermath::Ended
+            return Aftermath::Ended;
         }
-        Some(Err(_)) | None => Aftermath::Unknown,
+        Some(Err(_)) | None => return Aftermath::Unknown,
+    };
+    let stays = clock::now().after_millis(STAYS_MILLIS);
+    match clock::before(stays, connection.read()).await {
+        Some(Ok(false) | Err(_)) => Aftermath::Ended,
+        Some(Ok(true)) | None => Aftermath::Alive,
     }
 }
 
--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -93,6 +93,7 @@
             gateways: self.state.zones.borrow().gateway_count(),
             others_per_milli: self.state.others_per_milli(service, now),
             tried: &self.tried,
+            may_end_engine: self.is_trial,
         }
     }
 
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -26,16 +26,14 @@
 /// take longer, and a caller that finds none again is lost.
 const RETRY_NO_ENGINE: Range<f64> = 1.0..1.9;
 
+/// The same for a request that is held back until an operator lets it go: nobody waits for that, so coming back is of no use.
+const RETRY_HELD: f64 = 3_600.0;
+
 /// Milliseconds that an engine rests after it refused a request.
 const FULL_REST_MILLIS: u64 = 60;
 
 impl Course<'_, '_> {
-    pub(super) fn note_failed(
-        &mut self,
-        engine: EngineKey,
-        failed: Failed,
-        aftermath: Option<Aftermath>,
-    ) {
+    pub(super) fn note_failed(&mut self, engine: EngineKey, failed: Failed) {
         self.cause = Some(failed.cause);
         let now = clock::now();
         let mut fleet = self.state.fleet.borrow_mut();
@@ -46,6 +44,18 @@
             Cause::Garbled | Cause::EngineFailed => engine.note_trouble(),
             Cause::Full | Cause::Elsewhere => engine.rest(now.after_millis(FULL_REST_MILLIS)),
         }
+    }
+
+    /// Logs an attempt that brought no whole answer.
+    pub(super) fn log_failed(
+        &self,
+        engine: EngineKey,
+        failed: Failed,
+        aftermath: Option<Aftermath>,
+    ) {
+        let now = clock::now();
+        let fleet = self.state.fleet.borrow();
+        let engine = fleet.engine(engine);
         if log::allows_request_line() {
             tracing::info!(
                 id = self.call.id(self.state.dialect.names()),
@@ -90,12 +100,16 @@
             ),
         };
         if ending == Ending::Refused {
-            let service = &self.call.target().name;
-            self.state
-                .note_refused(service, self.call.visit, clock::now());
-            let reason = match self.found_engine {
-                true => Reason::Full,
-                false => Reason::NoEngine,
+            // Who is barred for its own sake says nothing of a lack of engines.
+            if self.barred.is_none() {
+                let service = &self.call.target().name;
+                self.state
+                    .note_refused(service, self.call.visit, clock::now());
+            }
+            let reason = match (self.barred, self.found_engine) {
+                (Some(reason), _) => reason,
+                (None, true) => Reason::Full,
+                (None, false) => Reason::NoEngine,
             };
             let refusals = &self.state.metrics.refusals;
             refusals.get_or_create(&Refused { reason }).inc();
@@ -111,6 +125,9 @@
 
     /// Seconds after which the caller may come again: within a third of what it has left.
     fn retry_after(&self) -> f64 {
+        if self.barred == Some(Reason::Held) {
+            return RETRY_HELD;
+        }
         let left = self.call.caller_deadline.millis_since(clock::now());
         let most = left as f64 / 1_000.0 / 3.0;
         let range = match self.found_engine {
@@ -146,7 +163,8 @@
         }
         let now = clock::now();
         // A census looks at every engine, so not every line has one.
-        let has_census = ending == Ending::Refused && log::allows_census();
+        let lacks_engine = ending == Ending::Refused && self.barred.is_none();
+        let has_census = lacks_engine && log::allows_census();
         let engines = has_census.then(|| self.census());
         let fleet = self.state.fleet.borrow();
         let engine = self.tried.last().map(|key| fleet.engine(*key));
@@ -160,6 +178,7 @@
             report_age = ?engine.and_then(|engine| engine.report_age(now)),
             attempts = self.standing.attempts,
             cause = ?self.cause,
+            barred = self.barred.map(tracing::field::debug),
             predicted = self.predicted_millis as u64,
             first = ?progress.first_millis(self.call.received),
             events = progress.count(),
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         After,
-        attempt::{self, Aftermath, Begun, Cause, Failed, Sent},
+        attempt::{self, Begun, Cause, Failed, Sent},
         call::{Call, Sending},
         starting::{self, Waited},
         stream::{self, Progress},
+        trial::Gate,
     },
-    crate::{clock, state::State},
+    crate::{clock, metrics::Reason, state::State},
     bytes::Bytes,
     gingerpier_base::Instant,
     gingerpier_http1::{
@@ -20,6 +21,7 @@
         course::{Failure, Next, Standing},
         engine::Seen,
         fleet::EngineKey,
+        report::Version,
     },
     std::rc::Rc,
 };
@@ -38,6 +40,8 @@
     Left,
     /// The time of the request is up.
     TimedOut,
+    /// Engines ended under it elsewhere, so it is to end no other.
+    Held,
     /// It is to go on at another engine, and that is paid for.
     Moved,
     /// It brought nothing whole.
@@ -79,6 +83,10 @@
     pub(super) found_engine: bool,
     /// True where it waited while this process started.
     pub(super) has_waited: bool,
+    /// Why it was not sent, where the reason is the request and not the engines.
+    pub(super) barred: Option<Reason>,
+    /// True where it may end the engine that it goes to.
+    pub(super) is_trial: bool,
     /// Number that is drawn for this request, against herds.
     pub(super) draw: u64,
     /// What was known of the load of the engine that was chosen last.
@@ -104,6 +112,8 @@
         cause: None,
         found_engine: true,
         has_waited: false,
+        barred: None,
+        is_trial: false,
         draw: fastrand::u64(..),
         seen: None,
     };
@@ -115,6 +125,16 @@
         let mut progress = Progress::default();
         let mut fallback = None;
         loop {
+            let trial = match self.gate(caller).await {
+                Gate::Open(trial) => trial,
+                Gate::Held => return self.bar(caller, Reason::Held, &progress, fallback).await,
+                Gate::Busy => {
+                    let reason = Reason::OnTrial;
+                    return self.bar(caller, reason, &progress, fallback).await;
+                }
+                Gate::Left => return self.note_left(),
+            };
+            self.is_trial = trial.is_some();
             let Some(engine) = self.choose(&progress) else {
                 match self.wait_for_start(caller).await {
                     Waited::Again => continue,
@@ -134,6 +154,10 @@
                     let next = Next::TimeOut;
                     return self.finish(caller, next, &progress, fallback).await;
                 }
+                Ended::Held => {
+                    self.standing.may_have_run = true;
+                    return self.bar(caller, Reason::Held, &progress, fallback).await;
+                }
                 Ended::Moved => continue,
                 Ended::Failed(failed) => failed,
                 Ended::Answered(whole) => {
@@ -144,8 +168,9 @@
                     }
                 }
             };
-            let aftermath = self.aftermath(engine, failed).await;
-            self.note_failed(engine, failed, aftermath);
+            self.note_failed(engine, failed);
+            let aftermath = self.look_after(engine, failed, &progress).await;
+            self.log_failed(engine, failed, aftermath);
             let now = clock::now();
             let can_move = self.choose(&progress).is_some();
             let pay = || can_move && self.state.take_retry(&self.call.target().name, now);
@@ -158,13 +183,17 @@
         }
     }
 
-    /// What became of an engine that broke a connection.
-    async fn aftermath(&self, engine: EngineKey, failed: Failed) -> Option<Aftermath> {
-        if failed.cause != Cause::Broken {
-            return None;
-        }
-        let address = self.state.fleet.borrow().engine(engine).record.address;
-        Some(attempt::aftermath(address).await)
+    /// Ends a request that is not to be sent, or not any more.
+    async fn bar(
+        &mut self,
+        caller: &mut Connection,
+        reason: Reason,
+        progress: &Progress,
+        fallback: Option<Whole>,
+    ) -> After {
+        self.barred = Some(reason);
+        let next = self.standing.give_up();
+        self.finish(caller, next, progress, fallback).await
     }
 
     /// Waits a moment where no engine was known that could run the request, and this process is starting. Who has
@@ -208,13 +237,15 @@
         };
         let mut patience = stream::first_patience(call, sending.now);
         let begin = attempt::begin(state, call, engine, &sending);
-        tokio::pin!(begin);
+        let held = state.is_held(call.mark);
+        tokio::pin!(begin, held);
         let begun = loop {
             tokio::select! {
                 biased;
                 begun = &mut begin => break begun,
                 () = left(caller) => return Ended::Left,
                 () = clock::until(call.deadline) => return Ended::TimedOut,
+                () = &mut held => return Ended::Held,
                 () = clock::until(patience) => {
                     if self.can_move(progress) {
                         return Ended::Failed(stream::SILENT);
@@ -255,6 +286,7 @@
             Ok(whole) if is_refused => Ended::Failed(refused(whole.head.status)),
             Ok(whole) => {
                 sent.note_answer();
+                self.note_finished(&whole.head);
                 self.pass(caller, whole, engine, progress).await
             }
         }
@@ -277,6 +309,7 @@
             body = connection.body(decoder, MAX_ANSWER_BYTES) => body,
             () = left(caller) => return Err(Ended::Left),
             () = clock::until(self.call.deadline) => return Err(Ended::TimedOut),
+            () = self.state.is_held(self.call.mark) => return Err(Ended::Held),
         };
         let body = body.map_err(|error| Ended::Failed(attempt::failed(error)))?;
         if is_sent {
@@ -306,6 +339,13 @@
         }
     }
 
+    /// Notes that an engine which gave that head ran the request to its end.
+    pub(super) fn note_finished(&self, head: &Response) {
+        let version = head.fields.number(self.state.dialect.names().version);
+        let version = Version(version.unwrap_or_default());
+        self.state.note_finished(self.call.mark, version);
+    }
+
     fn note_success(&self, engine: EngineKey) {
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.engine_mut(engine).note_success();
--- a/crates/gingerpier_gateway/src/callers/mod.rs
+++ b/crates/gingerpier_gateway/src/callers/mod.rs
@@ -8,6 +8,7 @@
 pub mod forward;
 pub mod starting;
 pub mod stream;
+pub mod trial;
 
 use {
     crate::{clock, state::State},
--- a/crates/gingerpier_gateway/src/callers/stream.rs
+++ b/crates/gingerpier_gateway/src/callers/stream.rs
@@ -170,6 +170,8 @@
             .field(b"transfer-encoding", b"chunked")
             .end();
     }
+    let held = course.state.is_held(course.call.mark);
+    tokio::pin!(held);
     let mut events = Vec::new();
     let mut patience = first_patience(course.call, clock::now());
     loop {
@@ -178,6 +180,7 @@
             piece = next_piece(&mut connection, &mut decoder, &mut progress.splitter, &mut events) => piece,
             () = left(caller) => return Ended::Left,
             () = clock::until(course.call.deadline) => return Ended::TimedOut,
+            () = &mut held => return Ended::Held,
             () = clock::until(patience) => {
                 if course.can_move(progress) {
                     progress.splitter.discard();
@@ -215,6 +218,7 @@
                 }
             }
             Piece::End => {
+                course.note_finished(&head);
                 let mut fleet = course.state.fleet.borrow_mut();
                 fleet.engine_mut(sent.engine).note_success();
                 if is_sent {
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
         error::{Error, Step},
         figures, log, relay, reports,
         state::State,
-        store,
+        store, suspects,
         weights::{self, peers},
         zones,
     },
@@ -87,6 +87,8 @@
     }
     actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
     actix_rt::spawn(zones::tell(state.clone(), socket.clone()));
+    actix_rt::spawn(suspects::tell(state.clone(), socket.clone()));
+    actix_rt::spawn(suspects::compare(state.clone(), socket.clone()));
     actix_rt::spawn(reports::take(state.clone(), socket));
     actix_rt::spawn(answer_readiness(state.clone(), readiness));
     actix_rt::spawn(callers::accept(state.clone(), callers));
@@ -119,6 +121,7 @@
         state.settle_doubts();
         state.count_engines();
         state.metrics.left_out.set(state.items.left_out() as i64);
+        state.count_suspects();
         let fleet = state.fleet.borrow();
         let keep = |key: &_| !fleet.engine(*key).is_gone;
         state.pool.borrow_mut().sweep(keep);
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod snapshots;
 pub mod state;
 pub mod store;
+pub mod suspects;
 pub mod weights;
 pub mod zones;
--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -2,10 +2,12 @@
 
 mod figures;
 mod snapshot;
+mod suspects;
 
 pub use {
     figures::{EngineFigures, Figures, OriginFigures, ServiceFigures, ToldEngine, ToldService},
     snapshot::{SharedItem, Snapshot},
+    suspects::{Suspects, ToldCleared, ToldEnd, ToldPardon, ToldTrial},
 };
 use {
     gingerpier_serving::report::{Born, Held, Report, Version},
@@ -230,6 +232,9 @@
     /// Gateways that somebody knows.
     #[n(4)]
     Names(#[n(0)] Names),
+    /// Between gateways.
+    #[n(5)]
+    Suspects(#[n(0)] Suspects),
 }
 
 /// Gateways, where there is nothing else to tell.
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -37,6 +37,10 @@
     NoEngine,
     /// All engines that could run it would have been too late.
     Full,
+    /// Engines ended under it, so that it is sent no more.
+    Held,
+    /// It may end engines, and runs at another one.
+    OnTrial,
 }
 
 /// Label of a reason.
@@ -68,6 +72,8 @@
     DigestPassedOn,
     /// An answer that tells of the store.
     Snapshot,
+    /// Word of requests that ended engines.
+    Suspects,
 }
 
 /// Label of a kind.
@@ -86,6 +92,10 @@
     pub refusals: Family<Refusal, Counter>,
     /// Listed engines by service and by what keeps them from taking a usual request.
     pub engines: Family<Engines, Gauge>,
+    /// Requests under which engines ended, as far as known.
+    pub suspects: Gauge,
+    /// Those of them that are held back.
+    pub held: Gauge,
     /// Items of the store that could not be read, so far.
     pub left_out: Gauge,
     /// Attempts at engines beyond the first.
@@ -111,6 +121,8 @@
         let refusals = Family::<Refusal, Counter>::default();
         let engines = Family::<Engines, Gauge>::default();
         let left_out = Gauge::default();
+        let suspects = Gauge::default();
+        let held = Gauge::default();
         let retries = Counter::default();
         let store_calls = Counter::default();
         let messages = Family::<Message, Counter>::default();
@@ -122,6 +134,12 @@
         registry.register("requests", "Requests by ending", requests.clone());
         registry.register("refusals", "Refused requests", refusals.clone());
         registry.register("engines", "Listed engines by standing", engines.clone());
+        registry.register(
+            "suspects",
+            "Requests under which engines ended",
+            suspects.clone(),
+        );
+        registry.register("held", "Requests that are held back", held.clone());
         registry.register("items_left_out", "Items not understood", left_out.clone());
         registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("store_calls", "Calls to the store", store_calls.clone());
@@ -140,6 +158,8 @@
             refusals,
             engines,
             left_out,
+            suspects,
+            held,
             retries,
             store_calls,
             messages,
--- a/crates/gingerpier_gateway/src/relay.rs
+++ b/crates/gingerpier_gateway/src/relay.rs
@@ -32,6 +32,10 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the requests that are held back, and before the marks of those that are to be let go.
+const HELD_PATH: &str = "/held";
+const RELEASE_PATH: &str = "/release/";
+
 /// Milliseconds between questions to peers.
 const ASK_EVERY_MILLIS: u64 = 300;
 
@@ -98,6 +102,15 @@
     if target == METRICS_PATH {
         return Message::response(200).body(state.metrics.text().as_bytes());
     }
+    if target == HELD_PATH {
+        return Message::response(200).body(state.held_text().as_bytes());
+    }
+    if let Some(mark) = target.strip_prefix(RELEASE_PATH) {
+        let is_named = request.method() == b"POST" && !mark.is_empty();
+        let released = if is_named { state.release(mark) } else { 0 };
+        let status = if released > 0 { 200 } else { 404 };
+        return Message::response(status).body(format!("released={released}\n").as_bytes());
+    }
     let Some(question) = Question::parse(target) else {
         return Message::response(404).body(b"");
     };
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -6,7 +6,7 @@
         message::{self, Datagram, Load, Member, Subscribe},
         metrics::Kind,
         state::State,
-        zones,
+        suspects, zones,
     },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{configuration::ServiceKind, engine::Engine, report::Report},
@@ -130,6 +130,7 @@
             Some(Datagram::Digest(digest)) => zones::take(&state, &socket, digest),
             Some(Datagram::Hello(member)) => discovery::answer(&state, &socket, from, member),
             Some(Datagram::Names(names)) => note_gateways(&state, &names.gateways),
+            Some(Datagram::Suspects(told)) => suspects::take(&state, &socket, &told, from),
             Some(Datagram::Subscribe(_)) | None => {}
         }
     }
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Engines that are listed.
+    pub fn engine_count(&self) -> usize {
+        self.fleet.borrow().listed().count()
+    }
+
     /// Counts listed engines by what keeps them from taking a usual request.
     pub fn count_engines(&self) {
         let Some(configuration) = self.configuration() else {
@@ -112,6 +117,7 @@
                 gateways: 1,
                 others_per_milli: 0.0,
                 tried: &[],
+                may_end_engine: false,
             };
             let census = admission::census(&fleet, &demand, now);
             for standing in Standing::ALL {
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -14,6 +14,7 @@
         metrics::Metrics,
         pool::Pool,
         snapshots::Snapshots,
+        suspects::Knowledge,
         weights::{Carrier, GatewayPlace},
     },
     gingerpier_base::Instant,
@@ -69,6 +70,8 @@
     pub first_loaders: RefCell<BTreeSet<IpAddr>>,
     /// Snapshots that are told to other gateways.
     pub snapshots: Snapshots,
+    /// Requests that ended engines.
+    pub knowledge: Knowledge,
     /// Weights that this gateway carries.
     pub carrier: Rc<Carrier>,
     /// True once the process is to stop.
@@ -117,6 +120,7 @@
             naming: Notify::new(),
             first_loaders: RefCell::default(),
             snapshots: Snapshots::default(),
+            knowledge: Knowledge::default(),
             carrier: Rc::new(Carrier::new(dialect)),
             is_stopping: Cell::new(false),
             has_left: Cell::new(false),
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -122,6 +122,7 @@
             gateways: self.known_gateways as u32,
             others_per_milli: self.arrivals.per_milli(now) * others,
             tried: ask.tried,
+            may_end_engine: false,
         };
         admission::choose(&self.fleet, &demand, now, ask.draw)
     }
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -25,6 +25,10 @@
 /// Milliseconds that a share of failures of 1 counts as.
 const FAILURE_MILLIS: f64 = 400.0;
 
+/// Milliseconds that another request at an engine counts as, for a request that may end that engine: those beside it are
+/// interrupted and read again, some 60 ms each, and about half of such requests are innocent.
+const COMPANY_MILLIS: f64 = 30.0;
+
 /// Targets that a request of an ordinary service may be predicted to take: short work that comes
 /// late is worth more than none, and makes few others late.
 const PLAIN_SHARE: f64 = 2.0;
@@ -91,6 +95,8 @@
     pub others_per_milli: f64,
     /// Engines that it went to already.
     pub tried: &'a [EngineKey],
+    /// True where it may end the engine that runs it, so that it should go where few others run.
+    pub may_end_engine: bool,
 }
 
 /// What becomes of a request.
@@ -175,7 +181,7 @@
         if !fits(engine, demand, now, starts) {
             continue;
         }
-        let cost = predicted + late + penalty(engine, demand) + draw_of(key, draw);
+        let cost = predicted + late + penalty(engine, demand, now) + draw_of(key, draw);
         if best.is_none_or(|best| cost < best.cost) {
             best = Some(Candidate {
                 key,
@@ -261,13 +267,17 @@
     }
 }
 
-fn penalty(engine: &Engine, demand: &Demand<'_>) -> f64 {
+fn penalty(engine: &Engine, demand: &Demand<'_>, now: Instant) -> f64 {
     let away = if engine.record.zone == demand.zone {
         0.0
     } else {
         OTHER_ZONE_MILLIS
     };
-    away + FAILURE_MILLIS * engine.failure_share()
+    let company = match demand.may_end_engine {
+        true => COMPANY_MILLIS * engine.occupancy(now),
+        false => 0.0,
+    };
+    away + company + FAILURE_MILLIS * engine.failure_share()
 }
 
 fn bound(demand: &Demand<'_>) -> f64 {
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -337,6 +337,11 @@
             .map(|(index, engine)| (EngineKey(index as u32), engine))
     }
 
+    /// All engines that were ever known.
+    pub fn known(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.iter()
+    }
+
     /// The listed engine at `address`; the one that was listed last, where an address was reused.
     pub fn at_address(&self, address: SocketAddr) -> Option<EngineKey> {
         let mut here = self.by_address.get(&address)?.iter().copied();
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -40,6 +40,8 @@
 pub mod prediction;
 pub mod report;
 pub mod returns;
+pub mod suspects;
+pub mod trials;
 pub mod unnamed;
 pub mod watching;
 pub mod zones;
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -104,6 +104,7 @@
         zone: "z",
         others_per_milli: 0.0,
         tried: &[],
+        may_end_engine: false,
     }
 }
 
