Red: one clock for all processes, and what it does not count while a machine is suspended

The two clock modules are one crate, with the boot clock to be injected; it reads the steady clock as they did.

--- a/crates/gingerpier_daemon/src/backend/engines.rs
+++ b/crates/gingerpier_daemon/src/backend/engines.rs
@@ -284,7 +284,7 @@
             loop {
                 self.look_at(&slot).await;
                 self.touch();
-                clock::sleep(LOOK_MILLIS).await;
+                clock::pause(LOOK_MILLIS).await;
             }
         });
     }
@@ -438,7 +438,7 @@
         self.touch();
         let deadline: Instant = clock::now().after_millis(SWITCH_MILLIS);
         while slot.running() > 0 && !deadline.has_passed(clock::now()) {
-            clock::sleep(LOOK_MILLIS / 10).await;
+            clock::pause(LOOK_MILLIS / 10).await;
         }
     }
 
--- a/crates/gingerpier_daemon/src/backend/fetches.rs
+++ b/crates/gingerpier_daemon/src/backend/fetches.rs
@@ -225,8 +225,8 @@
                 }
             }
             drop(fetching);
-            let next = actix_rt::time::timeout(clock::left(look_at), ended.recv());
-            if let Ok(Some(Ended {
+            let next = clock::before(look_at, ended.recv());
+            if let Some(Some(Ended {
                 chunk,
                 attempt,
                 outcome,
@@ -374,7 +374,7 @@
                 }
             }
             weak.upgrade()?.trouble.replace(last);
-            actix_rt::time::sleep(clock::left(again_at)).await;
+            clock::until(again_at).await;
         }
     }
 
--- a/crates/gingerpier_daemon/src/backend/mod.rs
+++ b/crates/gingerpier_daemon/src/backend/mod.rs
@@ -164,7 +164,7 @@
         const SWEEP_MILLIS: u64 = 5_000;
         actix_rt::spawn(async move {
             loop {
-                clock::sleep(SWEEP_MILLIS).await;
+                clock::pause(SWEEP_MILLIS).await;
                 self.attempts.sweep();
                 self.process
                     .metrics
@@ -180,7 +180,7 @@
         let Millis(patience) = self.settings.stop_patience;
         let deadline = clock::now().after_millis(patience);
         while self.attempts.running() > 0 && !deadline.has_passed(clock::now()) {
-            clock::sleep(DRAIN_LOOK_MILLIS).await;
+            clock::pause(DRAIN_LOOK_MILLIS).await;
         }
         tracing::info!(event = "stopped", broken_off = self.attempts.running());
     }
--- a/crates/gingerpier_daemon/src/backend/peers.rs
+++ b/crates/gingerpier_daemon/src/backend/peers.rs
@@ -191,12 +191,12 @@
             if stream.send(&Reply::Status(status.clone())).await.is_err() {
                 return;
             }
-            clock::sleep(LEAST_REPORT_MILLIS).await;
+            clock::pause(LEAST_REPORT_MILLIS).await;
             let due = clock::now().after_millis(REPORT_MILLIS);
             while self.status(entry) == status && !due.has_passed(clock::now()) {
                 // A change of no moment is followed by more waiting.
                 let changed = changes.changed();
-                let _ = actix_rt::time::timeout(clock::left(due), changed).await;
+                let _ = clock::before(due, changed).await;
             }
         }
     }
--- a/crates/gingerpier_daemon/src/backend/serving.rs
+++ b/crates/gingerpier_daemon/src/backend/serving.rs
@@ -93,8 +93,7 @@
 
     /// Output of `work`, where it comes before the peer is to be told.
     async fn before_word<F: Future>(&self, work: F) -> Option<F::Output> {
-        let left = clock::left(self.due());
-        actix_rt::time::timeout(left, work).await.ok()
+        clock::before(self.due(), work).await
     }
 
     /// Output of `work`; the peer is told meanwhile that what it asked for will come.
--- a/crates/gingerpier_daemon/src/entry/links.rs
+++ b/crates/gingerpier_daemon/src/entry/links.rs
@@ -90,7 +90,7 @@
             loop {
                 self.read_box_list().await;
                 self.clone().sweep_boxes();
-                clock::sleep(LIST_MILLIS).await;
+                clock::pause(LIST_MILLIS).await;
             }
         });
     }
@@ -196,7 +196,7 @@
                 Ok(Err(error)) => tracing::debug!(event = "box_unreachable", %error),
                 Err(_) => tracing::debug!(event = "box_silent", name = %member.name),
             }
-            clock::sleep(pause).await;
+            clock::pause(pause).await;
             pause = (2 * pause).min(MOST_RETRY_MILLIS);
         }
     }
--- a/crates/gingerpier_daemon/src/entry/mod.rs
+++ b/crates/gingerpier_daemon/src/entry/mod.rs
@@ -201,7 +201,7 @@
     fn install_sweeps(self: Rc<Self>) {
         actix_rt::spawn(async move {
             loop {
-                clock::sleep(SWEEP_MILLIS).await;
+                clock::pause(SWEEP_MILLIS).await;
                 self.claims.borrow_mut().sweep(clock::now());
                 self.process
                     .metrics
@@ -215,7 +215,7 @@
     async fn drain(&self) {
         let deadline = clock::now().after_millis(self.settings.requests.patience.0);
         while self.in_flight.get() > 0 && !deadline.has_passed(clock::now()) {
-            clock::sleep(DRAIN_LOOK_MILLIS).await;
+            clock::pause(DRAIN_LOOK_MILLIS).await;
         }
         tracing::info!(event = "stopped", broken_off = self.in_flight.get());
     }
--- a/crates/gingerpier_daemon/src/entry/operators.rs
+++ b/crates/gingerpier_daemon/src/entry/operators.rs
@@ -154,7 +154,7 @@
             if behind.is_empty() || deadline.has_passed(clock::now()) {
                 return behind;
             }
-            clock::sleep(LOOK_MILLIS).await;
+            clock::pause(LOOK_MILLIS).await;
         }
     }
 
--- a/crates/gingerpier_daemon/src/entry/planning.rs
+++ b/crates/gingerpier_daemon/src/entry/planning.rs
@@ -42,7 +42,7 @@
     pub fn install_planning(self: Rc<Self>) {
         actix_rt::spawn(async move {
             loop {
-                clock::sleep(LEASE_MILLIS / 2).await;
+                clock::pause(LEASE_MILLIS / 2).await;
                 if self.process.is_leaving() || self.rank(order::hash(SUBJECT), None) >= CANDIDATES
                 {
                     continue;
@@ -52,7 +52,7 @@
                     Ok(None) => {}
                     Err(error) => tracing::debug!(event = "no_lease", %error),
                 }
-                clock::sleep(LEASE_MILLIS / 2).await;
+                clock::pause(LEASE_MILLIS / 2).await;
             }
         });
     }
@@ -116,7 +116,7 @@
                 tracing::warn!(event = "planner_fenced", fence = held.fence.changed);
                 return;
             }
-            clock::sleep(LOOK_MILLIS).await;
+            clock::pause(LOOK_MILLIS).await;
         }
     }
 
--- a/crates/gingerpier_daemon/src/entry/requests.rs
+++ b/crates/gingerpier_daemon/src/entry/requests.rs
@@ -276,7 +276,7 @@
     async fn attempt_over(&mut self, key: AttemptKey, choice: &Choice, link: &Link) -> Event {
         let mut events = Relay::begin(self.frame(key, choice), self.job.body.clone(), link.clone());
         loop {
-            let deadline = actix_rt::time::sleep(clock::left(self.job.deadline));
+            let deadline = clock::until(self.job.deadline);
             let told = {
                 let next = pin!(events.next());
                 let over = pin!(deadline);
@@ -407,7 +407,7 @@
             return None;
         }
         let mut asking = pin!(asking);
-        let deadline = actix_rt::time::sleep(clock::left(self.job.deadline));
+        let deadline = clock::until(self.job.deadline);
         tokio::select! {
             biased;
             event = &mut asking => Some(event),
@@ -426,13 +426,13 @@
             .filter(|link| !link.is_closed())
         {
             let asked = revoke_over(&link, key, choice.incarnation);
-            match actix_rt::time::timeout(clock::left(deadline), asked).await {
-                Ok(Ok(revocation)) => return Event::Revoked(revocation),
-                Ok(Err(error)) => tracing::debug!(event = "revocation_lost", %error),
-                Err(_) => return Event::LinkLost,
+            match clock::before(deadline, asked).await {
+                Some(Ok(revocation)) => return Event::Revoked(revocation),
+                Some(Err(error)) => tracing::debug!(event = "revocation_lost", %error),
+                None => return Event::LinkLost,
             }
         }
-        clock::sleep(LOOK_MILLIS).await;
+        clock::pause(LOOK_MILLIS).await;
     }
     Event::LinkLost
 }
--- a/crates/gingerpier_daemon/src/entry/spreading.rs
+++ b/crates/gingerpier_daemon/src/entry/spreading.rs
@@ -48,7 +48,7 @@
         actix_rt::spawn(async move {
             loop {
                 self.compare().await;
-                clock::sleep(COMPARE_MILLIS).await;
+                clock::pause(COMPARE_MILLIS).await;
             }
         });
     }
@@ -164,13 +164,13 @@
         while !link.is_closed() {
             let zone = self.process.hello.zone.name.clone();
             let rank = self.rank(order::hash(&name), Some(&zone)) as u64;
-            clock::sleep(RANK_MILLIS * rank).await;
+            clock::pause(RANK_MILLIS * rank).await;
             self.inform_once(key, &link, &mut told_boxes).await;
             let look = Duration::from_millis(LOOK_MILLIS);
             let changed = async {
                 tokio::select! {
                     _ = revisions.changed() => {}
-                    _ = boxes.changed() => clock::sleep(RANK_MILLIS / 3).await,
+                    _ = boxes.changed() => clock::pause(RANK_MILLIS / 3).await,
                 }
             };
             // Without a change, the look is taken all the same.
--- a/crates/gingerpier_daemon/src/entry/store.rs
+++ b/crates/gingerpier_daemon/src/entry/store.rs
@@ -294,7 +294,7 @@
             if let Err(error) = watched {
                 tracing::debug!(event = "watch_lost", %error);
             }
-            clock::sleep(LOOK_MILLIS).await;
+            clock::pause(LOOK_MILLIS).await;
         }
     }
 
@@ -389,7 +389,7 @@
             };
             if matches!(event, Event::Refused | Event::Lost) {
                 failures += 1;
-                clock::sleep(RETRY_MILLIS * failures).await;
+                clock::pause(RETRY_MILLIS * failures).await;
             }
             action = proposal.step(event);
         }
--- a/crates/gingerpier_daemon/src/lateness.rs
+++ b/crates/gingerpier_daemon/src/lateness.rs
@@ -75,7 +75,7 @@
     loop {
         let before = Count::read();
         let due = clock::now().after_millis(TURN_MILLIS);
-        clock::sleep(TURN_MILLIS).await;
+        clock::pause(TURN_MILLIS).await;
         let now = clock::now();
         let late_millis = now.millis_since(due);
         metrics.turn_delay.observe(late_millis as f64 / 1_000.0);
--- a/crates/gingerpier_daemon/src/lib.rs
+++ b/crates/gingerpier_daemon/src/lib.rs
@@ -13,7 +13,6 @@
 //! ```
 
 pub mod backend;
-pub mod clock;
 pub mod entry;
 pub mod error;
 pub mod lateness;
@@ -24,3 +23,5 @@
 pub mod process;
 pub mod run;
 pub mod table;
+
+pub use gingerpier_clock as clock;
--- a/crates/gingerpier_daemon/src/process.rs
+++ b/crates/gingerpier_daemon/src/process.rs
@@ -204,9 +204,10 @@
         actix_rt::spawn(async move {
             loop {
                 process.count_traffic();
-                clock::sleep(TRAFFIC_MILLIS).await;
+                clock::pause(TRAFFIC_MILLIS).await;
             }
         });
+        actix_rt::spawn(clock::watch());
         actix_rt::spawn(lateness::watch(self.metrics.clone()));
         actix_rt::spawn(self.metrics.clone().serve(listener));
         Ok(address)
@@ -235,7 +236,7 @@
         let process = self.clone();
         actix_rt::spawn(async move {
             loop {
-                clock::sleep(KEYS_MILLIS).await;
+                clock::pause(KEYS_MILLIS).await;
                 if let Some(credentials) = process.renew_keys() {
                     renewed(credentials).await;
                 }
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -74,6 +74,7 @@
     tracing::info!(name = settings.name, zone = settings.zone, callers = %settings.callers, "gateway starts");
     let state = Rc::new(State::new(settings, dialect));
     let socket = Rc::new(socket);
+    actix_rt::spawn(clock::watch());
     actix_rt::spawn(discovery::greet(state.clone(), socket.clone()));
     actix_rt::spawn(discovery::look(state.clone()));
     actix_rt::spawn(store::follow(state.clone()));
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -19,7 +19,6 @@
 
 pub mod callers;
 pub mod client;
-pub mod clock;
 pub mod compression;
 pub mod discovery;
 pub mod error;
@@ -39,3 +38,5 @@
 pub mod suspects;
 pub mod weights;
 pub mod zones;
+
+pub use gingerpier_clock as clock;
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -332,6 +332,7 @@
     let mut hangup = hangup.map_err(at(Step::Signals))?;
     tracing::info!(name = settings.name, zone = settings.zone, engine = %settings.engine, "loader starts");
     let loader = Rc::new(Loader::new(settings, dialect));
+    actix_rt::spawn(clock::watch());
     actix_rt::spawn(follow::follow(loader.clone()));
     actix_rt::spawn(peers::serve(loader.carrier.clone(), listener));
     actix_rt::spawn(report::take(loader.clone(), socket.clone()));
