Processes measure by the clock that goes on while their machine is suspended, and look at their deadlines when it wakes up

Cause: all instants were taken from the steady clock, which stands meanwhile, so after a suspension reports, contact, leases and deadlines looked as fresh as before. Timers of fixed length still count steady time; they bound waits, and no belief.

--- a/crates/gingerpier_clock/src/lib.rs
+++ b/crates/gingerpier_clock/src/lib.rs
@@ -35,7 +35,7 @@
 /// Tells who waits that the machine woke up.
 static WOKE: Notify = Notify::const_new();
 
-static START: LazyLock<u64> = LazyLock::new(|| millis(ClockId::Monotonic));
+static START: LazyLock<u64> = LazyLock::new(|| millis(ClockId::Boottime));
 
 thread_local! {
     /// Time for which the machine was suspended, as far as this thread is made to believe.
@@ -49,8 +49,8 @@
 
 /// Now.
 pub fn now() -> Instant {
-    let elapsed = millis(ClockId::Monotonic).saturating_sub(*START);
-    Instant::from_millis(HEAD_START_MILLIS + elapsed)
+    let elapsed = millis(ClockId::Boottime).saturating_sub(*START);
+    Instant::from_millis(HEAD_START_MILLIS + elapsed + PRETENDED_MILLIS.get())
 }
 
 /// Present wall-clock time, for people.
