--- a/crates/gingerpier_cli/src/arguments.rs
+++ b/crates/gingerpier_cli/src/arguments.rs
@@ -4,7 +4,7 @@
     clap::{Parser, Subcommand},
     clap_complete::Shell,
     gingerpier_base::Name,
-    std::path::PathBuf,
+    std::{net::SocketAddr, path::PathBuf},
 };
 
 const EXAMPLES: &str = "\
@@ -96,6 +96,18 @@
         /// Settings file.
         file: PathBuf,
     },
+    /// Lists requests that the gateways of a platform hold back, since engines ended under them.
+    Held {
+        /// Control address of any gateway.
+        gateway: SocketAddr,
+    },
+    /// Lets requests go again that are held back, at all gateways.
+    Release {
+        /// Control address of any gateway.
+        gateway: SocketAddr,
+        /// Mark, or the beginning of it, as lists and logs show it.
+        mark: String,
+    },
     /// Prints the grammar of the operators' language.
     Grammar,
     /// Prints completions for a shell.
--- a/crates/gingerpier_cli/src/error.rs
+++ b/crates/gingerpier_cli/src/error.rs
@@ -38,6 +38,13 @@
     Name(gingerpier_base::name::Error),
     /// no entry box answers: {0}
     NoEntry(String),
+    /// gateway {gateway} does not answer: {what}
+    NoGateway {
+        /// Its control address.
+        gateway: std::net::SocketAddr,
+        /// What happened.
+        what: String,
+    },
 }
 
 impl std::error::Error for Error {}
--- a/crates/gingerpier_cli/src/lib.rs
+++ b/crates/gingerpier_cli/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod desk;
 pub mod error;
 pub mod exit;
+pub mod held;
 pub mod keys;
 pub mod manifest;
 pub mod show;
--- a/crates/gingerpier_cli/src/main.rs
+++ b/crates/gingerpier_cli/src/main.rs
@@ -8,7 +8,7 @@
         arguments::Command,
         desk::{Desk, new_identity},
         exit::Exit,
-        keys, manifest, show, watch,
+        held, keys, manifest, show, watch,
     },
     gingerpier_daemon::{operate::Asked, run},
     std::{io, path::Path, process::ExitCode},
@@ -22,7 +22,7 @@
         Err(error) => {
             eprintln!("gingerpier: {error}");
             let exit = match error {
-                Error::NoEntry(_) => Exit::Unavailable,
+                Error::NoEntry(_) | Error::NoGateway { .. } => Exit::Unavailable,
                 _ => Exit::Refused,
             };
             exit.into()
@@ -87,6 +87,8 @@
             println!("{} is right", file.display());
             Ok(Exit::Done)
         }
+        Command::Held { gateway } => held::list(gateway).await,
+        Command::Release { gateway, mark } => held::release(gateway, &mark).await,
         Command::Grammar => {
             print!("{}", gingerpier_language::GRAMMAR);
             Ok(Exit::Done)
