Engines whose entries lapsed while the store was away have their two seconds however late its return is noticed

Cause, now shown: the pause behind a failed call took up to 2 s, and lapsed engines were kept for 2.5 s from that call, so that 0.5 s could be left of the 2 s that they have to write again. Change: the pause is 1 s at most, and they are kept for that and 2 s.

--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -14,6 +14,7 @@
     gingerpier_serving::{
         dialect::{Call, Dialect, Page, Scope, Watched},
         mirror::{Item, Revision},
+        outage::MOST_PAUSE_MILLIS,
         watching::{Step, Watching},
     },
     std::{net::SocketAddr, rc::Rc},
@@ -48,7 +49,7 @@
 /// Most milliseconds of the pause after a first failed call; it doubles with each one that follows.
 const RETRY_MILLIS: u64 = 500;
 
-/// Most times that the pause after a failed call doubles: a store that is back is found within 2 s.
+/// Most times that the pause after a failed call doubles.
 const MOST_DOUBLINGS: u32 = 2;
 
 /// Milliseconds after which pages that were read are not worth keeping: the store remembers what changed
@@ -290,6 +291,7 @@
     /// does not come back at the same moment.
     async fn pause_after_failure(&mut self) {
         let most = RETRY_MILLIS << self.failures.min(MOST_DOUBLINGS);
+        let most = most.min(MOST_PAUSE_MILLIS);
         self.failures += 1;
         clock::pause(fastrand::u64(BATCH_MILLIS..most)).await;
     }
--- a/crates/gingerpier_serving/src/outage.rs
+++ b/crates/gingerpier_serving/src/outage.rs
@@ -35,10 +35,14 @@
 /// again. An engine that left serves on for two seconds at least, so none that did is sent work for longer.
 const BACK_MILLIS: u64 = 2_000;
 
-/// Milliseconds from the end of a call that failed for which entries may be missing because of it. The store's
-/// return is noticed within half a second by a call that waits, so this reaches to three seconds
-/// from the return at most, by which everybody has to know again who has left.
-const EXCUSED_MILLIS: u64 = 2_500;
+/// Most milliseconds between a call that failed and the next one: the store may return right behind the first, and is
+/// noticed with the second.
+pub const MOST_PAUSE_MILLIS: u64 = 1_000;
+
+/// Milliseconds from the end of a call that failed for which entries may be missing because of it: engines have all of their
+/// time from the return, whenever that was, and three seconds from the return at most, by which everybody has to know again
+/// who has left. Where it was shorter than the pause and that time together, engines were refused 0.8 s after the return.
+const EXCUSED_MILLIS: u64 = MOST_PAUSE_MILLIS + BACK_MILLIS;
 
 /// Milliseconds without a word of the store below which no entry lapses: an engine writes three times while
 /// its entry lives, every few hundred milliseconds.
