An order of weights that came to nothing is given again later and later

Cause: a loader gave it again 0.2 s after its engine was back, each time, so weights that end each engine which takes them ended all of them without end. Change: after an order that was taken and came to nothing it waits 0.5 s, doubling to 16 s; newer weights are taken as before.

--- a/crates/gingerpier_gateway/src/loader/bring.rs
+++ b/crates/gingerpier_gateway/src/loader/bring.rs
@@ -1,7 +1,11 @@
 //! Brings the engine to the weights that operators named.
 
 use {
-    super::{Loader, change::Notice, follow},
+    super::{
+        Loader,
+        change::{self, Notice, Ordered},
+        follow,
+    },
     crate::{
         clock,
         weights::{self, fetch, sources::Task},
@@ -64,6 +68,13 @@
 /// Milliseconds after a failed round.
 const PAUSE_MILLIS: u64 = 200;
 
+/// Milliseconds after an order that was taken and came to nothing; it doubles with each one that follows. Weights that end
+/// each engine which takes them ended one 10 times in 10 s where it was the same each time.
+const VAIN_MILLIS: u64 = 500;
+
+/// Most times that it doubles, to 16 s: an engine that ended of something else, again and again, is not left alone.
+const MOST_VAIN_DOUBLINGS: u32 = 5;
+
 /// Share of a version's chunks from which on it comes to its end although a newer one was named:
 /// gateways, which are ahead, finish a version from the half on.
 const WORTH_FINISHING: f64 = 0.25;
@@ -169,6 +180,7 @@
 async fn bring(loader: Rc<Loader>, wanted: Named) {
     let named = fetch::fetch(&loader.carrier, || task(&loader, &wanted)).await;
     loader.note_complete(named.version);
+    let mut vain = 0;
     loop {
         wait_for_turn(&loader, &named).await;
         // Chunks of one version at a time lie at the engine, until it has taken them.
@@ -184,12 +196,22 @@
             continue;
         }
         let notice = Notice::give(&loader, &named).await;
-        let is_laid = super::change::lay(&loader, &named).await;
-        if is_laid && super::change::order(&loader, &named, &notice).await {
-            return;
-        }
+        let is_laid = change::lay(&loader, &named).await;
+        let ordered = match is_laid {
+            true => change::order(&loader, &named, &notice).await,
+            false => Ordered::NotTaken,
+        };
         drop(notice);
-        clock::pause(PAUSE_MILLIS).await;
+        match ordered {
+            Ordered::Held => return,
+            Ordered::NotTaken => clock::pause(PAUSE_MILLIS).await,
+            Ordered::InVain => {
+                let pause = VAIN_MILLIS << vain.min(MOST_VAIN_DOUBLINGS);
+                vain += 1;
+                tracing::warn!(version = named.version.0, vain, pause, "start was in vain");
+                clock::pause(pause).await;
+            }
+        }
     }
 }
 
--- a/crates/gingerpier_gateway/src/loader/change.rs
+++ b/crates/gingerpier_gateway/src/loader/change.rs
@@ -100,8 +100,19 @@
     true
 }
 
-/// Orders the engine to take what lies there; true once it holds it.
-pub async fn order(loader: &Loader, named: &Named, notice: &Notice<'_>) -> bool {
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ordered {
+    /// The engine holds the weights.
+    Held,
+    /// It did not take the order, as far as known.
+    NotTaken,
+    /// It took the order and holds them all the same not: it may have ended of them.
+    InVain,
+}
+
+/// Orders the engine to take what lies there.
+pub async fn order(loader: &Loader, named: &Named, notice: &Notice<'_>) -> Ordered {
     clock::until(notice.ends).await;
     let sequence = loader
         .report
@@ -125,12 +136,15 @@
     clock::pause(REPORTED_MILLIS).await;
     loader.set_ordering(false);
     if outcome == Some(Started::Refused) {
-        return false;
+        return Ordered::NotTaken;
     }
     while !loader.is_engine_free() && loader.report.borrow().is_some() {
         clock::pause(LOOK_MILLIS).await;
     }
-    loader
-        .held(&named.model)
-        .is_some_and(|held| held >= named.version)
+    let held = loader.held(&named.model);
+    match held.is_some_and(|held| held >= named.version) {
+        true => Ordered::Held,
+        false if outcome.is_some() => Ordered::InVain,
+        false => Ordered::NotTaken,
+    }
 }
