--- a/crates/gingerpier_gateway/src/log.rs
+++ b/crates/gingerpier_gateway/src/log.rs
@@ -11,7 +11,9 @@
         io::Write,
         sync::{Arc, Mutex, PoisonError},
     },
-    tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt},
+    tracing_subscriber::{
+        EnvFilter, Layer, fmt::MakeWriter, layer::SubscriberExt, util::SubscriberInitExt,
+    },
 };
 
 /// Environment variable that sets the level, as in `debug`.
@@ -41,7 +43,8 @@
         change(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn take(&self) -> Vec<u8> {
+    /// Takes what waits, with a line that counts those left out.
+    pub fn take(&self) -> Vec<u8> {
         self.change(|buffer| {
             if buffer.left_out > 0 {
                 let _ = writeln!(
@@ -56,6 +59,14 @@
     }
 }
 
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Self;
+
+    fn make_writer(&'a self) -> Self {
+        self.clone()
+    }
+}
+
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
         self.change(|buffer| {
@@ -77,11 +88,10 @@
 pub fn start() -> Lines {
     let lines = Lines::default();
     let level = EnvFilter::try_from_env(LEVEL_VARIABLE).unwrap_or_else(|_| EnvFilter::new("info"));
-    let writer = lines.clone();
     let layer = tracing_logfmt::builder()
         .with_target(false)
         .layer()
-        .with_writer(move || writer.clone())
+        .with_writer(lines.clone())
         .with_filter(level);
     // A process that embeds the daemon may log already; its choice stands.
     let _ = tracing_subscriber::registry().with(layer).try_init();
