Log lines wait whole, or are left out whole

Cause: the writer took a line's pieces one by one and left out what was over its bound, in the middle of lines. Change: a line is put together first. Test: failed at the first torn line -> all of 40,000 are whole or counted.

--- a/crates/gingerpier_gateway/src/log.rs
+++ b/crates/gingerpier_gateway/src/log.rs
@@ -60,23 +60,27 @@
 }
 
 impl<'a> MakeWriter<'a> for Lines {
-    type Writer = Self;
+    type Writer = Line;
 
-    fn make_writer(&'a self) -> Self {
-        self.clone()
+    fn make_writer(&'a self) -> Line {
+        Line {
+            lines: self.clone(),
+            text: Vec::new(),
+        }
     }
 }
 
-impl Write for Lines {
-    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        self.change(|buffer| {
-            if buffer.waiting.len() + line.len() > MAX_WAITING_BYTES {
-                buffer.left_out += 1;
-            } else {
-                buffer.waiting.extend_from_slice(line);
-            }
-        });
-        Ok(line.len())
+/// A line that is being written, in pieces. It waits with the others once it is whole, or is left out as a whole.
+#[derive(Debug)]
+pub struct Line {
+    lines: Lines,
+    text: Vec<u8>,
+}
+
+impl Write for Line {
+    fn write(&mut self, piece: &[u8]) -> std::io::Result<usize> {
+        self.text.extend_from_slice(piece);
+        Ok(piece.len())
     }
 
     fn flush(&mut self) -> std::io::Result<()> {
@@ -84,6 +88,18 @@
     }
 }
 
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.lines.change(|buffer| {
+            if buffer.waiting.len() + self.text.len() > MAX_WAITING_BYTES {
+                buffer.left_out += 1;
+            } else {
+                buffer.waiting.append(&mut self.text);
+            }
+        });
+    }
+}
+
 /// Starts logging; must be called within a runtime.
 pub fn start() -> Lines {
     let lines = Lines::default();
