Suspects after one end wait for nobody's engine, and ends of many engines at once make none

Cause: trials kept each suspect at an engine of its own, so that after a crash of some engines their innocent requests were more than the engines that were left, and were refused. Change: from two ends on only; one end alone prefers such an engine.

--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -92,10 +92,7 @@
             zone: &self.state.settings.zone,
             gateways: self.state.zones.borrow().gateway_count(),
             others_per_milli: self.state.others_per_milli(service, now),
-            tried: match self.is_trial {
-                true => &self.avoided,
-                false => &self.tried,
-            },
+            tried: &self.tried,
             may_end_engine: self.is_trial,
         }
     }
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -87,8 +87,6 @@
     pub(super) barred: Option<Reason>,
     /// True where it may end the engine that it goes to.
     pub(super) is_trial: bool,
-    /// Engines that it does not go to then: those that it went to, and those with other trials.
-    pub(super) avoided: Vec<EngineKey>,
     /// Number that is drawn for this request, against herds.
     pub(super) draw: u64,
     /// What was known of the load of the engine that was chosen last.
@@ -116,7 +114,6 @@
         has_waited: false,
         barred: None,
         is_trial: false,
-        avoided: Vec::new(),
         draw: fastrand::u64(..),
         seen: None,
     };
--- a/crates/gingerpier_gateway/src/message/suspects.rs
+++ b/crates/gingerpier_gateway/src/message/suspects.rs
@@ -107,9 +107,9 @@
     /// Gateway.
     #[n(1)]
     pub by: SocketAddr,
-    /// Engine.
+    /// Engine, where no other trial may be beside it.
     #[n(2)]
-    pub engine: u64,
+    pub engine: Option<u64>,
     /// True where it is over.
     #[n(3)]
     pub is_over: bool,
@@ -121,7 +121,7 @@
         Self {
             mark: trial.mark.into(),
             by: trial.by,
-            engine: trial.engine.0,
+            engine: trial.engine.map(|engine| engine.0),
             is_over,
         }
     }
@@ -131,7 +131,7 @@
         Trial {
             by: self.by,
             mark: self.mark.into(),
-            engine: Incarnation(self.engine),
+            engine: self.engine.map(Incarnation),
         }
     }
 }
--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -37,7 +37,7 @@
     gingerpier_base::{Instant, order},
     std::{
         cmp::Reverse,
-        collections::{HashMap, HashSet, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     },
 };
 
@@ -125,7 +125,9 @@
 pub enum Standing {
     /// Nothing counts against it.
     Clear,
-    /// Engines ended under it, fewer than hold it back.
+    /// An engine ended under it, and whatever else ran there is as likely to have ended it: it is sent to one engine at a time.
+    Noted,
+    /// Engines ended under it, fewer than hold it back: it is sent to one at a time, where no other such request runs.
     Suspect,
     /// It is sent no more.
     Held,
@@ -141,16 +143,16 @@
     /// Newest version of weights by which it was answered whole.
     pub cleared: Option<Version>,
     /// Engines that do not count any more, by an operator's word.
-    pub pardoned: HashSet<Incarnation>,
+    pub pardoned: BTreeSet<Incarnation>,
 }
 
 impl Case {
-    fn new(account: u32) -> Self {
+    const fn new(account: u32) -> Self {
         Self {
             account,
             ends: Vec::new(),
             cleared: None,
-            pardoned: HashSet::new(),
+            pardoned: BTreeSet::new(),
         }
     }
 
@@ -203,12 +205,13 @@
 /// All requests against which something is known.
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
-    cases: HashMap<Mark, Case>,
+    /// In order, so that the same word brings the same course.
+    cases: BTreeMap<Mark, Case>,
     finished: Finished,
     /// Engines that ended, when, and of how many.
     ended: VecDeque<Ended>,
     /// Requests that are held back: what is known decides, not the order in which it came.
-    held: HashSet<Mark>,
+    held: BTreeSet<Mark>,
     /// When the last word will have had time.
     unjudged: Option<Instant>,
 }
@@ -276,7 +279,7 @@
                 .nth(HELD_FROM - 1)
                 .is_some()
         };
-        let mut ran: HashMap<Incarnation, Vec<Mark>> = HashMap::new();
+        let mut ran: BTreeMap<Incarnation, Vec<Mark>> = BTreeMap::new();
         for (mark, case) in &self.cases {
             if case.standing_ends().nth(GRAVE_FROM - 1).is_some() {
                 for end in case.standing_ends() {
@@ -285,7 +288,7 @@
             }
         }
         let beside = |end: &End| ran.get(&end.engine).map_or(0, |marks| marks.len() - 1);
-        let none = HashSet::new();
+        let none = BTreeSet::new();
         let mut marks = Vec::new();
         for (mark, case) in self.cases.iter().filter(|(_, case)| may_be(case)) {
             let alone = case.standing_ends().filter(|end| beside(end) == 0).count();
@@ -294,8 +297,8 @@
             marks.push((Reverse((alone, blamed)), company, *mark));
         }
         marks.sort_unstable();
-        let mut explained = HashSet::new();
-        let mut held = HashSet::new();
+        let mut explained = BTreeSet::new();
+        let mut held = BTreeSet::new();
         for (.., mark) in marks {
             let case = &self.cases[&mark];
             let is_blamed = self.blamed(case, &explained, now) >= HELD_FROM;
@@ -396,14 +399,16 @@
         if self.held.contains(&mark) {
             return Standing::Held;
         }
-        match case.standing_ends().next() {
-            None => Standing::Clear,
-            Some(_) => Standing::Suspect,
+        let alone = case.standing_ends().filter(|end| !self.is_mass(end));
+        match alone.take(GRAVE_FROM).count() {
+            0 => Standing::Clear,
+            ends if ends < GRAVE_FROM => Standing::Noted,
+            _ => Standing::Suspect,
         }
     }
 
     /// Engines that a request is blamed for: not for those that are `explained`, and not for what struck many at once.
-    fn blamed(&self, case: &Case, explained: &HashSet<Incarnation>, now: Instant) -> usize {
+    fn blamed(&self, case: &Case, explained: &BTreeSet<Incarnation>, now: Instant) -> usize {
         let ripe = |end: &&End| end.at.after_millis(JUDGED_AFTER_MILLIS).has_passed(now);
         let ends = case.standing_ends().filter(ripe);
         let ends = ends.filter(|end| !explained.contains(&end.engine) && !self.is_mass(end));
