Ends that go on coming do not put off a judgement

Cause, by reading: each end moved the judgement 15 ms on, so a storm with an end each 15 ms was never judged. Change: the first word that was not judged sets the time. A test with an end each millisecond.

--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -212,7 +212,7 @@
     ended: VecDeque<Ended>,
     /// Requests that are held back: what is known decides, not the order in which it came.
     held: BTreeSet<Mark>,
-    /// When the last word will have had time.
+    /// When the first word that was not judged will have had time.
     unjudged: Option<Instant>,
 }
 
@@ -252,9 +252,9 @@
             return Noted::Known;
         }
         case.ends.push(end);
-        self.unjudged = self
-            .unjudged
-            .max(Some(end.at.after_millis(JUDGED_AFTER_MILLIS)));
+        // The next one that comes does not put off this one.
+        let ripe_at = end.at.after_millis(JUDGED_AFTER_MILLIS);
+        self.unjudged = Some(self.unjudged.map_or(ripe_at, |known| known.min(ripe_at)));
         Noted::News
     }
 
@@ -269,9 +269,9 @@
     /// An engine is ended by one request, so whatever ran beside one that is held back is not blamed for that engine. First
     /// comes the one with most ends beside which no other ran, then the one with most ends, then that beside which fewest ran.
     pub fn judge(&mut self, now: Instant) -> Vec<Mark> {
-        if self.unjudged.is_some_and(|at| at.has_passed(now)) {
-            self.unjudged = None;
-        }
+        let ends = self.cases.values().flat_map(|case| &case.ends);
+        let ripe_at = ends.map(|end| end.at.after_millis(JUDGED_AFTER_MILLIS));
+        self.unjudged = ripe_at.filter(|at| !at.has_passed(now)).min();
         let ripe = |end: &&End| end.at.after_millis(JUDGED_AFTER_MILLIS).has_passed(now);
         let may_be = |case: &&Case| {
             case.standing_ends()
@@ -387,7 +387,7 @@
         if case.is_none_or(|case| case.standing_ends().nth(HELD_FROM - 1).is_none()) {
             self.held.remove(&mark);
         }
-        self.unjudged = self.unjudged.or(Some(Instant::default()));
+        self.unjudged = Some(Instant::default());
     }
 
     /// How a request stands.
--- a/crates/gingerpier_serving/tests/suspects/main.rs
+++ b/crates/gingerpier_serving/tests/suspects/main.rs
@@ -165,6 +165,23 @@
     assert_eq!(suspects.standing(mark(2)), Standing::Clear);
 }
 
+#[test]
+fn ends_that_go_on_coming_do_not_put_off_a_judgement() {
+    let mut suspects = Suspects::default();
+    let mut held = Vec::new();
+    for millis in 0..200 {
+        suspects.note_end(end(mark(2), 1_000 + millis, millis), 5_000);
+        if millis % 30 == 0 {
+            suspects.note_end(end(mark(1), millis, millis), 5_000);
+        }
+        let now = Instant::from_millis(millis);
+        if suspects.judges_at().is_some_and(|at| at.has_passed(now)) {
+            held.extend(suspects.judge(now));
+        }
+    }
+    assert!(held.contains(&mark(1)), "{held:?}");
+}
+
 #[test]
 fn engines_that_end_together_say_little_of_a_request_until_it_was_at_five() {
     let mut suspects = Suspects::default();
