--- a/crates/gingerpier_serving/src/trials.rs
+++ b/crates/gingerpier_serving/src/trials.rs
@@ -49,7 +49,7 @@
         now.millis_since(self.since) >= TRIAL_MILLIS
     }
 
-    /// What goes first: a trial that has settled, then the lower one.
+    /// True once other gateways had the time to tell of a trial of the same moment: it goes before any that begins now.
     const fn is_settled(&self, now: Instant) -> bool {
         now.millis_since(self.since) >= SETTLE_MILLIS
     }
