--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -16,6 +16,7 @@
         mark::{Mark, Subject},
         report::Version,
         returns::Visit,
+        sizes::Band,
     },
     std::rc::Rc,
 };
@@ -41,6 +42,8 @@
     pub model: Option<String>,
     /// Tokens of its prompt.
     pub prompt_tokens: u64,
+    /// How large its prompt is among those of its route, where that is known.
+    pub band: Option<Band>,
     /// When its head was whole.
     pub received: Instant,
     /// When its caller stops waiting.
@@ -90,7 +93,9 @@
         let deadline = received.after_millis(wait.min(rules.timeout_millis));
         let prompt_tokens = fields
             .text(names.tokens)
-            .and_then(|text| text.split(',').next()?.trim().parse().ok());
+            .and_then(|text| text.split(',').next()?.trim().parse().ok())
+            .unwrap_or_default();
+        let band = state.note_size(&rules.name, prompt_tokens);
         let mark = Mark::of(&Subject {
             host,
             target: request.target(),
@@ -104,7 +109,8 @@
             service,
             tenant,
             model: fields.text(names.model).map(str::to_owned),
-            prompt_tokens: prompt_tokens.unwrap_or_default(),
+            prompt_tokens,
+            band,
             received,
             caller_deadline,
             deadline,
--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -112,6 +112,7 @@
         let demand = self.demand(&due, progress, now);
         let choice = admission::choose(&fleet, &demand, now, self.draw);
         self.found_engine = choice != Choice::NoEngine;
+        self.shortfall = None;
         match choice {
             Choice::Send {
                 engine,
@@ -121,8 +122,9 @@
                 self.seen = Some(fleet.engine(engine).seen(now));
                 Some(engine)
             }
-            Choice::Full { predicted_millis } => {
-                self.predicted_millis = predicted_millis;
+            Choice::Full(shortfall) => {
+                self.predicted_millis = shortfall.predicted_millis();
+                self.shortfall = Some(shortfall);
                 None
             }
             Choice::NoEngine => None,
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -10,7 +10,7 @@
     },
     crate::{
         clock, log,
-        metrics::{Ended, Ending, Reason, Refusal as Refused},
+        metrics::{Ended, Ending, Fate, Reason, Refusal as Refused},
         state::State,
     },
     gingerpier_http1::{connection::Connection, head::Request},
@@ -155,9 +155,22 @@
         After::Close
     }
 
+    /// Counts it among those of its route and size, where it went to model engines.
+    fn count_by_size(&self, ending: Ending) {
+        let Some(band) = self.call.band else { return };
+        let fate = Fate {
+            route: self.call.rules().name.clone(),
+            size: band.to_string(),
+            ending,
+        };
+        let fates = &self.state.metrics.fates;
+        fates.get_or_create(&fate).inc();
+    }
+
     fn log(&self, ending: Ending, progress: &Progress) {
         let requests = &self.state.metrics.requests;
         requests.get_or_create(&Ended { ending }).inc();
+        self.count_by_size(ending);
         if !log::allows_request_line() {
             return;
         }
@@ -186,6 +199,13 @@
             beside = self.seen.map(|seen| seen.requests as u64),
             unread = self.seen.map(|seen| seen.unread_tokens),
             prompt = self.call.prompt_tokens,
+            size = self.call.band.map(tracing::field::display),
+            bound = self.shortfall.map(|short| short.bound as u64),
+            queue = self.shortfall.map(|short| short.parts.queue as u64),
+            passes = self.shortfall.map(|short| short.parts.passes as u64),
+            others = self.shortfall.map(|short| short.parts.others as u64),
+            own = self.shortfall.map(|short| short.parts.own as u64),
+            error = self.shortfall.map(|short| short.error as u64),
             visit = ?self.call.visit,
             took = now.millis_since(self.call.received),
             engines = engines.map(tracing::field::display),
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -18,6 +18,7 @@
         writer::Message,
     },
     gingerpier_serving::{
+        admission::Shortfall,
         course::{Failure, Next, Standing},
         engine::Seen,
         fleet::EngineKey,
@@ -91,6 +92,8 @@
     pub(super) draw: u64,
     /// What was known of the load of the engine that was chosen last.
     pub(super) seen: Option<Seen>,
+    /// Why the last choice found all engines too full.
+    pub(super) shortfall: Option<Shortfall>,
 }
 
 /// Sends a request to engines until its caller has a final answer.
@@ -116,6 +119,7 @@
         is_trial: false,
         draw: fastrand::u64(..),
         seen: None,
+        shortfall: None,
     };
     course.run(caller).await
 }
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -30,6 +30,17 @@
     pub ending: Ending,
 }
 
+/// Label of requests of one route and size that ended alike.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Fate {
+    /// Route.
+    pub route: String,
+    /// How large its prompt was among those of the route.
+    pub size: String,
+    /// Ending.
+    pub ending: Ending,
+}
+
 /// Why a request was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Reason {
@@ -88,6 +99,8 @@
     registry: Registry,
     /// Requests by ending.
     pub requests: Family<Ended, Counter>,
+    /// Requests with prompts by route, size and ending.
+    pub fates: Family<Fate, Counter>,
     /// Refused requests by reason.
     pub refusals: Family<Refusal, Counter>,
     /// Listed engines by service and by what keeps them from taking a usual request.
@@ -118,6 +131,7 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("gingerpier");
         let requests = Family::<Ended, Counter>::default();
+        let fates = Family::<Fate, Counter>::default();
         let refusals = Family::<Refusal, Counter>::default();
         let engines = Family::<Engines, Gauge>::default();
         let left_out = Gauge::default();
@@ -132,6 +146,7 @@
         let bounds = [25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0];
         let first = Histogram::new(bounds);
         registry.register("requests", "Requests by ending", requests.clone());
+        registry.register("fates", "Requests by route, size, ending", fates.clone());
         registry.register("refusals", "Refused requests", refusals.clone());
         registry.register("engines", "Listed engines by standing", engines.clone());
         registry.register(
@@ -155,6 +170,7 @@
         Self {
             registry,
             requests,
+            fates,
             refusals,
             engines,
             left_out,
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -30,6 +30,7 @@
         precedence::Precedence,
         report::Version,
         returns::{Returns, Visit},
+        sizes::{Band, Sizes},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -85,6 +86,7 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     arrivals: RefCell<HashMap<String, Arrivals>>,
     returns: RefCell<Returns>,
+    sizes: RefCell<Sizes>,
     precedence: RefCell<HashMap<String, Precedence>>,
     namings: RefCell<HashMap<String, Namings>>,
     /// Newest version of each model that the origin was found to have.
@@ -129,6 +131,7 @@
             configuration: RefCell::default(),
             arrivals: RefCell::default(),
             returns: RefCell::new(Returns::new(started)),
+            sizes: RefCell::default(),
             precedence: RefCell::default(),
             namings: RefCell::default(),
             found: RefCell::default(),
@@ -227,6 +230,17 @@
         self.returns.borrow_mut().take(route, wait, now)
     }
 
+    /// Notes the prompt of a request of `route`; tells how large it is among those.
+    pub fn note_size(&self, route: &str, prompt_tokens: u64) -> Option<Band> {
+        let mut sizes = self.sizes.borrow_mut();
+        // Neither the routes nor the counters by route may grow for as long as configurations come.
+        if sizes.is_full_for(route) {
+            *sizes = Sizes::default();
+            self.metrics.fates.clear();
+        }
+        sizes.note(route, prompt_tokens)
+    }
+
     /// Notes that a request was refused.
     pub fn note_refused(&self, service: &str, visit: Visit, now: Instant) {
         self.returns.borrow_mut().note_refused(now);
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -110,10 +110,10 @@
                 engine,
                 predicted_millis,
             } => (engine, predicted_millis),
-            Choice::Full { .. } if self.holds(index) => {
+            Choice::Full(_) if self.holds(index) => {
                 return self.after(HOLD_LOOK_MILLIS, Event::Again(index));
             }
-            Choice::Full { .. } => return self.refuse(index, &RETRY_FULL),
+            Choice::Full(_) => return self.refuse(index, &RETRY_FULL),
             Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE),
         };
         let now = self.instant();
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -12,7 +12,7 @@
         configuration::EngineModel,
         engine::Engine,
         fleet::{EngineKey, Fleet},
-        prediction,
+        prediction::{self, Parts},
         report::Version,
     },
     gingerpier_base::{Instant, order},
@@ -110,14 +110,31 @@
         predicted_millis: f64,
     },
     /// All engines are too full.
-    Full {
-        /// Predicted milliseconds at the best engine.
-        predicted_millis: f64,
-    },
+    Full(Shortfall),
     /// No engine can run it.
     NoEngine,
 }
 
+/// Why the best engine is too full, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shortfall {
+    /// What the request may be expected to take.
+    pub bound: f64,
+    /// What it is predicted to take there, in parts.
+    pub parts: Parts,
+    /// Time for which word from that engine is overdue.
+    pub silence: f64,
+    /// What predictions for that engine were wrong by.
+    pub error: f64,
+}
+
+impl Shortfall {
+    /// Predicted milliseconds.
+    pub fn predicted_millis(&self) -> f64 {
+        self.parts.sum() + self.silence
+    }
+}
+
 /// Decides where a request goes; `draw` is a number of its own, the same for all its attempts.
 ///
 /// Where there are many gateways it looks at some of the model engines, which are drawn for the request, and at all only
@@ -133,7 +150,7 @@
         };
         // Where none of the drawn ones could run it at all, the others stand in for them.
         if let Some(drawn) = best(fleet, demand, now, draw, is_drawn) {
-            if drawn.expected_millis <= bound {
+            if drawn.expected_millis() <= bound {
                 return drawn.choice();
             }
             rest_bound = bound * REST_SHARE;
@@ -142,11 +159,14 @@
     let Some(best) = best(fleet, demand, now, draw, |_| true) else {
         return Choice::NoEngine;
     };
-    match best.expected_millis <= rest_bound {
+    match best.expected_millis() <= rest_bound {
         true => best.choice(),
-        false => Choice::Full {
-            predicted_millis: best.predicted_millis,
-        },
+        false => Choice::Full(Shortfall {
+            bound: rest_bound,
+            parts: best.parts,
+            silence: best.silence,
+            error: best.error,
+        }),
     }
 }
 
@@ -175,7 +195,9 @@
         if !engine.is_open(now) || engine.is_on_trial(now) {
             continue;
         }
-        let predicted = predict(engine, demand, unseen_per_milli, now) + engine.silence(now) as f64;
+        let parts = predict(engine, demand, unseen_per_milli, now);
+        let silence = engine.silence(now) as f64;
+        let predicted = parts.sum() + silence;
         let late = engine.lateness();
         let starts = now.after_millis((predicted + late) as u64 + START_SLACK_MILLIS);
         if !fits(engine, demand, now, starts) {
@@ -186,8 +208,9 @@
             best = Some(Candidate {
                 key,
                 cost,
-                predicted_millis: predicted,
-                expected_millis: predicted + error_when_full(engine, now),
+                parts,
+                silence,
+                error: error_when_full(engine, now),
             });
         }
     }
@@ -207,18 +230,27 @@
     key: EngineKey,
     /// What engines are ranked by, in milliseconds.
     cost: f64,
-    predicted_millis: f64,
-    /// Predicted milliseconds, and what predictions were wrong by.
-    expected_millis: f64,
+    parts: Parts,
+    silence: f64,
+    error: f64,
 }
 
 impl Candidate {
-    const fn choice(&self) -> Choice {
+    fn choice(&self) -> Choice {
         Choice::Send {
             engine: self.key,
-            predicted_millis: self.predicted_millis,
+            predicted_millis: self.predicted_millis(),
         }
     }
+
+    fn predicted_millis(&self) -> f64 {
+        self.parts.sum() + self.silence
+    }
+
+    /// Predicted milliseconds, and what predictions were wrong by.
+    fn expected_millis(&self) -> f64 {
+        self.predicted_millis() + self.error
+    }
 }
 
 /// Milliseconds by which a first event is expected to come later than predicted: what it was lately, as
@@ -251,18 +283,17 @@
     goes_on && version >= least_version(demand.due, starts) && !engine.latest(now).is_busy
 }
 
-fn predict(engine: &Engine, demand: &Demand<'_>, unseen_per_milli: f64, now: Instant) -> f64 {
+fn predict(engine: &Engine, demand: &Demand<'_>, unseen_per_milli: f64, now: Instant) -> Parts {
     match demand.engines {
-        Some(model) => prediction::first_event_millis(
-            engine,
-            model,
-            demand.prompt_tokens,
-            unseen_per_milli,
-            now,
-        ),
+        Some(model) => {
+            prediction::first_event(engine, model, demand.prompt_tokens, unseen_per_milli, now)
+        }
         None => {
             let usual = PLAIN_WORK_SHARE * demand.target_millis as f64;
-            engine.work_millis().unwrap_or(usual) * engine.crowding()
+            Parts {
+                own: engine.work_millis().unwrap_or(usual) * engine.crowding(),
+                ..Parts::default()
+            }
         }
     }
 }
--- a/crates/gingerpier_serving/src/admission/census.rs
+++ b/crates/gingerpier_serving/src/admission/census.rs
@@ -141,7 +141,7 @@
         return Standing::OnTrial;
     }
     let predicted = predict(engine, demand, unseen_per_milli, now);
-    let expected = predicted + error_when_full(engine, now);
+    let expected = predicted.sum() + error_when_full(engine, now);
     let bound = bound(demand);
     if expected > bound {
         return Standing::Full;
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod prediction;
 pub mod report;
 pub mod returns;
+pub mod sizes;
 pub mod suspects;
 pub mod trials;
 pub mod unnamed;
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_serving/src/prediction.rs
@@ -47,15 +47,35 @@
     FIRST_PASSES * pass_millis(model, 0.0) + reading_millis(model, prompt_tokens as f64, 0.0)
 }
 
-/// Predicted milliseconds to the first event of a request with `prompt_tokens` at `engine`, where
-/// so many requests of other gateways come to each engine in a millisecond.
-pub fn first_event_millis(
+/// What a predicted time to a first event is made of, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Parts {
+    /// Wait for a slot.
+    pub queue: f64,
+    /// Passes with those that run.
+    pub passes: f64,
+    /// Prompts of others that are read before.
+    pub others: f64,
+    /// Its own prompt.
+    pub own: f64,
+}
+
+impl Parts {
+    /// All of it.
+    pub fn sum(&self) -> f64 {
+        self.queue + self.passes + self.others + self.own
+    }
+}
+
+/// Predicted time to the first event of a request with `prompt_tokens` at `engine`, where so many requests of other
+/// gateways come to each engine in a millisecond.
+pub fn first_event(
     engine: &Engine,
     model: &EngineModel,
     prompt_tokens: u64,
     unseen_per_milli: f64,
     now: Instant,
-) -> f64 {
+) -> Parts {
     let age = engine.report_age(now).unwrap_or_default();
     let age = age.min(MOST_UNSEEN_MILLIS) as f64;
     let unseen = ATTRACTION * unseen_per_milli * age;
@@ -68,9 +88,15 @@
     // Whoever waits for a slot is read later, as part of the work that the queue stands for.
     let sent_since = unseen.min(slots) * f64::from(model.usual_prompt);
     let ahead = left_to_read(model, seen.unread_tokens, running, age) + sent_since;
+    let others = reading_millis(model, ahead, running);
     let reading = reading_millis(model, prompt_tokens as f64 + ahead, running);
     let pace = engine.latest(now).pace.max(1.0);
-    (queue + passes * pass_millis(model, running) + reading) * pace
+    Parts {
+        queue: queue * pace,
+        passes: passes * pass_millis(model, running) * pace,
+        others: others * pace,
+        own: (reading - others) * pace,
+    }
 }
 
 /// Of `unread` prompt tokens, those that are left after `millis`.
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -111,7 +111,7 @@
 fn chosen(choice: Choice) -> Option<EngineKey> {
     match choice {
         Choice::Send { engine, .. } => Some(engine),
-        Choice::Full { .. } | Choice::NoEngine => None,
+        Choice::Full(_) | Choice::NoEngine => None,
     }
 }
 
@@ -143,6 +143,31 @@
     );
 }
 
+/// Whether a request is refused for the queue, for prompts of others or for its own could not be told from a refusal.
+#[test]
+fn a_refusal_tells_what_its_prediction_is_made_of() {
+    let (model, tried) = (model(), []);
+    let (mut fleet, keys) = fleet(1);
+    fleet.engine_mut(keys[0]).note_report(report(1, 20), at(0));
+    let shortfall = |tokens| {
+        let demand = Demand {
+            prompt_tokens: tokens,
+            ..demand(&model, &[], &tried)
+        };
+        match admission::choose(&fleet, &demand, at(0), 0) {
+            Choice::Full(shortfall) => shortfall,
+            other => panic!("{other:?}"),
+        }
+    };
+    let (usual, large) = (shortfall(979), shortfall(2_937));
+    assert_eq!(usual.parts.queue, large.parts.queue);
+    assert_eq!(usual.parts.others, large.parts.others);
+    assert!(large.parts.own > 2.9 * usual.parts.own, "{large:?}");
+    let sum = large.parts.queue + large.parts.passes + large.parts.others + large.parts.own;
+    assert_eq!(large.predicted_millis(), sum);
+    assert_eq!(large.bound, 500.0 * precedence::TARGET_SHARE);
+}
+
 /// A prompt that takes longer than its target to read was refused by idle engines, again and again, though its answer is
 /// worth something also when it is late.
 #[test]
@@ -232,7 +257,7 @@
     assert_eq!(chosen(choice), Some(keys[1]));
     fleet.engine_mut(keys[1]).note_report(report(1, 40), at(0));
     let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0);
-    assert!(matches!(choice, Choice::Full { .. }));
+    assert!(matches!(choice, Choice::Full(_)));
 }
 
 #[test]
@@ -627,7 +652,7 @@
     }
     let choice = admission::choose(&fleet, &demand(&model, &[], &[]), at(1), 0);
     assert_eq!(chosen(choice), Some(keys[1]));
-    let first = prediction::first_event_millis(fleet.engine(keys[0]), &model, 979, 0.0, at(0));
+    let first = prediction::first_event(fleet.engine(keys[0]), &model, 979, 0.0, at(0)).sum();
     assert!(
         first > 9_979.0 / 20.7,
         "{first} ms, but all of them are read first"
@@ -641,7 +666,7 @@
     fleet.engine_mut(keys[0]).note_report(report(1, 4), at(0));
     let first = |now| {
         let engine = fleet.engine(keys[0]);
-        prediction::first_event_millis(engine, &model, 979, 0.01, now)
+        prediction::first_event(engine, &model, 979, 0.01, now).sum()
     };
     assert!(first(at(200)) > first(at(20)) + 100.0);
 }
