--- a/crates/gingerpier_overload/src/callers.rs
+++ b/crates/gingerpier_overload/src/callers.rs
@@ -34,6 +34,10 @@
     pub tried_at: f64,
     /// Gateway that it tried last.
     pub gateway: usize,
+    /// Kind of its request.
+    pub kind: usize,
+    /// Zone of the gateway that it came to first.
+    pub zone: usize,
     /// Tokens of its prompt.
     pub prompt: u64,
     /// Tokens of its answer.
@@ -62,7 +66,7 @@
         let Some(first) = self.first_at.filter(|_| self.outcome == Outcome::Served) else {
             return 0.0;
         };
-        let target = deployment.target_millis as f64;
+        let target = deployment.target_of(self.kind);
         let share = match (
             first - self.came_at <= target,
             first - self.tried_at <= target,
@@ -122,11 +126,11 @@
 /// How those fared that came first within `times`.
 pub fn fates(callers: &[Caller], deployment: &Deployment, times: &Range<f64>) -> Fates {
     let mut fates = Fates::default();
-    let target = deployment.target_millis as f64;
     let came = callers
         .iter()
         .filter(|caller| times.contains(&caller.came_at));
     for caller in came {
+        let target = deployment.target_of(caller.kind);
         let first = caller.first_at.unwrap_or(f64::MAX);
         let count = match caller.outcome {
             Outcome::Served if first - caller.came_at <= target => &mut fates.in_time,
--- a/crates/gingerpier_overload/src/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -11,6 +11,48 @@
 /// Worth of an answer in time for a caller that had been refused before, where one at the first try is worth 1.
 pub const RETURNED_WORTH: f64 = 0.65;
 
+/// A kind of request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Kind {
+    /// Share of the requests.
+    pub share: f64,
+    /// Its target, as a part of the deployment's.
+    pub target: f64,
+    /// Its mean prompt, as a part of the usual one.
+    pub prompt: f64,
+}
+
+/// The only kind of a deployment that has one.
+pub const ONE_KIND: Kind = Kind {
+    share: 1.0,
+    target: 1.0,
+    prompt: 1.0,
+};
+
+/// Long ones, ones with a narrower target, short ones with that target, and a few of an account that sends only large ones.
+const KINDS: [Kind; 4] = [
+    Kind {
+        share: 0.38,
+        target: 1.0,
+        prompt: 1.3,
+    },
+    Kind {
+        share: 0.29,
+        target: 0.8,
+        prompt: 0.8,
+    },
+    Kind {
+        share: 0.28,
+        target: 0.8,
+        prompt: 0.6,
+    },
+    Kind {
+        share: 0.05,
+        target: 1.0,
+        prompt: 2.0,
+    },
+];
+
 /// A deployment.
 #[derive(Debug, Clone)]
 pub struct Deployment {
@@ -24,6 +66,8 @@
     pub gateways: usize,
     /// Zones; engines and gateways are in them by turns.
     pub zones: usize,
+    /// Kinds of its requests.
+    pub kinds: Vec<Kind>,
     /// Requests that an engine lets wait.
     pub queue: usize,
     /// Milliseconds within which a first event has its full worth.
@@ -68,6 +112,7 @@
             engines: 12,
             gateways: 6,
             zones: 3,
+            kinds: vec![ONE_KIND],
             queue: 32,
             target_millis: 500,
             report_every_millis: 50,
@@ -81,6 +126,32 @@
         }
     }
 
+    /// The same with requests of several kinds.
+    pub fn mixed(seed: u64) -> Self {
+        Self {
+            kinds: KINDS.to_vec(),
+            ..Self::usual(seed)
+        }
+    }
+
+    /// Which kind the next request is of; nothing is drawn where there is one.
+    pub fn kind(&self, draw: &mut Draw) -> usize {
+        if self.kinds.len() == 1 {
+            return 0;
+        }
+        let mut left = draw.share();
+        let found = self.kinds.iter().position(|kind| {
+            left -= kind.share;
+            left < 0.0
+        });
+        found.unwrap_or_default()
+    }
+
+    /// Target of requests of a kind, in milliseconds.
+    pub fn target_of(&self, kind: usize) -> f64 {
+        self.target_millis as f64 * self.kinds[kind].target
+    }
+
     /// A drawn one.
     pub fn drawn(seed: u64) -> Self {
         let mut draw = Draw::new(seed);
--- a/crates/gingerpier_overload/src/lib.rs
+++ b/crates/gingerpier_overload/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod engine;
 pub mod error;
 pub mod gateway;
+pub mod parts;
 pub mod pattern;
 pub mod play;
 pub mod report;
--- a/crates/gingerpier_overload/src/play.rs
+++ b/crates/gingerpier_overload/src/play.rs
@@ -4,6 +4,7 @@
     crate::{
         callers::{self, Fates},
         deployment::Deployment,
+        parts::{self, Row},
         pattern::Pattern,
         world::World,
     },
@@ -35,6 +36,8 @@
     pub goodput: f64,
     /// How callers fared.
     pub fates: Fates,
+    /// Who was served.
+    pub rows: Vec<Row>,
     /// The model as it ended.
     pub world: World,
 }
@@ -53,6 +56,7 @@
         share_of_worth,
         goodput: share_of_worth * offered,
         fates: callers::fates(&world.callers, deployment, &times),
+        rows: parts::rows(&world.callers, deployment, &times),
         world,
     }
 }
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -43,12 +43,16 @@
         let mean = self.gateways.len() as f64 / per_milli;
         let pause = self.draw.pause(mean);
         self.after(pause, Event::Arrival(gateway));
+        let kind = self.deployment.kind(&mut self.draw);
         let model = &self.deployment.model;
+        let usual_prompt = f64::from(model.usual_prompt) * self.deployment.kinds[kind].prompt;
         let caller = Caller {
             came_at: self.now,
             tried_at: self.now,
             gateway,
-            prompt: deployment::tokens(&mut self.draw, model.usual_prompt),
+            kind,
+            zone: gateway % self.deployment.zones,
+            prompt: deployment::tokens(&mut self.draw, usual_prompt as u32),
             answer: deployment::tokens(&mut self.draw, model.usual_answer),
             is_impatient: self.draw.share() < self.deployment.impatient_share,
             tries: 0,
@@ -92,7 +96,7 @@
         };
         let ask = Ask {
             deployment: &self.deployment,
-            target_millis: self.deployment.target_millis.saturating_sub(held as u64),
+            target_millis: (self.deployment.target_of(caller.kind) - held).max(0.0) as u64,
             prompt: caller.prompt,
             visit: match caller.tried.is_empty() {
                 true => caller.visit,
