--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -77,6 +77,13 @@
         self.state.target_share(service, visit, now)
     }
 
+    /// Milliseconds that it could wait behind others, where it goes to model engines and one was found that could run it.
+    pub(super) fn wait_millis(&self) -> Option<f64> {
+        let target = self.call.rules().target_millis as f64;
+        let own = self.own_millis.filter(|_| self.call.engines().is_some())?;
+        Some(admission::wait_millis(target, own))
+    }
+
     fn demand<'d>(&'d self, due: &'d [Due], progress: &Progress, now: Instant) -> Demand<'d> {
         let call = self.call;
         let service = &call.target().name;
@@ -89,6 +96,7 @@
             prompt_tokens: call.prompt_tokens,
             target_millis: self.target_millis(progress),
             target_share: self.target_share(now),
+            even: self.state.even(service, now),
             zone: &self.state.settings.zone,
             gateways: self.state.zones.borrow().gateway_count(),
             others_per_milli: self.state.others_per_milli(service, now),
@@ -113,17 +121,21 @@
         let choice = admission::choose(&fleet, &demand, now, self.draw);
         self.found_engine = choice != Choice::NoEngine;
         self.shortfall = None;
+        self.own_millis = None;
         match choice {
             Choice::Send {
                 engine,
                 predicted_millis,
+                own_millis,
             } => {
                 self.predicted_millis = predicted_millis;
+                self.own_millis = Some(own_millis);
                 self.seen = Some(fleet.engine(engine).seen(now));
                 Some(engine)
             }
             Choice::Full(shortfall) => {
                 self.predicted_millis = shortfall.predicted_millis();
+                self.own_millis = Some(shortfall.parts.own);
                 self.shortfall = Some(shortfall);
                 None
             }
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -104,7 +104,7 @@
             if self.barred.is_none() {
                 let service = &self.call.target().name;
                 self.state
-                    .note_refused(service, self.call.visit, clock::now());
+                    .note_refused(service, self.call.visit, self.wait_millis(), clock::now());
             }
             let reason = match (self.barred, self.found_engine) {
                 (Some(reason), _) => reason,
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -78,6 +78,8 @@
     pub(super) standing: Standing,
     pub(super) tried: Vec<EngineKey>,
     pub(super) predicted_millis: f64,
+    /// Of these, for its own prompt; none where no engine could run it.
+    pub(super) own_millis: Option<f64>,
     sent_at: Option<Instant>,
     pub(super) cause: Option<Cause>,
     /// True where the last choice found an engine that could run the request.
@@ -111,6 +113,7 @@
         },
         tried: Vec::new(),
         predicted_millis: 0.0,
+        own_millis: None,
         sent_at: None,
         cause: None,
         found_engine: true,
@@ -218,7 +221,7 @@
         if self.standing.attempts == 0 {
             let service = &self.call.target().name;
             self.state
-                .note_request(service, self.call.visit, clock::now());
+                .note_request(service, self.call.visit, self.wait_millis(), clock::now());
         }
         self.standing.attempts += 1;
         self.sent_at = Some(clock::now());
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -6,6 +6,7 @@
     gingerpier_serving::{
         admission::{self, Demand, Standing},
         dialect::Subject,
+        evenness::Even,
         fleet::Record,
         mirror::{Item, Revision},
         outage::Absence,
@@ -113,6 +114,7 @@
                 prompt_tokens: engines.usual_prompt.into(),
                 target_millis: USUAL_TARGET_MILLIS,
                 target_share: 1.0,
+                even: Even::default(),
                 zone: &self.settings.zone,
                 gateways: 1,
                 others_per_milli: 0.0,
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -23,6 +23,7 @@
         budget::{Budget, Terms},
         configuration::Configuration,
         dialect::{Dialect, Fact},
+        evenness::Even,
         fleet::{EngineKey, Fleet},
         mirror::{Changes, Item, Mirror, Revision},
         naming::{Freshness, Namings},
@@ -214,8 +215,9 @@
     }
 
     /// Notes a request for `service` that is sent for the first time.
-    pub fn note_request(&self, service: &str, visit: Visit, now: Instant) {
-        self.note_fate(service, visit, false, now);
+    /// Its caller could `wait` so many milliseconds behind others, where that is known.
+    pub fn note_request(&self, service: &str, visit: Visit, wait: Option<f64>, now: Instant) {
+        self.note_fate(service, visit, (false, wait), now);
         let mut arrivals = self.arrivals.borrow_mut();
         match arrivals.get_mut(service) {
             Some(known) => known.note(now),
@@ -241,23 +243,31 @@
         sizes.note(route, prompt_tokens)
     }
 
-    /// Notes that a request was refused.
-    pub fn note_refused(&self, service: &str, visit: Visit, now: Instant) {
+    /// Notes that a request was refused whose caller could `wait` so many milliseconds behind others, where that is known.
+    pub fn note_refused(&self, service: &str, visit: Visit, wait: Option<f64>, now: Instant) {
         self.returns.borrow_mut().note_refused(now);
-        self.note_fate(service, visit, true, now);
+        self.note_fate(service, visit, (true, wait), now);
     }
 
-    fn note_fate(&self, service: &str, visit: Visit, is_refused: bool, now: Instant) {
+    fn note_fate(&self, service: &str, visit: Visit, fate: (bool, Option<f64>), now: Instant) {
+        let (is_refused, wait) = fate;
         let mut all = self.precedence.borrow_mut();
-        match all.get_mut(service) {
-            Some(known) => known.note(visit, is_refused, now),
-            None => {
-                let known = all.entry(service.to_owned()).or_default();
-                known.note(visit, is_refused, now);
-            }
+        if !all.contains_key(service) {
+            all.insert(service.to_owned(), Precedence::default());
+        }
+        if let Some(known) = all.get_mut(service) {
+            known.note(visit, is_refused, wait, now);
         }
     }
 
+    /// How far requests for `service` are treated alike.
+    pub fn even(&self, service: &str, now: Instant) -> Even {
+        let all = self.precedence.borrow();
+        all.get(service)
+            .map(|known| known.even(now))
+            .unwrap_or_default()
+    }
+
     /// Part of its target that a first event at `service` may be predicted to take, for a caller on such a visit.
     pub fn target_share(&self, service: &str, visit: Visit, now: Instant) -> f64 {
         let all = self.precedence.borrow();
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -118,6 +118,7 @@
             prompt_tokens: ask.prompt,
             target_millis: ask.target_millis,
             target_share: self.precedence.share(ask.visit, now),
+            even: self.precedence.even(now),
             zone: &zone,
             gateways: self.known_gateways as u32,
             others_per_milli: self.arrivals.per_milli(now) * others,
@@ -136,9 +137,9 @@
         self.fleet.engine_mut(key).note_sent(prompt, now);
     }
 
-    /// Notes whether a caller was refused.
-    pub fn note_fate(&mut self, visit: Visit, is_refused: bool, now: Instant) {
-        self.precedence.note(visit, is_refused, now);
+    /// Notes whether a caller was refused, and how many milliseconds it could wait behind others.
+    pub fn note_fate(&mut self, visit: Visit, is_refused: bool, wait: Option<f64>, now: Instant) {
+        self.precedence.note(visit, is_refused, wait, now);
     }
 
     /// Takes one retry.
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -8,7 +8,10 @@
         engine::Job,
         gateway::Ask,
     },
-    gingerpier_serving::{admission::Choice, returns::Visit},
+    gingerpier_serving::{
+        admission::{self, Choice},
+        returns::Visit,
+    },
     std::ops::Range,
 };
 
@@ -109,23 +112,28 @@
     }
 
     pub(super) fn send(&mut self, index: usize, is_first: bool) {
-        let (key, predicted) = match self.choose(index) {
+        let (key, predicted, own) = match self.choose(index) {
             Choice::Send {
                 engine,
                 predicted_millis,
-            } => (engine, predicted_millis),
+                own_millis,
+            } => (engine, predicted_millis, own_millis),
             Choice::Full(_) if self.holds(index) => {
                 return self.after(HOLD_LOOK_MILLIS, Event::Again(index));
             }
-            Choice::Full(_) => return self.refuse(index, &RETRY_FULL),
-            Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE),
+            Choice::Full(shortfall) => {
+                let wait = self.wait_of(index, shortfall.parts.own);
+                return self.refuse(index, &RETRY_FULL, Some(wait));
+            }
+            Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE, None),
         };
+        let wait = self.wait_of(index, own);
         let now = self.instant();
         let caller = &mut self.callers[index];
         let gateway = &mut self.gateways[caller.gateway];
         gateway.note_sent(key, caller.prompt, is_first, now);
         if is_first {
-            gateway.note_fate(caller.visit, false, now);
+            gateway.note_fate(caller.visit, false, Some(wait), now);
         }
         let (engine, engine_life) = gateway.place_of(key);
         caller.tried.push(key);
@@ -157,7 +165,13 @@
         self.now + HOLD_LOOK_MILLIS <= until
     }
 
-    pub(super) fn refuse(&mut self, index: usize, pause: &Range<f64>) {
+    /// Milliseconds that a caller could wait behind others, where its own prompt takes `own`.
+    fn wait_of(&self, index: usize, own: f64) -> f64 {
+        let target = self.deployment.target_of(self.callers[index].kind);
+        admission::wait_millis(target, own)
+    }
+
+    pub(super) fn refuse(&mut self, index: usize, pause: &Range<f64>, wait: Option<f64>) {
         let slots = self.engines.len() * self.deployment.model.slots as usize;
         let taken: usize = self.engines.iter().map(|engine| engine.running.len()).sum();
         if 2 * taken < slots && self.engines.iter().all(|engine| engine.queue.is_empty()) {
@@ -165,7 +179,7 @@
         }
         let now = self.instant();
         let caller = &mut self.callers[index];
-        self.gateways[caller.gateway].note_fate(caller.visit, true, now);
+        self.gateways[caller.gateway].note_fate(caller.visit, true, wait, now);
         caller.attempt = None;
         if caller.first_at.is_some() || caller.tries > 1 {
             caller.outcome = Outcome::Refused;
@@ -280,7 +294,7 @@
         if can_move && has_attempts && self.gateways[gateway].take_retry(now) {
             return self.send(caller, false);
         }
-        self.refuse(caller, &RETRY_FULL);
+        self.refuse(caller, &RETRY_FULL, None);
     }
 
     /// An engine that shows nothing for long: another one may do better.
--- a/crates/gingerpier_overload/tests/parts.rs
+++ b/crates/gingerpier_overload/tests/parts.rs
@@ -84,7 +84,7 @@
     let mut all = Vec::new();
     for load in [2.0, 4.0] {
         let rows = played(std::iter::once(deployment.clone()), load, millis);
-        let sizes: Vec<Row> = rows.into_iter().filter(|row| is_of_size(row)).collect();
+        let sizes: Vec<Row> = rows.into_iter().filter(is_of_size).collect();
         let behind = behind(&sizes);
         all.extend(behind.iter().map(|behind| format!("load {load}: {behind}")));
     }
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -11,7 +11,9 @@
     crate::{
         configuration::EngineModel,
         engine::Engine,
+        evenness::Even,
         fleet::{EngineKey, Fleet},
+        precedence,
         prediction::{self, Parts},
         report::Version,
     },
@@ -51,9 +53,8 @@
 /// the prompt and small the share of the target is. Who is refused there would be refused for good, with nothing to wait for.
 const NEARLY_IDLE: f64 = 1.25;
 
-/// Part of the bound up to which the best of all engines will do where the drawn ones were too full: it looks as good
-/// to all other gateways. Where few engines have weights, so that mostly none that could run the request is drawn, this would
-/// refuse 769 of 1,000 callers that came back at an idle engine (40 engines, one with weights).
+/// Part of the wait up to which the best of all engines will do where the drawn ones were too full: it looks as good to all
+/// other gateways.
 const REST_SHARE: f64 = 0.75;
 
 /// Milliseconds that a request may start later than predicted.
@@ -87,6 +88,8 @@
     pub target_millis: u64,
     /// Part of that which a first event may be predicted to take.
     pub target_share: f64,
+    /// How far it is treated as all others.
+    pub even: Even,
     /// Zone of this gateway.
     pub zone: &'a str,
     /// Gateways that choose among the same engines, this one included.
@@ -108,6 +111,8 @@
         engine: EngineKey,
         /// Predicted milliseconds to the first event.
         predicted_millis: f64,
+        /// Of these, for its own prompt.
+        own_millis: f64,
     },
     /// All engines are too full.
     Full(Shortfall),
@@ -140,9 +145,8 @@
 /// Where there are many gateways it looks at some of the model engines, which are drawn for the request, and at all only
 /// where none of those will do: gateways that know the same would all send to the few best ones, which are full by then.
 pub fn choose(fleet: &Fleet, demand: &Demand<'_>, now: Instant, draw: u64) -> Choice {
-    let bound = bound(demand);
     let parts = parts(demand);
-    let mut rest_bound = bound;
+    let mut rest_share = 1.0;
     if parts > 1 {
         let is_drawn = |key: EngineKey| {
             let mixed = order::mix(order::mix(u64::from(key.0)) ^ draw);
@@ -150,15 +154,18 @@
         };
         // Where none of the drawn ones could run it at all, the others stand in for them.
         if let Some(drawn) = best(fleet, demand, now, draw, is_drawn) {
-            if drawn.expected_millis() <= bound {
+            if drawn.expected_millis() <= bound(demand, drawn.parts.own) {
                 return drawn.choice();
             }
-            rest_bound = bound * REST_SHARE;
+            rest_share = REST_SHARE;
         }
     }
     let Some(best) = best(fleet, demand, now, draw, |_| true) else {
         return Choice::NoEngine;
     };
+    let own = best.parts.own;
+    // A part of what it may wait behind others: its own prompt takes what it takes.
+    let rest_bound = own + (bound(demand, own) - own) * rest_share;
     match best.expected_millis() <= rest_bound {
         true => best.choice(),
         false => Choice::Full(Shortfall {
@@ -240,6 +247,7 @@
         Choice::Send {
             engine: self.key,
             predicted_millis: self.predicted_millis(),
+            own_millis: self.parts.own,
         }
     }
 
@@ -311,13 +319,23 @@
     away + company + FAILURE_MILLIS * engine.failure_share()
 }
 
-fn bound(demand: &Demand<'_>) -> f64 {
+/// Most milliseconds that a request may be expected to take to its first event at an engine that takes `own` of them to read
+/// its prompt.
+fn bound(demand: &Demand<'_>, own: f64) -> f64 {
     let target = demand.target_millis as f64;
     let Some(model) = demand.engines else {
         return target * PLAIN_SHARE;
     };
     let idle = prediction::idle_first_millis(model, demand.prompt_tokens);
-    (target * demand.target_share).max(idle * NEARLY_IDLE)
+    // Where places are short, those that can wait longest fill all engines: everybody may wait equally long then.
+    let more = demand.even.more_millis(wait_millis(target, own));
+    (target * demand.target_share + more).max(idle * NEARLY_IDLE)
+}
+
+/// Milliseconds that a request which comes first could wait behind others and still be in time, where its own prompt takes
+/// `own` of its target.
+pub fn wait_millis(target: f64, own: f64) -> f64 {
+    target * precedence::TARGET_SHARE - own
 }
 
 /// Milliseconds drawn for an engine and a request, so that gateways which know the same do not all
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod course;
 pub mod dialect;
 pub mod engine;
+pub mod evenness;
 pub mod events;
 pub mod fleet;
 pub mod mark;
--- a/crates/gingerpier_serving/src/precedence.rs
+++ b/crates/gingerpier_serving/src/precedence.rs
@@ -7,7 +7,15 @@
 //!
 //! Load patterns: a steady load above the capacity, a burst, engines or a zone lost, a restart of everything.
 
-use {crate::returns::Visit, displaydoc::Display, gingerpier_base::Instant, std::str::FromStr};
+use {
+    crate::{
+        evenness::{Even, Waits},
+        returns::Visit,
+    },
+    displaydoc::Display,
+    gingerpier_base::Instant,
+    std::str::FromStr,
+};
 
 /// How much of its target a first event may be predicted to take.
 pub const TARGET_SHARE: f64 = 0.85;
@@ -21,6 +29,10 @@
 /// Share of first tries refused from which on callers that come back get only what those leave.
 const SHORT_SHARE: f64 = 0.03;
 
+/// Share of first tries refused from which on all requests are treated alike, whatever time they need for themselves: a few
+/// refusals show that some engine was full for a moment, and then only those are refused that would be late.
+const EVEN_SHARE: f64 = 0.1;
+
 /// Milliseconds over which first tries are counted: long against the time between two at one gateway, and shorter than
 /// those refused stay away.
 const COUNTED_MILLIS: f64 = 1_000.0;
@@ -60,6 +72,7 @@
     at: Instant,
     first_tries: f64,
     refused: f64,
+    waits: Waits,
 }
 
 impl Precedence {
@@ -71,11 +84,15 @@
         }
     }
 
-    /// Notes whether a caller was refused. Only those count that are not known to have come back.
-    pub fn note(&mut self, visit: Visit, is_refused: bool, now: Instant) {
+    /// Notes whether a caller was refused, and how many milliseconds it could wait behind others, where that is known. Only
+    /// those count that are not known to have come back.
+    pub fn note(&mut self, visit: Visit, is_refused: bool, wait: Option<f64>, now: Instant) {
         if visit == Visit::Returned {
             return;
         }
+        if let Some(wait) = wait {
+            self.waits.note(wait, now);
+        }
         let left = self.left(now);
         self.first_tries = self.first_tries * left + 1.0;
         self.refused = self.refused * left + f64::from(u8::from(is_refused));
@@ -98,6 +115,17 @@
         }
     }
 
+    /// How far all requests are treated alike.
+    pub fn even(&self, now: Instant) -> Even {
+        let Some(wait_millis) = self.waits.common_millis() else {
+            return Even::default();
+        };
+        Even {
+            share: (self.short_share(now) / EVEN_SHARE).min(1.0),
+            wait_millis,
+        }
+    }
+
     /// Share of first tries that were refused lately.
     fn short_share(&self, now: Instant) -> f64 {
         // One more that was taken: a single refusal shows no shortage.
--- a/crates/gingerpier_serving/src/sizes.rs
+++ b/crates/gingerpier_serving/src/sizes.rs
@@ -10,7 +10,7 @@
 //! for tokens in [900, 1_100, 1_000] {
 //!     sizes.note("summary", tokens);
 //! }
-//! assert_eq!(sizes.note("summary", 4_000), Some(Band::Largest));
+//! assert_eq!(sizes.note("summary", 5_000), Some(Band::Largest));
 //! ```
 
 use {displaydoc::Display, std::collections::HashMap};
--- /dev/null
+++ b/crates/gingerpier_serving/tests/evenness.rs
@@ -0,0 +1,163 @@
+//! Who is taken where places are short. Small requests filled each engine up to what they could wait, and large ones, which need
+//! more of their target for themselves, were refused at engines that were less full.
+
+use gingerpier_base::Instant;
+use gingerpier_serving::{
+    admission::{self, Choice, Demand},
+    configuration::EngineModel,
+    evenness::{Even, Waits},
+    fleet::{Fleet, Record, State},
+    mirror::Revision,
+    precedence::{self, Precedence},
+    report::{Held, Report, Version},
+    returns::Visit,
+};
+
+const fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        stride: 5,
+        step_millis: 9.27,
+        per_request_millis: 0.0232,
+        per_thousand_tokens_millis: 0.0322,
+        read_per_milli: 20.7,
+        read_at_once: Some(2_048),
+        usual_prompt: 979,
+        usual_answer: 92,
+        memory_tokens: 317_000,
+        models: vec!["m".to_owned()],
+    }
+}
+
+/// An engine with so many requests.
+fn fleet(active: u32) -> Fleet {
+    let report = Report {
+        held: vec![Held {
+            model: "m".to_owned(),
+            version: Version(1),
+        }],
+        active,
+        pace: 1.0,
+        ..Report::default()
+    };
+    let mut fleet = Fleet::default();
+    let key = fleet.list(
+        Record {
+            id: "e".to_owned(),
+            service: "s".to_owned(),
+            address: ([10, 0, 0, 1], 80).into(),
+            zone: "z".to_owned(),
+            state: State::Ready,
+            slots: 16,
+            report: report.clone(),
+        },
+        Revision(1),
+    );
+    fleet.engine_mut(key).note_report(report, at(0));
+    fleet
+}
+
+/// Most requests that may run at an engine which takes one more with `prompt_tokens` and that target.
+fn most_beside(even: Even, target_share: f64, prompt_tokens: u64, target_millis: u64) -> u32 {
+    let model = model();
+    let demand = Demand {
+        service: "s",
+        engines: Some(&model),
+        model: Some("m"),
+        due: &[],
+        goes_on_with: None,
+        prompt_tokens,
+        target_millis,
+        target_share,
+        even,
+        zone: "z",
+        gateways: 1,
+        others_per_milli: 0.0,
+        tried: &[],
+        may_end_engine: false,
+    };
+    let is_taken = |active: &u32| {
+        let choice = admission::choose(&fleet(*active), &demand, at(0), 0);
+        matches!(choice, Choice::Send { .. })
+    };
+    (0..40).take_while(is_taken).last().unwrap_or_default()
+}
+
+const FIRST: f64 = precedence::TARGET_SHARE;
+
+#[test]
+fn where_places_are_short_nobody_is_refused_for_its_own_prompt_or_target() {
+    let calm = Even::default();
+    let short = Even {
+        share: 1.0,
+        wait_millis: 200.0,
+    };
+    let all = [
+        (100, 500),
+        (979, 500),
+        (3_500, 500),
+        (979, 400),
+        (3_500, 400),
+    ];
+    let beside = |even| all.map(|(prompt, target)| most_beside(even, FIRST, prompt, target));
+    let by_itself = beside(calm);
+    assert!(
+        by_itself[0] > by_itself[2],
+        "{by_itself:?}: in calm each by its own time"
+    );
+    let alike = beside(short);
+    assert!(alike.iter().all(|one| *one == alike[0]), "{alike:?}");
+    assert!(alike[0] >= 16, "{alike:?}: all slots can be filled");
+}
+
+/// Precedence after so many first tries in a second, of which every `refused`th was refused, and all could wait `wait`.
+fn precedence(refused: u64, wait: impl Fn(u64) -> f64) -> Precedence {
+    let mut precedence = Precedence::default();
+    for step in 0..100 {
+        let is_refused = step % refused == 0;
+        precedence.note(Visit::First, is_refused, Some(wait(step)), at(10 * step));
+    }
+    precedence
+}
+
+#[test]
+fn calm_costs_nothing_and_a_shortage_passes() {
+    let calm = precedence(1_000, |_| 300.0);
+    assert!(calm.even(at(1_000)).share < 0.2, "one refusal");
+    let mut short = precedence(2, |_| 300.0);
+    assert_eq!(short.even(at(1_000)).share, 1.0);
+    for step in 0..300 {
+        short.note(Visit::First, false, Some(300.0), at(1_000 + 10 * step));
+    }
+    assert!(short.even(at(4_000)).share < 0.3, "3 s without a refusal");
+}
+
+/// Otherwise engines would stand half empty for the sake of a few.
+#[test]
+fn a_few_huge_requests_do_not_keep_the_others_out() {
+    let wait = |step| if step % 20 == 0 { -2_000.0 } else { 300.0 };
+    let even = precedence(2, wait).even(at(1_000));
+    assert!(even.wait_millis > 80.0, "{even:?}");
+    assert!(even.wait_millis < 300.0, "{even:?}");
+}
+
+#[test]
+fn too_few_requests_tell_nothing() {
+    let mut waits = Waits::default();
+    for step in 0..4 {
+        waits.note(300.0, at(step));
+    }
+    assert_eq!(waits.common_millis(), None);
+    // What came a while ago counts little.
+    for step in 0..100 {
+        waits.note(300.0, at(10 + step));
+    }
+    for step in 0..40 {
+        waits.note(100.0, at(12_000 + 100 * step));
+    }
+    assert!(waits.common_millis().is_some_and(|common| common < 150.0));
+}
