--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -154,7 +154,7 @@
         };
         // Where none of the drawn ones could run it at all, the others stand in for them.
         if let Some(drawn) = best(fleet, demand, now, draw, is_drawn) {
-            if drawn.expected_millis() <= bound(demand, drawn.parts.own) {
+            if drawn.expected_millis() <= bound(demand, &drawn.parts) {
                 return drawn.choice();
             }
             rest_share = REST_SHARE;
@@ -165,7 +165,7 @@
     };
     let own = best.parts.own;
     // A part of what it may wait behind others: its own prompt takes what it takes.
-    let rest_bound = own + (bound(demand, own) - own) * rest_share;
+    let rest_bound = own + (bound(demand, &best.parts) - own) * rest_share;
     match best.expected_millis() <= rest_bound {
         true => best.choice(),
         false => Choice::Full(Shortfall {
@@ -319,16 +319,17 @@
     away + company + FAILURE_MILLIS * engine.failure_share()
 }
 
-/// Most milliseconds that a request may be expected to take to its first event at an engine that takes `own` of them to read
-/// its prompt.
-fn bound(demand: &Demand<'_>, own: f64) -> f64 {
+/// Most milliseconds that a request may be expected to take to its first event at an engine where it is predicted to take
+/// `parts`.
+fn bound(demand: &Demand<'_>, parts: &Parts) -> f64 {
     let target = demand.target_millis as f64;
     let Some(model) = demand.engines else {
         return target * PLAIN_SHARE;
     };
-    let idle = prediction::idle_first_millis(model, demand.prompt_tokens);
+    // An engine that is slow is as slow when it is idle.
+    let idle = prediction::idle_first_millis(model, demand.prompt_tokens) * parts.pace;
     // Where places are short, those that can wait longest fill all engines: everybody may wait equally long then.
-    let more = demand.even.more_millis(wait_millis(target, own));
+    let more = demand.even.more_millis(wait_millis(target, parts.own));
     (target * demand.target_share + more).max(idle * NEARLY_IDLE)
 }
 
--- a/crates/gingerpier_serving/src/admission/census.rs
+++ b/crates/gingerpier_serving/src/admission/census.rs
@@ -142,7 +142,7 @@
     }
     let predicted = predict(engine, demand, unseen_per_milli, now);
     let expected = predicted.sum() + error_when_full(engine, now);
-    let bound = bound(demand, predicted.own);
+    let bound = bound(demand, &predicted);
     if expected > bound {
         return Standing::Full;
     }
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_serving/src/prediction.rs
@@ -48,7 +48,7 @@
 }
 
 /// What a predicted time to a first event is made of, in milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Parts {
     /// Wait for a slot.
     pub queue: f64,
@@ -58,6 +58,21 @@
     pub others: f64,
     /// Its own prompt.
     pub own: f64,
+    /// Times longer than usual that the engine takes for everything; all parts hold it.
+    pub pace: f64,
+}
+
+impl Default for Parts {
+    /// Nothing, at the usual pace.
+    fn default() -> Self {
+        Self {
+            queue: 0.0,
+            passes: 0.0,
+            others: 0.0,
+            own: 0.0,
+            pace: 1.0,
+        }
+    }
 }
 
 impl Parts {
@@ -96,6 +111,7 @@
         passes: passes * pass_millis(model, running) * pace,
         others: others * pace,
         own: (reading - others) * pace,
+        pace,
     }
 }
 
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -187,6 +187,27 @@
     assert_eq!(choose(&fleet), None, "it would only be later still");
 }
 
+/// Engines that work at a third of their speed (`pace` 3 in their reports) take three times as long for a prompt also when they
+/// are idle, which was more than any bound for a large one: 503 after 503, with nothing to wait for.
+#[test]
+fn an_idle_engine_that_is_slow_takes_a_large_request() {
+    let (model, tried) = (model(), []);
+    let large = Demand {
+        prompt_tokens: 3_500,
+        ..demand(&model, &[], &tried)
+    };
+    let (mut fleet, keys) = fleet(1);
+    let slow = |active| Report {
+        pace: 3.0,
+        ..report(1, active)
+    };
+    fleet.engine_mut(keys[0]).note_report(slow(0), at(0));
+    let choose = |fleet: &Fleet| chosen(admission::choose(fleet, &large, at(10), 0));
+    assert_eq!(choose(&fleet), Some(keys[0]));
+    fleet.engine_mut(keys[0]).note_report(slow(16), at(0));
+    assert_eq!(choose(&fleet), None, "it would only be later still");
+}
+
 /// With 40 gateways a quarter of the engines is drawn for a request. Where few engines hold weights, mostly none of those is
 /// drawn, and callers that came back were refused at idle ones: 0.75 of what is left to them is less than an idle engine takes.
 #[test]
