--- a/crates/gingerpier_overload/tests/parts.rs
+++ b/crates/gingerpier_overload/tests/parts.rs
@@ -30,9 +30,18 @@
 
 /// Plays with several seeds; gives who was served of all of them.
 fn played(deployments: impl Iterator<Item = Deployment>, load: f64, millis: f64) -> Vec<Row> {
+    played_with(Pattern::Steady, deployments, load, millis)
+}
+
+fn played_with(
+    pattern: Pattern,
+    deployments: impl Iterator<Item = Deployment>,
+    load: f64,
+    millis: f64,
+) -> Vec<Row> {
     let mut sum = Vec::new();
     for deployment in deployments {
-        let played = play::play(&deployment, load, Pattern::Steady, millis);
+        let played = play::play(&deployment, load, pattern, millis);
         parts::add(&mut sum, played.rows);
     }
     sum
@@ -77,6 +86,37 @@
     assert!(all.is_empty(), "{all:?}");
 }
 
+/// What the gateways know of a shortage is gone where they start again, engines come and go, and a burst passes.
+#[test]
+fn no_size_is_left_unserved_whatever_goes_wrong_beside_the_load() {
+    let mut all = Vec::new();
+    for pattern in Pattern::ALL {
+        let seeds = (1..=4).map(Deployment::mixed);
+        let rows = played_with(pattern, seeds, 2.0, 12_000.0);
+        let sizes: Vec<Row> = rows.into_iter().filter(is_of_size).collect();
+        let shown = sizes.iter().map(|row| (row.part, row.relative()));
+        println!("{pattern}: {:.2?}", shown.collect::<Vec<_>>());
+        let behind = behind(&sizes);
+        all.extend(behind.iter().map(|behind| format!("{pattern}: {behind}")));
+    }
+    assert!(all.is_empty(), "{all:?}");
+}
+
+/// With 24 gateways each sees some 9 requests a second, and the largest tenth of a kind once in seconds.
+#[test]
+fn no_size_is_left_unserved_where_each_gateway_sees_few_requests() {
+    let many = |seed| Deployment {
+        gateways: 24,
+        engines: 24,
+        ..Deployment::mixed(seed)
+    };
+    let rows = played((1..=4).map(many), 2.0, 12_000.0);
+    let shown = rows.iter().map(|row| (row.part, row.relative()));
+    println!("{:.2?}", shown.collect::<Vec<_>>());
+    let behind = behind(&rows);
+    assert!(behind.is_empty(), "{behind:?}");
+}
+
 /// Sizes that are behind on a drawn deployment.
 fn behind_on_drawn(seed: u64) -> Vec<String> {
     let deployment = Deployment::drawn(seed);
