--- a/crates/gingerpier_serving/tests/evenness.rs
+++ b/crates/gingerpier_serving/tests/evenness.rs
@@ -1,16 +1,18 @@
 //! Who is taken where places are short. Small requests filled each engine up to what they could wait, and large ones, which need
 //! more of their target for themselves, were refused at engines that were less full.
 
-use gingerpier_base::Instant;
-use gingerpier_serving::{
-    admission::{self, Choice, Demand},
-    configuration::EngineModel,
-    evenness::{Even, Waits},
-    fleet::{Fleet, Record, State},
-    mirror::Revision,
-    precedence::{self, Precedence},
-    report::{Held, Report, Version},
-    returns::Visit,
+use {
+    gingerpier_base::Instant,
+    gingerpier_serving::{
+        admission::{self, Choice, Demand},
+        configuration::EngineModel,
+        evenness::{Even, Waits},
+        fleet::{Fleet, Record, State},
+        mirror::Revision,
+        precedence::{self, Precedence},
+        report::{Held, Report, Version},
+        returns::Visit,
+    },
 };
 
 const fn at(millis: u64) -> Instant {
