--- a/crates/gingerpier_overload/tests/parts.rs
+++ b/crates/gingerpier_overload/tests/parts.rs
@@ -58,31 +58,28 @@
     matches!(row.part, Part::Largest(_) | Part::Large(_))
 }
 
-#[test]
-fn no_size_is_left_unserved_under_load() {
+/// Who is behind under lasting loads, as text.
+fn behind_under_loads(deployment: fn(u64) -> Deployment) -> Vec<String> {
     let mut all = Vec::new();
     for load in LOADS {
-        let seeds = (1..=4).map(Deployment::usual);
-        let rows = played(seeds, load, 12_000.0);
+        let rows = played((1..=4).map(deployment), load, 12_000.0);
         let shown = rows.iter().map(|row| (row.part, row.relative()));
         println!("load {load}: {:.2?}", shown.collect::<Vec<_>>());
         let behind = behind(&rows);
         all.extend(behind.iter().map(|behind| format!("load {load}: {behind}")));
     }
+    all
+}
+
+#[test]
+fn no_size_is_left_unserved_under_load() {
+    let all = behind_under_loads(Deployment::usual);
     assert!(all.is_empty(), "{all:?}");
 }
 
 #[test]
 fn no_size_kind_or_zone_is_left_unserved_where_there_are_several_kinds() {
-    let mut all = Vec::new();
-    for load in LOADS {
-        let seeds = (1..=4).map(Deployment::mixed);
-        let rows = played(seeds, load, 12_000.0);
-        let shown = rows.iter().map(|row| (row.part, row.relative()));
-        println!("load {load}: {:.2?}", shown.collect::<Vec<_>>());
-        let behind = behind(&rows);
-        all.extend(behind.iter().map(|behind| format!("load {load}: {behind}")));
-    }
+    let all = behind_under_loads(Deployment::mixed);
     assert!(all.is_empty(), "{all:?}");
 }
 
