Mend: settings take fractions, rounded to the safe side of their bound

What callers saw: none was served at a deployment whose retry budget was 34.42 requests. All gateways ended at their start, 43 times each: "line 14, column 14: invalid digit found in string".

Cause: a budget was read as a whole number, and so was each time with a unit; the platform's bounds may be fractions. A retry ratio above 1 is taken, too.

--- a/crates/gingerpier_settings/src/gateway.rs
+++ b/crates/gingerpier_settings/src/gateway.rs
@@ -33,12 +33,16 @@
     pub drain_within: Millis,
     /// Time after which only named weights serve; default 8s.
     pub version_within: Millis,
-    /// Retries for each request, of all gateways together; default 0.1.
+    /// Retries for each request, of all gateways together, from 0 on; default 0.1.
     pub retry_ratio: f64,
     /// Retries of all gateways beyond the ratio in one window; default 10.
     pub retry_extra: u32,
     /// Window of the retry budget; default 10s.
     pub retry_window: Millis,
+    /// Requests that a cold engine may get in a second, against those that it bears; default 1.
+    pub cold_overshoot: f64,
+    /// Requests that it may get in a second beyond that; default 0.
+    pub cold_allowance: f64,
     /// True where this gateway carries weights for the loaders of its zone; default false. Sooner
     /// on calm days, and worse where gateways are stopped while they carry.
     pub carries_weights: bool,
@@ -95,16 +99,8 @@
     Ok(text.to_owned())
 }
 
-fn ratio(text: &str) -> Result<f64, String> {
-    let ratio: f64 = unit::parse(text)?;
-    if (0.0..=1.0).contains(&ratio) {
-        return Ok(ratio);
-    }
-    Err("a ratio is a number from 0 to 1".to_owned())
-}
-
 fn link(text: &str) -> Result<u64, String> {
-    let megabits: f64 = unit::parse(text)?;
+    let megabits = unit::finite(text)?;
     if megabits > 0.0 {
         return Ok((megabits * 1_000_000.0) as u64);
     }
@@ -126,9 +122,11 @@
         let store = section.required("store", STORE, unit::address);
         let drain_within = section.or("drain_within", Millis(8_000), unit::millis);
         let version_within = section.or("version_within", Millis(8_000), unit::millis);
-        let retry_ratio = section.or("retry_ratio", 0.1, ratio);
-        let retry_extra = section.or("retry_extra", 10, unit::parse);
-        let retry_window = section.or("retry_window", Millis(10_000), unit::millis);
+        let retry_ratio = section.or("retry_ratio", 0.1, unit::finite);
+        let retry_extra = section.or("retry_extra", 10, unit::budget);
+        let retry_window = section.or("retry_window", Millis(10_000), unit::wait);
+        let cold_overshoot = section.or("cold_overshoot", 1.0, unit::finite);
+        let cold_allowance = section.or("cold_allowance", 0.0, unit::finite);
         let carries_weights = section.or("carries_weights", false, unit::parse);
         Some(Self {
             carries_weights: carries_weights?,
@@ -146,6 +144,8 @@
             retry_ratio: retry_ratio?,
             retry_extra: retry_extra?,
             retry_window: retry_window?,
+            cold_overshoot: cold_overshoot?,
+            cold_allowance: cold_allowance?,
         })
     }
 }
--- a/crates/gingerpier_settings/src/unit.rs
+++ b/crates/gingerpier_settings/src/unit.rs
@@ -24,31 +24,92 @@
     ("GiB", 1 << 30),
 ];
 
-fn with_unit(text: &str, units: &[(&str, u64)], what: &str) -> Result<u64, String> {
+/// Whole number to which a figure is brought, so that its bound still holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Rounding {
+    /// For budgets, and times within which something has to be done.
+    Down,
+    /// For times that have to be waited.
+    Up,
+}
+
+impl Rounding {
+    /// A figure times `factor`; none where it is negative or no number.
+    fn round(self, text: &str, factor: u64) -> Option<u64> {
+        if let Ok(whole) = text.parse::<u64>() {
+            return whole.checked_mul(factor);
+        }
+        let exact = finite(text).ok()? * factor as f64;
+        // A float above the range of an integer becomes the largest one.
+        Some(match self {
+            Self::Down => exact.floor() as u64,
+            Self::Up => exact.ceil() as u64,
+        })
+    }
+}
+
+fn with_unit(
+    text: &str,
+    units: &[(&str, u64)],
+    what: &str,
+    rounding: Rounding,
+) -> Result<u64, String> {
     let mistake = || {
         let names: Vec<&str> = units.iter().map(|(name, _)| *name).collect();
         format!(
-            "`{text}` is no {what}: a whole number and a unit ({})",
+            "`{text}` is no {what}: a number and a unit ({})",
             names.join(", ")
         )
     };
-    let digits = text.trim_end_matches(|character: char| !character.is_ascii_digit());
-    let unit = text[digits.len()..].trim();
-    let number: u64 = digits.parse().map_err(|_| mistake())?;
+    let number = text.trim_end_matches(|character: char| character.is_ascii_alphabetic());
+    let unit = &text[number.len()..];
     let (_, factor) = units
         .iter()
         .find(|(name, _)| *name == unit)
         .ok_or_else(mistake)?;
-    number.checked_mul(*factor).ok_or_else(mistake)
+    rounding
+        .round(number.trim_end(), *factor)
+        .ok_or_else(mistake)
 }
 
-/// Reads a time, as in `250ms`.
+/// Reads a time within which something has to be done, as in `250ms` or `2.5s`, rounded down.
 ///
 /// # Errors
 ///
-/// Where the text has no known unit.
+/// Where the text has no known unit, or its figure is negative.
 pub fn millis(text: &str) -> Result<Millis, String> {
-    with_unit(text, &TIMES, "time").map(Millis)
+    with_unit(text, &TIMES, "time", Rounding::Down).map(Millis)
+}
+
+/// Reads a time that has to be waited, as in `10s`, rounded up.
+///
+/// # Errors
+///
+/// Where the text has no known unit, or its figure is negative.
+pub fn wait(text: &str) -> Result<Millis, String> {
+    with_unit(text, &TIMES, "time", Rounding::Up).map(Millis)
+}
+
+/// Reads a number of things of which there may be no more, as in `34` or `34.42`, rounded down.
+///
+/// # Errors
+///
+/// Where the text is no number, or a negative one.
+pub fn budget(text: &str) -> Result<u32, String> {
+    let budget = Rounding::Down.round(text, 1);
+    let budget = budget.ok_or_else(|| format!("`{text}` is no budget: a number from 0 on"))?;
+    Ok(u32::try_from(budget).unwrap_or(u32::MAX))
+}
+
+/// Reads a number from 0 on.
+///
+/// # Errors
+///
+/// Where the text is no number, a negative one, or not finite.
+pub fn finite(text: &str) -> Result<f64, String> {
+    let number = text.parse().ok();
+    let number = number.filter(|number: &f64| number.is_finite() && *number >= 0.0);
+    number.ok_or_else(|| format!("`{text}` is no number from 0 on"))
 }
 
 /// Reads a size, as in `64GiB`.
@@ -57,7 +118,7 @@
 ///
 /// Where the text has no known unit.
 pub fn bytes(text: &str) -> Result<Bytes, String> {
-    with_unit(text, &SIZES, "size").map(Bytes)
+    with_unit(text, &SIZES, "size", Rounding::Down).map(Bytes)
 }
 
 /// Reads a rate, as in `1GB/s`.
@@ -67,7 +128,7 @@
 /// Where the text has no known unit a second.
 pub fn rate(text: &str) -> Result<Bytes, String> {
     let size = text.strip_suffix("/s").ok_or_else(|| {
-        format!("`{text}` is no rate: a whole number, a unit and `/s`, as in `800MB/s`")
+        format!("`{text}` is no rate: a number, a unit and `/s`, as in `800MB/s`")
     })?;
     bytes(size)
 }
