Mend: requests run only in their regions, not in emptied zones, and at cold engines no faster than these bear

Cause: nothing read the regions of routes and accounts, the item that empties a zone, or how long an engine stays cold. Why it holds: each is one condition of the choice that all tries, streams that go on and trials go through; regions and evacuation are facts of an engine, kept when its entry or the configuration changes. Cold engines are owned by few gateways that leave an interval between their requests.

--- a/crates/gingerpier_gateway/src/callers/call.rs
+++ b/crates/gingerpier_gateway/src/callers/call.rs
@@ -2,7 +2,7 @@
 
 use {
     super::answer::Refusal,
-    crate::state::State,
+    crate::state::{State, Work},
     bytes::Bytes,
     gingerpier_base::Instant,
     gingerpier_http1::{
@@ -10,10 +10,13 @@
         writer::Message,
     },
     gingerpier_serving::{
-        configuration::{Configuration, Route, RouteKey, Service, ServiceKey, ServiceKind},
+        configuration::{
+            Configuration, Route, RouteKey, Service, ServiceKey, ServiceKind, TenantKey,
+        },
         dialect::Names,
         engine::Engine,
         mark::{Mark, Subject},
+        region::Homes,
         report::Version,
         returns::Visit,
         sizes::Band,
@@ -38,6 +41,8 @@
     pub service: ServiceKey,
     /// Tenant, where keys are needed.
     pub tenant: Option<String>,
+    /// Regions in which it may be served.
+    pub homes: Homes,
     /// Model, where one is named.
     pub model: Option<String>,
     /// Tokens of its prompt.
@@ -96,10 +101,11 @@
             .and_then(|text| text.split(',').next()?.trim().parse().ok())
             .unwrap_or_default();
         let band = state.note_size(&rules.name, prompt_tokens);
+        let name = tenant.map(|key| configuration.tenant(key).name.clone());
         let mark = Mark::of(&Subject {
             host,
             target: request.target(),
-            account: tenant.as_deref().unwrap_or_default(),
+            account: name.as_deref().unwrap_or_default(),
             body,
         });
         Ok(Self {
@@ -107,7 +113,8 @@
             body,
             route,
             service,
-            tenant,
+            homes: configuration.homes(route, tenant),
+            tenant: name,
             model: fields.text(names.model).map(str::to_owned),
             prompt_tokens,
             band,
@@ -130,6 +137,14 @@
         self.configuration.service(self.service)
     }
 
+    /// Work that it is part of.
+    pub fn work(&self) -> Work<'_> {
+        Work {
+            service: &self.target().name,
+            homes: self.homes,
+        }
+    }
+
     /// How engines of its service work, where they run models.
     pub fn engines(&self) -> Option<&gingerpier_serving::configuration::EngineModel> {
         match &self.target().kind {
@@ -193,7 +208,7 @@
     configuration: &Configuration,
     route: &Route,
     key: Option<&str>,
-) -> Result<Option<String>, Refusal> {
+) -> Result<Option<TenantKey>, Refusal> {
     if !configuration.needs_keys() {
         return Ok(None);
     }
@@ -201,7 +216,7 @@
     if tenant.is_none() && !route.is_public {
         return Err(Refusal::NoKey);
     }
-    Ok(tenant.map(|tenant| tenant.name.clone()))
+    Ok(tenant)
 }
 
 fn is_own(name: &[u8], names: &Names, request: &Request) -> bool {
--- a/crates/gingerpier_gateway/src/callers/choosing.rs
+++ b/crates/gingerpier_gateway/src/callers/choosing.rs
@@ -73,8 +73,7 @@
             0 => self.call.visit,
             _ => Visit::Returned,
         };
-        let service = &self.call.target().name;
-        self.state.target_share(service, visit, now)
+        self.state.target_share(self.call.work(), visit, now)
     }
 
     /// Milliseconds that it could wait behind others, where it goes to model engines and one was found that could run it.
@@ -96,7 +95,9 @@
             prompt_tokens: call.prompt_tokens,
             target_millis: self.target_millis(progress),
             target_share: self.target_share(now),
-            even: self.state.even(service, now),
+            even: self.state.even(call.work(), now),
+            homes: call.homes,
+            cold: self.state.cold_terms(call.target()),
             zone: &self.state.settings.zone,
             gateways: self.state.zones.borrow().gateway_count(),
             others_per_milli: self.state.others_per_milli(service, now),
--- a/crates/gingerpier_gateway/src/callers/ending.rs
+++ b/crates/gingerpier_gateway/src/callers/ending.rs
@@ -39,7 +39,12 @@
         let mut fleet = self.state.fleet.borrow_mut();
         let engine = fleet.engine_mut(engine);
         match failed.cause {
-            Cause::Unreachable | Cause::Broken => engine.note_failure(now),
+            Cause::Unreachable => {
+                engine.note_failure(now);
+                // It may come back cold before its entry says so.
+                engine.warmth.note_doubt(now);
+            }
+            Cause::Broken => engine.note_failure(now),
             Cause::Silent => engine.note_silence(now),
             Cause::Garbled | Cause::EngineFailed => engine.note_trouble(),
             Cause::Full | Cause::Elsewhere => engine.rest(now.after_millis(FULL_REST_MILLIS)),
@@ -102,9 +107,9 @@
         if ending == Ending::Refused {
             // Who is barred for its own sake says nothing of a lack of engines.
             if self.barred.is_none() {
-                let service = &self.call.target().name;
+                let work = self.call.work();
                 self.state
-                    .note_refused(service, self.call.visit, self.wait_millis(), clock::now());
+                    .note_refused(work, self.call.visit, self.wait_millis(), clock::now());
             }
             let reason = match (self.barred, self.found_engine) {
                 (Some(reason), _) => reason,
--- a/crates/gingerpier_gateway/src/callers/forward.rs
+++ b/crates/gingerpier_gateway/src/callers/forward.rs
@@ -219,9 +219,9 @@
 
     fn note_attempt(&mut self, engine: EngineKey) {
         if self.standing.attempts == 0 {
-            let service = &self.call.target().name;
+            let work = self.call.work();
             self.state
-                .note_request(service, self.call.visit, self.wait_millis(), clock::now());
+                .note_request(work, self.call.visit, self.wait_millis(), clock::now());
         }
         self.standing.attempts += 1;
         self.sent_at = Some(clock::now());
--- a/crates/gingerpier_gateway/src/figures.rs
+++ b/crates/gingerpier_gateway/src/figures.rs
@@ -196,6 +196,8 @@
     Service {
         name: told.name,
         max_connections: told.max_connections,
+        // Loaders send no requests.
+        cold_per_second: 0.0,
         kind,
     }
 }
@@ -233,6 +235,7 @@
         zone: figures.zones.get(engine.zone as usize)?.clone(),
         state: EngineState::Ready,
         slots: 0,
+        cold_millis: 0,
         report: Report {
             held: held.collect(),
             ..Report::default()
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -111,7 +111,8 @@
 async fn watch_running(state: Rc<State>) {
     loop {
         clock::pause(RUNNING_MILLIS).await;
-        state.note_running();
+        let since = state.note_running();
+        state.note_owned(since);
     }
 }
 
--- a/crates/gingerpier_gateway/src/items.rs
+++ b/crates/gingerpier_gateway/src/items.rs
@@ -29,7 +29,7 @@
         return item;
     };
     let is_of_use = match dialect.subject(&item.key) {
-        Subject::Configuration | Subject::Weights(_) => true,
+        Subject::Configuration | Subject::Weights(_) | Subject::Evacuation(_) => true,
         Subject::Engine(_) => {
             let is_short = value.len() <= MOST_ENTRY_BYTES;
             is_short && dialect.fact(&item.key, value).is_ok()
--- a/crates/gingerpier_gateway/src/loader/follow.rs
+++ b/crates/gingerpier_gateway/src/loader/follow.rs
@@ -204,7 +204,7 @@
             }
             // Gateways that send requests here tell when the bound began; without any of them nothing starts.
             Some(Fact::Weights(named)) => loader.note_named(&named, OWN, 0),
-            Some(Fact::Engine(_) | Fact::Other) | None => {}
+            Some(Fact::Engine(_) | Fact::Evacuation(_) | Fact::Other) | None => {}
         }
     }
     loader.at.set(loader.at.get().max(at));
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -147,6 +147,7 @@
     if let Some(key) = fleet.incarnation(address, report.born) {
         let engine = fleet.engine_mut(key);
         if known != Some(key) {
+            engine.warmth.note_doubt(clock::now());
             tracing::info!(
                 engine = engine.record.id,
                 born = load.born,
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -10,6 +10,7 @@
         fleet::Record,
         mirror::{Item, Revision},
         outage::Absence,
+        region::Homes,
     },
 };
 
@@ -19,8 +20,10 @@
 
 impl State {
     pub(super) fn take_absence(&self, item: &Item, absence: Absence) {
-        let Subject::Engine(id) = self.dialect.subject(&item.key) else {
-            return;
+        let id = match self.dialect.subject(&item.key) {
+            Subject::Engine(id) => id,
+            Subject::Evacuation(zone) => return self.evacuate(&zone, false, item.revision),
+            _ => return,
         };
         let revision = item.revision.0;
         let mut fleet = self.fleet.borrow_mut();
@@ -53,7 +56,15 @@
         let last = known.map(|key| fleet.engine(key).record.state);
         let address = record.address;
         let service = record.service.clone();
+        let cold_millis = record.cold_millis;
         let key = fleet.list(record, revision);
+        let now = clock::now();
+        let warmth = &mut fleet.engine_mut(key).warmth;
+        let was_cold = warmth.is_cold(now);
+        warmth.note_told(cold_millis, now);
+        if cold_millis > 0 && !was_cold {
+            tracing::info!(engine = id, cold_millis, "engine is cold");
+        }
         if known.is_some_and(|known| known != key) {
             tracing::info!(engine = id, born = ?born, %address, "engine has started again");
         }
@@ -115,8 +126,10 @@
                 target_millis: USUAL_TARGET_MILLIS,
                 target_share: 1.0,
                 even: Even::default(),
+                homes: Homes::ANYWHERE,
+                cold: self.cold_terms(service),
                 zone: &self.settings.zone,
-                gateways: 1,
+                gateways: self.zones.borrow().gateway_count(),
                 others_per_milli: 0.0,
                 tried: &[],
                 may_end_engine: false,
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -3,9 +3,11 @@
 mod contact;
 mod engines;
 mod naming;
+mod places;
 mod unnamed;
+mod work;
 
-pub use unnamed::models;
+pub use {unnamed::models, work::Work};
 
 use {
     crate::{
@@ -23,12 +25,11 @@
         budget::{Budget, Terms},
         configuration::Configuration,
         dialect::{Dialect, Fact},
-        evenness::Even,
         fleet::{EngineKey, Fleet},
         mirror::{Changes, Item, Mirror, Revision},
         naming::{Freshness, Namings},
         outage::{Absence, Outage},
-        precedence::Precedence,
+        region::Regions,
         report::Version,
         returns::{Returns, Visit},
         sizes::{Band, Sizes},
@@ -88,7 +89,8 @@
     arrivals: RefCell<HashMap<String, Arrivals>>,
     returns: RefCell<Returns>,
     sizes: RefCell<Sizes>,
-    precedence: RefCell<HashMap<String, Precedence>>,
+    precedence: RefCell<work::Shortage>,
+    regions: Regions,
     namings: RefCell<HashMap<String, Namings>>,
     /// Newest version of each model that the origin was found to have.
     found: RefCell<HashMap<String, Version>>,
@@ -107,6 +109,8 @@
     /// State of a process that starts now.
     pub fn new(settings: Settings, dialect: &'static dyn Dialect) -> Self {
         let started = clock::now();
+        let regions = settings.regions.iter();
+        let regions = Regions::new(regions.map(|one| (one.zone.as_str(), one.region.as_str())));
         let zones = settings.regions.iter().map(|one| one.zone.as_str());
         let zones = Exchange::new(settings.peers, &settings.zone, zones, started);
         Self {
@@ -114,7 +118,7 @@
             dialect,
             items: Reader::new(dialect),
             mirror: RefCell::default(),
-            fleet: RefCell::default(),
+            fleet: RefCell::new(Fleet::of(regions.clone())),
             budget: RefCell::default(),
             pool: RefCell::default(),
             metrics: Metrics::default(),
@@ -134,6 +138,7 @@
             returns: RefCell::new(Returns::new(started)),
             sizes: RefCell::default(),
             precedence: RefCell::default(),
+            regions,
             namings: RefCell::default(),
             found: RefCell::default(),
             contact: Cell::new(None),
@@ -193,12 +198,13 @@
             Some(Fact::Configuration(configuration)) => self.configure(*configuration),
             Some(Fact::Engine(record)) => self.list(*record, item.revision),
             Some(Fact::Weights(named)) => self.note_named(&named),
+            Some(Fact::Evacuation(zone)) => self.evacuate(&zone, true, item.revision),
             Some(Fact::Other) => {}
             None => self.list_nothing(item),
         }
     }
 
-    fn configure(&self, configuration: Configuration) {
+    fn configure(&self, mut configuration: Configuration) {
         let mut current = self.configuration.borrow_mut();
         let old = current.as_ref().map(|current| current.version);
         // A configuration without a version is as new as the revision that brought it here.
@@ -207,6 +213,8 @@
             return;
         }
         tracing::info!(version = configuration.version, ?old, "configuration taken");
+        configuration.locate(&self.regions);
+        self.tell_unknown_regions(&configuration);
         self.metrics.configuration.set(configuration.version as i64);
         let services = configuration.services().iter();
         let names = services.map(|service| service.name.clone());
@@ -214,10 +222,11 @@
         *current = Some(Rc::new(configuration));
     }
 
-    /// Notes a request for `service` that is sent for the first time.
+    /// Notes a request of `work` that is sent for the first time.
     /// Its caller could `wait` so many milliseconds behind others, where that is known.
-    pub fn note_request(&self, service: &str, visit: Visit, wait: Option<f64>, now: Instant) {
-        self.note_fate(service, visit, (false, wait), now);
+    pub fn note_request(&self, work: Work<'_>, visit: Visit, wait: Option<f64>, now: Instant) {
+        self.note_fate(work, visit, (false, wait), now);
+        let service = work.service;
         let mut arrivals = self.arrivals.borrow_mut();
         match arrivals.get_mut(service) {
             Some(known) => known.note(now),
@@ -243,38 +252,6 @@
         sizes.note(route, prompt_tokens)
     }
 
-    /// Notes that a request was refused whose caller could `wait` so many milliseconds behind others, where that is known.
-    pub fn note_refused(&self, service: &str, visit: Visit, wait: Option<f64>, now: Instant) {
-        self.returns.borrow_mut().note_refused(now);
-        self.note_fate(service, visit, (true, wait), now);
-    }
-
-    fn note_fate(&self, service: &str, visit: Visit, fate: (bool, Option<f64>), now: Instant) {
-        let (is_refused, wait) = fate;
-        let mut all = self.precedence.borrow_mut();
-        if !all.contains_key(service) {
-            all.insert(service.to_owned(), Precedence::default());
-        }
-        if let Some(known) = all.get_mut(service) {
-            known.note(visit, is_refused, wait, now);
-        }
-    }
-
-    /// How far requests for `service` are treated alike.
-    pub fn even(&self, service: &str, now: Instant) -> Even {
-        let all = self.precedence.borrow();
-        all.get(service)
-            .map(|known| known.even(now))
-            .unwrap_or_default()
-    }
-
-    /// Part of its target that a first event at `service` may be predicted to take, for a caller on such a visit.
-    pub fn target_share(&self, service: &str, visit: Visit, now: Instant) -> f64 {
-        let all = self.precedence.borrow();
-        let known = all.get(service).copied().unwrap_or_default();
-        known.share(visit, now)
-    }
-
     /// Milliseconds after which a caller of `route` that comes back can be told from new ones, where that is known.
     pub fn told_apart_millis(&self, route: &str) -> Option<u64> {
         self.returns.borrow().told_apart_millis(route)
--- a/crates/gingerpier_gateway/src/zones.rs
+++ b/crates/gingerpier_gateway/src/zones.rs
@@ -98,9 +98,13 @@
     let mut fleet = state.fleet.borrow_mut();
     for told in &digest.engines {
         let report = report_of(told, digest);
+        let known = fleet.at_address(told.address);
         let Some(key) = fleet.incarnation(told.address, report.born) else {
             continue;
         };
+        if known != Some(key) {
+            fleet.engine_mut(key).warmth.note_doubt(now);
+        }
         let age = u64::from(told.age);
         let at = Instant::from_millis(now.as_millis().saturating_sub(age));
         fleet.engine_mut(key).note_passed_on(report, at);
--- a/crates/gingerpier_gateway/tests/figures.rs
+++ b/crates/gingerpier_gateway/tests/figures.rs
@@ -43,6 +43,7 @@
     Service {
         name: name.to_owned(),
         max_connections: 100,
+        cold_per_second: 0.0,
         kind,
     }
 }
@@ -64,11 +65,13 @@
         }],
         max_attempts: 2,
         is_public: false,
+        regions: Vec::new(),
     };
     let tenant = |number: u32| Tenant {
         name: format!("account-{number}"),
         priority: None,
         keys: vec![format!("secret-{number}")],
+        regions: Vec::new(),
     };
     let services = vec![
         service("plain", ServiceKind::Plain),
@@ -92,6 +95,7 @@
         zone: format!("zone-{zone}"),
         state: State::Ready,
         slots: 16,
+        cold_millis: 0,
         report: Report {
             held: vec![held],
             ..Report::default()
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -10,8 +10,10 @@
         fleet::{EngineKey, Fleet, Record, State},
         mirror::Revision,
         precedence::Precedence,
+        region::Homes,
         report::{Held, Report, Version},
         returns::Visit,
+        warmth,
     },
 };
 
@@ -75,6 +77,7 @@
             zone: format!("z{}", engine % deployment.zones),
             state: State::Ready,
             slots: deployment.model.slots,
+            cold_millis: 0,
             report: Report {
                 held: vec![Held {
                     model: crate::MODEL.to_owned(),
@@ -124,6 +127,8 @@
             others_per_milli: self.arrivals.per_milli(now) * others,
             tried: ask.tried,
             may_end_engine: false,
+            homes: Homes::ANYWHERE,
+            cold: warmth::Terms::NEVER,
         };
         admission::choose(&self.fleet, &demand, now, ask.draw)
     }
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -15,7 +15,9 @@
         fleet::{EngineKey, Fleet},
         precedence,
         prediction::{self, Parts},
+        region::Homes,
         report::Version,
+        warmth::Terms,
     },
     gingerpier_base::{Instant, order},
 };
@@ -90,6 +92,10 @@
     pub target_share: f64,
     /// How far it is treated as all others.
     pub even: Even,
+    /// Regions in which it may be served.
+    pub homes: Homes,
+    /// What cold engines of the service bear.
+    pub cold: Terms,
     /// Zone of this gateway.
     pub zone: &'a str,
     /// Gateways that choose among the same engines, this one included.
@@ -199,9 +205,15 @@
         if !is_looked_at(key) || demand.tried.contains(&key) {
             continue;
         }
+        if !demand.homes.admit(engine.region) {
+            continue;
+        }
         if !engine.is_open(now) || engine.is_on_trial(now) {
             continue;
         }
+        if !engine.is_warm_for(&demand.cold, demand.gateways, now) {
+            continue;
+        }
         let parts = predict(engine, demand, unseen_per_milli, now);
         let silence = engine.silence(now) as f64;
         let predicted = parts.sum() + silence;
--- a/crates/gingerpier_serving/src/admission/census.rs
+++ b/crates/gingerpier_serving/src/admission/census.rs
@@ -20,6 +20,10 @@
     Replaced,
     /// Its entry is missing for too long.
     Lapsed,
+    /// The request may not be served in its region.
+    Abroad,
+    /// Its zone is to get no requests.
+    Evacuated,
     /// It is leaving.
     Leaving,
     /// The request went there already.
@@ -32,6 +36,8 @@
     Ordered,
     /// It rests after a failure or a refusal.
     Resting,
+    /// It is cold, and this gateway may send it nothing now.
+    Cold,
     /// It is tried with one request at a time.
     OnTrial,
     /// Word from its machine is overdue.
@@ -44,15 +50,18 @@
 
 impl Standing {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 15] = [
         Self::Replaced,
         Self::Lapsed,
+        Self::Abroad,
+        Self::Evacuated,
         Self::Leaving,
         Self::Tried,
         Self::Empty,
         Self::Outdated,
         Self::Ordered,
         Self::Resting,
+        Self::Cold,
         Self::OnTrial,
         Self::Silent,
         Self::Full,
@@ -64,12 +73,15 @@
         match self {
             Self::Replaced => "replaced",
             Self::Lapsed => "lapsed",
+            Self::Abroad => "abroad",
+            Self::Evacuated => "evacuated",
             Self::Leaving => "leaving",
             Self::Tried => "tried",
             Self::Empty => "empty",
             Self::Outdated => "outdated",
             Self::Ordered => "ordered",
             Self::Resting => "resting",
+            Self::Cold => "cold",
             Self::OnTrial => "on-trial",
             Self::Silent => "silent",
             Self::Full => "full",
@@ -128,6 +140,12 @@
     if engine.has_lapsed(now) {
         return Standing::Lapsed;
     }
+    if !demand.homes.admit(engine.region) {
+        return Standing::Abroad;
+    }
+    if engine.is_evacuated {
+        return Standing::Evacuated;
+    }
     if engine.record.state == State::Draining {
         return Standing::Leaving;
     }
@@ -137,6 +155,9 @@
     if !engine.is_open(now) {
         return Standing::Resting;
     }
+    if !engine.is_warm_for(&demand.cold, demand.gateways, now) {
+        return Standing::Cold;
+    }
     if engine.is_on_trial(now) {
         return Standing::OnTrial;
     }
--- a/crates/gingerpier_serving/src/configuration.rs
+++ b/crates/gingerpier_serving/src/configuration.rs
@@ -1,6 +1,7 @@
 //! What the operators want: routes, services, tenants and limits, indexed for requests.
 
 use {
+    crate::region::{Homes, Regions},
     gingerpier_base::order,
     std::{collections::HashMap, net::SocketAddr},
 };
@@ -76,6 +77,8 @@
     pub max_attempts: u32,
     /// True where no key is needed.
     pub is_public: bool,
+    /// Regions in which alone its requests may be served; any where it names none.
+    pub regions: Vec<String>,
 }
 
 /// What a service is.
@@ -107,6 +110,8 @@
     pub name: String,
     /// Most connections of one engine.
     pub max_connections: u32,
+    /// Requests a second that one of its engines bears while it is cold; 0 where they never are.
+    pub cold_per_second: f64,
     /// What it is.
     pub kind: ServiceKind,
 }
@@ -147,6 +152,8 @@
     pub priority: Option<u8>,
     /// Keys that its callers may carry.
     pub keys: Vec<String>,
+    /// Regions in which alone its requests may be served; any where it names none.
+    pub regions: Vec<String>,
 }
 
 /// Bounds on callers.
@@ -256,6 +263,9 @@
     routes: Vec<Route>,
     services: Services,
     tenants: Vec<Tenant>,
+    /// Homes of routes and of tenants, by their keys.
+    route_homes: Vec<Homes>,
+    tenant_homes: Vec<Homes>,
     by_host: HashMap<String, Vec<RouteKey>>,
     by_key: HashMap<String, TenantKey>,
 }
@@ -287,15 +297,48 @@
                 by_key.insert(key.clone(), TenantKey(index as u32));
             }
         }
-        Self {
+        // Until the regions are known, what is bound to any is served nowhere.
+        let unknown = Regions::default();
+        let mut configuration = Self {
             version,
             limits,
             routes,
             services: Services::new(version, services),
             tenants,
+            route_homes: Vec::new(),
+            tenant_homes: Vec::new(),
             by_host,
             by_key,
-        }
+        };
+        configuration.locate(&unknown);
+        configuration
+    }
+
+    /// Resolves the names of regions to which routes and tenants are bound.
+    pub fn locate(&mut self, regions: &Regions) {
+        let routes = self.routes.iter();
+        self.route_homes = routes.map(|route| regions.homes(&route.regions)).collect();
+        let tenants = self.tenants.iter();
+        self.tenant_homes = tenants
+            .map(|tenant| regions.homes(&tenant.regions))
+            .collect();
+    }
+
+    /// Regions in which a request of `route` and `tenant` may be served: those that both allow.
+    pub fn homes(&self, route: RouteKey, tenant: Option<TenantKey>) -> Homes {
+        let of_route = self.route_homes[route.0 as usize];
+        tenant.map_or(of_route, |tenant| {
+            of_route.and(self.tenant_homes[tenant.0 as usize])
+        })
+    }
+
+    /// What is bound to regions, by its name, with the names of these.
+    pub fn bound(&self) -> impl Iterator<Item = (&str, &[String])> {
+        let routes = self.routes.iter();
+        let routes = routes.map(|route| (route.name.as_str(), route.regions.as_slice()));
+        let tenants = self.tenants.iter();
+        let tenants = tenants.map(|tenant| (tenant.name.as_str(), tenant.regions.as_slice()));
+        routes.chain(tenants)
     }
 
     /// Route with the longest prefix of `path` at `host`; a port in `host` does not count.
@@ -346,9 +389,13 @@
     }
 
     /// Tenant that holds `key`.
-    pub fn tenant_of(&self, key: &str) -> Option<&Tenant> {
-        let tenant = self.by_key.get(key)?;
-        Some(&self.tenants[tenant.0 as usize])
+    pub fn tenant_of(&self, key: &str) -> Option<TenantKey> {
+        self.by_key.get(key).copied()
+    }
+
+    /// A tenant.
+    pub fn tenant(&self, key: TenantKey) -> &Tenant {
+        &self.tenants[key.0 as usize]
     }
 
     /// Service that takes a request whose draw is `draw`, any number.
--- a/crates/gingerpier_serving/src/dialect.rs
+++ b/crates/gingerpier_serving/src/dialect.rs
@@ -77,6 +77,8 @@
     Engine(Box<Record>),
     /// New weights are named.
     Weights(Named),
+    /// Engines of a zone are to get no requests.
+    Evacuation(String),
     /// Nothing that matters here.
     Other,
 }
@@ -122,6 +124,8 @@
     Engine(String),
     /// Weights of a model.
     Weights(String),
+    /// Evacuation of a zone.
+    Evacuation(String),
     /// Nothing that matters here.
     Other,
 }
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -6,7 +6,9 @@
     crate::{
         fleet::{Record, State},
         mirror::Revision,
+        region::RegionKey,
         report::{Born, Report, Version},
+        warmth::{Terms, Warmth},
     },
     gingerpier_base::Instant,
     std::collections::VecDeque,
@@ -109,6 +111,12 @@
     pub(crate) is_replaced: bool,
     /// When this incarnation started, as far as it was told.
     pub(crate) born: Option<Born>,
+    /// Region of its zone, where it is known.
+    pub(crate) region: Option<RegionKey>,
+    /// True while its zone is to get no requests.
+    pub(crate) is_evacuated: bool,
+    /// How warm it is.
+    pub warmth: Warmth,
     rests_until: Instant,
     failures_in_row: u32,
     failure_share: f64,
@@ -137,6 +145,9 @@
             lapses_at: None,
             revision,
             is_replaced: false,
+            region: None,
+            is_evacuated: false,
+            warmth: Warmth::default(),
             rests_until: Instant::default(),
             failures_in_row: 0,
             failure_share: 0.0,
@@ -187,7 +198,15 @@
     /// True where it may be sent new work.
     pub fn is_open(&self, now: Instant) -> bool {
         let is_there = !self.is_gone && !self.is_replaced && !self.has_lapsed(now);
-        is_there && self.record.state == State::Ready && self.rests_until.has_passed(now)
+        is_there
+            && !self.is_evacuated
+            && self.record.state == State::Ready
+            && self.rests_until.has_passed(now)
+    }
+
+    /// True where one of `gateways` may send it a request now, as far as it is cold.
+    pub fn is_warm_for(&self, terms: &Terms, gateways: u32, now: Instant) -> bool {
+        self.warmth.admits(terms, gateways, now)
     }
 
     /// What all gateways have there, as far as known.
@@ -310,6 +329,7 @@
 
     /// Notes a request sent there with `tokens` of prompt.
     pub fn note_sent(&mut self, tokens: u64, now: Instant) {
+        self.warmth.note_sent(now);
         self.load.in_flight += 1;
         self.load.waiting += 1;
         self.load.waiting_tokens += tokens;
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -9,6 +9,7 @@
     crate::{
         engine::Engine,
         mirror::Revision,
+        region::Regions,
         report::{Born, Report},
     },
     gingerpier_base::Instant,
@@ -50,6 +51,8 @@
     pub state: State,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Milliseconds for which it is still cold; 0 where it is warm or does not tell.
+    pub cold_millis: u64,
     /// What it held and did when it was listed.
     pub report: Report,
 }
@@ -94,10 +97,48 @@
     by_address: HashMap<SocketAddr, Vec<EngineKey>>,
     /// Services that engines may be of; all where none are known.
     services: Option<HashSet<String>>,
+    regions: Regions,
+    /// Zones whose engines are to get no requests.
+    evacuated: HashSet<String>,
     doubts: HashMap<String, Doubt>,
 }
 
 impl Fleet {
+    /// Fleet of a deployment with these `regions`.
+    pub fn of(regions: Regions) -> Self {
+        Self {
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// Takes whether the engines of `zone` are to get no requests. Those of a zone that is taken back may have turned cold.
+    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, now: Instant) {
+        let is_news = match is_evacuated {
+            true => self.evacuated.insert(zone.to_owned()),
+            false => self.evacuated.remove(zone),
+        };
+        if !is_news {
+            return;
+        }
+        for engine in &mut self.engines {
+            if engine.record.zone != zone {
+                continue;
+            }
+            engine.is_evacuated = is_evacuated;
+            if !is_evacuated {
+                engine.warmth.note_doubt(now);
+            }
+        }
+    }
+
+    /// Region and evacuation of an engine's zone.
+    fn place(&mut self, key: EngineKey) {
+        let engine = &mut self.engines[key.0 as usize];
+        engine.region = self.regions.of_zone(&engine.record.zone);
+        engine.is_evacuated = self.evacuated.contains(&engine.record.zone);
+    }
+
     /// Takes what the platform lists of an engine at `revision`.
     pub fn list(&mut self, record: Record, revision: Revision) -> EngineKey {
         let Some(key) = self.by_id.get(&record.id).copied() else {
@@ -132,6 +173,8 @@
         engine.record = Record { state, ..record };
         engine.revision = revision;
         engine.lapses_at = None;
+        self.place(key);
+        let engine = &mut self.engines[key.0 as usize];
         let address = engine.record.address;
         if engine.is_gone {
             engine.is_gone = false;
@@ -159,6 +202,7 @@
         self.by_service.entry(service).or_default().push(key);
         self.by_address.entry(address).or_default().push(key);
         self.engines.push(Engine::new(record, revision));
+        self.place(key);
         self.settle_address(address);
         key
     }
--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -240,6 +240,20 @@
         own + counts.sum::<u32>()
     }
 
+    /// True where this gateway is among the first `count` of all that live, in an order of `subject`'s own; never before
+    /// those of its zone were counted.
+    pub fn is_among(&self, subject: u64, count: usize, now: Instant) -> bool {
+        let counted = self.named.map(|at| at.after_millis(COUNTED_AFTER_MILLIS));
+        if !counted.is_some_and(|at| at.has_passed(now)) {
+            return false;
+        }
+        let score = |member: &SocketAddr| order::mix(subject ^ order::hash(member));
+        let own = score(&self.own);
+        let others = self.living(now).filter(|(_, member)| *member != self.own);
+        let ahead = others.filter(|(_, member)| score(member) > own);
+        ahead.take(count).count() < count
+    }
+
     /// Gateways to which a digest of the own zone goes now; none where it is not the time, or others
     /// send it.
     pub fn poll(&mut self, now: Instant) -> Vec<SocketAddr> {
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -19,7 +19,9 @@
         mirror::{Item, Mirror, Revision},
         pace::Pace,
         precedence, prediction,
+        region::Homes,
         report::{Held, Report, Version},
+        warmth,
     },
     proptest::prelude::*,
 };
@@ -64,6 +66,7 @@
         zone: zone.to_owned(),
         state: State::Ready,
         slots: 16,
+        cold_millis: 0,
         report: report(1, 0),
     }
 }
@@ -107,6 +110,8 @@
         others_per_milli: 0.0,
         tried: &[],
         may_end_engine: false,
+        homes: Homes::ANYWHERE,
+        cold: warmth::Terms::NEVER,
     }
 }
 
@@ -568,6 +573,7 @@
         }],
         max_attempts: 2,
         is_public: false,
+        regions: Vec::new(),
     }
 }
 
@@ -576,12 +582,14 @@
     let service = Service {
         name: "s".to_owned(),
         max_connections: 1,
+        cold_per_second: 0.0,
         kind: ServiceKind::Plain,
     };
     let tenant = Tenant {
         name: "t".to_owned(),
         priority: None,
         keys: vec!["k".to_owned()],
+        regions: Vec::new(),
     };
     let routes = vec![route("/a/", 0), route("/a/b/", 0)];
     let configuration =
--- a/crates/gingerpier_serving/tests/evenness.rs
+++ b/crates/gingerpier_serving/tests/evenness.rs
@@ -10,8 +10,10 @@
         fleet::{Fleet, Record, State},
         mirror::Revision,
         precedence::{self, Precedence},
+        region::Homes,
         report::{Held, Report, Version},
         returns::Visit,
+        warmth::Terms,
     },
 };
 
@@ -55,6 +57,7 @@
             zone: "z".to_owned(),
             state: State::Ready,
             slots: 16,
+            cold_millis: 0,
             report: report.clone(),
         },
         Revision(1),
@@ -81,6 +84,8 @@
         others_per_milli: 0.0,
         tried: &[],
         may_end_engine: false,
+        homes: Homes::ANYWHERE,
+        cold: Terms::NEVER,
     };
     let is_taken = |active: &u32| {
         let choice = admission::choose(&fleet(*active), &demand, at(0), 0);
--- a/crates/gingerpier_serving/tests/incarnations.rs
+++ b/crates/gingerpier_serving/tests/incarnations.rs
@@ -51,6 +51,7 @@
         zone: "z".to_owned(),
         state,
         slots: 16,
+        cold_millis: 0,
         report: report(born, version),
     }
 }
--- a/crates/gingerpier_serving/tests/outage.rs
+++ b/crates/gingerpier_serving/tests/outage.rs
@@ -22,6 +22,7 @@
         zone: "z".to_owned(),
         state,
         slots: 4,
+        cold_millis: 0,
         report: Report::default(),
     }
 }
--- /dev/null
+++ b/crates/gingerpier_serving/tests/places.rs
@@ -0,0 +1,610 @@
+//! Where requests may run, with the truth known: regions, zones that are emptied, engines that are cold.
+//!
+//! Gateways hear of changes late, each at another moment, and one that was cut off hears nothing for seconds. Whatever they
+//! hear and when, no request runs outside its regions, none at a zone that was emptied long ago, and a cold engine gets no
+//! more in any second than it may.
+
+use {
+    gingerpier_base::{Instant, order},
+    gingerpier_serving::{
+        admission::{self, Choice, Demand},
+        configuration::{
+            Configuration, Limits, Repeat, Route, RouteKey, Service, ServiceKey, ServiceKind,
+            Target, Tenant,
+        },
+        evenness::Even,
+        fleet::{EngineKey, Fleet, Record, State},
+        mirror::Revision,
+        precedence,
+        region::{Homes, MAX_REGIONS, Regions},
+        report::Report,
+        warmth::{Terms, Warmth},
+        zones::Exchange,
+    },
+    proptest::prelude::*,
+    std::{collections::HashMap, net::SocketAddr},
+};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const REGION_NAMES: [&str; 3] = ["ra", "rb", "rc"];
+
+/// Engines of each zone.
+const ENGINES: usize = 3;
+
+/// Most milliseconds after which a gateway has heard of a change: half of the least bound that operators give.
+const HEARD_MILLIS: u64 = 2_000;
+
+/// Milliseconds of a played day.
+const DAY_MILLIS: u64 = 12_000;
+
+/// Milliseconds of a step.
+const STEP_MILLIS: u64 = 5;
+
+fn regions() -> Regions {
+    Regions::new(ZONES.into_iter().zip(REGION_NAMES))
+}
+
+const fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn record(zone: usize, number: usize, cold_millis: u64) -> Record {
+    Record {
+        id: format!("e{zone}-{number}"),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([10, 1, zone as u8, number as u8], 80)),
+        zone: ZONES[zone].to_owned(),
+        state: State::Ready,
+        slots: 8,
+        cold_millis,
+        report: Report::default(),
+    }
+}
+
+fn demand(homes: Homes, cold: Terms, gateways: u32) -> Demand<'static> {
+    Demand {
+        service: "s",
+        engines: None,
+        model: None,
+        due: &[],
+        goes_on_with: None,
+        prompt_tokens: 0,
+        target_millis: 500,
+        target_share: precedence::TARGET_SHARE,
+        even: Even::default(),
+        homes,
+        cold,
+        zone: "a",
+        gateways,
+        others_per_milli: 0.0,
+        tried: &[],
+        may_end_engine: false,
+    }
+}
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn both_a_route_and_an_account_bind_a_request() {
+    let route = |name: &str, homes: &[&str]| Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        repeat: Repeat::Safe,
+        timeout_millis: 1_000,
+        target_millis: 500,
+        pause_millis: 200,
+        priority: 1,
+        targets: vec![Target {
+            service: ServiceKey(0),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        is_public: false,
+        regions: names(homes),
+    };
+    let tenant = |name: &str, homes: &[&str]| Tenant {
+        name: name.to_owned(),
+        priority: None,
+        keys: vec![name.to_owned()],
+        regions: names(homes),
+    };
+    let service = Service {
+        name: "s".to_owned(),
+        max_connections: 1,
+        cold_per_second: 0.0,
+        kind: ServiceKind::Plain,
+    };
+    let routes = vec![
+        route("any", &[]),
+        route("ab", &["ra", "rb"]),
+        route("lost", &["mars"]),
+    ];
+    let tenants = vec![
+        tenant("any", &[]),
+        tenant("bc", &["rb", "rc"]),
+        tenant("c", &["rc"]),
+    ];
+    let mut read = Configuration::new(1, Limits::default(), routes, vec![service], tenants);
+    let regions = regions();
+    let allowed = |read: &Configuration, route: u32, key: &str| -> Vec<&str> {
+        let homes = read.homes(RouteKey(route), read.tenant_of(key));
+        let is_allowed = |zone: &&str| homes.admit(regions.of_zone(zone));
+        ZONES.into_iter().filter(is_allowed).collect()
+    };
+    assert!(
+        allowed(&read, 1, "any").is_empty(),
+        "before regions are known"
+    );
+    read.locate(&regions);
+    assert_eq!(allowed(&read, 0, "any"), ZONES);
+    assert_eq!(read.homes(RouteKey(0), None), Homes::ANYWHERE);
+    assert_eq!(allowed(&read, 1, "any"), ["a", "b"]);
+    assert_eq!(allowed(&read, 0, "bc"), ["b", "c"]);
+    assert_eq!(allowed(&read, 1, "bc"), ["b"]);
+    assert!(allowed(&read, 1, "c").is_empty());
+    assert!(allowed(&read, 2, "any").is_empty(), "a region that is none");
+}
+
+#[test]
+fn regions_beyond_those_that_are_told_apart_admit_nothing() {
+    let names: Vec<String> = (0..MAX_REGIONS + 2)
+        .map(|number| format!("r{number}"))
+        .collect();
+    let regions = Regions::new(names.iter().map(|name| (name.as_str(), name.as_str())));
+    for (number, name) in names.iter().enumerate() {
+        let homes = regions.homes(std::slice::from_ref(name));
+        let admitted = names
+            .iter()
+            .filter(|zone| homes.admit(regions.of_zone(zone)));
+        assert_eq!(
+            admitted.count(),
+            usize::from(number < MAX_REGIONS),
+            "{name}"
+        );
+        assert!(!homes.admit(None));
+    }
+    assert_ne!(regions.homes(&names), Homes::ANYWHERE);
+}
+
+#[test]
+fn an_engine_is_cold_until_it_says_otherwise_or_its_time_is_over() {
+    let terms = Terms {
+        per_second: 26.0,
+        overshoot: 1.5,
+        allowance: 5.0,
+    };
+    let mut warmth = Warmth::listed(2_000, at(0));
+    assert!(!warmth.admits(&terms, 9, at(10)), "others own it");
+    assert!(
+        warmth.admits(&Terms::NEVER, 9, at(10)),
+        "of a service that is never cold"
+    );
+    warmth.note_owned(true);
+    assert!(warmth.admits(&terms, 9, at(10)));
+    warmth.note_sent(at(10));
+    assert!(!warmth.admits(&terms, 9, at(20)));
+    assert!(
+        warmth.admits(&terms, 9, at(10 + 350)),
+        "its interval is 9 / 26 s"
+    );
+    warmth.note_owned(false);
+    assert!(warmth.admits(&terms, 9, at(2_000)));
+    // One that could not be reached, until an entry that was written after that.
+    warmth.note_doubt(at(3_000));
+    warmth.note_sent(at(3_000));
+    assert!(!warmth.admits(&terms, 100, at(3_500)));
+    warmth.note_told(0, at(3_500));
+    assert!(
+        !warmth.admits(&terms, 100, at(3_600)),
+        "it may have been written before"
+    );
+    warmth.note_told(0, at(4_500));
+    assert!(warmth.admits(&terms, 100, at(4_500)));
+    // Nobody tells while the store is away.
+    warmth.note_doubt(at(5_000));
+    warmth.note_sent(at(10_900));
+    assert!(!warmth.admits(&terms, 100, at(10_950)));
+    assert!(warmth.admits(&terms, 100, at(11_000)));
+}
+
+proptest! {
+    /// Owners keep below the bound in any second, whatever operators give.
+    #[test]
+    fn owners_keep_below_any_bound(gateways in 1..2_000_u32, per_second in 0.5..200.0_f64, overshoot in 1.0..3.0_f64, allowance in 0.0..20.0_f64) {
+        let terms = Terms { per_second, overshoot, allowance };
+        let owners = terms.owner_count(gateways) as f64;
+        let each = (1_000.0 / terms.owner_interval_millis(gateways)).floor() + 1.0;
+        // One request in a second is the least there is.
+        prop_assert!(owners * each <= terms.max_in_a_second().max(1.0), "{owners} owners, {each} each: {terms:?}");
+        prop_assert!(owners / (terms.owner_interval_millis(gateways) / 1_000.0) >= per_second.min(terms.max_in_a_second()) * 0.3);
+    }
+}
+
+/// A change that gateways hear of, each at another moment.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    /// An engine is listed as cold for so many milliseconds from then on.
+    Listed {
+        zone: usize,
+        number: usize,
+        cold_until: u64,
+    },
+    /// A zone is emptied, or taken back.
+    Evacuated { zone: usize, is_evacuated: bool },
+}
+
+impl Change {
+    /// What it is about.
+    const fn key(self) -> (usize, Option<usize>) {
+        match self {
+            Self::Listed { zone, number, .. } => (zone, Some(number)),
+            Self::Evacuated { zone, .. } => (zone, None),
+        }
+    }
+}
+
+/// How gateways send to cold engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// The product's.
+    Owners,
+    /// As if engines were never cold.
+    Unpaced,
+    /// As if each gateway owned each cold engine.
+    AllOwn,
+}
+
+struct Gateway {
+    fleet: Fleet,
+    exchange: Exchange,
+    /// Changes that are on their way, by the moment of their arrival.
+    coming: Vec<(u64, u32, Change)>,
+    /// Revision of the last change of each engine, and of each zone.
+    newest: HashMap<(usize, Option<usize>), u32>,
+}
+
+/// What came of a day.
+#[derive(Debug, Default)]
+struct Outcome {
+    abroad: usize,
+    at_emptied: usize,
+    most_in_a_second: usize,
+    /// Requests that cold engines got, and milliseconds of theirs, once all knew of it.
+    cold_requests: u32,
+    cold_millis: u64,
+    refused: usize,
+}
+
+struct Day {
+    draw: fastrand::Rng,
+    terms: Terms,
+    way: Way,
+    gateways: Vec<Gateway>,
+    /// Until when each engine is cold, and when each zone was emptied.
+    cold_until: [[u64; ENGINES]; ZONES.len()],
+    cold_since: [[u64; ENGINES]; ZONES.len()],
+    emptied: [Option<u64>; ZONES.len()],
+    arrivals: Vec<(usize, usize, u64)>,
+    outcome: Outcome,
+    revision: u32,
+    /// Requests that come in one step.
+    per_step: f64,
+}
+
+impl Day {
+    fn new(seed: u64, way: Way) -> Self {
+        let mut draw = fastrand::Rng::with_seed(seed);
+        let count = draw.usize(2..40);
+        let address =
+            |number: usize| SocketAddr::from(([10, 0, number as u8 % 3, number as u8], 7700));
+        let gateway = |number: usize| {
+            let mut exchange =
+                Exchange::new(address(number), ZONES[number % 3], ZONES.into_iter(), at(0));
+            for other in 0..count {
+                exchange.note_member(ZONES[other % 3], address(other), at(0));
+            }
+            Gateway {
+                fleet: Fleet::of(regions()),
+                exchange,
+                coming: Vec::new(),
+                newest: HashMap::new(),
+            }
+        };
+        let gateways = (0..count).map(gateway).collect();
+        let terms = Terms {
+            per_second: draw.f64() * 30.0 + 2.0,
+            overshoot: 1.0 + draw.f64(),
+            allowance: draw.f64() * 8.0,
+        };
+        Self {
+            per_step: draw.f64() * 3.0,
+            draw,
+            terms,
+            way,
+            gateways,
+            cold_until: Default::default(),
+            cold_since: Default::default(),
+            emptied: Default::default(),
+            arrivals: Vec::new(),
+            outcome: Outcome::default(),
+            revision: 1,
+        }
+    }
+
+    /// Tells all gateways of a change, each at another moment; a third of them is cut off and hears late.
+    fn tell(&mut self, now: u64, change: Change) {
+        self.revision += 1;
+        for gateway in &mut self.gateways {
+            let most = if self.draw.u8(..3) == 0 {
+                HEARD_MILLIS
+            } else {
+                HEARD_MILLIS / 4
+            };
+            let arrives = now + self.draw.u64(20..most);
+            gateway.coming.push((arrives, self.revision, change));
+        }
+    }
+
+    fn play(mut self) -> Outcome {
+        for zone in 0..ZONES.len() {
+            for number in 0..ENGINES {
+                self.tell(
+                    0,
+                    Change::Listed {
+                        zone,
+                        number,
+                        cold_until: 0,
+                    },
+                );
+            }
+        }
+        let mut due = 0.0;
+        for now in (0..DAY_MILLIS).step_by(STEP_MILLIS as usize) {
+            self.change(now);
+            self.hear(now);
+            let is_cold = |place: usize| self.is_known_cold(place / ENGINES, place % ENGINES, now);
+            let cold = (0..ZONES.len() * ENGINES)
+                .filter(|place| is_cold(*place) && self.emptied[*place / ENGINES].is_none());
+            self.outcome.cold_millis += cold.count() as u64 * STEP_MILLIS;
+            due += if now > HEARD_MILLIS {
+                self.per_step
+            } else {
+                0.0
+            };
+            while due >= 1.0 {
+                due -= 1.0;
+                self.send(now);
+            }
+        }
+        self.outcome.most_in_a_second = self.most_in_a_second();
+        self.outcome
+    }
+
+    /// Zones come back cold together, engines turn cold, zones are emptied and taken back.
+    fn change(&mut self, now: u64) {
+        if now <= HEARD_MILLIS || self.draw.u64(..1_500 / STEP_MILLIS) > 0 {
+            return;
+        }
+        let zone = self.draw.usize(..ZONES.len());
+        match self.draw.u8(..3) {
+            0 => self.turn_cold(now, zone, ENGINES),
+            1 => self.turn_cold(now, zone, 1),
+            _ => {
+                let is_evacuated = self.emptied[zone].is_none();
+                self.emptied[zone] = is_evacuated.then_some(now);
+                if !is_evacuated {
+                    // Cold before it is taken back, as operators say.
+                    self.turn_cold(now, zone, ENGINES);
+                }
+                self.tell(now, Change::Evacuated { zone, is_evacuated });
+            }
+        }
+    }
+
+    fn turn_cold(&mut self, now: u64, zone: usize, count: usize) {
+        for number in 0..count {
+            let cold_until = now + self.draw.u64(1_000..5_000);
+            self.cold_since[zone][number] = now;
+            self.cold_until[zone][number] = cold_until;
+            self.tell(
+                now,
+                Change::Listed {
+                    zone,
+                    number,
+                    cold_until,
+                },
+            );
+        }
+    }
+
+    fn hear(&mut self, now: u64) {
+        let instant = at(now);
+        let terms = self.terms;
+        let (way, count) = (self.way, self.gateways.len() as u32);
+        let mut known = Vec::new();
+        if now.is_multiple_of(1_000) {
+            known.extend(
+                self.gateways
+                    .iter()
+                    .flat_map(|one| one.exchange.living(instant))
+                    .map(|(zone, address)| (zone.to_owned(), address)),
+            );
+        }
+        for gateway in &mut self.gateways {
+            for (zone, address) in &known {
+                gateway.exchange.note_member(zone, *address, instant);
+            }
+            let (mut arrived, coming): (Vec<_>, Vec<_>) = gateway
+                .coming
+                .drain(..)
+                .partition(|(arrives, ..)| *arrives <= now);
+            gateway.coming = coming;
+            arrived.sort_by_key(|(_, revision, _)| *revision);
+            for (_, revision, change) in arrived {
+                // As the mirror does.
+                let newest = gateway.newest.entry(change.key()).or_default();
+                if *newest > revision {
+                    continue;
+                }
+                *newest = revision;
+                match change {
+                    Change::Listed {
+                        zone,
+                        number,
+                        cold_until,
+                    } => {
+                        let cold = cold_until.saturating_sub(now);
+                        let key = gateway
+                            .fleet
+                            .list(record(zone, number, cold), Revision(u64::from(revision)));
+                        gateway
+                            .fleet
+                            .engine_mut(key)
+                            .warmth
+                            .note_told(cold, instant);
+                    }
+                    Change::Evacuated { zone, is_evacuated } => {
+                        gateway
+                            .fleet
+                            .set_evacuated(ZONES[zone], is_evacuated, instant);
+                    }
+                }
+            }
+            if !now.is_multiple_of(250) {
+                continue;
+            }
+            let keys: Vec<EngineKey> = gateway.fleet.present("s").map(|(key, _)| key).collect();
+            for key in keys {
+                let subject = order::hash(&gateway.fleet.engine(key).record.address);
+                let is_owned = way == Way::AllOwn
+                    || gateway
+                        .exchange
+                        .is_among(subject, terms.owner_count(count), instant);
+                gateway.fleet.engine_mut(key).warmth.note_owned(is_owned);
+            }
+        }
+    }
+
+    fn send(&mut self, now: u64) {
+        let instant = at(now);
+        let gateway = self.draw.usize(..self.gateways.len());
+        let bound = self.draw.usize(..8);
+        let homes = match REGION_NAMES.get(bound) {
+            Some(name) => regions().homes(&names(&[name])),
+            None => Homes::ANYWHERE,
+        };
+        let cold = match self.way {
+            Way::Unpaced => Terms::NEVER,
+            Way::Owners | Way::AllOwn => self.terms,
+        };
+        let demand = demand(homes, cold, self.gateways.len() as u32);
+        let draw = self.draw.u64(..);
+        let fleet = &mut self.gateways[gateway].fleet;
+        let Choice::Send { engine, .. } = admission::choose(fleet, &demand, instant, draw) else {
+            self.outcome.refused += 1;
+            return;
+        };
+        fleet.engine_mut(engine).note_sent(0, instant);
+        fleet.engine_mut(engine).note_end(0, true);
+        let ip = match fleet.engine(engine).record.address.ip() {
+            std::net::IpAddr::V4(ip) => ip.octets(),
+            std::net::IpAddr::V6(_) => panic!("engines have short addresses"),
+        };
+        let (zone, number) = (usize::from(ip[2]), usize::from(ip[3]));
+        self.outcome.abroad += usize::from(bound < ZONES.len() && bound != zone);
+        let is_late = |since: u64| now > since + HEARD_MILLIS;
+        self.outcome.at_emptied += usize::from(self.emptied[zone].is_some_and(is_late));
+        if self.is_known_cold(zone, number, now) {
+            self.outcome.cold_requests += 1;
+            self.arrivals.push((zone, number, now));
+        }
+    }
+
+    /// True where an engine is cold and all have heard of it: before that, one in use goes on being used.
+    fn is_known_cold(&self, zone: usize, number: usize, now: u64) -> bool {
+        let is_known = now > self.cold_since[zone][number] + HEARD_MILLIS;
+        is_known && now < self.cold_until[zone][number]
+    }
+
+    /// Most requests that a cold engine got in a second.
+    fn most_in_a_second(&self) -> usize {
+        let mut by_engine: HashMap<(usize, usize), Vec<u64>> = HashMap::new();
+        for (zone, number, sent) in &self.arrivals {
+            by_engine.entry((*zone, *number)).or_default().push(*sent);
+        }
+        let most = |times: &Vec<u64>| {
+            let within = |(place, first): (usize, &u64)| {
+                times.partition_point(|other| *other < first + 1_000) - place
+            };
+            times.iter().enumerate().map(within).max()
+        };
+        by_engine
+            .values()
+            .filter_map(most)
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+/// Days played of the product's way; of the others a quarter.
+const SEEDS: u64 = 200;
+
+#[test]
+fn no_request_runs_abroad_or_at_an_emptied_zone() {
+    for seed in 0..SEEDS {
+        let outcome = Day::new(seed, Way::Owners).play();
+        assert_eq!(
+            (outcome.abroad, outcome.at_emptied),
+            (0, 0),
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn cold_engines_get_no_more_than_they_may() {
+    for seed in 0..SEEDS {
+        let day = Day::new(seed, Way::Owners);
+        let most = day.terms.max_in_a_second().max(1.0);
+        let outcome = day.play();
+        assert!(
+            outcome.most_in_a_second as f64 <= most,
+            "seed {seed}: {outcome:?}, at most {most}"
+        );
+    }
+}
+
+#[test]
+fn without_owners_cold_engines_get_too_much() {
+    for way in [Way::AllOwn, Way::Unpaced] {
+        let is_broken = |seed: &u64| {
+            let day = Day::new(*seed, way);
+            let most = day.terms.max_in_a_second().max(1.0);
+            day.play().most_in_a_second as f64 > most
+        };
+        let broken = (0..SEEDS / 4).filter(is_broken).count();
+        println!("{way:?}: {broken} of {} days over the bound", SEEDS / 4);
+        assert!(broken > 0, "{way:?}: the days show nothing");
+    }
+}
+
+#[test]
+fn cold_engines_are_not_left_idle() {
+    let (mut borne, mut sent) = (0.0, 0);
+    for seed in 0..SEEDS {
+        let mut day = Day::new(seed, Way::Owners);
+        // Enough comes for each engine.
+        day.per_step = 3.0;
+        let per_second = day.terms.per_second;
+        let outcome = day.play();
+        borne += per_second * outcome.cold_millis as f64 / 1_000.0;
+        sent += outcome.cold_requests;
+    }
+    // Half a second passes until an owner knows that it is one, and intervals start when requests come.
+    let part = f64::from(sent) / borne;
+    println!("sent {sent} of {borne:.0} that cold engines bear");
+    assert!(part > 0.5, "{part}");
+}
