Mend: entries that are only written again are told to nobody

What callers saw: configurations came late (up to 8.1 s where 5 are allowed), refusals while engines were free. Cause: 461 engines write their entries each 1.2 s, 130 KB a second of the same values. A watcher took each as news, read it anew and sent it to each of some hundred followers: 7,642 KB/s at the busiest gateway of a fleet of 546. Why it holds: a mirror knows at which revision a value became what it is, and tells what changed behind the follower's revision; what followers are told grows with changes.

--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -167,14 +167,25 @@
         knows && !self.is_stopping.get()
     }
 
-    /// Takes changes of the store up to `at`.
+    /// Takes changes of the store up to `at`, as another gateway tells them.
     pub fn apply(&self, changes: Changes, at: Revision) {
-        let changes = changes.into_iter();
-        let changes = changes.map(|item| slim(self.dialect, item)).collect();
+        let changes = self.slim(changes);
         let news = self.mirror.borrow_mut().apply(changes, at);
         self.take(news, |item| Absence::Event(item.revision));
     }
 
+    /// Takes all writes up to `at`, as a watch of the store brings them.
+    pub fn apply_writes(&self, writes: Changes, at: Revision) {
+        let writes = self.slim(writes);
+        let news = self.mirror.borrow_mut().apply_writes(writes, at);
+        self.take(news, |item| Absence::Event(item.revision));
+    }
+
+    fn slim(&self, items: Changes) -> Changes {
+        let items = items.into_iter();
+        items.map(|item| slim(self.dialect, item)).collect()
+    }
+
     /// Takes a whole copy of the store as of `at`.
     pub fn replace(&self, items: Vec<Item>, at: Revision) {
         let news = self.mirror.borrow_mut().replace(items, at);
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -350,7 +350,7 @@
         Watched::Changes(page) => {
             asking.is_deaf = false;
             state.note_store_answer(page.at);
-            state.apply(page.items, page.at);
+            state.apply_writes(page.items, page.at);
             return Ok(Some(asked));
         }
     }
--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -3,6 +3,10 @@
 //! Items come from a full read, from changes, or from a peer. Whatever is older than what is
 //! here changes nothing, so a read that lags or a peer that was cut off can't take back what was
 //! in force.
+//!
+//! Whoever lists an item writes it again and again, to show that it is still there. An item with the same value is no
+//! news: it is neither read anew here nor told to those who follow, so that what a follower is told grows with changes
+//! and not with the number of items.
 
 use std::{collections::BTreeMap, rc::Rc};
 
@@ -30,9 +34,20 @@
 #[derive(Debug, Clone)]
 struct Held {
     revision: Revision,
+    /// Revision at which its value became what it is.
+    changed: Revision,
     value: Rc<[u8]>,
 }
 
+/// Where changes come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// From the store, none left out.
+    Writes,
+    /// From a copy or a peer: an item may have gone and come back meanwhile.
+    Told,
+}
+
 /// What is known of the store.
 #[derive(Debug, Clone, Default)]
 pub struct Mirror {
@@ -66,13 +81,18 @@
         })
     }
 
-    /// What changed behind `after`, keys that went included; none where that is not known, and
-    /// only a whole copy tells.
+    /// What changed behind `after`, keys that went included, but not what was only written again; none where that is not
+    /// known, and only a whole copy tells.
     pub fn changes_after(&self, after: Revision) -> Option<Changes> {
         if after < self.since {
             return None;
         }
-        let held = self.items().filter(|item| item.revision > after);
+        let held = self.items.iter().filter(|(_, held)| held.changed > after);
+        let held = held.map(|(key, held)| Item {
+            key: key.clone(),
+            revision: held.revision,
+            value: Some(held.value.clone()),
+        });
         let gone = self.gone.iter().map(|(key, revision)| Item {
             key: key.clone(),
             revision: *revision,
@@ -84,9 +104,19 @@
         )
     }
 
-    /// Takes changes that reach to `at`; gives those that were news.
+    /// Takes changes that reach to `at`; gives those that were news. Keys may have gone and come back between them.
     pub fn apply(&mut self, changes: Changes, at: Revision) -> Changes {
-        let news = changes.into_iter().filter(|item| self.take(item)).collect();
+        self.apply_from(Source::Told, changes, at)
+    }
+
+    /// Takes all writes up to `at` behind what is here, as a watch of the store brings them; gives those that were news.
+    pub fn apply_writes(&mut self, writes: Changes, at: Revision) -> Changes {
+        self.apply_from(Source::Writes, writes, at)
+    }
+
+    fn apply_from(&mut self, source: Source, changes: Changes, at: Revision) -> Changes {
+        let changes = changes.into_iter();
+        let news = changes.filter(|item| self.take(source, item)).collect();
         self.forget_oldest();
         self.at = self.at.max(at);
         news
@@ -115,7 +145,7 @@
         self.apply(changes, at)
     }
 
-    fn take(&mut self, item: &Item) -> bool {
+    fn take(&mut self, source: Source, item: &Item) -> bool {
         let held = self.items.get(&item.key).map(|held| held.revision);
         let gone = self.gone.get(&item.key).copied();
         let newest = held.max(gone).unwrap_or_default();
@@ -124,11 +154,22 @@
         if !is_news {
             return false;
         }
+        if let (Some(held), Some(value)) = (self.items.get_mut(&item.key), &item.value)
+            && held.value == *value
+        {
+            held.revision = item.revision;
+            // Whoever saw it go must be told that it is back.
+            if source == Source::Told {
+                held.changed = item.revision;
+            }
+            return false;
+        }
         self.change_count += 1;
         match &item.value {
             Some(value) => {
                 let held = Held {
                     revision: item.revision,
+                    changed: item.revision,
                     value: value.clone(),
                 };
                 self.gone.remove(&item.key);
