Mend: gateways of a zone find out themselves who of them lives

What callers saw: at a start of everything 526 of 546 gateways asked the store, 110 over each region's link, which filled; what was known got old, zones were silent 43,370 times in 32 s. Cause: a gateway counted as gone when no loader had named it for 2.5 s. Loaders name only those that asked them, which need a configuration first, so at a start nearly all found themselves alone at the same moment. Why it holds: each probes one other each 0.5 s; whoever answers none of five probes and was named by nobody for 2.5 s is gone, unless the prober hears nobody at all. News travel with probes, a number of times that grows with the logarithm. Of other zones those count that lived when they were heard last, so digests go on to a zone that is cut off. Who asks a silent zone's engines: eight gateways of a zone at first, not all. Older processes answer a probe as a greeting.

--- a/crates/gingerpier_gateway/src/discovery.rs
+++ b/crates/gingerpier_gateway/src/discovery.rs
@@ -35,6 +35,7 @@
     let hello = message::encode(&Datagram::Hello(Member {
         address: own.to_string(),
         zone: state.settings.zone.clone(),
+        probe: None,
     }));
     let seeds = state.settings.seeds.iter();
     let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
@@ -59,7 +60,10 @@
         zones.note_member(&member.zone, address, now);
     }
     drop(zones);
-    let names = message::encode(&Datagram::Names(Names { gateways: named }));
+    let names = message::encode(&Datagram::Names(Names {
+        gateways: named,
+        probe: None,
+    }));
     // A datagram that can't be sent is as good as lost; the asker greets again.
     let _ = socket.try_send_to(&names, from);
 }
@@ -75,6 +79,7 @@
         .map(|(zone, address)| Member {
             address: address.to_string(),
             zone: zone.to_owned(),
+            probe: None,
         })
         .collect();
     fastrand::shuffle(&mut near);
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -4,7 +4,7 @@
     crate::{
         callers, clock, discovery,
         error::{Error, Step},
-        figures, log, relay, reports,
+        figures, log, members, relay, reports,
         state::State,
         store, suspects,
         weights::{self, peers},
@@ -76,6 +76,7 @@
     let socket = Rc::new(socket);
     actix_rt::spawn(clock::watch());
     actix_rt::spawn(discovery::greet(state.clone(), socket.clone()));
+    actix_rt::spawn(members::probe(state.clone(), socket.clone()));
     actix_rt::spawn(discovery::look(state.clone()));
     actix_rt::spawn(store::follow(state.clone()));
     actix_rt::spawn(relay::serve(state.clone(), control));
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod items;
 pub mod loader;
 pub mod log;
+mod members;
 pub mod message;
 pub mod metrics;
 pub mod pool;
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -166,6 +166,7 @@
     let count = subscribers.len().max(1);
     let skipped = round * GATEWAYS_NAMED % count;
     let members = subscribers.iter().map(|(address, subscriber)| Member {
+        probe: None,
         address: address.to_string(),
         zone: subscriber.zone.clone(),
     });
@@ -180,7 +181,10 @@
         return;
     }
     let gateways = gateways(subscribers, turn as usize);
-    let names = message::encode(&Datagram::Names(Names { gateways }));
+    let names = message::encode(&Datagram::Names(Names {
+        gateways,
+        probe: None,
+    }));
     for address in subscribers.keys() {
         // A datagram that can't be sent is as good as lost; the next one follows.
         let _ = socket.try_send_to(&names, *address);
--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -91,6 +91,35 @@
     /// Zone.
     #[n(1)]
     pub zone: String,
+    /// What it tells of its zone, where it asks whether the hearer lives.
+    #[cbor(n(2), default)]
+    pub probe: Option<Probe>,
+}
+
+/// What a gateway tells another of its zone with a probe, or with the answer to one.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Probe {
+    /// Incarnation of the sender.
+    #[n(0)]
+    pub incarnation: u64,
+    /// News of gateways of the zone.
+    #[n(1)]
+    pub news: Vec<ToldMember>,
+}
+
+/// News of a gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct ToldMember {
+    /// Address.
+    #[n(0)]
+    pub address: SocketAddr,
+    /// Incarnation.
+    #[n(1)]
+    pub incarnation: u64,
+    /// True where it is gone.
+    #[n(2)]
+    pub is_gone: bool,
 }
 
 /// A loader reports its engine's state.
@@ -244,6 +273,9 @@
     /// Gateways.
     #[n(0)]
     pub gateways: Vec<Member>,
+    /// The answer to a probe.
+    #[cbor(n(1), default)]
+    pub probe: Option<Probe>,
 }
 
 impl DigestHeld {
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -85,6 +85,8 @@
     Snapshot,
     /// Word of requests that ended engines.
     Suspects,
+    /// A probe of a gateway of the own zone, or the answer to one.
+    Probe,
 }
 
 /// Label of a kind.
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock, discovery,
+        clock, discovery, members,
         message::{self, Datagram, Load, Member, Subscribe},
         metrics::Kind,
         state::State,
@@ -122,14 +122,23 @@
             clock::pause(1).await;
             continue;
         };
+        state.zones.borrow_mut().liveness().note_heard(clock::now());
         match message::decode(&bytes[..length]) {
             Some(Datagram::Load(load)) => {
                 state.metrics.note_message(Kind::Report, length);
                 note(&state, &load);
             }
             Some(Datagram::Digest(digest)) => zones::take(&state, &socket, digest),
-            Some(Datagram::Hello(member)) => discovery::answer(&state, &socket, from, member),
-            Some(Datagram::Names(names)) => note_gateways(&state, &names.gateways),
+            Some(Datagram::Hello(member)) => match &member.probe {
+                Some(probe) => members::answer(&state, &socket, from, probe),
+                None => discovery::answer(&state, &socket, from, member),
+            },
+            Some(Datagram::Names(names)) => {
+                note_gateways(&state, &names.gateways);
+                if let Some(probe) = &names.probe {
+                    members::take(&mut state.zones.borrow_mut(), from, probe);
+                }
+            }
             Some(Datagram::Suspects(told)) => suspects::take(&state, &socket, &told, from),
             Some(Datagram::Subscribe(_)) | None => {}
         }
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -112,7 +112,8 @@
         let regions = settings.regions.iter();
         let regions = Regions::new(regions.map(|one| (one.zone.as_str(), one.region.as_str())));
         let zones = settings.regions.iter().map(|one| one.zone.as_str());
-        let zones = Exchange::new(settings.peers, &settings.zone, zones, started);
+        let zones = Exchange::new(settings.peers, &settings.zone, zones, started)
+            .in_incarnation(clock::stamp().as_unix_millis());
         Self {
             settings,
             dialect,
@@ -320,7 +321,7 @@
     /// Where other gateways of this zone that were heard of lately answer gateways.
     pub fn neighbours(&self) -> Vec<SocketAddr> {
         let port = self.settings.control.port();
-        let neighbours = self.zones.borrow().neighbours(clock::now());
+        let neighbours = self.zones.borrow().neighbours();
         let control = |peer: SocketAddr| SocketAddr::new(peer.ip(), port);
         neighbours.into_iter().map(control).collect()
     }
--- a/crates/gingerpier_gateway/src/suspects.rs
+++ b/crates/gingerpier_gateway/src/suspects.rs
@@ -332,7 +332,7 @@
         send(state, socket, &answer, from);
     }
     if told.is_to_pass_on && !news.is_empty() {
-        for neighbour in state.zones.borrow().neighbours(now) {
+        for neighbour in state.zones.borrow().neighbours() {
             send(state, socket, &news, neighbour);
         }
     }
--- a/crates/gingerpier_gateway/src/weights/search.rs
+++ b/crates/gingerpier_gateway/src/weights/search.rs
@@ -80,7 +80,7 @@
     let subject = order::hash(model);
     let score = |address| order::score(subject, order::hash(&address));
     let own = score(state.settings.peers);
-    let neighbours = state.zones.borrow().neighbours(clock::now());
+    let neighbours = state.zones.borrow().neighbours();
     let ahead = neighbours.into_iter().filter(|other| score(*other) > own);
     ahead.count() as u32
 }
--- a/crates/gingerpier_gateway/src/zones.rs
+++ b/crates/gingerpier_gateway/src/zones.rs
@@ -80,7 +80,7 @@
         ..digest
     };
     let bytes = message::encode(&Datagram::Digest(passed_on));
-    for neighbour in state.zones.borrow().neighbours(now) {
+    for neighbour in state.zones.borrow().neighbours() {
         state
             .metrics
             .note_message(Kind::DigestPassedOn, bytes.len());
@@ -146,7 +146,7 @@
     let zones = state.zones.borrow();
     let gateways: Vec<SocketAddr> = {
         let own = std::iter::once(state.settings.peers);
-        own.chain(zones.neighbours(now)).collect()
+        own.chain(zones.neighbours()).collect()
     };
     let part_count = engines.len().div_ceil(ENGINES_A_PART).max(1);
     let gateway_parts = gateways.chunks(GATEWAYS_A_PART).count();
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod evenness;
 pub mod events;
 pub mod fleet;
+pub mod liveness;
 pub mod mark;
 pub mod mirror;
 pub mod naming;
--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -6,6 +6,8 @@
 //! few gateways of each other zone, and those pass it on within theirs. What crosses a pair of zones
 //! does not grow with the gateways of either.
 //!
+//! Who of the own zone lives is found out by probes ([`Liveness`]); who of other zones, by what their digests name.
+//!
 //! Nobody is elected: where views differ, a digest is sent twice or by another member. Each sender
 //! takes the receivers by turns, so that one living sender and one living receiver are enough. Where no
 //! digest of a zone has come for a while, some of its engines are asked directly, more of them the
@@ -15,6 +17,7 @@
 //! the loaders of all zones directly, and no digests are sent.
 
 use {
+    crate::liveness::Liveness,
     gingerpier_base::{Instant, order},
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr},
 };
@@ -41,8 +44,7 @@
 /// that is given before an engine takes new weights.
 const NEWS_EVERY_MILLIS: u64 = 110;
 
-/// Milliseconds after a gateway was last named from which on it does not count as living: five turns
-/// of naming.
+/// Milliseconds after a gateway of another zone was last named from which on it does not count as living: ten digests.
 const MEMBER_LIFE_MILLIS: u64 = 2_500;
 
 /// Milliseconds for which a gateway that is no longer named still has its part of what all gateways
@@ -65,6 +67,10 @@
 /// Most engines of a silent zone that one gateway asks.
 const MOST_SAMPLE: usize = 16;
 
+/// Gateways of the own zone that ask a silent zone's engines at first, twice as many each time that their sample doubles:
+/// whatever the size of both zones, what is asked stays bounded while a zone is cut off.
+const FIRST_ASKERS: usize = 8;
+
 /// Zones that are kept: names come from messages, too.
 const MOST_ZONES: usize = 256;
 
@@ -109,8 +115,10 @@
 /// What is known of one zone.
 #[derive(Debug, Clone, Default)]
 struct Zone {
-    /// Gateways, and when each was last named.
+    /// Gateways, and when each was last named; those of the own zone are known by probes.
     members: BTreeMap<SocketAddr, Instant>,
+    /// When any of them was named last.
+    newest: Option<Instant>,
     /// Gateways that a sender of the zone counted last.
     told_count: u32,
     /// When a digest came last.
@@ -125,12 +133,10 @@
         living.map(|(member, _)| *member)
     }
 
-    /// The first `count` of the living members, in rendezvous order.
-    fn first(&self, count: usize, now: Instant) -> Vec<SocketAddr> {
-        let mut members: Vec<SocketAddr> = self.living(now).collect();
-        members.sort_by_key(|member| (Reverse(order::hash(member)), *member));
-        members.truncate(count);
-        members
+    /// Members that lived when the zone was heard of last: while nobody is heard, nobody is known to be gone.
+    fn last_living(&self) -> impl Iterator<Item = SocketAddr> {
+        let newest = self.newest.unwrap_or_default();
+        self.living(newest)
     }
 
     fn count(&self) -> u32 {
@@ -144,12 +150,21 @@
     }
 }
 
+/// The first `count` of `members`, in rendezvous order.
+fn first(members: impl Iterator<Item = SocketAddr>, count: usize) -> Vec<SocketAddr> {
+    let mut members: Vec<SocketAddr> = members.collect();
+    members.sort_by_key(|member| (Reverse(order::hash(member)), *member));
+    members.truncate(count);
+    members
+}
+
 /// What one gateway knows of all zones, and when it sends.
 #[derive(Debug, Clone)]
 pub struct Exchange {
     own: SocketAddr,
     own_zone: String,
     zones: BTreeMap<String, Zone>,
+    liveness: Liveness,
     started: Instant,
     /// When somebody named a gateway of the own zone first.
     named: Option<Instant>,
@@ -174,6 +189,7 @@
             own,
             own_zone: own_zone.to_owned(),
             zones,
+            liveness: Liveness::new(own, 0, now),
             started: now,
             named: None,
             turn: 0,
@@ -182,16 +198,28 @@
         }
     }
 
+    /// The same in an incarnation, which should rise with each start of the gateway.
+    pub fn in_incarnation(mut self, incarnation: u64) -> Self {
+        self.liveness = Liveness::new(self.own, incarnation, self.started);
+        self
+    }
+
     /// Notes a gateway that somebody heard of.
     pub fn note_member(&mut self, zone: &str, member: SocketAddr, now: Instant) {
         if zone == self.own_zone {
             self.named = self.named.or(Some(now));
-        }
-        if let Some(zone) = self.zone_mut(zone) {
+            self.liveness.note_named(member, now);
+        } else if let Some(zone) = self.zone_mut(zone) {
             zone.members.insert(member, now);
+            zone.newest = Some(now);
         }
     }
 
+    /// Who lives of the own zone.
+    pub const fn liveness(&mut self) -> &mut Liveness {
+        &mut self.liveness
+    }
+
     /// Notes that others should soon hear something of this zone.
     pub const fn note_news(&mut self) {
         self.has_news = true;
@@ -204,31 +232,35 @@
         Some(self.zones.entry(name.to_owned()).or_default())
     }
 
-    /// Gateways that were heard of lately, by zone; this one is not among them unless it was named.
+    /// Other gateways that live, by zone.
     pub fn living(&self, now: Instant) -> impl Iterator<Item = (&str, SocketAddr)> {
+        let near = self.liveness.living();
+        let near = near.map(|member| (self.own_zone.as_str(), member));
         let zones = self.zones.iter();
-        zones.flat_map(move |(name, zone)| {
+        let far = zones.flat_map(move |(name, zone)| {
             let members = zone.living(now);
             members.map(move |member| (name.as_str(), member))
-        })
+        });
+        near.chain(far)
     }
 
-    /// Other gateways of the own zone that were heard of lately.
-    pub fn neighbours(&self, now: Instant) -> Vec<SocketAddr> {
-        let own = self.zones.get(&self.own_zone);
-        let living = own.into_iter().flat_map(|zone| zone.living(now));
-        living.filter(|member| *member != self.own).collect()
+    /// Other gateways of the own zone that live.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        self.liveness.living().collect()
     }
 
     /// Gateways of `zone`, this one included where it is its own.
     pub fn zone_count(&self, zone: &str) -> u32 {
-        self.zones.get(zone).map_or(0, Zone::count)
+        match zone == self.own_zone {
+            true => self.liveness.known_count() as u32,
+            false => self.zones.get(zone).map_or(0, Zone::count),
+        }
     }
 
     /// Gateways of all zones, this one included, to count on when shares are made. A zone of which
     /// nothing is known yet counts as large as the own one.
     pub fn gateway_count(&self) -> u32 {
-        let own = self.zone_count(&self.own_zone).max(1);
+        let own = self.zone_count(&self.own_zone);
         let others = self
             .zones
             .iter()
@@ -273,11 +305,8 @@
         if self.is_direct(now) {
             return Vec::new();
         }
-        let Some(own_zone) = self.zones.get_mut(&self.own_zone) else {
-            return Vec::new();
-        };
-        own_zone.members.insert(self.own, now);
-        let senders = own_zone.first(SENDERS, now);
+        let near = self.liveness.living().chain([self.own]);
+        let senders = first(near, SENDERS);
         let Some(rank) = senders.iter().position(|sender| *sender == self.own) else {
             return Vec::new();
         };
@@ -287,7 +316,7 @@
             .iter()
             .filter(|(name, _)| **name != self.own_zone);
         let receiver = |(_, zone): (&String, &Zone)| {
-            let receivers = zone.first(RECEIVERS, now);
+            let receivers = first(zone.last_living(), RECEIVERS);
             let index = turn.checked_rem(receivers.len())?;
             Some(receivers[index])
         };
@@ -345,6 +374,18 @@
         let since = heard.map_or(self.started, |heard| heard.after_millis(SILENT_MILLIS));
         let doublings = now.millis_since(since) / SAMPLE_DOUBLES_MILLIS;
         let most = u64::from((MOST_SAMPLE / LEAST_SAMPLE).ilog2());
-        LEAST_SAMPLE << doublings.min(most)
+        let doublings = doublings.min(most);
+        if !self.is_among_near(FIRST_ASKERS << doublings) {
+            return 0;
+        }
+        LEAST_SAMPLE << doublings
+    }
+
+    /// True where this gateway is among the first `count` of its zone, in the order in which they send digests.
+    fn is_among_near(&self, count: usize) -> bool {
+        let place = |member: &SocketAddr| (Reverse(order::hash(member)), *member);
+        let own = place(&self.own);
+        let ahead = self.liveness.living().filter(|member| place(member) < own);
+        ahead.take(count).count() < count
     }
 }
--- a/crates/gingerpier_serving/tests/zones.rs
+++ b/crates/gingerpier_serving/tests/zones.rs
@@ -119,6 +119,7 @@
             if self.millis.is_multiple_of(NAMED_EVERY_MILLIS) {
                 self.name_gateways();
             }
+            self.probe();
             self.send();
             self.deliver();
         }
@@ -143,6 +144,44 @@
         }
     }
 
+    /// Gateways probe each other; probes and answers are lost as other packets are.
+    fn probe(&mut self) {
+        let now = at(self.millis);
+        for index in 0..self.gateways.len() {
+            if !self.gateways[index].is_alive {
+                continue;
+            }
+            self.gateways[index].exchange.liveness().note_heard(now);
+            for member in self.gateways[index].exchange.liveness().poll(now) {
+                if self.tell(index, member) {
+                    let other = self.place(member);
+                    let own = self.gateways[index].address;
+                    other.map(|other| self.tell(other, own));
+                }
+            }
+        }
+    }
+
+    fn place(&self, address: SocketAddr) -> Option<usize> {
+        let mut gateways = self.gateways.iter();
+        gateways.position(|one| one.address == address && one.is_alive)
+    }
+
+    /// Sends what a gateway knows of its zone to `to`; true where it came.
+    fn tell(&mut self, index: usize, to: SocketAddr) -> bool {
+        let now = at(self.millis);
+        let liveness = self.gateways[index].exchange.liveness();
+        let (news, incarnation) = (liveness.news_for(to), liveness.incarnation());
+        let from = self.gateways[index].address;
+        let Some(place) = self.place(to).filter(|_| self.draw() >= self.faults.lost) else {
+            return false;
+        };
+        let hearer = self.gateways[place].exchange.liveness();
+        hearer.note_alive(from, incarnation, now);
+        hearer.take(&news, now);
+        true
+    }
+
     fn send(&mut self) {
         let now = at(self.millis);
         let mut packets = Vec::new();
@@ -218,7 +257,7 @@
             if packet.is_passed_on {
                 continue;
             }
-            let neighbours = hearer.exchange.neighbours(now);
+            let neighbours = hearer.exchange.neighbours();
             let passed_on = neighbours.into_iter().map(|to| Packet {
                 to,
                 is_passed_on: true,
