Gateway: request limits in engines' responses are parsed and logged

The head of each response is now parsed at one place, also of late and refused ones, but not of status 421, which another engine at the address may send. Nothing depends on the limit yet.

--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -15,6 +15,9 @@
 /// Responses to earlier requests that are discarded on one connection.
 const MAX_STALE_RESPONSES: u32 = 2;
 
+/// Status with which another engine at the same address may respond.
+const MISDIRECTED_STATUS: u16 = 421;
+
 /// Longest body of a discarded response.
 const MAX_STALE_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -160,6 +163,9 @@
         let decoder = Decoder::new(framing);
         let response_id = head.fields.get(header_names.attempt);
         let is_expected = response_id.map_or(is_new, |response_id| response_id == expected_id);
+        if head.status != MISDIRECTED_STATUS {
+            state.record_signals(engine, &head);
+        }
         if is_expected {
             return Ok(PendingResponse {
                 connection,
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod release;
 mod shedding;
+mod signals;
 mod store_contact;
 mod unreleased;
 
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -9,6 +9,7 @@
         mirror::Revision,
         region::RegionKey,
         report::{Born, Report, Version},
+        signals::SignalState,
         warmup::{ColdLimits, Warmup},
     },
     gingerpier_base::Instant,
@@ -118,6 +119,8 @@
     pub(crate) is_evacuated: bool,
     /// Warm-up state.
     pub warmup: Warmup,
+    /// Signals in its responses to this gateway.
+    pub signals: SignalState,
     backoff_until: Instant,
     consecutive_failures: u32,
     failure_rate: f64,
@@ -149,6 +152,7 @@
             region: None,
             is_evacuated: false,
             warmup: Warmup::default(),
+            signals: SignalState::default(),
             backoff_until: Instant::default(),
             consecutive_failures: 0,
             failure_rate: 0.0,
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod retry;
 pub mod return_detection;
 pub mod shedding;
+pub mod signals;
 pub mod sizes;
 pub mod suspects;
 pub mod trials;
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -44,6 +44,8 @@
     pub priority: &'static str,
     /// Seconds after which to retry.
     pub retry_after: &'static str,
+    /// Requests per second that an engine accepts from all gateways together.
+    pub request_limit: &'static str,
 }
 
 /// An HTTP request without its connection.
