Gateway: all gateways together keep the request limit of an engine

Callers saw nothing; engines that state a limit in their responses got several times as many requests, up to 20 in 4 s at an engine that accepts 2.3 a second.

Cause: no gateway read the field, so that the rate at an engine followed from the predicted time to the first event alone (hypothesis 1). Engines' responses were decoded for what the gateway needed of them, not for what the engine says of itself.

A limit is divided among the gateways that know it: each keeps a minimum interval, of at most as many owners as make up 4 s of the limit and two requests, which no phase of their intervals exceeds (hypothesis 2). It belongs to an incarnation and only ends with the response to a request that was sent after it was received (hypothesis 3). First attempts, retries, resumptions and trials all go through the same check, trials once more after their pause (hypothesis 4).

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -116,6 +116,7 @@
         clock::pause(TICK_INTERVAL_MILLIS).await;
         let running_since = state.record_tick();
         state.update_cold_ownership(running_since);
+        state.update_request_intervals();
     }
 }
 
--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -164,7 +164,8 @@
         let response_id = head.fields.get(header_names.attempt);
         let is_expected = response_id.map_or(is_new, |response_id| response_id == expected_id);
         if head.status != MISDIRECTED_STATUS {
-            state.record_signals(engine, &head);
+            let sent_at = is_expected.then_some(options.now);
+            state.record_signals(engine, &head, sent_at);
         }
         if is_expected {
             return Ok(PendingResponse {
--- a/crates/gingerpier_gateway/src/proxy/trial.rs
+++ b/crates/gingerpier_gateway/src/proxy/trial.rs
@@ -137,12 +137,20 @@
                 () = clock::pause(CONFLICT_WINDOW_MILLIS) => {}
             }
             let is_unchanged = state.suspect_state.suspects.borrow().status(fingerprint) == status;
-            if is_unchanged && trial.has_precedence() {
+            if is_unchanged && trial.has_precedence() && self.is_available(engine) {
                 return Access::Trial(engine, trial);
             }
         }
     }
 
+    /// True if the engine still accepts a request of this gateway.
+    fn is_available(&self, engine: EngineKey) -> bool {
+        let now = clock::now();
+        let fleet = self.state.fleet.borrow();
+        let engine = fleet.engine(engine);
+        engine.is_open(now) && engine.signals.allows_request(now)
+    }
+
     fn new_trial(&self, engine: EngineKey, is_exclusive: bool) -> Trial {
         let fleet = self.state.fleet.borrow();
         let engine = fleet.engine(engine);
--- a/crates/gingerpier_gateway/src/state/placement.rs
+++ b/crates/gingerpier_gateway/src/state/placement.rs
@@ -15,7 +15,7 @@
 
 /// Time without a stall after which this gateway knows enough of the others to own cold engines:
 /// twice the time in which a new gateway becomes known.
-const MIN_UPTIME_MILLIS: u64 = 1_500;
+pub(super) const MIN_UPTIME_MILLIS: u64 = 1_500;
 
 impl State {
     /// Sets whether the engines of `zone` are excluded from new requests.
--- a/crates/gingerpier_gateway/src/state/signals.rs
+++ b/crates/gingerpier_gateway/src/state/signals.rs
@@ -1,30 +1,41 @@
-//! Signals in the heads of engines' responses.
+//! Signals in the heads of engines' responses, and this gateway's share in request limits.
 
 use {
-    super::State,
+    super::{State, placement::MIN_UPTIME_MILLIS},
     crate::clock,
+    gingerpier_base::{Instant, order},
     gingerpier_http1::head::Response,
     gingerpier_serving::{
+        engine::Engine,
         fleet::EngineKey,
+        request_limit::Schedule,
         signals::{RequestLimit, Signals},
+        zones::Exchange,
     },
 };
 
 impl State {
-    /// Records the signals in the head of a response of `engine`.
-    pub fn record_signals(&self, engine: EngineKey, head: &Response) {
+    /// Records the signals in the head of a response of `engine` to a request that was sent at
+    /// `sent_at`, `None` if unknown.
+    pub fn record_signals(&self, engine: EngineKey, head: &Response, sent_at: Option<Instant>) {
         let signals = self.signals_of(head);
+        let now = clock::now();
         let mut fleet = self.fleet.borrow_mut();
         let engine = fleet.engine_mut(engine);
-        if engine.signals.record(&signals) {
-            tracing::info!(
-                engine = engine.record.id,
-                limit = ?engine.signals.request_limit(),
-                in_flight = engine.load.in_flight,
-                report_age = ?engine.report_age(clock::now()),
-                "engine changed its request limit"
-            );
+        if !engine
+            .signals
+            .record(&signals, sent_at, now, fastrand::f64())
+        {
+            return;
         }
+        self.update_request_interval(engine, &self.zones.borrow(), now);
+        tracing::info!(
+            engine = engine.record.id,
+            limit = ?engine.signals.request_limit(),
+            in_flight = engine.load.in_flight,
+            report_age = ?engine.report_age(now),
+            "engine changed its request limit"
+        );
     }
 
     fn signals_of(&self, head: &Response) -> Signals {
@@ -33,4 +44,37 @@
             request_limit: RequestLimit::parse(head.fields.all(names.request_limit)),
         }
     }
+
+    /// Updates this gateway's share in the request limits of all engines.
+    pub fn update_request_intervals(&self) {
+        let now = clock::now();
+        let zones = self.zones.borrow();
+        let mut fleet = self.fleet.borrow_mut();
+        let has_limit = |engine: &Engine| engine.signals.request_limit().is_some();
+        let limited = fleet.listed().filter(|(_, engine)| has_limit(engine));
+        let limited: Vec<EngineKey> = limited.map(|(key, _)| key).collect();
+        for key in limited {
+            self.update_request_interval(fleet.engine_mut(key), &zones, now);
+        }
+    }
+
+    /// Does nothing until this gateway has run for long enough to know the others.
+    fn update_request_interval(&self, engine: &mut Engine, zones: &Exchange, now: Instant) {
+        let Some(per_second) = engine.signals.request_limit() else {
+            return;
+        };
+        let counts_from = self.running_since.get().after_millis(MIN_UPTIME_MILLIS);
+        if !counts_from.has_passed(now) {
+            return;
+        }
+        let gateways = zones.gateway_count();
+        let schedule = Schedule::new(per_second, gateways);
+        let owners = schedule.owners;
+        let subject = order::hash(&engine.record.address);
+        let is_owner = owners == gateways || zones.is_among(subject, owners as usize, now);
+        engine.signals.set_interval(match is_owner {
+            true => schedule.owner_interval_millis,
+            false => schedule.probe_interval_millis,
+        });
+    }
 }
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_serving/src/admission.rs
@@ -211,7 +211,9 @@
         if !engine.is_open(now) || engine.is_on_trial(now) {
             continue;
         }
-        if !engine.is_within_warmup_limits(&criteria.cold_limits, criteria.gateway_count, now) {
+        if !engine.is_within_warmup_limits(&criteria.cold_limits, criteria.gateway_count, now)
+            || !engine.signals.allows_request(now)
+        {
             continue;
         }
         let components = predict(engine, criteria, unreported_per_milli, now);
@@ -243,7 +245,9 @@
 /// Returns the estimated arrival rate at each open engine from other gateways.
 fn unreported_per_milli(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> f64 {
     let listed = fleet.of_service(criteria.service);
-    let open_count = listed.filter(|(_, engine)| engine.is_open(now)).count();
+    // Engines with a request limit receive few of these requests.
+    let is_open = |engine: &Engine| engine.is_open(now) && engine.signals.request_limit().is_none();
+    let open_count = listed.filter(|(_, engine)| is_open(engine)).count();
     criteria.other_arrivals_per_milli / (open_count.max(1) as f64)
 }
 
--- a/crates/gingerpier_serving/src/admission/availability.rs
+++ b/crates/gingerpier_serving/src/admission/availability.rs
@@ -40,6 +40,8 @@
     BackingOff,
     /// It is cold, and this gateway may not send it a request now.
     Cold,
+    /// It has a request limit, and this gateway may not send it a request now.
+    Limited,
     /// It is suspect and limited to one request at a time.
     OnTrial,
     /// It would meet the bound if its status reports weren't overdue.
@@ -52,7 +54,7 @@
 
 impl Availability {
     /// All values, in order of precedence.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Replaced,
         Self::Lapsed,
         Self::RegionNotAllowed,
@@ -64,6 +66,7 @@
         Self::Ordered,
         Self::BackingOff,
         Self::Cold,
+        Self::Limited,
         Self::OnTrial,
         Self::Silent,
         Self::Full,
@@ -84,6 +87,7 @@
             Self::Ordered => "ordered",
             Self::BackingOff => "resting",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::OnTrial => "on-trial",
             Self::Silent => "silent",
             Self::Full => "full",
@@ -169,6 +173,9 @@
     if !engine.is_within_warmup_limits(&criteria.cold_limits, criteria.gateway_count, now) {
         return Availability::Cold;
     }
+    if !engine.signals.allows_request(now) {
+        return Availability::Limited;
+    }
     if engine.is_on_trial(now) {
         return Availability::OnTrial;
     }
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -352,6 +352,7 @@
     /// Records a request with this prompt length as sent.
     pub fn record_sent(&mut self, tokens: u64, now: Instant) {
         self.warmup.record_sent(now);
+        self.signals.record_sent(now);
         self.load.in_flight += 1;
         self.load.waiting += 1;
         self.load.waiting_tokens += tokens;
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod region;
 pub mod release;
 pub mod report;
+pub mod request_limit;
 pub mod retry;
 pub mod return_detection;
 pub mod shedding;
--- a/crates/gingerpier_serving/src/signals.rs
+++ b/crates/gingerpier_serving/src/signals.rs
@@ -13,6 +13,8 @@
 //! assert_eq!(parse(&[b"many"]), RequestLimit::Invalid);
 //! ```
 
+use {crate::request_limit::Pace, gingerpier_base::Instant};
+
 /// Limit of the requests to an engine from all gateways together.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum RequestLimit {
@@ -44,27 +46,80 @@
     pub request_limit: RequestLimit,
 }
 
+/// Request limit that is in force at an engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct LimitState {
+    per_second: f64,
+    /// Time of the latest response with a limit.
+    received_at: Instant,
+    pace: Pace,
+}
+
 /// Signals of one engine that are in force.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct SignalState {
-    /// Limit in requests per second; `None` if unlimited.
-    request_limit: Option<f64>,
+    limit: Option<LimitState>,
 }
 
 impl SignalState {
     /// Limit of the requests from all gateways together, in requests per second.
-    pub const fn request_limit(&self) -> Option<f64> {
-        self.request_limit
+    pub fn request_limit(&self) -> Option<f64> {
+        self.limit.map(|limit| limit.per_second)
+    }
+
+    /// Sets the minimum interval between requests of this gateway while the engine has a limit.
+    pub const fn set_interval(&mut self, millis: u64) {
+        if let Some(limit) = &mut self.limit {
+            limit.pace.set_interval(millis);
+        }
+    }
+
+    /// Records a request as sent.
+    pub const fn record_sent(&mut self, now: Instant) {
+        if let Some(limit) = &mut self.limit {
+            limit.pace.record_sent(now);
+        }
+    }
+
+    /// True if the limit lets this gateway send a request now.
+    pub fn allows_request(&self, now: Instant) -> bool {
+        self.limit
+            .is_none_or(|limit| limit.pace.allows_request(now))
     }
 
-    /// Records the signals of a response; returns true if the limit has changed.
-    pub fn record(&mut self, signals: &Signals) -> bool {
-        let limit = match signals.request_limit {
-            RequestLimit::Unlimited => None,
-            RequestLimit::PerSecond(limit) => Some(limit),
-            RequestLimit::Invalid => self.request_limit,
-        };
-        std::mem::replace(&mut self.request_limit, limit) != limit
+    /// Records the signals of the response to a request that was sent at `sent_at`, `None` if
+    /// unknown; returns true if the limit has changed. `phase` is a random number from 0 to 1.
+    ///
+    /// Responses may overtake each other, so a limit only ends with the response to a request that
+    /// was sent after the limit was received.
+    pub fn record(
+        &mut self,
+        signals: &Signals,
+        sent_at: Option<Instant>,
+        now: Instant,
+        phase: f64,
+    ) -> bool {
+        let former = self.request_limit();
+        match (signals.request_limit, &mut self.limit) {
+            (RequestLimit::PerSecond(per_second), Some(limit)) => {
+                limit.per_second = per_second;
+                limit.received_at = now;
+            }
+            (RequestLimit::PerSecond(per_second), None) => {
+                self.limit = Some(LimitState {
+                    per_second,
+                    received_at: now,
+                    pace: Pace::new(now, phase),
+                });
+            }
+            (RequestLimit::Unlimited, Some(limit))
+                if sent_at.is_some_and(|sent_at| sent_at > limit.received_at) =>
+            {
+                self.limit = None;
+            }
+            (RequestLimit::Unlimited | RequestLimit::Invalid, _) => {}
+        }
+        self.request_limit() != former
     }
 }
 
