--- a/crates/gingerpier_gateway/src/state/signals.rs
+++ b/crates/gingerpier_gateway/src/state/signals.rs
@@ -9,7 +9,7 @@
         engine::Engine,
         fleet::EngineKey,
         request_limit::Schedule,
-        signals::{RequestLimit, Signals},
+        signals::{self, RequestLimit, Signals},
         zones::Exchange,
     },
 };
@@ -22,26 +22,47 @@
         let now = clock::now();
         let mut fleet = self.fleet.borrow_mut();
         let engine = fleet.engine_mut(engine);
-        if !engine
+        let changes = engine
             .signals
-            .record(&signals, sent_at, now, fastrand::f64())
-        {
-            return;
+            .record(&signals, sent_at, now, fastrand::f64());
+        let id = &engine.record.id;
+        let report_age = engine.report_age(now);
+        if changes.draining {
+            tracing::info!(engine = id, ?report_age, "engine says that it leaves");
+        }
+        if changes.rest {
+            tracing::info!(
+                engine = id,
+                rest_millis = signals.rest_millis,
+                ?report_age,
+                "engine rejects requests for a time"
+            );
+        }
+        if changes.limit {
+            let limit = engine.signals.request_limit();
+            let in_flight = engine.load.in_flight;
+            tracing::info!(
+                engine = id,
+                ?limit,
+                in_flight,
+                ?report_age,
+                "engine changed its request limit"
+            );
+            self.update_request_interval(engine, &self.zones.borrow(), now);
         }
-        self.update_request_interval(engine, &self.zones.borrow(), now);
-        tracing::info!(
-            engine = engine.record.id,
-            limit = ?engine.signals.request_limit(),
-            in_flight = engine.load.in_flight,
-            report_age = ?engine.report_age(now),
-            "engine changed its request limit"
-        );
     }
 
     fn signals_of(&self, head: &Response) -> Signals {
         let names = self.platform_api.header_names();
+        let fields = &head.fields;
+        let retry_after = fields.get(names.retry_after);
+        let rejects = matches!(head.status, 429 | 503);
         Signals {
-            request_limit: RequestLimit::parse(head.fields.all(names.request_limit)),
+            request_limit: RequestLimit::parse(fields.all(names.request_limit)),
+            is_draining: signals::is_draining(fields.get(names.draining)),
+            rest_millis: retry_after
+                .filter(|_| rejects)
+                .and_then(signals::parse_rest_millis),
         }
     }
 
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -46,6 +46,8 @@
     pub retry_after: &'static str,
     /// Requests per second that an engine accepts from all gateways together.
     pub request_limit: &'static str,
+    /// Set by an engine that is about to leave.
+    pub draining: &'static str,
 }
 
 /// An HTTP request without its connection.
--- a/crates/gingerpier_serving/src/signals.rs
+++ b/crates/gingerpier_serving/src/signals.rs
@@ -15,6 +15,9 @@
 
 use {crate::request_limit::Pace, gingerpier_base::Instant};
 
+/// Longest time for which an engine's rejection counts.
+pub const MAX_REST_MILLIS: u64 = 3_600_000;
+
 /// Limit of the requests to an engine from all gateways together.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum RequestLimit {
@@ -44,6 +47,22 @@
 pub struct Signals {
     /// Limit of the requests from all gateways together.
     pub request_limit: RequestLimit,
+    /// True if the engine is about to leave.
+    pub is_draining: bool,
+    /// Time for which the engine rejects requests of this gateway, in milliseconds.
+    pub rest_millis: Option<u64>,
+}
+
+/// True if a response field with this value says that the engine is about to leave.
+pub fn is_draining(value: Option<&[u8]>) -> bool {
+    value.is_some_and(|value| value.trim_ascii() != b"0")
+}
+
+/// Parses the retry delay of a rejected request, in seconds; `None` if it is no decimal number,
+/// negative or infinite. Long delays are cut to [`MAX_REST_MILLIS`].
+pub fn parse_rest_millis(value: &[u8]) -> Option<u64> {
+    let millis = parse_number(value)? * 1_000.0;
+    Some((millis.ceil() as u64).min(MAX_REST_MILLIS))
 }
 
 /// Request limit that is in force at an engine.
@@ -59,6 +78,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct SignalState {
     limit: Option<LimitState>,
+    is_draining: bool,
+    rests_until: Option<Instant>,
+}
+
+/// What a response changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Changes {
+    /// The request limit began, changed or ended.
+    pub limit: bool,
+    /// The engine is about to leave.
+    pub draining: bool,
+    /// The engine rejects requests for longer than known before.
+    pub rest: bool,
 }
 
 impl SignalState {
@@ -67,6 +99,16 @@
         self.limit.map(|limit| limit.per_second)
     }
 
+    /// True once the engine has said that it is about to leave.
+    pub const fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
+    /// Time until which the engine rejects requests of this gateway.
+    pub const fn rests_until(&self) -> Option<Instant> {
+        self.rests_until
+    }
+
     /// Sets the minimum interval between requests of this gateway while the engine has a limit.
     pub const fn set_interval(&mut self, millis: u64) {
         if let Some(limit) = &mut self.limit {
@@ -88,7 +130,7 @@
     }
 
     /// Records the signals of the response to a request that was sent at `sent_at`, `None` if
-    /// unknown; returns true if the limit has changed. `phase` is a random number from 0 to 1.
+    /// unknown. `phase` is a random number from 0 to 1.
     ///
     /// Responses may overtake each other, so a limit only ends with the response to a request that
     /// was sent after the limit was received.
@@ -98,6 +140,24 @@
         sent_at: Option<Instant>,
         now: Instant,
         phase: f64,
+    ) -> Changes {
+        let rests_until = signals.rest_millis.map(|millis| now.after_millis(millis));
+        let changes = Changes {
+            limit: self.record_limit(signals, sent_at, now, phase),
+            draining: signals.is_draining && !self.is_draining,
+            rest: rests_until > self.rests_until,
+        };
+        self.is_draining |= signals.is_draining;
+        self.rests_until = self.rests_until.max(rests_until);
+        changes
+    }
+
+    fn record_limit(
+        &mut self,
+        signals: &Signals,
+        sent_at: Option<Instant>,
+        now: Instant,
+        phase: f64,
     ) -> bool {
         let former = self.request_limit();
         match (signals.request_limit, &mut self.limit) {
--- a/crates/gingerpier_serving/tests/request_limit.rs
+++ b/crates/gingerpier_serving/tests/request_limit.rs
@@ -17,6 +17,7 @@
 fn limited_to(per_second: f64) -> Signals {
     Signals {
         request_limit: RequestLimit::PerSecond(per_second),
+        ..Signals::default()
     }
 }
 
@@ -39,7 +40,7 @@
     fn every_field_value_has_a_bounded_effect(bytes in proptest::collection::vec(any::<u8>(), 0..12)) {
         let limit = RequestLimit::parse(std::iter::once(&bytes[..]));
         let mut state = SignalState::default();
-        state.record(&Signals { request_limit: limit }, Some(at(0)), at(1), 1.0);
+        state.record(&Signals { request_limit: limit, ..Signals::default() }, Some(at(0)), at(1), 1.0);
         if let Some(per_second) = state.request_limit() {
             prop_assert!(per_second.is_finite() && per_second >= 0.0);
             state.set_interval(Schedule::new(per_second, 1).owner_interval_millis);
@@ -58,8 +59,9 @@
     state.record(&limited_to(2.0), Some(at(0)), at(10), 0.0);
     let invalid = Signals {
         request_limit: RequestLimit::Invalid,
+        ..Signals::default()
     };
-    assert!(!state.record(&invalid, Some(at(20)), at(30), 0.0));
+    assert!(!state.record(&invalid, Some(at(20)), at(30), 0.0).limit);
     assert_eq!(state.request_limit(), Some(2.0));
 }
 
@@ -68,13 +70,13 @@
     let mut state = SignalState::default();
     state.record(&limited_to(2.0), Some(at(100)), at(200), 0.0);
     let unlimited = Signals::default();
-    assert!(!state.record(&unlimited, Some(at(150)), at(300), 0.0));
+    assert!(!state.record(&unlimited, Some(at(150)), at(300), 0.0).limit);
     assert!(
-        !state.record(&unlimited, None, at(300), 0.0),
+        !state.record(&unlimited, None, at(300), 0.0).limit,
         "a late response"
     );
     assert_eq!(state.request_limit(), Some(2.0));
-    assert!(state.record(&unlimited, Some(at(250)), at(350), 0.0));
+    assert!(state.record(&unlimited, Some(at(250)), at(350), 0.0).limit);
     assert!(state.allows_request(at(350)));
 }
 
