Gateway: an engine that says in a response that it leaves gets no new requests

Callers' requests reached an engine up to 2.6 s after one of its responses had said that it leaves (bound 2 s), and to its end.

Cause: the entry in the store was the only source of an engine's leaving, and the gateways did not read the field in responses (hypothesis 1). While the store was away nobody could know.

The signal counts like the entry's state: for selection, explanation, missing entries and crash checks through one method. The check stands where a request is sent, also after the pause of a trial (hypothesis 3).

--- a/crates/gingerpier_gateway/src/proxy/trial.rs
+++ b/crates/gingerpier_gateway/src/proxy/trial.rs
@@ -12,7 +12,7 @@
     crate::{clock, state::State, suspects},
     gingerpier_http1::connection::Connection,
     gingerpier_serving::{
-        fleet::{self, EngineKey},
+        fleet::EngineKey,
         suspects::{Crash, Incarnation, Status},
         trials::{CONFLICT_WINDOW_MILLIS, Trial},
     },
@@ -198,7 +198,7 @@
             let fleet = self.state.fleet.borrow();
             let engine = fleet.engine(key);
             // A draining engine exits on its own.
-            if engine.is_removed || engine.record.state == fleet::State::Draining {
+            if engine.is_removed || engine.is_draining() {
                 return None;
             }
             let now = clock::now();
--- a/crates/gingerpier_serving/src/admission/availability.rs
+++ b/crates/gingerpier_serving/src/admission/availability.rs
@@ -7,10 +7,7 @@
     super::{
         Criteria, bound_millis, loaded_error_millis, min_version, predict, unreported_per_milli,
     },
-    crate::{
-        engine::Engine,
-        fleet::{Fleet, State},
-    },
+    crate::{engine::Engine, fleet::Fleet},
     gingerpier_base::Instant,
     std::fmt,
 };
@@ -161,7 +158,7 @@
     if engine.is_evacuated {
         return Availability::Evacuated;
     }
-    if engine.record.state == State::Draining {
+    if engine.is_draining() {
         return Availability::Draining;
     }
     if let Some(availability) = weights_availability(engine, criteria, now) {
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -201,13 +201,15 @@
         self.expires_at.is_some_and(|at| at.has_passed(now))
     }
 
+    /// True once the entry or a response says that the engine is about to leave.
+    pub fn is_draining(&self) -> bool {
+        self.record.state == State::Draining || self.signals.is_draining()
+    }
+
     /// True if the engine accepts new requests.
     pub fn is_open(&self, now: Instant) -> bool {
         let is_listed = !self.is_removed && !self.is_replaced && !self.has_expired(now);
-        is_listed
-            && !self.is_evacuated
-            && self.record.state == State::Ready
-            && self.backoff_until.has_passed(now)
+        is_listed && !self.is_evacuated && !self.is_draining() && self.backoff_until.has_passed(now)
     }
 
     /// True if the warm-up limits let one of `gateways` send a request now.
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -332,9 +332,9 @@
     pub fn mark_missing(&mut self, id: &str, until: Instant) {
         let Some(key) = self.find(id) else { return };
         let engine = self.engine_mut(key);
-        match engine.record.state {
-            State::Ready => engine.expires_at = Some(until),
-            State::Draining => {
+        match engine.is_draining() {
+            false => engine.expires_at = Some(until),
+            true => {
                 self.unlist(id);
             }
         }
