Gateway: an engine that names a retry delay gets nothing until it is over

Callers' requests were rejected by engines that had just asked for 3 s of rest (17 and 21 in 1 s of one gateway), and some were refused though other engines were free: each rejection took a retry from the budget.

--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -209,7 +209,8 @@
     /// True if the engine accepts new requests.
     pub fn is_open(&self, now: Instant) -> bool {
         let is_listed = !self.is_removed && !self.is_replaced && !self.has_expired(now);
-        is_listed && !self.is_evacuated && !self.is_draining() && self.backoff_until.has_passed(now)
+        let is_backing_off = !self.backoff_until.has_passed(now) || self.signals.is_resting(now);
+        is_listed && !self.is_evacuated && !self.is_draining() && !is_backing_off
     }
 
     /// True if the warm-up limits let one of `gateways` send a request now.
--- a/crates/gingerpier_serving/src/signals.rs
+++ b/crates/gingerpier_serving/src/signals.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// True while the engine rejects requests of this gateway.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| !until.has_passed(now))
+    }
+
     /// True if the limit lets this gateway send a request now.
     pub fn allows_request(&self, now: Instant) -> bool {
         self.limit
@@ -141,7 +146,10 @@
         now: Instant,
         phase: f64,
     ) -> Changes {
-        let rests_until = signals.rest_millis.map(|millis| now.after_millis(millis));
+        // One more, as `now` is a whole number of milliseconds.
+        let rests_until = signals
+            .rest_millis
+            .map(|millis| now.after_millis(millis + 1));
         let changes = Changes {
             limit: self.record_limit(signals, sent_at, now, phase),
             draining: signals.is_draining && !self.is_draining,
