Gateway: response fields of engines that are not used are logged once by name

Each gateway now logs the name of a field that is neither standard nor used, once, 32 names at most.

--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -96,6 +96,8 @@
     releases: RefCell<HashMap<String, Releases>>,
     /// Version that the origin offers, by model.
     origin_versions: RefCell<HashMap<String, Version>>,
+    /// Names of fields in engines' responses that were logged as unknown.
+    unknown_fields: RefCell<Vec<Vec<u8>>>,
     last_contact: Cell<Option<Instant>>,
     freshness: Cell<Freshness>,
     outage: Cell<Outage>,
@@ -145,6 +147,7 @@
             regions,
             releases: RefCell::default(),
             origin_versions: RefCell::default(),
+            unknown_fields: RefCell::default(),
             last_contact: Cell::new(None),
             freshness: Cell::default(),
             outage: Cell::default(),
--- a/crates/gingerpier_gateway/src/state/signals.rs
+++ b/crates/gingerpier_gateway/src/state/signals.rs
@@ -14,10 +14,25 @@
     },
 };
 
+/// Standard fields of responses that carry no signal, in lower case.
+const STANDARD_FIELDS: [&str; 7] = [
+    "connection",
+    "content-length",
+    "content-type",
+    "date",
+    "keep-alive",
+    "server",
+    "transfer-encoding",
+];
+
+/// Most names of unknown fields that are logged.
+const MAX_UNKNOWN_FIELDS: usize = 32;
+
 impl State {
     /// Records the signals in the head of a response of `engine` to a request that was sent at
     /// `sent_at`, `None` if unknown.
     pub fn record_signals(&self, engine: EngineKey, head: &Response, sent_at: Option<Instant>) {
+        self.log_unknown_fields(engine, head);
         let signals = self.signals_of(head);
         let now = clock::now();
         let mut fleet = self.fleet.borrow_mut();
@@ -52,6 +67,27 @@
         }
     }
 
+    /// Logs each name of a response field once that is neither standard nor used here.
+    fn log_unknown_fields(&self, engine: EngineKey, head: &Response) {
+        let used = self.platform_api.header_names().response_fields();
+        let mut unknown = self.unknown_fields.borrow_mut();
+        for (name, _) in head.fields.iter() {
+            let is_name = |known: &&str| name.eq_ignore_ascii_case(known.as_bytes());
+            let is_logged = |logged: &Vec<u8>| name.eq_ignore_ascii_case(logged);
+            let is_known = used.iter().chain(&STANDARD_FIELDS).any(is_name);
+            if is_known || unknown.len() >= MAX_UNKNOWN_FIELDS || unknown.iter().any(is_logged) {
+                continue;
+            }
+            unknown.push(name.to_vec());
+            tracing::warn!(
+                engine = self.fleet.borrow().engine(engine).record.id,
+                field = %String::from_utf8_lossy(name),
+                status = head.status,
+                "engines send a response field that is not used"
+            );
+        }
+    }
+
     fn signals_of(&self, head: &Response) -> Signals {
         let names = self.platform_api.header_names();
         let fields = &head.fields;
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -50,6 +50,21 @@
     pub draining: &'static str,
 }
 
+impl HeaderNames {
+    /// Names of the platform's fields in engines' responses that gateways use.
+    pub const fn response_fields(&self) -> [&'static str; 7] {
+        [
+            self.attempt,
+            self.not_run,
+            self.signature,
+            self.version,
+            self.retry_after,
+            self.request_limit,
+            self.draining,
+        ]
+    }
+}
+
 /// An HTTP request without its connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ApiRequest {
