Gateway: a refusal names when the first engine is back that rejects requests or has a limit

Where all engines of a service reject requests for 0.5 s, callers were told to come back after 1.03 s at the earliest; where they do for 30 s, after as little as 1 s, to be refused again. The delay now starts when the first of them accepts requests of this gateway, spread over 0.9 s, up to a third of the caller's time as before.

--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -13,6 +13,7 @@
         metrics::{Ending, EndingLabels, Reason, RefusalLabels, RouteEndingLabels},
         state::State,
     },
+    gingerpier_base::Instant,
     gingerpier_http1::{connection::Connection, head::Request},
     gingerpier_serving::{fleet::EngineKey, retry::Action},
     std::ops::Range,
@@ -25,6 +26,9 @@
 /// longer than full ones.
 const RETRY_AFTER_NO_ENGINE_SECONDS: Range<f64> = 1.0..1.9;
 
+/// Time over which the retries of requests are spread that wait for one engine.
+const RETRY_SPREAD_SECONDS: f64 = 0.9;
+
 /// Retry delay for a request that is held until an operator dismisses its crashes.
 const RETRY_AFTER_HELD_SECONDS: f64 = 3_600.0;
 
@@ -142,16 +146,26 @@
         }
     }
 
+    /// Time until the first engine accepts requests that its responses have asked not to send.
+    fn opens_after_seconds(&self, now: Instant) -> Option<f64> {
+        let service = &self.request.service_settings().name;
+        let fleet = self.state.fleet.borrow();
+        let opens_at = fleet.opens_at(service, self.request.regions, now)?;
+        Some(opens_at.millis_since(now) as f64 / 1_000.0)
+    }
+
     /// Random retry delay, at most a third of the caller's remaining time.
     fn retry_after_seconds(&self) -> f64 {
         if self.refusal_reason == Some(Reason::Held) {
             return RETRY_AFTER_HELD_SECONDS;
         }
-        let remaining_millis = self.request.caller_deadline.millis_since(clock::now());
+        let now = clock::now();
+        let remaining_millis = self.request.caller_deadline.millis_since(now);
         let max_seconds = remaining_millis as f64 / 1_000.0 / 3.0;
-        let range = match self.has_candidate {
-            true => RETRY_AFTER_FULL_SECONDS,
-            false => RETRY_AFTER_NO_ENGINE_SECONDS,
+        let range = match (self.has_candidate, self.opens_after_seconds(now)) {
+            (true, _) => RETRY_AFTER_FULL_SECONDS,
+            (false, Some(seconds)) => seconds..seconds + RETRY_SPREAD_SECONDS,
+            (false, None) => RETRY_AFTER_NO_ENGINE_SECONDS,
         };
         // Starts at the delay from which retries are recognizable, if that lies in the range.
         let recognizable = self
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -9,7 +9,7 @@
     crate::{
         engine::Engine,
         mirror::Revision,
-        region::Regions,
+        region::{RegionSet, Regions},
         report::{Born, Report},
     },
     gingerpier_base::Instant,
@@ -385,6 +385,18 @@
             .filter(|(_, engine)| !engine.is_replaced)
     }
 
+    /// Earliest time from which an engine of a service accepts a request of this gateway again
+    /// after it has signalled otherwise; `None` if no engine has.
+    pub fn opens_at(&self, service: &str, regions: RegionSet, now: Instant) -> Option<Instant> {
+        let may_open = |engine: &Engine| {
+            regions.contains(engine.region) && !engine.is_draining() && !engine.is_evacuated
+        };
+        self.current_of_service(service)
+            .filter(|(_, engine)| may_open(engine))
+            .filter_map(|(_, engine)| engine.signals.opens_at(now))
+            .min()
+    }
+
     /// All listed engines.
     pub fn listed(&self) -> impl Iterator<Item = (EngineKey, &Engine)> {
         let all = self.engines.iter().enumerate();
--- a/crates/gingerpier_serving/src/signals.rs
+++ b/crates/gingerpier_serving/src/signals.rs
@@ -128,6 +128,17 @@
         self.rests_until.is_some_and(|until| !until.has_passed(now))
     }
 
+    /// Time from which this gateway may send a request; `None` if it may now, or if its share in a
+    /// limit is not known yet.
+    pub fn opens_at(&self, now: Instant) -> Option<Instant> {
+        let next_at = match self.limit {
+            Some(limit) => Some(limit.pace.next_at()?),
+            None => None,
+        };
+        let opens_at = self.rests_until.max(next_at);
+        opens_at.filter(|opens_at| !opens_at.has_passed(now))
+    }
+
     /// True if the limit lets this gateway send a request now.
     pub fn allows_request(&self, now: Instant) -> bool {
         self.limit
