Gateway: log lines about signals are bounded

An engine that names a short retry delay, or changes its limit with each response, wrote a line each time. These lines now take part in the limit of the lines about requests, and have a function of their own.

--- a/crates/gingerpier_gateway/src/state/signals.rs
+++ b/crates/gingerpier_gateway/src/state/signals.rs
@@ -2,14 +2,14 @@
 
 use {
     super::{State, placement::MIN_UPTIME_MILLIS},
-    crate::clock,
+    crate::{clock, log},
     gingerpier_base::{Instant, order},
     gingerpier_http1::head::Response,
     gingerpier_serving::{
         engine::Engine,
         fleet::EngineKey,
         request_limit::Schedule,
-        signals::{self, RequestLimit, Signals},
+        signals::{self, Changes, RequestLimit, Signals},
         zones::Exchange,
     },
 };
@@ -40,31 +40,10 @@
         let changes = engine
             .signals
             .record(&signals, sent_at, now, fastrand::f64());
-        let id = &engine.record.id;
-        let report_age = engine.report_age(now);
-        if changes.draining {
-            tracing::info!(engine = id, ?report_age, "engine says that it leaves");
-        }
-        if changes.rest {
-            tracing::info!(
-                engine = id,
-                rest_millis = signals.rest_millis,
-                ?report_age,
-                "engine rejects requests for a time"
-            );
-        }
         if changes.limit {
-            let limit = engine.signals.request_limit();
-            let in_flight = engine.load.in_flight;
-            tracing::info!(
-                engine = id,
-                ?limit,
-                in_flight,
-                ?report_age,
-                "engine changed its request limit"
-            );
             self.update_request_interval(engine, &self.zones.borrow(), now);
         }
+        log_changes(engine, &signals, changes, now);
     }
 
     /// Logs each name of a response field once that is neither standard nor used here.
@@ -135,3 +114,28 @@
         });
     }
 }
+
+fn log_changes(engine: &Engine, signals: &Signals, changes: Changes, now: Instant) {
+    let id = &engine.record.id;
+    let report_age = engine.report_age(now);
+    if changes.draining {
+        tracing::info!(engine = id, ?report_age, "engine says that it leaves");
+    }
+    if changes.rest && log::allows_request_line() {
+        tracing::info!(
+            engine = id,
+            rest_millis = signals.rest_millis,
+            ?report_age,
+            "engine rejects requests for a time"
+        );
+    }
+    if changes.limit && log::allows_request_line() {
+        tracing::info!(
+            engine = id,
+            limit = ?engine.signals.request_limit(),
+            in_flight = engine.load.in_flight,
+            ?report_age,
+            "engine changed its request limit"
+        );
+    }
+}
