--- a/crates/gingerpier_gateway/src/state/signals.rs
+++ b/crates/gingerpier_gateway/src/state/signals.rs
@@ -37,9 +37,11 @@
         let now = clock::now();
         let mut fleet = self.fleet.borrow_mut();
         let engine = fleet.engine_mut(engine);
-        let changes = engine
-            .signals
-            .record(&signals, sent_at, now, fastrand::f64());
+        let phase = match signals.request_limit {
+            RequestLimit::PerSecond(_) => fastrand::f64(),
+            RequestLimit::Unlimited | RequestLimit::Invalid => 0.0,
+        };
+        let changes = engine.signals.record(&signals, sent_at, now, phase);
         if changes.limit {
             self.update_request_interval(engine, &self.zones.borrow(), now);
         }
