--- a/crates/gingerpier_gateway/src/state/signals.rs
+++ b/crates/gingerpier_gateway/src/state/signals.rs
@@ -77,9 +77,9 @@
         Signals {
             request_limit: RequestLimit::parse(fields.all(names.request_limit)),
             is_draining: signals::is_draining(fields.get(names.draining)),
-            rest_millis: retry_after
+            retry_delay_millis: retry_after
                 .filter(|_| rejects)
-                .and_then(signals::parse_rest_millis),
+                .and_then(signals::parse_retry_delay_millis),
         }
     }
 
@@ -121,14 +121,18 @@
     let id = &engine.record.id;
     let report_age = engine.report_age(now);
     if changes.draining {
-        tracing::info!(engine = id, ?report_age, "engine says that it leaves");
+        tracing::info!(
+            engine = id,
+            ?report_age,
+            "engine signals that it is draining"
+        );
     }
-    if changes.rest && log::allows_request_line() {
+    if changes.retry_delay && log::allows_request_line() {
         tracing::info!(
             engine = id,
-            rest_millis = signals.rest_millis,
+            retry_delay_millis = signals.retry_delay_millis,
             ?report_age,
-            "engine rejects requests for a time"
+            "engine rejects requests until a retry delay is over"
         );
     }
     if changes.limit && log::allows_request_line() {
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -209,7 +209,7 @@
     /// True if the engine accepts new requests.
     pub fn is_open(&self, now: Instant) -> bool {
         let is_listed = !self.is_removed && !self.is_replaced && !self.has_expired(now);
-        let is_backing_off = !self.backoff_until.has_passed(now) || self.signals.is_resting(now);
+        let is_backing_off = !self.backoff_until.has_passed(now) || self.signals.is_rejecting(now);
         is_listed && !self.is_evacuated && !self.is_draining() && !is_backing_off
     }
 
--- a/crates/gingerpier_serving/src/signals.rs
+++ b/crates/gingerpier_serving/src/signals.rs
@@ -16,7 +16,7 @@
 use {crate::request_limit::Pace, gingerpier_base::Instant};
 
 /// Longest time for which an engine's rejection counts.
-pub const MAX_REST_MILLIS: u64 = 3_600_000;
+pub const MAX_RETRY_DELAY_MILLIS: u64 = 3_600_000;
 
 /// Limit of the requests to an engine from all gateways together.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -50,7 +50,7 @@
     /// True if the engine is about to leave.
     pub is_draining: bool,
     /// Time for which the engine rejects requests of this gateway, in milliseconds.
-    pub rest_millis: Option<u64>,
+    pub retry_delay_millis: Option<u64>,
 }
 
 /// True if a response field with this value says that the engine is about to leave.
@@ -59,10 +59,10 @@
 }
 
 /// Parses the retry delay of a rejected request, in seconds; `None` if it is no decimal number,
-/// negative or infinite. Long delays are cut to [`MAX_REST_MILLIS`].
-pub fn parse_rest_millis(value: &[u8]) -> Option<u64> {
+/// negative or infinite. Long delays are cut to [`MAX_RETRY_DELAY_MILLIS`].
+pub fn parse_retry_delay_millis(value: &[u8]) -> Option<u64> {
     let millis = parse_number(value)? * 1_000.0;
-    Some((millis.ceil() as u64).min(MAX_REST_MILLIS))
+    Some((millis.ceil() as u64).min(MAX_RETRY_DELAY_MILLIS))
 }
 
 /// Request limit that is in force at an engine.
@@ -79,7 +79,7 @@
 pub struct SignalState {
     limit: Option<LimitState>,
     is_draining: bool,
-    rests_until: Option<Instant>,
+    rejects_until: Option<Instant>,
 }
 
 /// What a response changed.
@@ -90,7 +90,7 @@
     /// The engine is about to leave.
     pub draining: bool,
     /// The engine rejects requests for longer than known before.
-    pub rest: bool,
+    pub retry_delay: bool,
 }
 
 impl SignalState {
@@ -105,8 +105,8 @@
     }
 
     /// Time until which the engine rejects requests of this gateway.
-    pub const fn rests_until(&self) -> Option<Instant> {
-        self.rests_until
+    pub const fn rejects_until(&self) -> Option<Instant> {
+        self.rejects_until
     }
 
     /// Sets the minimum interval between requests of this gateway while the engine has a limit.
@@ -124,8 +124,9 @@
     }
 
     /// True while the engine rejects requests of this gateway.
-    pub fn is_resting(&self, now: Instant) -> bool {
-        self.rests_until.is_some_and(|until| !until.has_passed(now))
+    pub fn is_rejecting(&self, now: Instant) -> bool {
+        self.rejects_until
+            .is_some_and(|until| !until.has_passed(now))
     }
 
     /// Time from which this gateway may send a request; `None` if it may now, or if its share in a
@@ -135,7 +136,7 @@
             Some(limit) => Some(limit.pace.next_at()?),
             None => None,
         };
-        let opens_at = self.rests_until.max(next_at);
+        let opens_at = self.rejects_until.max(next_at);
         opens_at.filter(|opens_at| !opens_at.has_passed(now))
     }
 
@@ -158,16 +159,16 @@
         phase: f64,
     ) -> Changes {
         // One more, as `now` is a whole number of milliseconds.
-        let rests_until = signals
-            .rest_millis
+        let rejects_until = signals
+            .retry_delay_millis
             .map(|millis| now.after_millis(millis + 1));
         let changes = Changes {
             limit: self.record_limit(signals, sent_at, now, phase),
             draining: signals.is_draining && !self.is_draining,
-            rest: rests_until > self.rests_until,
+            retry_delay: rejects_until > self.rejects_until,
         };
         self.is_draining |= signals.is_draining;
-        self.rests_until = self.rests_until.max(rests_until);
+        self.rejects_until = self.rejects_until.max(rejects_until);
         changes
     }
 
--- a/crates/gingerpier_serving/tests/signals.rs
+++ b/crates/gingerpier_serving/tests/signals.rs
@@ -2,16 +2,16 @@
 
 use {
     gingerpier_base::Instant,
-    gingerpier_serving::signals::{self, MAX_REST_MILLIS, SignalState, Signals},
+    gingerpier_serving::signals::{self, MAX_RETRY_DELAY_MILLIS, SignalState, Signals},
 };
 
 const fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
 }
 
-const fn rest(millis: u64) -> Signals {
+const fn rejection(millis: u64) -> Signals {
     Signals {
-        rest_millis: Some(millis),
+        retry_delay_millis: Some(millis),
         request_limit: signals::RequestLimit::Unlimited,
         is_draining: false,
     }
@@ -23,7 +23,7 @@
         (b"3", Some(3_000)),
         (b" 0.25 ", Some(250)),
         (b"0", Some(0)),
-        (b"1e12", Some(MAX_REST_MILLIS)),
+        (b"1e12", Some(MAX_RETRY_DELAY_MILLIS)),
         (b"-1", None),
         (b"NaN", None),
         (b"inf", None),
@@ -31,18 +31,30 @@
         (b"\xff", None),
     ];
     for (value, millis) in cases {
-        assert_eq!(signals::parse_rest_millis(value), millis, "{value:?}");
+        assert_eq!(
+            signals::parse_retry_delay_millis(value),
+            millis,
+            "{value:?}"
+        );
     }
 }
 
 #[test]
 fn a_shorter_retry_delay_or_a_success_does_not_end_a_longer_one() {
     let mut state = SignalState::default();
-    assert!(state.record(&rest(3_000), Some(at(0)), at(10), 0.0).rest);
-    assert!(!state.record(&rest(100), Some(at(0)), at(20), 0.0).rest);
+    assert!(
+        state
+            .record(&rejection(3_000), Some(at(0)), at(10), 0.0)
+            .retry_delay
+    );
+    assert!(
+        !state
+            .record(&rejection(100), Some(at(0)), at(20), 0.0)
+            .retry_delay
+    );
     state.record(&Signals::default(), Some(at(0)), at(30), 0.0);
-    assert!(state.is_resting(at(3_010)));
-    assert!(!state.is_resting(at(3_011)));
+    assert!(state.is_rejecting(at(3_010)));
+    assert!(!state.is_rejecting(at(3_011)));
 }
 
 #[test]
