Gateway: engines are scanned for their return only where a refusal needs it

Each refusal, also of full engines under overload, scanned the engines of the service for a result that only refusals without a candidate use. An accessor without callers is gone. Behaviour is the same.

--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -162,10 +162,12 @@
         let now = clock::now();
         let remaining_millis = self.request.caller_deadline.millis_since(now);
         let max_seconds = remaining_millis as f64 / 1_000.0 / 3.0;
-        let range = match (self.has_candidate, self.opens_after_seconds(now)) {
-            (true, _) => RETRY_AFTER_FULL_SECONDS,
-            (false, Some(seconds)) => seconds..seconds + RETRY_SPREAD_SECONDS,
-            (false, None) => RETRY_AFTER_NO_ENGINE_SECONDS,
+        let range = match self.has_candidate {
+            true => RETRY_AFTER_FULL_SECONDS,
+            false => match self.opens_after_seconds(now) {
+                Some(seconds) => seconds..seconds + RETRY_SPREAD_SECONDS,
+                None => RETRY_AFTER_NO_ENGINE_SECONDS,
+            },
         };
         // Starts at the delay from which retries are recognizable, if that lies in the range.
         let recognizable = self
--- a/crates/gingerpier_serving/src/signals.rs
+++ b/crates/gingerpier_serving/src/signals.rs
@@ -104,11 +104,6 @@
         self.is_draining
     }
 
-    /// Time until which the engine rejects requests of this gateway.
-    pub const fn rejects_until(&self) -> Option<Instant> {
-        self.rejects_until
-    }
-
     /// Sets the minimum interval between requests of this gateway while the engine has a limit.
     pub const fn set_interval(&mut self, millis: u64) {
         if let Some(limit) = &mut self.limit {
