Admission: what is decided under load gets a crate of its own

Prediction, choice of an engine, refusals, fairness, sizes and detection of returning callers lay among 33 files of gingerpier_serving.

Only moved: admission.rs is selection.rs there, three fields and a function of Engine are public as another crate reads them.

--- a/crates/gingerpier_serving/src/backlog.rs
+++ b/crates/gingerpier_admission/src/backlog.rs
@@ -5,8 +5,9 @@
 //! per pass. Growth beyond the answers' rate is therefore attributed to new prompts.
 
 use {
-    crate::{configuration::EngineModel, prediction, report::Report},
+    crate::prediction,
     gingerpier_base::Instant,
+    gingerpier_serving::{configuration::EngineModel, report::Report},
 };
 
 /// Fraction of the highest possible answer growth that is assumed between two reports.
--- a/crates/gingerpier_serving/src/fairness.rs
+++ b/crates/gingerpier_admission/src/fairness.rs
@@ -6,7 +6,7 @@
 //! are therefore moved toward one common slack.
 //!
 //! ```
-//! use {gingerpier_base::Instant, gingerpier_serving::fairness::SlackStats};
+//! use {gingerpier_base::Instant, gingerpier_admission::fairness::SlackStats};
 //!
 //! let mut stats = SlackStats::default();
 //! for millis in [300.0, 310.0, 290.0, 300.0, 100.0] {
--- a/crates/gingerpier_serving/src/prediction.rs
+++ b/crates/gingerpier_admission/src/prediction.rs
@@ -6,8 +6,9 @@
 //! exactly.
 
 use {
-    crate::{backlog, configuration::EngineModel, engine::Engine},
+    crate::backlog,
     gingerpier_base::Instant,
+    gingerpier_serving::{configuration::EngineModel, engine::Engine},
 };
 
 /// Passes between the end of a prompt and its first event, in addition to a pass already in
--- a/crates/gingerpier_serving/src/admission.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -9,17 +9,19 @@
 pub use availability::{Availability, AvailabilityCounts, count_availability};
 use {
     crate::{
+        fairness::Adjustment,
+        prediction::{self, Components},
+        shedding,
+    },
+    gingerpier_base::{Instant, order},
+    gingerpier_serving::{
         configuration::EngineModel,
         engine::Engine,
-        fairness::Adjustment,
         fleet::{EngineKey, Fleet},
-        prediction::{self, Components},
         region::RegionSet,
         report::Version,
-        shedding,
         warmup::ColdLimits,
     },
-    gingerpier_base::{Instant, order},
 };
 
 /// Cost of sending a request to an engine in another zone.
--- a/crates/gingerpier_serving/src/admission/availability.rs
+++ b/crates/gingerpier_admission/src/selection/availability.rs
@@ -7,8 +7,8 @@
     super::{
         Criteria, bound_millis, loaded_error_millis, min_version, predict, unreported_per_milli,
     },
-    crate::{engine::Engine, fleet::Fleet},
     gingerpier_base::Instant,
+    gingerpier_serving::{engine::Engine, fleet::Fleet},
     std::fmt,
 };
 
--- a/crates/gingerpier_serving/src/sizes.rs
+++ b/crates/gingerpier_admission/src/sizes.rs
@@ -3,7 +3,7 @@
 //! Logs and metrics use the size class as a label, which bounds the number of label values.
 //!
 //! ```
-//! use gingerpier_serving::sizes::{Band, Sizes};
+//! use gingerpier_admission::sizes::{Band, Sizes};
 //!
 //! let mut sizes = Sizes::default();
 //! for tokens in [900, 1_100, 1_000] {
--- a/crates/gingerpier_serving/tests/fairness.rs
+++ b/crates/gingerpier_admission/tests/fairness.rs
@@ -2,17 +2,19 @@
 //! with much.
 
 use {
+    gingerpier_admission::{
+        fairness::{Adjustment, SlackStats},
+        return_detection::Visit,
+        selection::{self, Choice, Criteria},
+        shedding::{self, Controller},
+    },
     gingerpier_base::Instant,
     gingerpier_serving::{
-        admission::{self, Choice, Criteria},
         configuration::EngineModel,
-        fairness::{Adjustment, SlackStats},
         fleet::{Fleet, Record, State},
         mirror::Revision,
         region::RegionSet,
         report::{Held, Report, Version},
-        return_detection::Visit,
-        shedding::{self, Controller},
         warmup::ColdLimits,
     },
 };
@@ -93,7 +95,7 @@
         cold_limits: ColdLimits::NEVER_COLD,
     };
     let is_admitted = |active: &u32| {
-        let choice = admission::choose(&fleet(*active), &criteria, at(0), 0);
+        let choice = selection::choose(&fleet(*active), &criteria, at(0), 0);
         matches!(choice, Choice::Send { .. })
     };
     (0..40).take_while(is_admitted).last().unwrap_or_default()
--- a/crates/gingerpier_serving/tests/return_detection.rs
+++ b/crates/gingerpier_admission/tests/return_detection.rs
@@ -1,8 +1,8 @@
 //! Tests of the detection of returning callers.
 
 use {
+    gingerpier_admission::return_detection::{Detector, Visit},
     gingerpier_base::Instant,
-    gingerpier_serving::return_detection::{Detector, Visit},
     proptest::prelude::*,
 };
 
--- a/crates/gingerpier_serving/tests/sizes.rs
+++ b/crates/gingerpier_admission/tests/sizes.rs
@@ -1,6 +1,6 @@
 //! Tests of prompt size classes.
 
-use gingerpier_serving::sizes::{Band, Sizes};
+use gingerpier_admission::sizes::{Band, Sizes};
 
 #[test]
 fn size_is_relative_to_the_same_route() {
--- a/crates/gingerpier_gateway/src/loader/mod.rs
+++ b/crates/gingerpier_gateway/src/loader/mod.rs
@@ -16,9 +16,9 @@
         log, message,
         weights::{Distributor, GatewayLocation, peers},
     },
+    gingerpier_admission::backlog::Backlog,
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
-        backlog::Backlog,
         configuration::{Origin, Services},
         fleet::Fleet,
         loader_polling::{Knowledge, View},
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -3,14 +3,13 @@
 use {
     super::{forward::Forwarder, stream::Progress},
     crate::clock,
-    gingerpier_base::Instant,
-    gingerpier_serving::{
-        admission::{self, AvailabilityCounts, Choice, Criteria, Cutover},
-        fleet::EngineKey,
-        report::Version,
+    gingerpier_admission::{
         return_detection::Visit,
+        selection::{self, AvailabilityCounts, Choice, Criteria, Cutover},
         shedding,
     },
+    gingerpier_base::Instant,
+    gingerpier_serving::{fleet::EngineKey, report::Version},
 };
 
 /// Milliseconds for which streams stay on an engine that stopped accepting requests; short ones end
@@ -43,7 +42,7 @@
         }
         let latest_start = now.after_millis(MIGRATION_LEAD_MILLIS);
         let would_be_late =
-            admission::min_version(&self.cutovers(), latest_start) > progress.version();
+            selection::min_version(&self.cutovers(), latest_start) > progress.version();
         if would_be_late || !self.can_retry(progress) {
             return false;
         }
@@ -87,7 +86,7 @@
         let own_millis = self
             .own_millis
             .filter(|_| self.request.engine_model().is_some())?;
-        Some(admission::slack_millis(target_millis, own_millis))
+        Some(selection::slack_millis(target_millis, own_millis))
     }
 
     fn criteria<'d>(
@@ -123,7 +122,7 @@
         let now = clock::now();
         let cutovers = self.cutovers();
         let criteria = self.criteria(&cutovers, &Progress::default(), now);
-        admission::count_availability(&self.state.fleet.borrow(), &criteria, now)
+        selection::count_availability(&self.state.fleet.borrow(), &criteria, now)
     }
 
     pub(super) fn choose_engine(&mut self, progress: &Progress) -> Option<EngineKey> {
@@ -131,7 +130,7 @@
         let cutovers = self.cutovers();
         let fleet = self.state.fleet.borrow();
         let criteria = self.criteria(&cutovers, progress, now);
-        let choice = admission::choose(&fleet, &criteria, now, self.random);
+        let choice = selection::choose(&fleet, &criteria, now, self.random);
         self.has_candidate = choice != Choice::NoEngine;
         self.refusal = None;
         self.own_millis = None;
@@ -163,7 +162,7 @@
             return progress.version();
         }
         let now = clock::now();
-        let min_version = admission::min_version(&self.cutovers(), now);
+        let min_version = selection::min_version(&self.cutovers(), now);
         let fleet = self.state.fleet.borrow();
         let model = self.request.model.as_deref();
         let loaded = model.and_then(|model| fleet.engine(engine).loaded_version(model, now));
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -11,6 +11,7 @@
     },
     crate::{clock, metrics::Reason, state::State},
     bytes::Bytes,
+    gingerpier_admission::selection::Refusal,
     gingerpier_base::Instant,
     gingerpier_http1::{
         connection::Connection,
@@ -18,7 +19,6 @@
         writer::Message,
     },
     gingerpier_serving::{
-        admission::Refusal,
         engine::EstimatedLoad,
         fleet::EngineKey,
         report::Version,
--- a/crates/gingerpier_gateway/src/proxy/request.rs
+++ b/crates/gingerpier_gateway/src/proxy/request.rs
@@ -4,6 +4,7 @@
     super::error_response::ErrorResponse,
     crate::state::{State, TrafficClass},
     bytes::Bytes,
+    gingerpier_admission::{return_detection::Visit, sizes::Band},
     gingerpier_base::Instant,
     gingerpier_http1::{
         head::{self, Request},
@@ -18,8 +19,6 @@
         platform_api::HeaderNames,
         region::RegionSet,
         report::Version,
-        return_detection::Visit,
-        sizes::Band,
     },
     std::rc::Rc,
 };
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -3,9 +3,11 @@
 use {
     super::State,
     crate::{clock, metrics::EngineLabels},
-    gingerpier_serving::{
-        admission::{self, Availability, Criteria},
+    gingerpier_admission::{
         fairness::Adjustment,
+        selection::{self, Availability, Criteria},
+    },
+    gingerpier_serving::{
         fleet::Record,
         mirror::{Item, Revision},
         outage::Absence,
@@ -140,7 +142,7 @@
                 tried_engines: &[],
                 may_crash_engine: false,
             };
-            let counts = admission::count_availability(&fleet, &criteria, now);
+            let counts = selection::count_availability(&fleet, &criteria, now);
             for availability in Availability::ALL {
                 let labels = EngineLabels {
                     service: service.name.clone(),
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -20,9 +20,13 @@
         suspects::SuspectState,
         weights::{Distributor, GatewayLocation},
     },
+    gingerpier_admission::{
+        arrivals::Arrivals,
+        return_detection::{Detector, Visit},
+        sizes::{Band, Sizes},
+    },
     gingerpier_base::Instant,
     gingerpier_serving::{
-        arrivals::Arrivals,
         budget::{Budget, Limits},
         configuration::Configuration,
         fleet::{EngineKey, Fleet},
@@ -32,8 +36,6 @@
         region::Regions,
         release::{Freshness, Releases},
         report::Version,
-        return_detection::{Detector, Visit},
-        sizes::{Band, Sizes},
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
--- a/crates/gingerpier_gateway/src/state/release.rs
+++ b/crates/gingerpier_gateway/src/state/release.rs
@@ -3,8 +3,8 @@
 use {
     super::State,
     crate::{clock, message},
+    gingerpier_admission::selection::Cutover,
     gingerpier_serving::{
-        admission::Cutover,
         platform_api::ModelVersion,
         release::{LOCAL, Release, Releases},
         report::Version,
--- a/crates/gingerpier_gateway/src/state/shedding.rs
+++ b/crates/gingerpier_gateway/src/state/shedding.rs
@@ -5,10 +5,9 @@
 
 use {
     super::State,
+    gingerpier_admission::{fairness::Adjustment, return_detection::Visit, shedding::Controller},
     gingerpier_base::Instant,
-    gingerpier_serving::{
-        fairness::Adjustment, region::RegionSet, return_detection::Visit, shedding::Controller,
-    },
+    gingerpier_serving::region::RegionSet,
     std::collections::HashMap,
 };
 
--- a/crates/gingerpier_overload/src/callers.rs
+++ b/crates/gingerpier_overload/src/callers.rs
@@ -1,9 +1,8 @@
 //! Callers, and what their requests were worth.
 
 use {
-    crate::deployment::Deployment,
-    gingerpier_serving::{fleet::EngineKey, return_detection::Visit},
-    std::ops::Range,
+    crate::deployment::Deployment, gingerpier_admission::return_detection::Visit,
+    gingerpier_serving::fleet::EngineKey, std::ops::Range,
 };
 
 /// Worth of an answer that came late, where one in time is worth 1.
--- a/crates/gingerpier_overload/src/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::draw::Draw,
-    gingerpier_serving::{configuration::EngineModel, prediction, shedding::ReturnPolicy},
+    gingerpier_admission::{prediction, shedding::ReturnPolicy},
+    gingerpier_serving::configuration::EngineModel,
 };
 
 /// Most times that a prompt or an answer is larger than the mean one.
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -2,17 +2,19 @@
 
 use {
     crate::deployment::Deployment,
+    gingerpier_admission::{
+        arrivals::Arrivals,
+        return_detection::Visit,
+        selection::{self, Choice, Criteria},
+        shedding::Controller,
+    },
     gingerpier_base::Instant,
     gingerpier_serving::{
-        admission::{self, Choice, Criteria},
-        arrivals::Arrivals,
         budget::{Budget, Limits},
         fleet::{EngineKey, Fleet, Record, State},
         mirror::Revision,
         region::RegionSet,
         report::{Held, Report, Version},
-        return_detection::Visit,
-        shedding::Controller,
         warmup,
     },
 };
@@ -130,7 +132,7 @@
             allowed_regions: RegionSet::ALL,
             cold_limits: warmup::ColdLimits::NEVER_COLD,
         };
-        admission::choose(&self.fleet, &criteria, now, ask.draw)
+        selection::choose(&self.fleet, &criteria, now, ask.draw)
     }
 
     /// Notes a request that was sent to an engine; `is_first` where it is no retry.
--- a/crates/gingerpier_overload/src/main.rs
+++ b/crates/gingerpier_overload/src/main.rs
@@ -2,6 +2,7 @@
 
 use {
     clap::Parser,
+    gingerpier_admission::shedding::ReturnPolicy,
     gingerpier_overload::{
         Deployment,
         error::Error,
@@ -9,7 +10,6 @@
         play,
         report::{self, Row, Shares},
     },
-    gingerpier_serving::shedding::ReturnPolicy,
     rayon::prelude::{IntoParallelIterator, ParallelIterator},
     std::{path::PathBuf, process::ExitCode},
 };
--- a/crates/gingerpier_overload/src/play.rs
+++ b/crates/gingerpier_overload/src/play.rs
@@ -8,7 +8,7 @@
         pattern::Pattern,
         world::World,
     },
-    gingerpier_serving::prediction,
+    gingerpier_admission::prediction,
 };
 
 /// Milliseconds that a usual answer takes at a full engine.
--- a/crates/gingerpier_overload/src/report.rs
+++ b/crates/gingerpier_overload/src/report.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{error::Error, pattern::Pattern},
-    gingerpier_serving::shedding::ReturnPolicy,
+    gingerpier_admission::shedding::ReturnPolicy,
     plotters::prelude::{
         BLUE, ChartBuilder, IntoDrawingArea, LineSeries, RED, RGBColor, SVGBackend, WHITE,
     },
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -10,8 +10,9 @@
         engine::{Brought, Engine},
         gateway::{Gateway, ReportOf},
     },
+    gingerpier_admission::backlog::Backlog,
     gingerpier_base::Instant,
-    gingerpier_serving::{backlog::Backlog, fleet::EngineKey, report::Report},
+    gingerpier_serving::{fleet::EngineKey, report::Report},
     std::{cmp::Reverse, collections::BinaryHeap, ops::Range},
 };
 
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -8,9 +8,9 @@
         engine::Job,
         gateway::Ask,
     },
-    gingerpier_serving::{
-        admission::{self, Choice},
+    gingerpier_admission::{
         return_detection::Visit,
+        selection::{self, Choice},
     },
     std::ops::Range,
 };
@@ -168,7 +168,7 @@
     /// Milliseconds that a caller could wait behind others, where its own prompt takes `own`.
     fn wait_of(&self, index: usize, own: f64) -> f64 {
         let target = self.deployment.target_of(self.callers[index].kind);
-        admission::slack_millis(target, own)
+        selection::slack_millis(target, own)
     }
 
     pub(super) fn refuse(&mut self, index: usize, pause: &Range<f64>, wait: Option<f64>) {
--- a/crates/gingerpier_overload/tests/overload.rs
+++ b/crates/gingerpier_overload/tests/overload.rs
@@ -1,12 +1,12 @@
 //! What holds under any load and after any trigger, on one deployment that is like a real one and on drawn ones.
 
+use gingerpier_admission::prediction;
 use gingerpier_overload::{
     Deployment, callers,
     pattern::Pattern,
     play::{self, drain_millis, warm_millis},
     world::World,
 };
-use gingerpier_serving::prediction;
 
 /// Deployments that are drawn: a debug build plays 200 in two minutes.
 const DRAWN: u64 = 40;
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -110,13 +110,13 @@
     /// Store revision of the latest entry.
     pub(crate) revision: Revision,
     /// True if a newer engine is listed at the same address, or if the service isn't configured.
-    pub(crate) is_replaced: bool,
+    pub is_replaced: bool,
     /// Start time of this incarnation; `None` until known.
     pub(crate) start_time: Option<Born>,
     /// Region of its zone; `None` if unknown.
-    pub(crate) region: Option<RegionKey>,
+    pub region: Option<RegionKey>,
     /// True while its zone is evacuated.
-    pub(crate) is_evacuated: bool,
+    pub is_evacuated: bool,
     /// Warm-up state.
     pub warmup: Warmup,
     /// Signals in its responses to this gateway.
@@ -197,7 +197,7 @@
     }
 
     /// True if the entry has been missing for longer than the grace period.
-    pub(crate) fn has_expired(&self, now: Instant) -> bool {
+    pub fn has_expired(&self, now: Instant) -> bool {
         self.expires_at.is_some_and(|at| at.has_passed(now))
     }
 
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -1,10 +1,11 @@
-//! Decisions of gateways and loaders: configuration, membership, admission, retries, weight
-//! updates.
+//! Decisions of gateways and loaders: configuration, membership, retries, weight updates.
 //!
 //! The platform's store holds the configuration and lists the engines, so gateways keep no log of
 //! their own. A gateway replicates the store in a [`mirror`], reads a [`configuration`] and a
-//! [`fleet`] of engines from it, and decides for each request whether it is admitted and which
-//! engine runs it ([`admission`]), and how failed attempts are retried ([`retry`], [`budget`]).
+//! [`fleet`] of engines from it, and decides how failed attempts are retried ([`retry`],
+//! [`budget`]). Whether a request is admitted and which engine runs it is decided in
+//! `gingerpier_admission`.
+//!
 //! All modules are plain data and functions without I/O: time and events are arguments.
 //!
 //! ```
@@ -20,14 +21,10 @@
 //! assert!(!budget.try_spend(now), "a second one needs requests that pay for it");
 //! ```
 
-pub mod admission;
-pub mod arrivals;
-pub mod backlog;
 pub mod budget;
 pub mod configuration;
 pub mod engine;
 pub mod events;
-pub mod fairness;
 pub mod fingerprint;
 pub mod fleet;
 pub mod liveness;
@@ -36,16 +33,12 @@
 pub mod outage;
 pub mod pacing;
 pub mod platform_api;
-pub mod prediction;
 pub mod region;
 pub mod release;
 pub mod report;
 pub mod request_limit;
 pub mod retry;
-pub mod return_detection;
-pub mod shedding;
 pub mod signals;
-pub mod sizes;
 pub mod suspects;
 pub mod trials;
 pub mod unreleased;
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -1,26 +1,28 @@
 //! Tests of admission, retries, prediction and related decisions.
 
 use {
-    gingerpier_base::{Instant, order},
-    gingerpier_serving::{
-        admission::{self, Choice, Criteria, Cutover},
+    gingerpier_admission::{
         arrivals::Arrivals,
         backlog::Backlog,
+        fairness::Adjustment,
+        prediction,
+        selection::{self, Choice, Criteria, Cutover},
+        shedding,
+    },
+    gingerpier_base::{Instant, order},
+    gingerpier_serving::{
         budget::{self, Budget},
         configuration::{
             Account, Configuration, EngineModel, Limits, Repeat, Route, Service, ServiceKey,
             ServiceKind, Target,
         },
         events::Splitter,
-        fairness::Adjustment,
         fleet::{EngineKey, Fleet, Record, State},
         mirror::{Item, Mirror, Revision},
         pacing::Pacer,
-        prediction,
         region::RegionSet,
         report::{Held, Report, Version},
         retry::{Action, Failure, RetryState},
-        shedding,
         update_schedule::{self, Bound, Position, ReleaseTime, Validity},
         warmup,
     },
@@ -132,7 +134,7 @@
     let (model, tried) = (model(), []);
     let criteria = criteria(&model, &[], &tried);
     let count =
-        |fleet: &Fleet| admission::count_availability(fleet, &criteria, at(1_000)).to_string();
+        |fleet: &Fleet| selection::count_availability(fleet, &criteria, at(1_000)).to_string();
     assert_eq!(count(&Fleet::default()), "none");
     let (mut fleet, keys) = fleet(6);
     let empty = Report {
@@ -169,7 +171,7 @@
             prompt_tokens: tokens,
             ..criteria(&model, &[], &tried)
         };
-        match admission::choose(&fleet, &criteria, at(0), 0) {
+        match selection::choose(&fleet, &criteria, at(0), 0) {
             Choice::Full(shortfall) => shortfall,
             other => panic!("{other:?}"),
         }
@@ -205,7 +207,7 @@
     };
     let (mut fleet, keys) = fleet(1);
     fleet.engine_mut(keys[0]).record_report(report(1, 0), at(0));
-    let choose = |fleet: &Fleet| selected_engine(admission::choose(fleet, &large, at(10), 0));
+    let choose = |fleet: &Fleet| selected_engine(selection::choose(fleet, &large, at(10), 0));
     assert_eq!(choose(&fleet), Some(keys[0]));
     fleet
         .engine_mut(keys[0])
@@ -231,7 +233,7 @@
         ..report(1, active)
     };
     fleet.engine_mut(keys[0]).record_report(slow(0), at(0));
-    let choose = |fleet: &Fleet| selected_engine(admission::choose(fleet, &large, at(10), 0));
+    let choose = |fleet: &Fleet| selected_engine(selection::choose(fleet, &large, at(10), 0));
     assert_eq!(choose(&fleet), Some(keys[0]));
     fleet.engine_mut(keys[0]).record_report(slow(16), at(0));
     assert_eq!(
@@ -261,7 +263,7 @@
     }
     fleet.engine_mut(keys[0]).record_report(report(1, 0), at(0));
     let refused = (0..1_000).filter(|draw| {
-        let choice = admission::choose(&fleet, &returned, at(10), *draw);
+        let choice = selection::choose(&fleet, &returned, at(10), *draw);
         selected_engine(choice).is_none()
     });
     assert_eq!(refused.count(), 0);
@@ -309,12 +311,12 @@
             .engine_mut(*key)
             .record_report(report(1, active), at(0));
     }
-    let choice = admission::choose(&fleet, &criteria(&model, &[], &[]), at(1), 0);
+    let choice = selection::choose(&fleet, &criteria(&model, &[], &[]), at(1), 0);
     assert_eq!(selected_engine(choice), Some(keys[1]));
     fleet
         .engine_mut(keys[1])
         .record_report(report(1, 40), at(0));
-    let choice = admission::choose(&fleet, &criteria(&model, &[], &[]), at(1), 0);
+    let choice = selection::choose(&fleet, &criteria(&model, &[], &[]), at(1), 0);
     assert!(matches!(choice, Choice::Full(_)));
 }
 
@@ -336,7 +338,7 @@
     let model = model();
     fleet.engine_mut(keys[0]).record_timeout(at(0));
     let choose = |fleet: &Fleet, now| {
-        selected_engine(admission::choose(
+        selected_engine(selection::choose(
             fleet,
             &criteria(&model, &[], &[]),
             now,
@@ -380,7 +382,7 @@
         at: at(5_000),
     }];
     let choose = |now| {
-        selected_engine(admission::choose(
+        selected_engine(selection::choose(
             &fleet,
             &criteria(&model, &due, &[]),
             now,
@@ -402,7 +404,7 @@
     }];
     fleet.engine_mut(keys[0]).record_timeout(at(0));
     let choose = |due: &[Cutover]| {
-        selected_engine(admission::choose(
+        selected_engine(selection::choose(
             &fleet,
             &criteria(&model, due, &[]),
             at(2_000),
@@ -426,9 +428,9 @@
         resume_version: Some(Version(2)),
         ..criteria(&model, &[], &[])
     };
-    let choice = admission::choose(&fleet, &resumed, at(1), 0);
+    let choice = selection::choose(&fleet, &resumed, at(1), 0);
     assert_eq!(selected_engine(choice), Some(keys[1]));
-    let choice = admission::choose(
+    let choice = selection::choose(
         &fleet,
         &Criteria {
             tried_engines: &[keys[1]],
@@ -743,7 +745,7 @@
         };
         fleet.engine_mut(*key).record_report(report, at(0));
     }
-    let choice = admission::choose(&fleet, &criteria(&model, &[], &[]), at(1), 0);
+    let choice = selection::choose(&fleet, &criteria(&model, &[], &[]), at(1), 0);
     assert_eq!(selected_engine(choice), Some(keys[1]));
     let first = prediction::predict_first_event(fleet.engine(keys[0]), &model, 979, 0.0, at(0))
         .total_millis();
@@ -809,7 +811,7 @@
         target_millis: 100,
         ..default_criteria()
     };
-    let predicted = |fleet: &Fleet| match admission::choose(fleet, &ordinary, at(0), 0) {
+    let predicted = |fleet: &Fleet| match selection::choose(fleet, &ordinary, at(0), 0) {
         Choice::Send {
             predicted_millis, ..
         } => predicted_millis,
@@ -897,7 +899,7 @@
     };
     let draws = (0..64).map(order::mix);
     let selected =
-        draws.map(|draw| selected_engine(admission::choose(&fleet, &criteria, at(0), draw)));
+        draws.map(|draw| selected_engine(selection::choose(&fleet, &criteria, at(0), draw)));
     selected.filter(|engine| *engine == Some(keys[0])).count()
 }
 
--- a/crates/gingerpier_serving/tests/places.rs
+++ b/crates/gingerpier_serving/tests/places.rs
@@ -5,19 +5,21 @@
 //! engine than its limit.
 
 use {
+    gingerpier_admission::{
+        fairness::Adjustment,
+        selection::{self, Choice, Criteria},
+        shedding,
+    },
     gingerpier_base::{Instant, order},
     gingerpier_serving::{
-        admission::{self, Choice, Criteria},
         configuration::{
             Account, Configuration, Limits, Repeat, Route, RouteKey, Service, ServiceKey,
             ServiceKind, Target,
         },
-        fairness::Adjustment,
         fleet::{EngineKey, Fleet, Record, State},
         mirror::Revision,
         region::{MAX_REGIONS, RegionSet, Regions},
         report::Report,
-        shedding,
         warmup::{ColdLimits, Warmup},
         zones::Exchange,
     },
@@ -526,7 +528,7 @@
         let criteria = criteria(homes, cold, self.gateways.len() as u32);
         let random = self.rng.u64(..);
         let fleet = &mut self.gateways[gateway].fleet;
-        let Choice::Send { engine, .. } = admission::choose(fleet, &criteria, instant, random)
+        let Choice::Send { engine, .. } = selection::choose(fleet, &criteria, instant, random)
         else {
             self.outcome.refused += 1;
             return;
