Gateway: a request that waits at an engine is withdrawn before its weights expire

Cause: requests are sent so that they start before the cutover by the load that the gateway knows, which for engines of other zones is up to 0.5 s old.

Change: 500 ms after the cutover, which lies 1.2 s before the bound, an attempt without a response is ended and retried on an engine with newer weights where it may run twice.

--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -45,6 +45,8 @@
     Elsewhere,
     /// The engine sent nothing before the stall deadline.
     Silent,
+    /// The engine's weights expired before the first event.
+    Outdated,
     /// The engine returned an error status.
     EngineFailed,
 }
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -54,6 +54,8 @@
             Cause::Full | Cause::Elsewhere => {
                 engine.back_off_until(now.after_millis(FULL_BACKOFF_MILLIS))
             }
+            // Its expired weights already exclude the engine.
+            Cause::Outdated => {}
         }
     }
 
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -1,7 +1,11 @@
 //! Selection of the engine for a request, and migration of streams between engines.
 
 use {
-    super::{forward::Forwarder, stream::Progress},
+    super::{
+        attempt::{AttemptError, Cause},
+        forward::Forwarder,
+        stream::Progress,
+    },
     crate::clock,
     gingerpier_admission::{
         return_detection::Visit,
@@ -9,7 +13,7 @@
         shedding,
     },
     gingerpier_base::Instant,
-    gingerpier_serving::{fleet::EngineKey, report::Version},
+    gingerpier_serving::{fleet::EngineKey, report::Version, retry::Failure},
 };
 
 /// Milliseconds for which streams stay on an engine that stopped accepting requests; short ones end
@@ -20,6 +24,17 @@
 /// delayed would start after it.
 const MIGRATION_LEAD_MILLIS: u64 = 2_000;
 
+/// Time after a cutover at which a request that still waits at an engine with older weights is
+/// withdrawn. Requests are sent so that they start before the cutover, but the load that a gateway
+/// knows may be outdated: some waited 2.4 s and started after the weights had expired.
+const WITHDRAW_AFTER_CUTOVER_MILLIS: u64 = 500;
+
+/// Error of an attempt that is withdrawn before its engine's weights expire.
+pub const OUTDATED: AttemptError = AttemptError {
+    failure: Failure::Unknown,
+    cause: Cause::Outdated,
+};
+
 impl Forwarder<'_, '_> {
     /// True if another engine could run the request now.
     pub fn can_retry(&mut self, progress: &Progress) -> bool {
@@ -171,6 +186,20 @@
             .unwrap_or_default()
     }
 
+    /// Time at which the request is withdrawn from `engine` unless it has started; `None` if the
+    /// engine's weights don't expire.
+    pub(super) fn withdraw_at(&self, engine: EngineKey) -> Option<Instant> {
+        let fleet = self.state.fleet.borrow();
+        let model = self.request.model.as_deref()?;
+        let loaded = fleet.engine(engine).loaded_version(model, clock::now())?;
+        let cutovers = self.cutovers();
+        let newer = cutovers
+            .iter()
+            .filter(|cutover| cutover.version > loaded)
+            .map(|cutover| cutover.at);
+        Some(newer.min()?.after_millis(WITHDRAW_AFTER_CUTOVER_MILLIS))
+    }
+
     /// True if a newer version than the engine's is released.
     pub(super) fn is_outdated(&self, engine: EngineKey) -> bool {
         let fleet = self.state.fleet.borrow();
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -4,6 +4,7 @@
     super::{
         Persistence,
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
+        engine_choice,
         request::{AttemptOptions, RoutedRequest},
         startup::{self, StartupWait},
         stream::{self, Progress},
@@ -262,6 +263,7 @@
             needs_new_connection: self.is_outdated(engine),
         };
         let mut stall_deadline = stream::first_event_deadline(request, options.now);
+        let withdraw_at = self.withdraw_at(engine);
         let sending = attempt::send(state, request, engine, &options);
         let held = state.until_held(request.fingerprint);
         tokio::pin!(sending, held);
@@ -272,6 +274,9 @@
                 () = disconnected(caller) => return AttemptOutcome::Disconnected,
                 () = clock::until(request.deadline) => return AttemptOutcome::TimedOut,
                 () = &mut held => return AttemptOutcome::Held,
+                () = withdrawal(withdraw_at) => {
+                    return AttemptOutcome::Failed(engine_choice::OUTDATED);
+                }
                 () = clock::until(stall_deadline) => {
                     if self.can_retry(progress) {
                         return AttemptOutcome::Failed(stream::STALLED);
@@ -430,6 +435,14 @@
     }
 }
 
+/// Completes at `deadline`; never without one.
+async fn withdrawal(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => clock::until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
 const fn refused_by_engine(status: u16) -> AttemptError {
     AttemptError {
         failure: Failure::NotRun,
