--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -204,26 +204,14 @@
     let mut best: Option<Candidate> = None;
     let unreported_per_milli = unreported_per_milli(fleet, criteria, now);
     for (key, engine) in fleet.of_service(criteria.service) {
-        if !is_included(key) || criteria.tried_engines.contains(&key) {
-            continue;
-        }
-        if !criteria.allowed_regions.contains(engine.region) {
-            continue;
-        }
-        if !engine.is_open(now) || engine.is_on_trial(now) {
-            continue;
-        }
-        if !engine.is_within_warmup_limits(&criteria.cold_limits, criteria.gateway_count, now)
-            || !engine.signals.allows_request(now)
-        {
+        if !is_included(key) || !is_eligible(key, engine, criteria, now) {
             continue;
         }
         let components = predict(engine, criteria, unreported_per_milli, now);
         let overdue_millis = engine.overdue_millis(now) as f64;
         let predicted = components.total_millis() + overdue_millis;
         let lateness_millis = engine.lateness_millis();
-        let starts_at =
-            now.after_millis((predicted + lateness_millis) as u64 + START_MARGIN_MILLIS);
+        let starts_at = latest_start(engine, &components, now);
         if !has_valid_weights(engine, criteria, now, starts_at) {
             continue;
         }
@@ -244,6 +232,58 @@
     best
 }
 
+/// Returns true if the engine may receive the request, apart from its weights and its load.
+pub(crate) fn is_eligible(
+    key: EngineKey,
+    engine: &Engine,
+    criteria: &Criteria<'_>,
+    now: Instant,
+) -> bool {
+    !criteria.tried_engines.contains(&key)
+        && criteria.allowed_regions.contains(engine.region)
+        && engine.is_open(now)
+        && !engine.is_on_trial(now)
+        && engine.is_within_warmup_limits(&criteria.cold_limits, criteria.gateway_count, now)
+        && engine.signals.allows_request(now)
+}
+
+/// Returns true if the engine has weights with which the request may start, wherever it is in the
+/// queue.
+pub(crate) fn starts_with_valid_weights(
+    engine: &Engine,
+    criteria: &Criteria<'_>,
+    now: Instant,
+) -> bool {
+    let components = predict(engine, criteria, 0.0, now);
+    has_valid_weights(
+        engine,
+        criteria,
+        now,
+        latest_start(engine, &components, now),
+    )
+}
+
+/// Returns the choice of an engine whose load isn't compared with the admission bound.
+pub(crate) fn choice_without_bound(
+    engine: &Engine,
+    key: EngineKey,
+    criteria: &Criteria<'_>,
+    now: Instant,
+) -> Choice {
+    let components = predict(engine, criteria, 0.0, now);
+    Choice::Send {
+        engine: key,
+        predicted_millis: components.total_millis() + engine.overdue_millis(now) as f64,
+        own_millis: components.own_prompt_millis,
+    }
+}
+
+/// Returns the latest time at which a request with this prediction starts.
+fn latest_start(engine: &Engine, components: &Components, now: Instant) -> Instant {
+    let predicted = components.total_millis() + engine.overdue_millis(now) as f64;
+    now.after_millis((predicted + engine.lateness_millis()) as u64 + START_MARGIN_MILLIS)
+}
+
 /// Returns the estimated arrival rate at each open engine from other gateways.
 fn unreported_per_milli(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> f64 {
     let listed = fleet.of_service(criteria.service);
