--- a/crates/gingerpier_admission/src/sharing/granter.rs
+++ b/crates/gingerpier_admission/src/sharing/granter.rs
@@ -7,8 +7,9 @@
 
 use {
     super::{Demand, Grant, MAX_SERVICES, ServiceDemand},
+    crate::prediction,
     gingerpier_base::Instant,
-    gingerpier_serving::zones::DIGEST_SENDERS,
+    gingerpier_serving::{configuration::EngineModel, fleet::Fleet, zones::DIGEST_SENDERS},
     std::collections::BTreeMap,
 };
 
@@ -229,3 +230,22 @@
     let entry = services.find(|entry| entry.service == service);
     entry.map(|entry| entry.demand).unwrap_or_default()
 }
+
+/// Returns the requests per second that the open engines of `zone` can run. Engines without a recent
+/// report don't count.
+pub fn open_capacity(
+    fleet: &Fleet,
+    service: &str,
+    model: &EngineModel,
+    zone: &str,
+    now: Instant,
+) -> f64 {
+    let per_engine = 1_000.0 / prediction::mean_work_millis(model);
+    let engines = fleet.of_service(service).map(|(_, engine)| engine);
+    let engines = engines.filter(|engine| engine.record.zone == zone && engine.is_open(now));
+    let engines = engines.filter(|engine| !engine.warmup.is_cold(now));
+    let reports = engines.filter_map(|engine| engine.fresh_report(now));
+    reports
+        .map(|report| per_engine / report.slowdown.max(1.0))
+        .sum()
+}
