Selection: engines within the admission bound rank before the others

Only the engine with the lowest cost was compared with the bound, and 60 ms of cost for another zone could put an engine beyond the bound first, so requests were refused while an engine had capacity.

--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -5,6 +5,7 @@
 //! delay the others.
 
 mod availability;
+mod ranking;
 
 pub use availability::{Availability, AvailabilityCounts, count_availability};
 use {
@@ -22,26 +23,15 @@
         report::Version,
         warmup::ColdLimits,
     },
+    ranking::{Ranked, best_candidate},
 };
 
-/// Cost of sending a request to an engine in another zone.
-const OTHER_ZONE_COST_MILLIS: f64 = 60.0;
-
-/// Cost of an engine whose requests all fail; scaled by its failure rate.
-const FAILURE_COST_MILLIS: f64 = 400.0;
-
-/// Cost per request already on the engine, for a request that may crash the engine.
-const CRASH_RISK_COST_MILLIS: f64 = 30.0;
-
 /// Multiple of its target that a request to an ordinary service may be predicted to take.
 const PLAIN_TARGET_SHARE: f64 = 2.0;
 
 /// Fraction of the target that a request to an ordinary service is assumed to take until measured.
 const PLAIN_DEFAULT_WORK_SHARE: f64 = 0.2;
 
-/// Upper bound of the random tie-breaking cost.
-const MAX_JITTER_MILLIS: f64 = 12.0;
-
 /// Number of gateways for each subset that the engines of a model are divided into.
 const GATEWAYS_PER_SUBSET: u32 = 10;
 
@@ -145,7 +135,7 @@
 }
 
 /// Selects an engine for a request. `draw` is a random number that all attempts of the request
-/// share.
+/// share. Among the engines that meet the bound, the one with the lowest cost is selected.
 ///
 /// With many gateways, a random subset of the model's engines is considered first and the rest only
 /// if none of these meets the bound. This prevents gateways with the same view from overloading the
@@ -158,28 +148,20 @@
             let hash = order::mix(order::mix(u64::from(key.0)) ^ draw);
             hash.is_multiple_of(u64::from(subsets))
         };
-        if let Some(sampled) = best_candidate(fleet, criteria, now, draw, is_in_subset) {
-            if sampled.expected_millis() <= bound_millis(criteria, &sampled.components) {
-                return sampled.choice();
-            }
-            queue_share = FALLBACK_QUEUE_SHARE;
+        match best_candidate(fleet, criteria, now, (draw, queue_share), is_in_subset) {
+            Some(Ranked::Within(candidate)) => return candidate.choice(),
+            Some(Ranked::Beyond(_)) => queue_share = FALLBACK_QUEUE_SHARE,
+            None => {}
         }
     }
-    let Some(fallback) = best_candidate(fleet, criteria, now, draw, |_| true) else {
-        return Choice::NoEngine;
-    };
-    let own_millis = fallback.components.own_prompt_millis;
-    // Only the queueing time is scaled: the time for the request's own prompt is the same
-    // everywhere.
-    let fallback_bound =
-        own_millis + (bound_millis(criteria, &fallback.components) - own_millis) * queue_share;
-    match fallback.expected_millis() <= fallback_bound {
-        true => fallback.choice(),
-        false => Choice::Full(Refusal {
-            bound_millis: fallback_bound,
-            components: fallback.components,
-            overdue_millis: fallback.overdue_millis,
-            error_millis: fallback.error_millis,
+    match best_candidate(fleet, criteria, now, (draw, queue_share), |_| true) {
+        None => Choice::NoEngine,
+        Some(Ranked::Within(candidate)) => candidate.choice(),
+        Some(Ranked::Beyond(candidate)) => Choice::Full(Refusal {
+            bound_millis: candidate.bound_millis(criteria, queue_share),
+            components: candidate.components,
+            overdue_millis: candidate.overdue_millis,
+            error_millis: candidate.error_millis,
         }),
     }
 }
@@ -192,46 +174,6 @@
     }
 }
 
-/// Returns the engine with the lowest cost among those that satisfy `is_included`, whether or not
-/// it meets the bound.
-fn best_candidate(
-    fleet: &Fleet,
-    criteria: &Criteria<'_>,
-    now: Instant,
-    draw: u64,
-    is_included: impl Fn(EngineKey) -> bool,
-) -> Option<Candidate> {
-    let mut best: Option<Candidate> = None;
-    let unreported_per_milli = unreported_per_milli(fleet, criteria, now);
-    for (key, engine) in fleet.of_service(criteria.service) {
-        if !is_included(key) || !is_eligible(key, engine, criteria, now) {
-            continue;
-        }
-        let components = predict(engine, criteria, unreported_per_milli, now);
-        let overdue_millis = engine.overdue_millis(now) as f64;
-        let predicted = components.total_millis() + overdue_millis;
-        let lateness_millis = engine.lateness_millis();
-        let starts_at = latest_start(engine, &components, now);
-        if !has_valid_weights(engine, criteria, now, starts_at) {
-            continue;
-        }
-        let cost_millis = predicted
-            + lateness_millis
-            + extra_cost_millis(engine, criteria, now)
-            + jitter_millis(key, draw);
-        if best.is_none_or(|best| cost_millis < best.cost_millis) {
-            best = Some(Candidate {
-                key,
-                cost_millis,
-                components,
-                overdue_millis,
-                error_millis: loaded_error_millis(engine, now),
-            });
-        }
-    }
-    best
-}
-
 /// Returns true if the engine may receive the request, apart from its weights and its load.
 pub(crate) fn is_eligible(
     key: EngineKey,
@@ -293,36 +235,6 @@
     criteria.other_arrivals_per_milli / (open_count.max(1) as f64)
 }
 
-/// Engine that is eligible for a request.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    key: EngineKey,
-    /// Ranking cost, in milliseconds; lower is better.
-    cost_millis: f64,
-    components: Components,
-    overdue_millis: f64,
-    error_millis: f64,
-}
-
-impl Candidate {
-    fn choice(&self) -> Choice {
-        Choice::Send {
-            engine: self.key,
-            predicted_millis: self.predicted_millis(),
-            own_millis: self.components.own_prompt_millis,
-        }
-    }
-
-    fn predicted_millis(&self) -> f64 {
-        self.components.total_millis() + self.overdue_millis
-    }
-
-    /// Predicted time to the first event plus the engine's mean prediction error.
-    fn expected_millis(&self) -> f64 {
-        self.predicted_millis() + self.error_millis
-    }
-}
-
 /// Returns the engine's mean prediction error scaled by its occupancy, so that an idle engine isn't
 /// refused for its errors under load.
 fn loaded_error_millis(engine: &Engine, now: Instant) -> f64 {
@@ -394,19 +306,6 @@
     }
 }
 
-fn extra_cost_millis(engine: &Engine, criteria: &Criteria<'_>, now: Instant) -> f64 {
-    let zone_cost = if engine.record.zone == criteria.zone {
-        0.0
-    } else {
-        OTHER_ZONE_COST_MILLIS
-    };
-    let sharing_cost = match criteria.may_crash_engine {
-        true => CRASH_RISK_COST_MILLIS * engine.occupancy(now),
-        false => 0.0,
-    };
-    zone_cost + sharing_cost + FAILURE_COST_MILLIS * engine.failure_rate()
-}
-
 /// Returns the longest expected time to the first event at which the request is still admitted.
 fn bound_millis(criteria: &Criteria<'_>, components: &Components) -> f64 {
     let target_millis = criteria.target_millis as f64;
@@ -428,9 +327,3 @@
 pub fn slack_millis(target_millis: f64, own_millis: f64) -> f64 {
     target_millis * shedding::TARGET_SHARE - own_millis
 }
-
-/// Returns a pseudo-random cost that spreads requests over engines with similar predictions.
-fn jitter_millis(key: EngineKey, draw: u64) -> f64 {
-    let hash = order::mix(u64::from(key.0) ^ draw);
-    (hash % 1_000) as f64 / 1_000.0 * MAX_JITTER_MILLIS
-}
