--- a/crates/gingerpier_gateway/src/message/mod.rs
+++ b/crates/gingerpier_gateway/src/message/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways and loaders, encoded in CBOR with numbered fields.
 
 mod configuration;
+mod sharing;
 mod snapshot;
 mod suspects;
 
@@ -9,6 +10,7 @@
         ConfigurationPart, EngineEntry, EngineParameters, OriginParameters, ServiceEntry,
         ServiceParameters,
     },
+    sharing::{Demand, Grant, ServiceDemand},
     snapshot::{Snapshot, StoreItem},
     suspects::{CompletionUpdate, CrashUpdate, DismissalUpdate, Suspects, TrialUpdate},
 };
@@ -244,6 +246,12 @@
     /// Earliest engine start time in Unix milliseconds; 0 if unknown.
     #[cbor(n(9), default)]
     pub first_start_millis: u64,
+    /// Demand of the zone; absent without demand.
+    #[n(10)]
+    pub demand: Option<Vec<ServiceDemand>>,
+    /// Grants to other zones; absent without grants.
+    #[n(11)]
+    pub grants: Option<Vec<Grant>>,
 }
 
 /// Content of one datagram.
@@ -267,6 +275,9 @@
     /// From a gateway to another one.
     #[n(5)]
     Suspects(#[n(0)] Suspects),
+    /// From a gateway to the digest senders of its zone.
+    #[n(6)]
+    Demand(#[n(0)] Demand),
 }
 
 /// List of gateways.
--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -16,10 +16,13 @@
 //! Digests lag behind direct reports, so with few gateways in all, each polls the loaders of all
 //! zones directly and no digests are sent.
 
+mod ranks;
+
 use {
     crate::liveness::Liveness,
-    gingerpier_base::{Instant, order},
-    std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr},
+    gingerpier_base::Instant,
+    ranks::top_ranked,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Gateways of a zone that send its digest; more than one, as a sender may have died unnoticed.
@@ -39,6 +42,10 @@
 /// Milliseconds between two digests of one sender.
 const DIGEST_INTERVAL_MILLIS: u64 = 500;
 
+/// Milliseconds between two digests of one sender while capacity is shared with other zones, which
+/// place requests by the load in the digests.
+const FREQUENT_DIGEST_INTERVAL_MILLIS: u64 = 100;
+
 /// Minimum milliseconds between two digests of one sender when there are urgent changes, such as an
 /// announced weight update.
 const URGENT_DIGEST_INTERVAL_MILLIS: u64 = 110;
@@ -151,14 +158,6 @@
     }
 }
 
-/// Returns the first `count` of `members` in rendezvous order.
-fn top_ranked(members: impl Iterator<Item = SocketAddr>, count: usize) -> Vec<SocketAddr> {
-    let mut members: Vec<SocketAddr> = members.collect();
-    members.sort_by_key(|member| (Reverse(order::hash(member)), *member));
-    members.truncate(count);
-    members
-}
-
 /// A gateway's view of all zones, and its schedule of digests.
 #[derive(Debug, Clone)]
 pub struct Exchange {
@@ -172,6 +171,7 @@
     rotation: usize,
     last_sent: Instant,
     has_urgent_changes: bool,
+    has_frequent_digests: bool,
 }
 
 impl Exchange {
@@ -196,6 +196,7 @@
             rotation: 0,
             last_sent: now,
             has_urgent_changes: false,
+            has_frequent_digests: false,
         }
     }
 
@@ -226,6 +227,11 @@
         self.has_urgent_changes = true;
     }
 
+    /// Sets whether digests are sent frequently, as while capacity is shared with other zones.
+    pub const fn set_frequent_digests(&mut self, is_frequent: bool) {
+        self.has_frequent_digests = is_frequent;
+    }
+
     fn zone_mut(&mut self, name: &str) -> Option<&mut Zone> {
         if !self.zones.contains_key(name) && self.zones.len() >= MAX_ZONES {
             return None;
@@ -273,27 +279,12 @@
         own + counts.sum::<u32>()
     }
 
-    /// Returns true if this gateway is among the first `count` live ones in a rendezvous order for
-    /// `subject`; false until the gateways of the own zone are counted.
-    pub fn is_among(&self, subject: u64, count: usize, now: Instant) -> bool {
-        let count_settles_at = self
-            .first_mention_at
-            .map(|at| at.after_millis(COUNT_SETTLE_MILLIS));
-        if !count_settles_at.is_some_and(|at| at.has_passed(now)) {
-            return false;
-        }
-        let score = |member: &SocketAddr| order::mix(subject ^ order::hash(member));
-        let own = score(&self.own);
-        let others = self.alive(now).filter(|(_, member)| *member != self.own);
-        let ahead = others.filter(|(_, member)| score(member) > own);
-        ahead.take(count).count() < count
-    }
-
     /// Returns the gateways to which a digest of the own zone is sent now.
     pub fn poll(&mut self, now: Instant) -> Vec<SocketAddr> {
-        let interval_millis = match self.has_urgent_changes {
-            true => URGENT_DIGEST_INTERVAL_MILLIS,
-            false => DIGEST_INTERVAL_MILLIS,
+        let interval_millis = match (self.has_frequent_digests, self.has_urgent_changes) {
+            (true, _) => FREQUENT_DIGEST_INTERVAL_MILLIS,
+            (false, true) => URGENT_DIGEST_INTERVAL_MILLIS,
+            (false, false) => DIGEST_INTERVAL_MILLIS,
         };
         if now.millis_since(self.last_sent) < interval_millis {
             return Vec::new();
@@ -307,8 +298,7 @@
         if self.is_direct(now) {
             return Vec::new();
         }
-        let local = self.liveness.alive().chain([self.own]);
-        let senders = top_ranked(local, DIGEST_SENDERS);
+        let senders = self.first_senders();
         let Some(rank) = senders.iter().position(|sender| *sender == self.own) else {
             return Vec::new();
         };
@@ -325,6 +315,11 @@
         others.filter_map(receiver).collect()
     }
 
+    /// Returns the number of zones, including the own one.
+    pub fn zones_len(&self) -> usize {
+        self.zones.len()
+    }
+
     /// Checks the header of a received part and records it.
     pub fn accept(&mut self, header: &Header<'_>, now: Instant) -> Acceptance {
         if header.zone == self.own_zone {
@@ -353,11 +348,15 @@
 
     /// Returns true if there are few enough gateways for each to poll the loaders of all zones.
     pub fn is_direct(&self, now: Instant) -> bool {
+        self.is_counted(now) && self.gateway_count() <= MAX_DIRECT_GATEWAYS
+    }
+
+    /// Returns true if the gateways of the own zone are known.
+    fn is_counted(&self, now: Instant) -> bool {
         let count_settles_at = self
             .first_mention_at
             .map(|at| at.after_millis(COUNT_SETTLE_MILLIS));
-        let is_counted = count_settles_at.is_some_and(|at| at.has_passed(now));
-        is_counted && self.gateway_count() <= MAX_DIRECT_GATEWAYS
+        count_settles_at.is_some_and(|at| at.has_passed(now))
     }
 
     /// Returns true if a digest of `zone` arrived recently.
@@ -388,16 +387,4 @@
         }
         MIN_SAMPLE_ENGINES << doublings
     }
-
-    /// Returns true if this gateway is among the first `count` of its zone, in the order of digest
-    /// senders.
-    fn is_among_local(&self, count: usize) -> bool {
-        let rank_key = |member: &SocketAddr| (Reverse(order::hash(member)), *member);
-        let own_key = rank_key(&self.own);
-        let ahead = self
-            .liveness
-            .alive()
-            .filter(|member| rank_key(member) < own_key);
-        ahead.take(count).count() < count
-    }
 }
--- a/crates/gingerpier_serving/tests/zones.rs
+++ b/crates/gingerpier_serving/tests/zones.rs
@@ -551,3 +551,55 @@
         }
     }
 }
+
+/// Guards against capacity sharing with few gateways, where each knows all engines directly, and
+/// before the gateways of the zone are known.
+#[test]
+fn digest_senders_are_known_only_with_many_counted_gateways() {
+    let mut few = Network::new(5, Faults::default());
+    few.run(3_000);
+    let now = at(few.millis);
+    for gateway in &few.gateways {
+        assert_eq!(gateway.exchange.digest_senders(now), []);
+    }
+    let mut many = Network::new(6, Faults::default());
+    many.run(3_000);
+    let now = at(many.millis);
+    for gateway in &many.gateways {
+        let senders = gateway.exchange.digest_senders(now);
+        assert_eq!(senders.len(), DIGEST_SENDERS);
+        assert!(senders.iter().all(|sender| {
+            sender
+                .ip()
+                .to_string()
+                .starts_with(&format!("10.{}.", gateway.zone))
+        }));
+        assert_eq!(gateway.exchange.zones_len(), ZONES);
+    }
+    let zones = zone_names();
+    let own = address(0, 0);
+    let mut exchange = Exchange::new(own, "zone-0", zones.iter().map(String::as_str), at(0));
+    for number in 1..10 {
+        exchange.record_member("zone-0", address(0, number), at(0));
+    }
+    assert_eq!(exchange.digest_senders(at(500)), [], "not counted yet");
+    assert_eq!(exchange.digest_senders(at(1_000)).len(), DIGEST_SENDERS);
+}
+
+/// Guards against frequent digests from zones that share no capacity, and against rare ones from
+/// those that do.
+#[test]
+fn digests_are_frequent_only_on_request() {
+    let sent = |is_frequent| {
+        let mut network = Network::new(6, Faults::default());
+        network.run(3_000);
+        for gateway in &mut network.gateways {
+            gateway.exchange.set_frequent_digests(is_frequent);
+        }
+        network.sent_between_zones = 0;
+        network.run(5_000);
+        network.sent_between_zones / (ZONES * (ZONES - 1) * DIGEST_SENDERS)
+    };
+    assert!((9..=11).contains(&sent(false)), "{}", sent(false));
+    assert!((48..=51).contains(&sent(true)), "{}", sent(true));
+}
