Gateway: zones share capacity by demand and grants

Gateways that refuse requests report their demand to the digest senders of their zone, which state it in their digests and grant other zones a rate of requests; a request that no engine can run within the bound uses a grant.

--- a/crates/gingerpier_admission/src/sharing/grantee.rs
+++ b/crates/gingerpier_admission/src/sharing/grantee.rs
@@ -177,19 +177,47 @@
         })
     }
 
+    /// Collects the tokens for a service. The gateway's part changes with its shortfall, so tokens are
+    /// collected at short intervals.
+    pub fn collect(&mut self, service: &str, share: &Share, now: Instant) {
+        let granting = self.granting_zones(service, now);
+        let granting: Vec<String> = granting.map(str::to_owned).collect();
+        for zone in granting {
+            self.refilled_bucket(&zone, service, share, now);
+        }
+    }
+
+    /// Returns true if there is a token for a request to `zone`.
+    pub fn has_token(&mut self, zone: &str, service: &str, share: &Share, now: Instant) -> bool {
+        let bucket = self.refilled_bucket(zone, service, share, now);
+        bucket.is_some_and(|bucket| bucket.tokens >= 1.0)
+    }
+
     /// Takes a token for a request to `zone`; false if there is none.
     pub fn take(&mut self, zone: &str, service: &str, share: &Share, now: Instant) -> bool {
-        let Some(zone) = self.zones.get_mut(zone) else {
-            return false;
-        };
-        let per_second: f64 = zone
-            .matching(service, now)
-            .map(|grant| share.of(grant))
-            .sum();
-        if per_second <= 0.0 {
+        match self.refilled_bucket(zone, service, share, now) {
+            Some(bucket) if bucket.tokens >= 1.0 => {
+                bucket.tokens -= 1.0;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn refilled_bucket(
+        &mut self,
+        zone: &str,
+        service: &str,
+        share: &Share,
+        now: Instant,
+    ) -> Option<&mut Bucket> {
+        let zone = self.zones.get_mut(zone)?;
+        if zone.matching(service, now).next().is_none() {
             zone.buckets.remove(service);
-            return false;
+            return None;
         }
+        let grants = zone.matching(service, now);
+        let per_second: f64 = grants.map(|grant| share.of(grant)).sum();
         if !zone.buckets.contains_key(service) {
             let empty = Bucket {
                 tokens: 0.0,
@@ -197,15 +225,9 @@
             };
             zone.buckets.insert(service.to_owned(), empty);
         }
-        let Some(bucket) = zone.buckets.get_mut(service) else {
-            return false;
-        };
+        let bucket = zone.buckets.get_mut(service)?;
         bucket.refill(per_second, now);
-        if bucket.tokens < 1.0 {
-            return false;
-        }
-        bucket.tokens -= 1.0;
-        true
+        Some(bucket)
     }
 }
 
--- a/crates/gingerpier_admission/src/sharing/granter.rs
+++ b/crates/gingerpier_admission/src/sharing/granter.rs
@@ -34,8 +34,9 @@
 /// Time in which the rate of a zone without shortfall decays to 0.
 const DECAY_MILLIS: u64 = 1_000;
 
-/// Rates below this are 0, in requests per second: a gateway's part would be one request per minute.
-const MIN_RATE: f64 = 0.1;
+/// Rates below this are not granted, in requests per second: several senders grant, and together less
+/// than one request per few seconds.
+const MIN_RATE: f64 = 0.02;
 
 /// Maximum zones with demand, as names come from messages.
 const MAX_ZONES: usize = 256;
@@ -131,6 +132,11 @@
         services.any(|entry| entry.demand.shortfall() > 0.0)
     }
 
+    /// Returns true if another zone has a shortfall or a grant.
+    pub fn is_active(&self, now: Instant) -> bool {
+        !self.rates.is_empty() || self.has_demand(now)
+    }
+
     /// Updates the rates if an update is due. `capacities` lists the services of the own zone's open
     /// engines; `zone_count` is the number of all zones.
     pub fn update(&mut self, capacities: &[Capacity<'_>], zone_count: usize, now: Instant) {
@@ -154,8 +160,9 @@
             self.raise(capacity, gain);
         }
         self.limit(capacities);
+        // A rate rises from 0 in small steps, so it is kept while the zone has a shortfall.
         self.rates
-            .retain(|_, rate| rate.per_second >= MIN_RATE / senders as f64);
+            .retain(|_, rate| rate.decayed_at.is_none() || rate.per_second >= MIN_RATE);
     }
 
     /// Decays the rates of zones that are silent or have no shortfall. As the rates of a demand are
@@ -213,7 +220,8 @@
             return Vec::new();
         }
         let rates = self.rates.iter();
-        rates
+        let granted = rates.filter(|(_, rate)| rate.per_second >= MIN_RATE);
+        granted
             .map(|(subject, rate)| Grant {
                 zone: subject.zone.clone(),
                 service: subject.service.clone(),
--- a/crates/gingerpier_admission/src/sharing/mod.rs
+++ b/crates/gingerpier_admission/src/sharing/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! Nothing is stored: demand and grants expire when no message renews them.
 
+pub mod belief;
 pub mod demand;
 pub mod grantee;
 pub mod granter;
--- a/crates/gingerpier_admission/tests/sharing.rs
+++ b/crates/gingerpier_admission/tests/sharing.rs
@@ -3,6 +3,7 @@
 use {
     gingerpier_admission::sharing::{
         Demand, Grant, ServiceDemand,
+        belief::{Beliefs, Change},
         demand::{Counter, Shortfall, Total},
         grantee::{Grantee, Share},
         granter::{Capacity, Granter},
@@ -333,3 +334,19 @@
     other.record("y", gateway(1), 1, grant(5.0, 20.0), at(0));
     assert_eq!(other.granting_zones("s", at(0)).count(), 0);
 }
+
+/// Guards against a log line with each update of a grant that comes and goes.
+#[test]
+fn begin_and_end_of_a_grant_are_stated_once() {
+    let subject = || ("z".to_owned(), "s".to_owned());
+    let mut beliefs = Beliefs::default();
+    let mut changes = Vec::new();
+    for time in (0..10_000).step_by(100) {
+        let is_granted = time < 5_000 && time % 300 == 0;
+        changes.extend(beliefs.update(is_granted.then(subject).into_iter(), at(time)));
+    }
+    assert_eq!(
+        changes,
+        [Change::Begun(subject()), Change::Ended(subject())]
+    );
+}
--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock, discovery,
+        capacity_sharing, clock, discovery,
         error::{Error, Step},
         loader_configuration, log, members, proxy, reports,
         state::State,
@@ -91,6 +91,7 @@
     }
     actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
     actix_rt::spawn(zones::send_digests(state.clone(), socket.clone()));
+    actix_rt::spawn(capacity_sharing::run(state.clone(), socket.clone()));
     actix_rt::spawn(suspects::send_updates(state.clone(), socket.clone()));
     actix_rt::spawn(suspects::send_digests(state.clone(), socket.clone()));
     actix_rt::spawn(reports::receive(state.clone(), socket));
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! # }
 //! ```
 
+pub mod capacity_sharing;
 pub mod client;
 pub mod compression;
 pub mod discovery;
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -1,9 +1,12 @@
 //! Metrics of a gateway, served in the Prometheus text format.
 
-use prometheus_client::{
-    encoding::{EncodeLabelSet, EncodeLabelValue, text},
-    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
-    registry::Registry,
+use {
+    prometheus_client::{
+        encoding::{EncodeLabelSet, EncodeLabelValue, text},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        registry::Registry,
+    },
+    std::sync::atomic::AtomicU64,
 };
 
 /// How a request ended.
@@ -61,6 +64,22 @@
     pub reason: Reason,
 }
 
+/// Labels of a rate granted to another zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct GrantLabels {
+    /// Zone that may send the requests.
+    pub zone: String,
+    /// Name of the service.
+    pub service: String,
+}
+
+/// Labels of a counter by zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ZoneLabels {
+    /// Name of the zone.
+    pub zone: String,
+}
+
 /// Labels of an engine gauge.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EngineLabels {
@@ -87,6 +106,8 @@
     Suspects,
     /// Liveness probe of a gateway of the own zone, or a response to one.
     Probe,
+    /// Demand of a gateway for the digest senders of its zone.
+    Demand,
 }
 
 /// Labels of a message counter.
@@ -105,6 +126,10 @@
     pub endings_by_route: Family<RouteEndingLabels, Counter>,
     /// Refused requests by reason.
     pub refusals: Family<RefusalLabels, Counter>,
+    /// Requests per second that this gateway grants to other zones.
+    pub issued_grants: Family<GrantLabels, Gauge<f64, AtomicU64>>,
+    /// Requests sent to another zone with its grant, by that zone.
+    pub granted_requests: Family<ZoneLabels, Counter>,
     /// Listed engines by service and by availability for a usual request.
     pub engines: Family<EngineLabels, Gauge>,
     /// Number of requests that are suspected of crashing engines.
@@ -135,6 +160,8 @@
         let requests = Family::<EndingLabels, Counter>::default();
         let endings_by_route = Family::<RouteEndingLabels, Counter>::default();
         let refusals = Family::<RefusalLabels, Counter>::default();
+        let issued_grants = Family::<GrantLabels, Gauge<f64, AtomicU64>>::default();
+        let granted_requests = Family::<ZoneLabels, Counter>::default();
         let engines = Family::<EngineLabels, Gauge>::default();
         let unparsed_items = Gauge::default();
         let suspect_requests = Gauge::default();
@@ -154,6 +181,16 @@
             endings_by_route.clone(),
         );
         registry.register("refusals", "Refused requests", refusals.clone());
+        registry.register(
+            "issued_grants",
+            "Requests per second granted to other zones",
+            issued_grants.clone(),
+        );
+        registry.register(
+            "granted_requests",
+            "Requests sent with a grant of another zone",
+            granted_requests.clone(),
+        );
         registry.register("engines", "Listed engines by standing", engines.clone());
         registry.register(
             "suspects",
@@ -186,6 +223,8 @@
             requests,
             endings_by_route,
             refusals,
+            issued_grants,
+            granted_requests,
             engines,
             unparsed_items,
             suspect_requests,
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -129,6 +129,9 @@
                 (None, true) => Reason::Full,
                 (None, false) => Reason::NoEngine,
             };
+            if reason == Reason::Full {
+                self.record_shortfall();
+            }
             let refusals = &self.state.metrics.refusals;
             refusals.get_or_create(&RefusalLabels { reason }).inc();
         }
@@ -244,6 +247,7 @@
             others = self.refusal.map(|refusal| refusal.components.other_prompts_millis as u64),
             own = self.refusal.map(|refusal| refusal.components.own_prompt_millis as u64),
             error = self.refusal.map(|refusal| refusal.error_millis as u64),
+            granted = self.is_granted.then_some(true),
             visit = ?self.request.visit,
             took = now.millis_since(self.request.received),
             engines = availability_counts.map(tracing::field::display),
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -6,6 +6,7 @@
     gingerpier_admission::{
         return_detection::Visit,
         selection::{self, AvailabilityCounts, Choice, Criteria, Cutover},
+        sharing::demand::Shortfall,
         shedding,
     },
     gingerpier_base::Instant,
@@ -131,6 +132,16 @@
         let fleet = self.state.fleet.borrow();
         let criteria = self.criteria(&cutovers, progress, now);
         let choice = selection::choose(&fleet, &criteria, now, self.random);
+        let choice = match choice {
+            Choice::Full(_) if self.may_use_grants() => {
+                let granted = self
+                    .state
+                    .choose_granted(&fleet, &criteria, now, self.random);
+                self.is_granted = granted.is_some();
+                granted.unwrap_or(choice)
+            }
+            choice => choice,
+        };
         self.has_candidate = choice != Choice::NoEngine;
         self.refusal = None;
         self.own_millis = None;
@@ -155,6 +166,33 @@
         }
     }
 
+    /// True if the request may be sent to an engine beyond the admission bound with a grant of the
+    /// engine's zone: one grant serves one attempt, and a suspected request runs as a trial.
+    fn may_use_grants(&self) -> bool {
+        let is_first = self.retry_state.attempts == 0;
+        is_first && !self.is_trial && self.request.engine_model().is_some()
+    }
+
+    /// Counts the request in this gateway's demand for a service with engines.
+    pub(super) fn record_arrival(&self) {
+        if self.request.engine_model().is_some() {
+            let service = &self.request.service_settings().name;
+            self.state.record_arrival(service, clock::now());
+        }
+    }
+
+    /// Counts a request that is refused, as all engines are full.
+    pub(super) fn record_shortfall(&self) {
+        if self.retry_state.attempts == 0 {
+            self.record_arrival();
+        }
+        if self.request.engine_model().is_some() {
+            let service = &self.request.service_settings().name;
+            self.state
+                .record_shortfall(service, Shortfall::Refused, clock::now());
+        }
+    }
+
     /// Only version that may run the request: the one that a resumed stream started with, or the
     /// engine's current one once a version is mandatory; 0 for any.
     pub(super) fn required_version(&self, engine: EngineKey, progress: &Progress) -> Version {
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -99,6 +99,8 @@
     pub(super) engine_load: Option<EstimatedLoad>,
     /// Why the last choice found all engines full.
     pub(super) refusal: Option<Refusal>,
+    /// True if the request was sent with a grant of another zone.
+    pub(super) is_granted: bool,
 }
 
 /// Forwards a request to engines until its caller has a final response.
@@ -130,6 +132,7 @@
         random: fastrand::u64(..),
         engine_load: None,
         refusal: None,
+        is_granted: false,
     };
     forwarder.run(caller).await
 }
@@ -233,6 +236,7 @@
     fn record_attempt(&mut self, engine: EngineKey) {
         if self.retry_state.attempts == 0 {
             let traffic_class = self.request.traffic_class();
+            self.record_arrival();
             self.state.record_request(
                 traffic_class,
                 self.request.visit,
--- a/crates/gingerpier_gateway/src/reports.rs
+++ b/crates/gingerpier_gateway/src/reports.rs
@@ -148,6 +148,7 @@
                     members::apply_updates(&mut state.zones.borrow_mut(), from, probe);
                 }
             }
+            Some(Datagram::Demand(demand)) => state.record_demand(demand),
             Some(Datagram::Suspects(update)) => suspects::receive(&state, &socket, &update, from),
             Some(Datagram::Subscribe(_)) | None => {}
         }
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod engines;
 mod placement;
 mod release;
+mod sharing;
 mod shedding;
 mod signals;
 mod store_contact;
@@ -94,6 +95,7 @@
     return_detector: RefCell<Detector>,
     prompt_sizes: RefCell<Sizes>,
     shedding: RefCell<shedding::SheddingTable>,
+    sharing: RefCell<sharing::Sharing>,
     regions: Regions,
     releases: RefCell<HashMap<String, Releases>>,
     /// Version that the origin offers, by model.
@@ -121,6 +123,7 @@
         let zones = settings.regions.iter().map(|entry| entry.zone.as_str());
         let zones = Exchange::new(settings.peers, &settings.zone, zones, started)
             .in_incarnation(clock::stamp().as_unix_millis());
+        let sharing = sharing::Sharing::new(&settings.zone, started);
         Self {
             settings,
             platform_api,
@@ -146,6 +149,7 @@
             return_detector: RefCell::new(Detector::new(started)),
             prompt_sizes: RefCell::default(),
             shedding: RefCell::default(),
+            sharing: RefCell::new(sharing),
             regions,
             releases: RefCell::default(),
             origin_versions: RefCell::default(),
--- a/crates/gingerpier_gateway/src/zones.rs
+++ b/crates/gingerpier_gateway/src/zones.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock,
-        message::{self, Datagram, Digest, DigestEngine, IndexedVersion},
+        message::{self, Datagram, Digest, DigestEngine, Grant, IndexedVersion, ServiceDemand},
         metrics::MessageKind,
         state::State,
     },
@@ -29,6 +29,13 @@
 /// Most parts of one digest, which bounds the traffic between zones.
 const MAX_PARTS: usize = 4;
 
+/// Number of the part with demand and grants, which are sent apart from the engines to fit into a
+/// datagram.
+const SHARING_PART: u32 = MAX_PARTS as u32;
+
+/// Longest part with demand and grants; further grants are left out.
+const MAX_SHARING_BYTES: usize = 1_300;
+
 /// Most models that one part names.
 const MAX_MODELS: usize = 8;
 
@@ -43,7 +50,8 @@
             continue;
         }
         turn += 1;
-        for part in parts(&state, turn, now) {
+        let parts = parts(&state, turn, now).into_iter();
+        for part in parts.chain(sharing_part(&state, now)) {
             let bytes = message::encode(&Datagram::Digest(part));
             for receiver in &receivers {
                 state
@@ -73,7 +81,10 @@
     if !was_reachable {
         tracing::info!(zone = digest.zone, sender = %digest.sender, "receiving digests from the gateways of another zone");
     }
-    apply_digest(state, &digest, now);
+    match digest.part {
+        SHARING_PART => state.record_shared(&digest, now),
+        _ => apply_digest(state, &digest, now),
+    }
     if digest.is_forwarded {
         return;
     }
@@ -179,11 +190,41 @@
             gateways: gateways.unwrap_or_default().to_vec(),
             is_forwarded: false,
             first_start_millis,
+            demand: None,
+            grants: None,
         }
     };
     (0..part_count).map(part).collect()
 }
 
+/// Part with the demand and the grants of this zone; `None` if capacity is not shared.
+fn sharing_part(state: &State, now: Instant) -> Option<Digest> {
+    let (demand, mut grants) = state.shared(now)?;
+    grants.sort_by(|one, other| other.per_second.total_cmp(&one.per_second));
+    let demand: Vec<_> = demand.into_iter().map(ServiceDemand::new).collect();
+    let grants: Vec<_> = grants.into_iter().map(Grant::new).collect();
+    let zone = state.settings.zone.clone();
+    let gateway_count = state.zones.borrow().zone_count(&zone);
+    let mut part = Digest {
+        zone,
+        sender: state.settings.peers,
+        timestamp_millis: now.as_millis(),
+        part: SHARING_PART,
+        gateway_count,
+        models: Vec::new(),
+        engines: Vec::new(),
+        gateways: Vec::new(),
+        is_forwarded: false,
+        first_start_millis: 0,
+        demand: (!demand.is_empty()).then_some(demand),
+        grants: (!grants.is_empty()).then_some(grants),
+    };
+    while message::encode(&part).len() > MAX_SHARING_BYTES {
+        part.grants.as_mut()?.pop()?;
+    }
+    Some(part)
+}
+
 fn digest_engine(
     engine: &Engine,
     report: &Report,
--- a/crates/gingerpier_gateway/tests/rolling.rs
+++ b/crates/gingerpier_gateway/tests/rolling.rs
@@ -5,7 +5,8 @@
 
 use {
     gingerpier_gateway::message::{
-        self, Digest, DigestEngine, IndexedVersion, Load, ReportedRelease, Subscribe,
+        self, Datagram, Demand, Digest, DigestEngine, Grant, IndexedVersion, Load, ReportedRelease,
+        ServiceDemand, Subscribe,
     },
     gingerpier_serving::report::{Born, Held, Report, Version},
     minicbor::{Decode, Encode},
@@ -33,6 +34,39 @@
     pace: u32,
 }
 
+/// A digest, without demand and grants.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+#[cbor(map)]
+struct PreviousDigest {
+    #[n(0)]
+    zone: String,
+    #[n(1)]
+    sender: SocketAddr,
+    #[n(2)]
+    timestamp_millis: u64,
+    #[n(3)]
+    part: u32,
+    #[n(4)]
+    gateway_count: u32,
+    #[n(5)]
+    models: Vec<String>,
+    #[n(6)]
+    engines: Vec<DigestEngine>,
+    #[n(7)]
+    gateways: Vec<SocketAddr>,
+    #[n(8)]
+    is_forwarded: bool,
+    #[cbor(n(9), default)]
+    first_start_millis: u64,
+}
+
+/// A datagram without demand.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+enum PreviousDatagram {
+    #[n(2)]
+    Digest(#[n(0)] PreviousDigest),
+}
+
 /// A subscription, without unreleased versions.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 #[cbor(map)]
@@ -85,6 +119,87 @@
     assert_eq!(decoded, expected);
 }
 
+fn service_demand() -> ServiceDemand {
+    ServiceDemand {
+        service: "models".to_owned(),
+        arrivals: 193_000,
+        refusals: 46_000,
+        granted: 12_000,
+    }
+}
+
+/// Part of a digest as it is sent while capacity is shared.
+fn sharing_digest() -> Digest {
+    let grant = |zone: &str| Grant {
+        zone: zone.to_owned(),
+        service: "models".to_owned(),
+        rate: 20_500,
+        zone_shortfall: 58_000,
+    };
+    Digest {
+        zone: "north-a".to_owned(),
+        sender: address(),
+        timestamp_millis: 86_400_000,
+        part: 4,
+        gateway_count: 10,
+        models: Vec::new(),
+        engines: Vec::new(),
+        gateways: Vec::new(),
+        is_forwarded: false,
+        first_start_millis: 0,
+        demand: Some(vec![service_demand()]),
+        grants: Some(vec![grant("north-b"), grant("south-a")]),
+    }
+}
+
+/// Guards against digests that gateways of the previous program version can't read, and the
+/// reverse, while zones share capacity.
+#[test]
+fn demand_and_grants_are_compatible_with_the_previous_program_version() {
+    let digest = sharing_digest();
+    let encoded = message::encode(&Datagram::Digest(digest.clone()));
+    let decoded: Datagram = message::decode(&encoded).expect("a valid message");
+    assert_eq!(decoded, Datagram::Digest(digest.clone()));
+    let previous: PreviousDatagram =
+        message::decode(&encoded).expect("the previous version skips the new fields");
+    let PreviousDatagram::Digest(digest_before) = &previous;
+    assert_eq!(digest_before.gateway_count, 10);
+    let re_encoded = message::encode(&previous);
+    let decoded: Datagram = message::decode(&re_encoded).expect("a valid message");
+    let without = Digest {
+        demand: None,
+        grants: None,
+        ..digest
+    };
+    assert_eq!(decoded, Datagram::Digest(without.clone()));
+    assert_eq!(
+        message::encode(&Datagram::Digest(without)),
+        re_encoded,
+        "no bytes without demand and grants"
+    );
+}
+
+/// Guards against demand that costs more than the traffic that is stated in docs/design/size.md.
+#[test]
+fn demand_and_grants_are_short() {
+    let demand = Datagram::Demand(Demand {
+        sender: address(),
+        timestamp_millis: 86_400_000,
+        services: vec![service_demand()],
+    });
+    let encoded = message::encode(&demand);
+    assert_eq!(message::decode(&encoded), Some(demand));
+    assert_eq!(message::decode::<PreviousDatagram>(&encoded), None);
+    let digest = message::encode(&Datagram::Digest(sharing_digest()));
+    println!(
+        "demand {} bytes, sharing part {} bytes",
+        encoded.len(),
+        digest.len()
+    );
+    assert!(encoded.len() <= 60, "{} bytes", encoded.len());
+    assert!(digest.len() <= 150, "{} bytes", digest.len());
+}
+
 #[test]
 fn subscriptions_are_compatible_with_the_previous_program_version() {
     let previous = PreviousSubscribe {
@@ -141,6 +256,8 @@
         gateways: Vec::new(),
         is_forwarded: false,
         first_start_millis,
+        demand: None,
+        grants: None,
     };
     let without = message::encode(&digest(0, 0)).len();
     // Engine start times within a day.
