Admission: shares of the capacity by rank under shortage

Admission serves requests with much slack most often, whatever their priority. A controller refuses less urgent ranks with a probability that equalizes value shares, only while more urgent requests are refused for lack of capacity. Nothing uses it yet.

--- a/crates/gingerpier_admission/src/lib.rs
+++ b/crates/gingerpier_admission/src/lib.rs
@@ -3,8 +3,9 @@
 //! A gateway predicts the time to the first event of a request on each engine ([`prediction`], from
 //! load reports and the [`backlog`] of prompts), and sends the request to the best one or refuses
 //! it at once ([`selection`]). Where engines can't run all requests, first attempts go before
-//! returning callers ([`shedding`], [`return_detection`]) and requests of all sizes are served alike
-//! ([`fairness`], [`sizes`]).
+//! returning callers ([`shedding`], [`return_detection`]), requests of all sizes are served alike
+//! ([`fairness`], [`sizes`]) and less urgent requests no more often than more urgent ones
+//! ([`priority`]).
 //!
 //! All modules are plain data and functions without I/O: time and events are arguments. Engines and
 //! their load reports come from [`gingerpier_serving::fleet`].
@@ -13,6 +14,7 @@
 pub mod backlog;
 pub mod fairness;
 pub mod prediction;
+pub mod priority;
 pub mod return_detection;
 pub mod selection;
 pub mod shedding;
--- a/crates/gingerpier_serving/src/configuration.rs
+++ b/crates/gingerpier_serving/src/configuration.rs
@@ -366,6 +366,16 @@
         &self.services.list[key.0 as usize]
     }
 
+    /// Routes in the order of their keys.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Client accounts in the order of their keys.
+    pub fn accounts(&self) -> &[Account] {
+        &self.accounts
+    }
+
     /// Services in the order of their keys.
     pub fn services(&self) -> &[Service] {
         self.services.list()
