Gateway: less urgent requests yield while more urgent ones lack capacity

Route and account priorities were read but not used. A request of a service whose priorities differ now has a rank, which goes to engines in the priority header and into the log line. Before the first attempt, it may be refused in favor of more urgent requests, with the reason Priority and a retry delay; load shedding doesn't count that refusal.

--- a/crates/gingerpier_admission/src/priority.rs
+++ b/crates/gingerpier_admission/src/priority.rs
@@ -139,7 +139,7 @@
     Full,
     /// Refused in favor of more urgent requests.
     Yielded,
-    /// Not served for another reason.
+    /// Not served before the deadline.
     Failed,
 }
 
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     Held,
     /// The request is suspected of crashing engines, and another trial of it is running.
     OnTrial,
+    /// The request yields to more urgent requests, which lack capacity.
+    Priority,
 }
 
 /// Labels of a refusal counter.
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -124,14 +124,14 @@
                     clock::now(),
                 );
             }
-            let reason = match (self.refusal_reason, self.has_candidate) {
-                (Some(reason), _) => reason,
-                (None, true) => Reason::Full,
-                (None, false) => Reason::NoEngine,
-            };
+            let reason = self.final_reason();
+            self.record_refused(reason);
             let refusals = &self.state.metrics.refusals;
             refusals.get_or_create(&RefusalLabels { reason }).inc();
         }
+        if ending == Ending::TimedOut {
+            self.record_timeout();
+        }
         self.log_ending(ending, progress);
         let header_names = self.state.platform_api.header_names();
         let bytes = error_response::encode(
@@ -146,6 +146,15 @@
         }
     }
 
+    /// Why the request is refused.
+    fn final_reason(&self) -> Reason {
+        match (self.refusal_reason, self.has_candidate) {
+            (Some(reason), _) => reason,
+            (None, true) => Reason::Full,
+            (None, false) => Reason::NoEngine,
+        }
+    }
+
     /// Time until the first engine accepts requests that its responses have asked not to send.
     fn opens_after_seconds(&self, now: Instant) -> Option<f64> {
         let service = &self.request.service_settings().name;
@@ -245,6 +254,7 @@
             own = self.refusal.map(|refusal| refusal.components.own_prompt_millis as u64),
             error = self.refusal.map(|refusal| refusal.error_millis as u64),
             visit = ?self.request.visit,
+            rank = self.request.rank.map(|rank| rank.index()),
             took = now.millis_since(self.request.received),
             engines = availability_counts.map(tracing::field::display),
             "request"
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -141,6 +141,10 @@
         loop {
             // The trial ends when its guard is dropped, after the attempt.
             let (engine, _trial) = match self.admit(caller, &progress).await {
+                Access::Unrestricted if self.yields() => {
+                    let reason = Reason::Priority;
+                    return self.abort(caller, reason, &progress, fallback).await;
+                }
                 Access::Unrestricted => (self.choose_engine(&progress), None),
                 Access::Trial(engine, trial) => (Some(engine), Some(trial)),
                 Access::Unavailable => (None, None),
@@ -422,6 +426,7 @@
         let now = clock::now();
         let millis = now.millis_since(self.request.received);
         self.state.metrics.first_byte_millis.observe(millis as f64);
+        self.record_served(millis);
         if let (Some(engine), Some(sent_at)) = (self.tried.last(), self.sent_at) {
             let lateness_millis = now.millis_since(sent_at) as f64 - self.predicted_millis;
             let mut fleet = self.state.fleet.borrow_mut();
--- a/crates/gingerpier_gateway/src/proxy/request.rs
+++ b/crates/gingerpier_gateway/src/proxy/request.rs
@@ -4,7 +4,7 @@
     super::error_response::ErrorResponse,
     crate::state::{State, TrafficClass},
     bytes::Bytes,
-    gingerpier_admission::{return_detection::Visit, sizes::Band},
+    gingerpier_admission::{priority::Rank, return_detection::Visit, sizes::Band},
     gingerpier_base::Instant,
     gingerpier_http1::{
         head::{self, Request},
@@ -56,6 +56,8 @@
     pub deadline: Instant,
     /// Whether the caller retries after a refusal.
     pub visit: Visit,
+    /// Rank among the priorities of the service; `None` if all are equal.
+    pub rank: Option<Rank>,
     /// Fingerprint that is equal for retries of the same request.
     pub fingerprint: Fingerprint,
 }
@@ -121,6 +123,7 @@
             route,
             service,
             regions: configuration.allowed_regions(route, account_key),
+            rank: state.rank(&configuration, service, route, account_key),
             account,
             model: fields.text(header_names.model).map(str::to_owned),
             prompt_tokens,
@@ -192,6 +195,9 @@
         if let Some(account) = &self.account {
             message = message.field(header_names.account.as_bytes(), account.as_bytes());
         }
+        if let Some(rank) = self.rank {
+            message = message.number(header_names.priority, rank.index() as u64);
+        }
         if options.required_version > Version::default() {
             message = message.number(header_names.expect_version, options.required_version.0);
         }
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod placement;
+mod priority;
 mod release;
 mod shedding;
 mod signals;
@@ -94,6 +95,7 @@
     return_detector: RefCell<Detector>,
     prompt_sizes: RefCell<Sizes>,
     shedding: RefCell<shedding::SheddingTable>,
+    priorities: RefCell<priority::Priorities>,
     regions: Regions,
     releases: RefCell<HashMap<String, Releases>>,
     /// Version that the origin offers, by model.
@@ -146,6 +148,7 @@
             return_detector: RefCell::new(Detector::new(started)),
             prompt_sizes: RefCell::default(),
             shedding: RefCell::default(),
+            priorities: RefCell::default(),
             regions,
             releases: RefCell::default(),
             origin_versions: RefCell::default(),
@@ -242,6 +245,7 @@
         let services = configuration.services().iter();
         let names = services.map(|service| service.name.clone());
         self.fleet.borrow_mut().set_services(names);
+        self.priorities.borrow_mut().configure(&configuration);
         *current = Some(Rc::new(configuration));
     }
 
--- a/crates/gingerpier_gateway/src/state/shedding.rs
+++ b/crates/gingerpier_gateway/src/state/shedding.rs
@@ -24,17 +24,26 @@
 }
 
 /// Load shedding controllers by service and set of regions.
-#[derive(Debug, Default)]
-pub(super) struct SheddingTable(HashMap<String, Vec<(RegionSet, Controller)>>);
+pub(super) type SheddingTable = ClassTable<Controller>;
 
-impl SheddingTable {
-    fn find(&self, traffic_class: TrafficClass<'_>) -> Option<&Controller> {
+/// Values by service and set of regions.
+#[derive(Debug)]
+pub(super) struct ClassTable<T>(HashMap<String, Vec<(RegionSet, T)>>);
+
+impl<T> Default for ClassTable<T> {
+    fn default() -> Self {
+        Self(HashMap::new())
+    }
+}
+
+impl<T: Default> ClassTable<T> {
+    pub(super) fn find(&self, traffic_class: TrafficClass<'_>) -> Option<&T> {
         let mut classes = self.0.get(traffic_class.service)?.iter();
         let (_, controller) = classes.find(|(regions, _)| *regions == traffic_class.regions)?;
         Some(controller)
     }
 
-    fn entry(&mut self, traffic_class: TrafficClass<'_>) -> &mut Controller {
+    pub(super) fn entry(&mut self, traffic_class: TrafficClass<'_>) -> &mut T {
         // Allocates the key only for a new service.
         if !self.0.contains_key(traffic_class.service) {
             self.0.insert(traffic_class.service.to_owned(), Vec::new());
@@ -50,7 +59,7 @@
             if classes.len() >= MAX_CLASSES_PER_SERVICE {
                 classes.clear();
             }
-            classes.push((traffic_class.regions, Controller::default()));
+            classes.push((traffic_class.regions, T::default()));
             classes.len() - 1
         });
         &mut classes[index].1
