Admission: predictions include more urgent requests that overtake

Engines start more urgent requests first. A less urgent request that waits for a slot is overtaken by those that arrive in the meantime, which prolongs its wait by the part of the engine's time that they take. Without a queue, the prediction is unchanged.

--- a/crates/gingerpier_admission/src/prediction.rs
+++ b/crates/gingerpier_admission/src/prediction.rs
@@ -22,6 +22,9 @@
 /// Longest period for which unreported requests are estimated.
 const MAX_UNREPORTED_MILLIS: u64 = 500;
 
+/// Most of an engine's time that more urgent requests are assumed to take from queued ones.
+const MAX_OVERTAKING_SHARE: f64 = 0.75;
+
 /// Average fraction of a pass that remains when a request arrives.
 const REMAINING_PASS_SHARE: f64 = 0.5;
 
@@ -85,6 +88,22 @@
     pub fn total_millis(&self) -> f64 {
         self.queue_millis + self.pass_millis + self.other_prompts_millis + self.own_prompt_millis
     }
+
+    /// Returns the components of a request that `overtaking_per_milli` more urgent requests overtake
+    /// while it waits for a slot. Without a queue, nothing changes.
+    #[must_use]
+    pub fn with_overtaking(self, model: &EngineModel, overtaking_per_milli: f64) -> Self {
+        if overtaking_per_milli <= 0.0 || self.queue_millis <= 0.0 {
+            return self;
+        }
+        // Each request that overtakes prolongs the wait, in which further ones arrive.
+        let work_millis = mean_work_millis(model) * self.slowdown;
+        let overtaking_share = (overtaking_per_milli * work_millis).min(MAX_OVERTAKING_SHARE);
+        Self {
+            queue_millis: self.queue_millis / (1.0 - overtaking_share),
+            ..self
+        }
+    }
 }
 
 /// Predicts the time to the first event on `engine`. `unreported_per_milli` is the rate at which other
--- a/crates/gingerpier_admission/src/priority.rs
+++ b/crates/gingerpier_admission/src/priority.rs
@@ -271,6 +271,21 @@
         self.entries.get(rank.index())?.long.share()
     }
 
+    /// Part of the recently admitted requests that are more urgent than `rank`.
+    pub fn more_urgent_share(&self, rank: Rank) -> f64 {
+        let admitted = |entries: &[Entry]| -> f64 {
+            let counts = entries.iter().map(|entry| &entry.long);
+            counts
+                .map(|count| (count.requests - count.refused - count.yielded).max(0.0))
+                .sum()
+        };
+        let more_urgent = &self.entries[..rank.index().min(self.entries.len())];
+        match admitted(&self.entries) {
+            all if all > 0.0 => admitted(more_urgent) / all,
+            _ => 0.0,
+        }
+    }
+
     fn advance(&mut self, now: Instant) {
         let elapsed_millis = now.millis_since(self.updated_at);
         if elapsed_millis == 0 {
--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -99,6 +99,8 @@
     pub gateway_count: u32,
     /// Estimated arrival rate at the other gateways, in requests per millisecond.
     pub other_arrivals_per_milli: f64,
+    /// Estimated rate of more urgent requests at all gateways, in requests per millisecond.
+    pub overtaking_per_milli: f64,
     /// Engines that earlier attempts of the request were sent to.
     pub tried_engines: &'a [EngineKey],
     /// True if the request is suspected of crashing engines, and prefers engines with few other
@@ -202,7 +204,7 @@
     is_included: impl Fn(EngineKey) -> bool,
 ) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
-    let unreported_per_milli = unreported_per_milli(fleet, criteria, now);
+    let rates = engine_rates(fleet, criteria, now);
     for (key, engine) in fleet.of_service(criteria.service) {
         if !is_included(key) || criteria.tried_engines.contains(&key) {
             continue;
@@ -218,7 +220,7 @@
         {
             continue;
         }
-        let components = predict(engine, criteria, unreported_per_milli, now);
+        let components = predict(engine, criteria, rates, now);
         let overdue_millis = engine.overdue_millis(now) as f64;
         let predicted = components.total_millis() + overdue_millis;
         let lateness_millis = engine.lateness_millis();
@@ -244,13 +246,25 @@
     best
 }
 
-/// Returns the estimated arrival rate at each open engine from other gateways.
-fn unreported_per_milli(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> f64 {
+/// Estimated arrival rates at each open engine, in requests per millisecond.
+#[derive(Debug, Clone, Copy)]
+struct EngineRates {
+    /// Requests of other gateways.
+    unreported: f64,
+    /// More urgent requests of all gateways.
+    overtaking: f64,
+}
+
+fn engine_rates(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> EngineRates {
     let listed = fleet.of_service(criteria.service);
     // Engines with a request limit receive few of these requests.
     let is_open = |engine: &Engine| engine.is_open(now) && engine.signals.request_limit().is_none();
     let open_count = listed.filter(|(_, engine)| is_open(engine)).count();
-    criteria.other_arrivals_per_milli / (open_count.max(1) as f64)
+    let open_count = open_count.max(1) as f64;
+    EngineRates {
+        unreported: criteria.other_arrivals_per_milli / open_count,
+        overtaking: criteria.overtaking_per_milli / open_count,
+    }
 }
 
 /// Engine that is eligible for a request.
@@ -332,7 +346,7 @@
 fn predict(
     engine: &Engine,
     criteria: &Criteria<'_>,
-    unreported_per_milli: f64,
+    rates: EngineRates,
     now: Instant,
 ) -> Components {
     match criteria.engine_model {
@@ -340,9 +354,10 @@
             engine,
             model,
             criteria.prompt_tokens,
-            unreported_per_milli,
+            rates.unreported,
             now,
-        ),
+        )
+        .with_overtaking(model, rates.overtaking),
         None => {
             let default_work = PLAIN_DEFAULT_WORK_SHARE * criteria.target_millis as f64;
             Components {
--- a/crates/gingerpier_admission/src/selection/availability.rs
+++ b/crates/gingerpier_admission/src/selection/availability.rs
@@ -5,7 +5,8 @@
 
 use {
     super::{
-        Criteria, bound_millis, loaded_error_millis, min_version, predict, unreported_per_milli,
+        Criteria, EngineRates, bound_millis, engine_rates, loaded_error_millis, min_version,
+        predict,
     },
     gingerpier_base::Instant,
     gingerpier_serving::{engine::Engine, fleet::Fleet},
@@ -129,11 +130,11 @@
     now: Instant,
 ) -> AvailabilityCounts {
     let mut counts = AvailabilityCounts::default();
-    let unreported_per_milli = unreported_per_milli(fleet, criteria, now);
+    let rates = engine_rates(fleet, criteria, now);
     for (key, engine) in fleet.of_service(criteria.service) {
         let availability = match criteria.tried_engines.contains(&key) {
             true => Availability::AlreadyTried,
-            false => availability_of(engine, criteria, unreported_per_milli, now),
+            false => availability_of(engine, criteria, rates, now),
         };
         counts.0[availability as usize] += 1;
     }
@@ -143,7 +144,7 @@
 fn availability_of(
     engine: &Engine,
     criteria: &Criteria<'_>,
-    unreported_per_milli: f64,
+    rates: EngineRates,
     now: Instant,
 ) -> Availability {
     if engine.is_replaced {
@@ -176,7 +177,7 @@
     if engine.is_on_trial(now) {
         return Availability::OnTrial;
     }
-    let predicted = predict(engine, criteria, unreported_per_milli, now);
+    let predicted = predict(engine, criteria, rates, now);
     let expected = predicted.total_millis() + loaded_error_millis(engine, now);
     let bound = bound_millis(criteria, &predicted);
     if expected > bound {
--- a/crates/gingerpier_admission/tests/fairness.rs
+++ b/crates/gingerpier_admission/tests/fairness.rs
@@ -89,6 +89,7 @@
         zone: "z",
         gateway_count: 1,
         other_arrivals_per_milli: 0.0,
+        overtaking_per_milli: 0.0,
         tried_engines: &[],
         may_crash_engine: false,
         allowed_regions: RegionSet::ALL,
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -112,6 +112,11 @@
             zone: &self.state.settings.zone,
             gateway_count: self.state.zones.borrow().gateway_count(),
             other_arrivals_per_milli: self.state.peer_arrivals_per_milli(service, now),
+            overtaking_per_milli: self.state.overtaking_per_milli(
+                request.traffic_class(),
+                request.rank,
+                now,
+            ),
             tried_engines: &self.tried,
             may_crash_engine: self.is_trial,
         }
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -139,6 +139,7 @@
                 zone: &self.settings.zone,
                 gateway_count: self.zones.borrow().gateway_count(),
                 other_arrivals_per_milli: 0.0,
+                overtaking_per_milli: 0.0,
                 tried_engines: &[],
                 may_crash_engine: false,
             };
--- a/crates/gingerpier_gateway/src/state/priority.rs
+++ b/crates/gingerpier_gateway/src/state/priority.rs
@@ -57,6 +57,26 @@
         controller.yields(rank, fastrand::f64(), now)
     }
 
+    /// Estimated rate of the requests at all gateways that are more urgent than `rank`, in requests
+    /// per millisecond.
+    pub fn overtaking_per_milli(
+        &self,
+        traffic_class: TrafficClass<'_>,
+        rank: Option<Rank>,
+        now: Instant,
+    ) -> f64 {
+        let priorities = self.priorities.borrow();
+        let controller = priorities.controllers.find(traffic_class);
+        let (Some(rank), Some(controller)) = (rank, controller) else {
+            return 0.0;
+        };
+        let arrivals = self.arrivals.borrow();
+        let own_arrivals = arrivals.get(traffic_class.service);
+        let own_per_milli = own_arrivals.map_or(0.0, |own| own.per_milli(now));
+        let gateways = f64::from(self.zones.borrow().gateway_count());
+        own_per_milli * gateways * controller.more_urgent_share(rank)
+    }
+
     /// Records how a request with a rank ended.
     pub fn record_outcome(
         &self,
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -127,6 +127,7 @@
             zone: &zone,
             gateway_count: self.known_gateways as u32,
             other_arrivals_per_milli: self.arrivals.per_milli(now) * others,
+            overtaking_per_milli: 0.0,
             tried_engines: ask.tried,
             may_crash_engine: false,
             allowed_regions: RegionSet::ALL,
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -115,6 +115,7 @@
         gateway_count: 6,
         zone: "z",
         other_arrivals_per_milli: 0.0,
+        overtaking_per_milli: 0.0,
         tried_engines: &[],
         may_crash_engine: false,
         allowed_regions: RegionSet::ALL,
--- a/crates/gingerpier_serving/tests/places.rs
+++ b/crates/gingerpier_serving/tests/places.rs
@@ -83,6 +83,7 @@
         zone: "a",
         gateway_count,
         other_arrivals_per_milli: 0.0,
+        overtaking_per_milli: 0.0,
         tried_engines: &[],
         may_crash_engine: false,
     }
