--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -89,6 +89,8 @@
     pub gateway_count: u32,
     /// Estimated arrival rate at the other gateways, in requests per millisecond.
     pub other_arrivals_per_milli: f64,
+    /// Estimated rate of more urgent requests at all gateways, in requests per millisecond.
+    pub overtaking_per_milli: f64,
     /// Engines that earlier attempts of the request were sent to.
     pub tried_engines: &'a [EngineKey],
     /// True if the request is suspected of crashing engines, and prefers engines with few other
@@ -196,7 +198,7 @@
     criteria: &Criteria<'_>,
     now: Instant,
 ) -> bool {
-    let components = predict(engine, criteria, 0.0, now);
+    let components = predict(engine, criteria, EngineRates::default(), now);
     has_valid_weights(
         engine,
         criteria,
@@ -205,19 +207,22 @@
     )
 }
 
-/// Returns the choice of an engine whose load isn't compared with the admission bound.
-pub(crate) fn choice_without_bound(
+/// Returns the choice of an engine by its latest report alone; `None` if it exceeds the admission
+/// bound.
+pub(crate) fn choice_by_report(
     engine: &Engine,
     key: EngineKey,
     criteria: &Criteria<'_>,
     now: Instant,
-) -> Choice {
-    let components = predict(engine, criteria, 0.0, now);
-    Choice::Send {
+) -> Option<Choice> {
+    let components = predict(engine, criteria, EngineRates::default(), now);
+    let predicted_millis = components.total_millis() + engine.overdue_millis(now) as f64;
+    let expected_millis = predicted_millis + loaded_error_millis(engine, now);
+    (expected_millis <= bound_millis(criteria, &components)).then_some(Choice::Send {
         engine: key,
-        predicted_millis: components.total_millis() + engine.overdue_millis(now) as f64,
+        predicted_millis,
         own_millis: components.own_prompt_millis,
-    }
+    })
 }
 
 /// Returns the latest time at which a request with this prediction starts.
@@ -226,13 +231,25 @@
     now.after_millis((predicted + engine.lateness_millis()) as u64 + START_MARGIN_MILLIS)
 }
 
-/// Returns the estimated arrival rate at each open engine from other gateways.
-fn unreported_per_milli(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> f64 {
+/// Estimated arrival rates at each open engine, in requests per millisecond.
+#[derive(Debug, Clone, Copy, Default)]
+struct EngineRates {
+    /// Requests of other gateways.
+    unreported: f64,
+    /// More urgent requests of all gateways.
+    overtaking: f64,
+}
+
+fn engine_rates(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> EngineRates {
     let listed = fleet.of_service(criteria.service);
     // Engines with a request limit receive few of these requests.
     let is_open = |engine: &Engine| engine.is_open(now) && engine.signals.request_limit().is_none();
     let open_count = listed.filter(|(_, engine)| is_open(engine)).count();
-    criteria.other_arrivals_per_milli / (open_count.max(1) as f64)
+    let open_count = open_count.max(1) as f64;
+    EngineRates {
+        unreported: criteria.other_arrivals_per_milli / open_count,
+        overtaking: criteria.overtaking_per_milli / open_count,
+    }
 }
 
 /// Returns the engine's mean prediction error scaled by its occupancy, so that an idle engine isn't
@@ -284,7 +301,7 @@
 fn predict(
     engine: &Engine,
     criteria: &Criteria<'_>,
-    unreported_per_milli: f64,
+    rates: EngineRates,
     now: Instant,
 ) -> Components {
     match criteria.engine_model {
@@ -292,9 +309,10 @@
             engine,
             model,
             criteria.prompt_tokens,
-            unreported_per_milli,
+            rates.unreported,
             now,
-        ),
+        )
+        .with_overtaking(model, rates.overtaking),
         None => {
             let default_work = PLAIN_DEFAULT_WORK_SHARE * criteria.target_millis as f64;
             Components {
--- a/crates/gingerpier_admission/src/selection/ranking.rs
+++ b/crates/gingerpier_admission/src/selection/ranking.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Choice, Criteria, bound_millis, has_valid_weights, is_eligible, latest_start,
-        loaded_error_millis, predict, unreported_per_milli,
+        Choice, Criteria, bound_millis, engine_rates, has_valid_weights, is_eligible, latest_start,
+        loaded_error_millis, predict,
     },
     crate::prediction::Components,
     gingerpier_base::{Instant, order},
@@ -16,6 +16,11 @@
 /// Cost of sending a request to an engine in another zone.
 const OTHER_ZONE_COST_MILLIS: f64 = 60.0;
 
+/// Margin of the prediction for an engine whose report gateways of its zone forwarded. Without it, a
+/// zone short of capacity sent requests to engines of other zones that were full by then: predicted
+/// at 183 ms, they took 495 ms.
+const FORWARDED_REPORT_MARGIN_MILLIS: f64 = 60.0;
+
 /// Cost of an engine whose requests all fail; scaled by its failure rate.
 const FAILURE_COST_MILLIS: f64 = 400.0;
 
@@ -44,12 +49,12 @@
     is_included: impl Fn(EngineKey) -> bool,
 ) -> Option<Ranked> {
     let mut best: Option<Ranked> = None;
-    let unreported_per_milli = unreported_per_milli(fleet, criteria, now);
+    let rates = engine_rates(fleet, criteria, now);
     for (key, engine) in fleet.of_service(criteria.service) {
         if !is_included(key) || !is_eligible(key, engine, criteria, now) {
             continue;
         }
-        let components = predict(engine, criteria, unreported_per_milli, now);
+        let components = predict(engine, criteria, rates, now);
         let overdue_millis = engine.overdue_millis(now) as f64;
         let cost_millis = components.total_millis()
             + overdue_millis
@@ -70,6 +75,10 @@
             components,
             overdue_millis,
             error_millis: loaded_error_millis(engine, now),
+            margin_millis: match engine.has_forwarded_report() {
+                true => FORWARDED_REPORT_MARGIN_MILLIS,
+                false => 0.0,
+            },
         };
         if candidate.expected_millis() <= candidate.bound_millis(criteria, queue_share) {
             best = Some(Ranked::Within(candidate));
@@ -91,6 +100,7 @@
     pub(super) components: Components,
     pub(super) overdue_millis: f64,
     pub(super) error_millis: f64,
+    margin_millis: f64,
 }
 
 impl Candidate {
@@ -106,9 +116,9 @@
         self.components.total_millis() + self.overdue_millis
     }
 
-    /// Predicted time to the first event plus the engine's mean prediction error.
+    /// Predicted time to the first event plus the engine's mean prediction error and the margin.
     fn expected_millis(&self) -> f64 {
-        self.predicted_millis() + self.error_millis
+        self.predicted_millis() + self.error_millis + self.margin_millis
     }
 
     /// Returns the bound with `queue_share` of the queueing time: the time for the request's own
--- a/crates/gingerpier_admission/src/sharing/placement.rs
+++ b/crates/gingerpier_admission/src/sharing/placement.rs
@@ -12,8 +12,8 @@
     },
 };
 
-/// Returns the less loaded of two random engines of `zone` that may run the request. `draw` is a
-/// random number.
+/// Returns the less loaded of two random engines of `zone` that may run the request, unless it
+/// exceeds the admission bound by its latest report. `draw` is a random number.
 pub fn choose(
     fleet: &Fleet,
     criteria: &Criteria<'_>,
@@ -40,7 +40,7 @@
         Some(second) if load(second.1) < load(first.1) => second,
         _ => first,
     };
-    Some(selection::choice_without_bound(engine, key, criteria, now))
+    selection::choice_by_report(engine, key, criteria, now)
 }
 
 /// Returns true if the engine may run the request, is warm, and its load is known.
--- a/crates/gingerpier_admission/tests/selection.rs
+++ b/crates/gingerpier_admission/tests/selection.rs
@@ -81,6 +81,7 @@
         zone: "z",
         gateway_count,
         other_arrivals_per_milli: 0.0,
+        overtaking_per_milli: 0.0,
         tried_engines: &[],
         may_crash_engine: false,
     }
--- a/crates/gingerpier_admission/tests/sharing_placement.rs
+++ b/crates/gingerpier_admission/tests/sharing_placement.rs
@@ -88,6 +88,7 @@
         zone: "z",
         gateway_count: 29,
         other_arrivals_per_milli: 0.0,
+        overtaking_per_milli: 0.0,
         tried_engines,
         may_crash_engine: false,
     }
--- a/crates/gingerpier_benches/benches/selection.rs
+++ b/crates/gingerpier_benches/benches/selection.rs
@@ -91,6 +91,7 @@
         zone: "z0",
         gateway_count: 29,
         other_arrivals_per_milli: 0.5,
+        overtaking_per_milli: 0.0,
         tried_engines: &[],
         may_crash_engine: false,
     };
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod placement;
+mod priority;
 mod release;
 mod sharing;
 mod shedding;
@@ -95,6 +96,7 @@
     return_detector: RefCell<Detector>,
     prompt_sizes: RefCell<Sizes>,
     shedding: RefCell<shedding::SheddingTable>,
+    priorities: RefCell<priority::Priorities>,
     sharing: RefCell<sharing::Sharing>,
     regions: Regions,
     releases: RefCell<HashMap<String, Releases>>,
@@ -149,6 +151,7 @@
             return_detector: RefCell::new(Detector::new(started)),
             prompt_sizes: RefCell::default(),
             shedding: RefCell::default(),
+            priorities: RefCell::default(),
             sharing: RefCell::new(sharing),
             regions,
             releases: RefCell::default(),
@@ -246,6 +249,7 @@
         let services = configuration.services().iter();
         let names = services.map(|service| service.name.clone());
         self.fleet.borrow_mut().set_services(names);
+        self.priorities.borrow_mut().configure(&configuration);
         *current = Some(Rc::new(configuration));
     }
 
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -284,6 +284,11 @@
         self.work_millis = Some(average + (unshared_millis - average) * WORK_WEIGHT);
     }
 
+    /// True if the latest report was forwarded by gateways of the engine's zone.
+    pub const fn has_forwarded_report(&self) -> bool {
+        self.report_overdue_millis == FORWARDED_REPORT_OVERDUE_MILLIS
+    }
+
     /// Milliseconds by which a report or an acknowledgement of the engine's box is overdue, such as
     /// after a process pause or on a congested link.
     pub fn overdue_millis(&self, now: Instant) -> u64 {
