--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -148,13 +148,13 @@
             let hash = order::mix(order::mix(u64::from(key.0)) ^ draw);
             hash.is_multiple_of(u64::from(subsets))
         };
-        match best_candidate(fleet, criteria, now, (draw, queue_share), is_in_subset) {
+        match best_candidate(fleet, criteria, now, draw, queue_share, is_in_subset) {
             Some(Ranked::Within(candidate)) => return candidate.choice(),
             Some(Ranked::Beyond(_)) => queue_share = FALLBACK_QUEUE_SHARE,
             None => {}
         }
     }
-    match best_candidate(fleet, criteria, now, (draw, queue_share), |_| true) {
+    match best_candidate(fleet, criteria, now, draw, queue_share, |_| true) {
         None => Choice::NoEngine,
         Some(Ranked::Within(candidate)) => candidate.choice(),
         Some(Ranked::Beyond(candidate)) => Choice::Full(Refusal {
@@ -189,8 +189,8 @@
         && engine.signals.allows_request(now)
 }
 
-/// Returns true if the engine has weights with which the request may start, wherever it is in the
-/// queue.
+/// Returns true if the engine has weights with which the request may still start at the predicted
+/// time.
 pub(crate) fn starts_with_valid_weights(
     engine: &Engine,
     criteria: &Criteria<'_>,
--- a/crates/gingerpier_admission/src/selection/ranking.rs
+++ b/crates/gingerpier_admission/src/selection/ranking.rs
@@ -40,7 +40,8 @@
     fleet: &Fleet,
     criteria: &Criteria<'_>,
     now: Instant,
-    (draw, queue_share): (u64, f64),
+    draw: u64,
+    queue_share: f64,
     is_included: impl Fn(EngineKey) -> bool,
 ) -> Option<Ranked> {
     let mut best: Option<Ranked> = None;
--- a/crates/gingerpier_serving/src/zones.rs
+++ b/crates/gingerpier_serving/src/zones.rs
@@ -13,6 +13,9 @@
 //! zone arrives, some of its engines are polled directly, and more of them over time
 //! ([`Exchange::sample_size`]); the first gateways of a zone are found in the same way.
 //!
+//! While capacity is shared with other zones, digests are sent more often, as requests are placed by
+//! the load in them.
+//!
 //! Digests lag behind direct reports, so with few gateways in all, each polls the loaders of all
 //! zones directly and no digests are sent.
 
