Gateway: bytes held for slow clients are bounded

A gateway buffered each response that is not a stream as a whole (4 MB, and a copy), each request body twice, and events without a limit. 500 clients that stopped reading cost it 1.1 to 1.8 GB (responses), 0.55 GB (request bodies toward an engine that doesn't read), 1.6 GB (events without an end). A client that paused for 3 s lost its response, as TCP_USER_TIMEOUT also ends a connection without room at the peer for 2 s.

Now request bodies and buffered responses are reserved from quotas, responses over 64 KiB are passed on as they are read, events over 8 KiB in parts, and waiting connections have no read buffer. A client that takes no byte for 5 s is disconnected, counted and logged. An abort by the engine of a response that was left unread counts as no failure of the engine.

--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! # }
 //! ```
 
+pub mod buffers;
 pub mod client;
 pub mod compression;
 pub mod discovery;
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     TimedOut,
     /// The caller closed its connection.
     Left,
+    /// The caller stopped reading its response.
+    Stalled,
     /// The request is invalid, unauthenticated or matches no route.
     Denied,
 }
@@ -61,6 +63,22 @@
     pub reason: Reason,
 }
 
+/// Direction of a message between a caller and the gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Direction {
+    /// From the caller: bodies of requests.
+    Request,
+    /// To the caller: responses.
+    Response,
+}
+
+/// Labels of metrics about slow callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SlowLabels {
+    /// Direction of the bytes.
+    pub direction: Direction,
+}
+
 /// Labels of an engine gauge.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EngineLabels {
@@ -105,6 +123,10 @@
     pub endings_by_route: Family<RouteEndingLabels, Counter>,
     /// Refused requests by reason.
     pub refusals: Family<RefusalLabels, Counter>,
+    /// Connections closed as their callers read or sent too slowly.
+    pub slow_callers: Family<SlowLabels, Counter>,
+    /// Bytes reserved for callers beyond what each connection may hold.
+    pub held_bytes: Family<SlowLabels, Gauge>,
     /// Listed engines by service and by availability for a usual request.
     pub engines: Family<EngineLabels, Gauge>,
     /// Number of requests that are suspected of crashing engines.
@@ -135,6 +157,8 @@
         let requests = Family::<EndingLabels, Counter>::default();
         let endings_by_route = Family::<RouteEndingLabels, Counter>::default();
         let refusals = Family::<RefusalLabels, Counter>::default();
+        let slow_callers = Family::<SlowLabels, Counter>::default();
+        let held_bytes = Family::<SlowLabels, Gauge>::default();
         let engines = Family::<EngineLabels, Gauge>::default();
         let unparsed_items = Gauge::default();
         let suspect_requests = Gauge::default();
@@ -154,6 +178,12 @@
             endings_by_route.clone(),
         );
         registry.register("refusals", "Refused requests", refusals.clone());
+        registry.register(
+            "slow_callers",
+            "Connections closed for slow reading or sending",
+            slow_callers.clone(),
+        );
+        registry.register("held_bytes", "Bytes held for callers", held_bytes.clone());
         registry.register("engines", "Listed engines by standing", engines.clone());
         registry.register(
             "suspects",
@@ -186,6 +216,8 @@
             requests,
             endings_by_route,
             refusals,
+            slow_callers,
+            held_bytes,
             engines,
             unparsed_items,
             suspect_requests,
--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -4,7 +4,12 @@
     super::request::{AttemptOptions, RoutedRequest},
     crate::{clock, state::State},
     gingerpier_base::Instant,
-    gingerpier_http1::{body::Decoder, connection::Connection, error::Error, head::Response},
+    gingerpier_http1::{
+        body::{Decoder, Framing},
+        connection::Connection,
+        error::Error,
+        head::Response,
+    },
     gingerpier_serving::{configuration::Repeat, fleet::EngineKey, retry::Failure},
     std::rc::Rc,
 };
@@ -21,6 +26,9 @@
 /// Longest body of a discarded response.
 const MAX_STALE_RESPONSE_BYTES: usize = 256 * 1024;
 
+/// Longest body that is copied behind the head, so that both are sent in one packet.
+const ONE_WRITE_BYTES: usize = 8 * 1024;
+
 /// Why an attempt got no usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptError {
@@ -47,6 +55,8 @@
     Silent,
     /// The engine returned an error status.
     EngineFailed,
+    /// The engine aborted a response that was left unread, as the caller didn't read it.
+    Unread,
 }
 
 /// Guard that counts a request in its engine's load until it is dropped.
@@ -112,8 +122,8 @@
     pub connection: Connection,
     /// Response head.
     pub head: Response,
-    /// Decoder of the response body.
-    pub decoder: Decoder,
+    /// Framing of the response body.
+    pub framing: Framing,
     /// True if the whole request was written, so that the connection can be reused.
     pub is_request_sent: bool,
 }
@@ -150,7 +160,7 @@
         Some(connection) => connection,
         None => connect(address, options.now).await?,
     };
-    let is_request_sent = connection.write_while_reading(&bytes).await;
+    let is_request_sent = write_request(&mut connection, bytes, request.body).await;
     let is_request_sent = is_request_sent.map_err(|_| broken_connection())?;
     let expected_id = request
         .head
@@ -160,7 +170,6 @@
     for _ in 0..=MAX_STALE_RESPONSES {
         let head = connection.response().await.map_err(from_http)?;
         let framing = head.framing().map_err(from_http)?;
-        let decoder = Decoder::new(framing);
         let response_id = head.fields.get(header_names.attempt);
         let is_expected = response_id.map_or(is_new, |response_id| response_id == expected_id);
         if head.status != MISDIRECTED_STATUS {
@@ -171,17 +180,36 @@
             return Ok(PendingResponse {
                 connection,
                 head,
-                decoder,
+                framing,
                 is_request_sent,
             });
         }
         // Discards the response to an earlier request on this connection.
-        let stale_body = connection.body(decoder, MAX_STALE_RESPONSE_BYTES).await;
+        let stale_body = connection
+            .body(Decoder::new(framing), MAX_STALE_RESPONSE_BYTES)
+            .await;
         stale_body.map_err(from_http)?;
     }
     Err(invalid_response())
 }
 
+/// Writes a request head and its body; true once all is written, false if the response began first.
+async fn write_request(
+    connection: &mut Connection,
+    mut head: Vec<u8>,
+    body: &[u8],
+) -> std::io::Result<bool> {
+    if body.len() <= ONE_WRITE_BYTES {
+        head.extend_from_slice(body);
+        return connection.write_while_reading(&head).await;
+    }
+    // A long body is not copied, as it would take its memory twice while the engine doesn't read.
+    Ok(
+        connection.write_while_reading(&head).await?
+            && connection.write_while_reading(body).await?,
+    )
+}
+
 /// Whether the process of an engine that broke a connection is still running.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Aftermath {
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -4,13 +4,17 @@
     super::{
         Persistence,
         attempt::{Aftermath, AttemptError, Cause},
+        buffered::BufferedResponse,
+        caller,
         error_response::{self, ErrorResponse},
-        forward::{BufferedResponse, Forwarder},
+        forward::Forwarder,
         stream::Progress,
     },
     crate::{
         clock, log,
-        metrics::{Ending, EndingLabels, Reason, RefusalLabels, RouteEndingLabels},
+        metrics::{
+            Direction, Ending, EndingLabels, Reason, RefusalLabels, RouteEndingLabels, SlowLabels,
+        },
         state::State,
     },
     gingerpier_base::Instant,
@@ -48,6 +52,8 @@
                 // The engine may restart cold before its store entry says so.
                 engine.warmup.record_possible_cooling(now);
             }
+            // The caller caused it.
+            Cause::Unread => {}
             Cause::Broken => engine.record_failure(now),
             Cause::Silent => engine.record_timeout(now),
             Cause::Garbled | Cause::EngineFailed => engine.record_error_response(),
@@ -99,8 +105,8 @@
         {
             self.log_ending(Ending::Answered, progress);
             return match self.write_buffered(caller, &response).await {
-                true => Persistence::KeepAlive,
-                false => Persistence::Close,
+                Ok(()) => Persistence::KeepAlive,
+                Err(_) => Persistence::Close,
             };
         }
         let (error, ending) = match next {
@@ -140,9 +146,9 @@
             header_names,
             self.closes_connection(),
         );
-        match caller.write(&bytes).await {
-            Ok(()) => Persistence::KeepAlive,
-            Err(_) => Persistence::Close,
+        match caller::write_own(caller, &bytes).await {
+            true => Persistence::KeepAlive,
+            false => Persistence::Close,
         }
     }
 
@@ -192,6 +198,16 @@
         Persistence::Close
     }
 
+    /// Ends a request whose caller stopped reading; the caller sees an incomplete response.
+    pub(super) fn finish_stalled(&self, progress: &Progress) -> Persistence {
+        let labels = SlowLabels {
+            direction: Direction::Response,
+        };
+        self.state.metrics.slow_callers.get_or_create(&labels).inc();
+        self.log_ending(Ending::Stalled, progress);
+        Persistence::Close
+    }
+
     /// Counts the request by route and prompt size; requests without a size class are skipped.
     fn count_by_size(&self, ending: Ending) {
         let Some(bin) = self.request.band else { return };
@@ -267,7 +283,9 @@
 ) -> Persistence {
     let header_names = state.platform_api.header_names();
     let ending = match error {
-        ErrorResponse::NoConfiguration | ErrorResponse::ShuttingDown => Ending::Refused,
+        ErrorResponse::NoConfiguration
+        | ErrorResponse::ShuttingDown
+        | ErrorResponse::NotRun { .. } => Ending::Refused,
         _ => Ending::Denied,
     };
     state
@@ -288,8 +306,8 @@
     }
     let closes = state.is_stopping.get() || !head.keeps_alive();
     let bytes = error_response::encode(error, head, header_names, closes);
-    match caller.write(&bytes).await {
-        Ok(()) => Persistence::KeepAlive,
-        Err(_) => Persistence::Close,
+    match caller::write_own(caller, &bytes).await {
+        true => Persistence::KeepAlive,
+        false => Persistence::Close,
     }
 }
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -25,7 +25,8 @@
     pub fn can_retry(&mut self, progress: &Progress) -> bool {
         let is_idempotent = self.retry_state.repeat.is_idempotent();
         let has_attempts = self.retry_state.attempts < self.retry_state.max_attempts;
-        is_idempotent && has_attempts && self.choose_engine(progress).is_some()
+        let may_resume = is_idempotent && has_attempts && !progress.is_committed();
+        may_resume && self.choose_engine(progress).is_some()
     }
 
     /// True if the stream migrates off `engine`, which waits to load new weights; spends a retry
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -4,13 +4,14 @@
     super::{
         Persistence,
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
+        buffered::BufferedResponse,
+        caller::WriteError,
         request::{AttemptOptions, RoutedRequest},
         startup::{self, StartupWait},
         stream::{self, Progress},
         trial::Access,
     },
     crate::{clock, metrics::Reason, state::State},
-    bytes::Bytes,
     gingerpier_admission::selection::Refusal,
     gingerpier_base::Instant,
     gingerpier_http1::{
@@ -27,11 +28,9 @@
     std::rc::Rc,
 };
 
-/// Longest body of a response that is not a stream.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
-
-/// Most bytes that a caller may send before it has the response to its current request.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Bytes from which no more is read of what a caller sends before it has the response to its
+/// current request; one read may exceed them.
+const MAX_PIPELINED_BYTES: usize = 1024;
 
 /// How an attempt ended.
 pub enum AttemptOutcome {
@@ -41,6 +40,8 @@
     Disconnected,
     /// The request's deadline passed.
     TimedOut,
+    /// The caller stopped reading its response.
+    Stalled,
     /// The request was put on hold meanwhile, as engines crashed while they ran it.
     Held,
     /// The stream is to migrate to another engine; the retry is already spent.
@@ -51,12 +52,14 @@
     ErrorStatus(BufferedResponse),
 }
 
-/// An engine's complete response.
-pub struct BufferedResponse {
-    /// Response head.
-    pub head: Response,
-    /// Response body.
-    pub body: Bytes,
+impl From<WriteError> for AttemptOutcome {
+    fn from(error: WriteError) -> Self {
+        match error {
+            WriteError::Disconnected => Self::Disconnected,
+            WriteError::Stalled => Self::Stalled,
+            WriteError::TimedOut => Self::TimedOut,
+        }
+    }
 }
 
 /// Completes once the caller closes its connection.
@@ -165,6 +168,7 @@
             let error = match outcome {
                 AttemptOutcome::Completed => return self.finish_completed(&progress),
                 AttemptOutcome::Disconnected => return self.finish_disconnected(),
+                AttemptOutcome::Stalled => return self.finish_stalled(&progress),
                 AttemptOutcome::TimedOut => {
                     self.retry_state.may_have_run = true;
                     let next = Action::TimeOut;
@@ -188,7 +192,7 @@
             let aftermath = self.check_for_crash(engine, error, &progress).await;
             self.log_failure(engine, error, aftermath);
             let now = clock::now();
-            let can_retry = self.choose_engine(&progress).is_some();
+            let can_retry = !progress.is_committed() && self.choose_engine(&progress).is_some();
             let spend_retry = || {
                 can_retry
                     && self
@@ -309,66 +313,8 @@
                 return stream::forward(self, caller, response, progress, in_flight).await;
             }
         }
-        let engine = in_flight.engine;
-        match self.buffer(caller, response, engine).await {
-            Err(outcome) => outcome,
-            Ok(response) if is_refused => {
-                AttemptOutcome::Failed(refused_by_engine(response.head.status))
-            }
-            Ok(response) => {
-                in_flight.record_response();
-                self.record_completion(&response.head);
-                self.forward_buffered(caller, response, engine, progress)
-                    .await
-            }
-        }
-    }
-
-    async fn buffer(
-        &mut self,
-        caller: &mut Connection,
-        response: PendingResponse,
-        engine: EngineKey,
-    ) -> Result<BufferedResponse, AttemptOutcome> {
-        let PendingResponse {
-            mut connection,
-            head,
-            decoder,
-            is_request_sent,
-        } = response;
-        let body = tokio::select! {
-            biased;
-            body = connection.body(decoder, MAX_BUFFERED_RESPONSE_BYTES) => body,
-            () = disconnected(caller) => return Err(AttemptOutcome::Disconnected),
-            () = clock::until(self.request.deadline) => return Err(AttemptOutcome::TimedOut),
-            () = self.state.until_held(self.request.fingerprint) => return Err(AttemptOutcome::Held),
-        };
-        let body = body.map_err(|error| AttemptOutcome::Failed(attempt::from_http(error)))?;
-        if is_request_sent {
-            let mut pool = self.state.pool.borrow_mut();
-            pool.put(engine, connection, &head);
-        }
-        Ok(BufferedResponse { head, body })
-    }
-
-    /// Forwards an engine's response, or keeps an error response while another engine may succeed.
-    async fn forward_buffered(
-        &mut self,
-        caller: &mut Connection,
-        response: BufferedResponse,
-        engine: EngineKey,
-        progress: &mut Progress,
-    ) -> AttemptOutcome {
-        let status = response.head.status;
-        if status >= 500 || matches!(status, 408 | 429) || progress.has_begun() {
-            return AttemptOutcome::ErrorStatus(response);
-        }
-        self.record_success(engine);
-        self.record_first_bytes();
-        match self.write_buffered(caller, &response).await {
-            true => AttemptOutcome::Completed,
-            false => AttemptOutcome::Disconnected,
-        }
+        self.forward_response(caller, response, is_refused, progress, in_flight)
+            .await
     }
 
     /// Records that the engine with this response head ran the request to its end.
@@ -381,24 +327,11 @@
             .record_completion(self.request.fingerprint, version);
     }
 
-    fn record_success(&self, engine: EngineKey) {
+    pub(super) fn record_success(&self, engine: EngineKey) {
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.engine_mut(engine).record_success();
     }
 
-    pub(super) async fn write_buffered(
-        &self,
-        caller: &mut Connection,
-        response: &BufferedResponse,
-    ) -> bool {
-        let bytes = self.response_head(&response.head).body(&response.body);
-        let written = clock::before(
-            self.request.deadline.after_millis(500),
-            caller.write(&bytes),
-        );
-        matches!(written.await, Some(Ok(())))
-    }
-
     /// Head of an engine's response for the caller, without body framing.
     pub fn response_head(&self, response: &Response) -> Message {
         let mut message = Message::response(response.status);
@@ -430,7 +363,8 @@
     }
 }
 
-const fn refused_by_engine(status: u16) -> AttemptError {
+/// Error of an attempt that the engine refused with `status`.
+pub(super) const fn refused_by_engine(status: u16) -> AttemptError {
     AttemptError {
         failure: Failure::NotRun,
         cause: if status == 421 {
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -1,6 +1,9 @@
 //! Server side of the proxy: callers' connections and their requests.
 
 pub mod attempt;
+pub mod body;
+pub mod buffered;
+pub mod caller;
 pub mod completion;
 pub mod engine_choice;
 pub mod error_response;
@@ -12,9 +15,10 @@
 
 use {
     crate::{clock, state::State},
+    body::BodyError,
     error_response::ErrorResponse,
     gingerpier_base::Instant,
-    gingerpier_http1::{body::Decoder, connection::Connection, error::Error, head::Request},
+    gingerpier_http1::{connection::Connection, error::Error, head::Request},
     gingerpier_serving::configuration::Limits,
     request::RoutedRequest,
     startup::StartupWait,
@@ -25,6 +29,9 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_MILLIS: u64 = 5;
 
+/// Retry delay for a request whose body found no memory.
+const NO_MEMORY_RETRY_SECONDS: f64 = 1.0;
+
 /// Whether a connection stays open after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Persistence {
@@ -40,7 +47,9 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let state = state.clone();
-                actix_rt::spawn(async move { serve(&state, Connection::new(stream)).await });
+                let connection = Connection::new(stream);
+                connection.limit_unsent(caller::STALL_MILLIS);
+                actix_rt::spawn(async move { serve(&state, connection).await });
             }
             Err(_) => clock::pause(ACCEPT_RETRY_MILLIS).await,
         }
@@ -127,12 +136,27 @@
         _ => ErrorResponse::Malformed,
     };
     tracing::warn!(cause = %error, "malformed request refused");
-    let _ = connection
-        .write(&error_response::encode_closing(response))
-        .await;
+    caller::write_own(connection, &error_response::encode_closing(response)).await;
     connection.shutdown().await;
 }
 
+/// Responds to a request whose body could not be read; the connection closes after it.
+async fn refuse_body(state: &State, connection: &mut Connection, head: &Request, error: BodyError) {
+    let response = match error {
+        BodyError::Http(Error::BodyTooLong) => ErrorResponse::BodyTooLong,
+        BodyError::Http(Error::Cut) | BodyError::Stalled => return,
+        BodyError::Http(error) => return refuse_malformed(connection, error).await,
+        BodyError::NoMemory => {
+            let error = ErrorResponse::NotRun {
+                retry_after: NO_MEMORY_RETRY_SECONDS,
+            };
+            completion::refuse(state, connection, head, error).await;
+            return;
+        }
+    };
+    caller::write_own(connection, &error_response::encode_closing(response)).await;
+}
+
 async fn serve_one(
     state: &Rc<State>,
     connection: &mut Connection,
@@ -145,26 +169,20 @@
         return Persistence::Close;
     };
     if head.fields.lists("expect", "100-continue") {
-        let _ = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        caller::write_own(connection, b"HTTP/1.1 100 Continue\r\n\r\n").await;
     }
-    let body = connection.body(Decoder::new(framing), limits.max_body_bytes);
     let body_deadline = received.after_millis(limits.idle_timeout_millis);
-    let body = match clock::before(body_deadline, body).await {
-        Some(Ok(body)) => body,
-        Some(Err(Error::BodyTooLong)) => {
-            let _ = connection
-                .write(&error_response::encode_closing(ErrorResponse::BodyTooLong))
-                .await;
-            return Persistence::Close;
-        }
-        Some(Err(Error::Cut)) | None => return Persistence::Close,
-        Some(Err(error)) => {
-            refuse_malformed(connection, error).await;
+    let max_bytes = limits.max_body_bytes;
+    let body = body::read(state, connection, framing, max_bytes, body_deadline).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            refuse_body(state, connection, head, error).await;
             return Persistence::Close;
         }
     };
     let request = loop {
-        let request = RoutedRequest::read(state, head, &body, received);
+        let request = RoutedRequest::read(state, head, &body.bytes, received);
         if !matches!(request, Err(ErrorResponse::NoConfiguration)) {
             break request;
         }
--- a/crates/gingerpier_gateway/src/proxy/request.rs
+++ b/crates/gingerpier_gateway/src/proxy/request.rs
@@ -168,7 +168,7 @@
             .unwrap_or_default()
     }
 
-    /// Encodes the request for `engine`, with the gateway's own fields in place of the caller's.
+    /// Encodes the request head for `engine`, with the gateway's own fields in place of the caller's.
     pub fn encode(
         &self,
         header_names: &HeaderNames,
@@ -204,7 +204,9 @@
         if self.body.is_empty() && head.method() == b"GET" {
             return message.end();
         }
-        message.body(self.body)
+        message
+            .number("content-length", self.body.len() as u64)
+            .end()
     }
 }
 
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
+        caller,
         forward::{AttemptOutcome, Forwarder, disconnected},
         request::RoutedRequest,
     },
@@ -29,6 +30,18 @@
 /// Interval at which a stalled request looks again for another engine.
 const RECHECK_INTERVAL_MILLIS: u64 = 300;
 
+/// Longest event that is held until it is complete, in bytes; of a longer one the caller gets the
+/// beginning, after which the stream can't resume on another engine.
+const MAX_EVENT_BYTES: usize = 8 * 1024;
+
+/// Time for which a response has to be left unread before its abort is attributed to that. Engines
+/// wait for some seconds.
+const UNREAD_MILLIS: u64 = 500;
+
+/// Time after which an abort is no longer attributed to an earlier pause; covers the forwarding of
+/// what the kernel had received before the abort.
+const UNREAD_EFFECT_MILLIS: u64 = 2_000;
+
 /// Instant at which an attempt without a new event counts as stalled.
 pub type StallDeadline = Instant;
 
@@ -43,6 +56,7 @@
 pub struct Progress {
     splitter: Splitter,
     has_begun: bool,
+    is_committed: bool,
     version: Version,
     first_event_at: Option<Instant>,
     last_event_at: Option<Instant>,
@@ -55,6 +69,17 @@
         self.has_begun
     }
 
+    /// True once the caller has a part of a response that no other engine can continue.
+    pub const fn is_committed(&self) -> bool {
+        self.is_committed
+    }
+
+    /// Records that the caller gets a part of a response that no other engine can continue.
+    pub const fn commit(&mut self) {
+        self.is_committed = true;
+        self.has_begun = true;
+    }
+
     /// Weights version that the stream started with.
     pub const fn version(&self) -> Version {
         self.version
@@ -95,6 +120,35 @@
     }
 }
 
+/// Tells whether an engine may have aborted a response because it was left unread.
+#[derive(Debug, Default)]
+pub struct Unread {
+    ended_at: Option<Instant>,
+}
+
+impl Unread {
+    /// Records a write to the caller, during which nothing was read from the engine.
+    pub fn record_write(&mut self, begun: Instant, now: Instant) {
+        if now.millis_since(begun) >= UNREAD_MILLIS {
+            self.ended_at = Some(now);
+        }
+    }
+
+    /// Error of the attempt, whose cause is not the engine if its response was just left unread.
+    pub fn attribute(&self, error: AttemptError, now: Instant) -> AttemptError {
+        let is_unread = self
+            .ended_at
+            .is_some_and(|at| !at.after_millis(UNREAD_EFFECT_MILLIS).has_passed(now));
+        match error.cause {
+            Cause::Broken if is_unread => AttemptError {
+                cause: Cause::Unread,
+                ..error
+            },
+            _ => error,
+        }
+    }
+}
+
 /// Stall deadline for the first event of an attempt that starts at `now`.
 pub fn first_event_deadline(request: &RoutedRequest<'_>, now: Instant) -> StallDeadline {
     let timeout_millis = FIRST_EVENT_TIMEOUT_TARGETS * request.route_settings().target_millis;
@@ -118,16 +172,20 @@
 async fn read_events(
     connection: &mut Connection,
     decoder: &mut Decoder,
-    splitter: &mut Splitter,
+    progress: &mut Progress,
     output: &mut Vec<u8>,
 ) -> Batch {
     loop {
         loop {
             match decoder.decode(&mut connection.input) {
                 Ok(Some(Part::Data(data))) => {
-                    if let Some(events) = splitter.push(&data) {
+                    if let Some(events) = progress.splitter.push(&data) {
                         writer::chunk(output, &events);
                     }
+                    if progress.splitter.pending_bytes() > MAX_EVENT_BYTES {
+                        progress.is_committed = true;
+                        writer::chunk(output, &progress.splitter.finish());
+                    }
                 }
                 Ok(Some(Part::End)) => return Batch::End,
                 Ok(None) => break,
@@ -161,15 +219,17 @@
     let PendingResponse {
         mut connection,
         head,
-        mut decoder,
+        framing,
         is_request_sent,
     } = response;
+    let mut decoder = Decoder::new(framing);
+    let mut unread = Unread::default();
     let header_names = forwarder.state.platform_api.header_names();
     let version = Version(head.fields.number(header_names.version).unwrap_or_default());
-    let mut output = Vec::new();
+    let mut head_bytes = Vec::new();
     if !progress.has_begun {
         progress.version = version;
-        output = forwarder
+        head_bytes = forwarder
             .response_head(&head)
             .field(b"transfer-encoding", b"chunked")
             .end();
@@ -181,7 +241,7 @@
     loop {
         let batch = tokio::select! {
             biased;
-            batch = read_events(&mut connection, &mut decoder, &mut progress.splitter, &mut events) => batch,
+            batch = read_events(&mut connection, &mut decoder, progress, &mut events) => batch,
             () = disconnected(caller) => return AttemptOutcome::Disconnected,
             () = clock::until(forwarder.request.deadline) => return AttemptOutcome::TimedOut,
             () = &mut held => return AttemptOutcome::Held,
@@ -200,19 +260,24 @@
             events.extend_from_slice(LAST_CHUNK);
         }
         if !events.is_empty() {
-            output.append(&mut events);
+            if !head_bytes.is_empty() {
+                // One packet carries the head and the first event.
+                head_bytes.append(&mut events);
+                events = std::mem::take(&mut head_bytes);
+            }
             if progress.record_events(clock::now()) {
                 forwarder.record_first_bytes();
             }
             in_flight.record_first_event();
-            let written = clock::before(forwarder.request.deadline, caller.write(&output)).await;
-            match written {
-                Some(Ok(())) => {}
-                Some(Err(_)) => return AttemptOutcome::Disconnected,
-                None => return AttemptOutcome::TimedOut,
+            let begun = clock::now();
+            let written = caller::write(caller, &events, forwarder.request.deadline).await;
+            if let Err(error) = written {
+                return error.into();
             }
-            output.clear();
-            stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+            events = Vec::new();
+            let now = clock::now();
+            unread.record_write(begun, now);
+            stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
         }
         match batch {
             Batch::Events => {
@@ -233,7 +298,7 @@
             }
             Batch::Error(error) => {
                 progress.splitter.discard();
-                return AttemptOutcome::Failed(error);
+                return AttemptOutcome::Failed(unread.attribute(error, clock::now()));
             }
         }
     }
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -12,9 +12,10 @@
 
 use {
     crate::{
+        buffers::{self, Quota},
         clock,
         items::{Parser, strip_unused_value},
-        metrics::Metrics,
+        metrics::{Direction, Metrics, SlowLabels},
         pool::Pool,
         snapshots::Snapshots,
         suspects::SuspectState,
@@ -64,6 +65,10 @@
     pub retry_budgets: RefCell<HashMap<String, Budget>>,
     /// Idle connections to engines.
     pub pool: RefCell<Pool<EngineKey>>,
+    /// Memory for bodies of requests.
+    pub request_quota: Rc<Quota>,
+    /// Memory for responses that are buffered.
+    pub response_quota: Rc<Quota>,
     /// Metrics of this process.
     pub metrics: Metrics,
     /// Membership of the gateways and exchange of digests between zones.
@@ -115,6 +120,11 @@
     /// Creates the state of a process that starts now.
     pub fn new(settings: Settings, platform_api: &'static dyn PlatformApi) -> Self {
         let started = clock::now();
+        let metrics = Metrics::default();
+        let quota = |limit, direction| {
+            let gauge = metrics.held_bytes.get_or_create(&SlowLabels { direction });
+            Quota::new(limit, gauge.clone())
+        };
         let regions = settings.regions.iter();
         let regions =
             Regions::new(regions.map(|entry| (entry.zone.as_str(), entry.region.as_str())));
@@ -129,7 +139,9 @@
             fleet: RefCell::new(Fleet::with_regions(regions.clone())),
             retry_budgets: RefCell::default(),
             pool: RefCell::default(),
-            metrics: Metrics::default(),
+            request_quota: quota(buffers::MAX_REQUEST_BYTES, Direction::Request),
+            response_quota: quota(buffers::MAX_RESPONSE_BYTES, Direction::Response),
+            metrics,
             zones: RefCell::new(zones),
             mirror_changed: Notify::new(),
             release_changed: Notify::new(),
--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -8,9 +8,17 @@
     },
     bytes::{Bytes, BytesMut},
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{
+        future::poll_fn,
+        io,
+        mem::MaybeUninit,
+        net::SocketAddr,
+        pin::Pin,
+        task::{Poll, ready},
+        time::Duration,
+    },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf},
         net::TcpStream,
     },
 };
@@ -21,6 +29,9 @@
 /// Bytes of the kernel's buffers of a bulk transfer; the kernel doubles them.
 const SMALL_BUFFER: usize = 8 * 1024;
 
+/// Bytes written and not yet sent that the kernel keeps for a peer that may not read.
+const UNSENT_BYTES: u32 = 16 * 1024;
+
 /// Milliseconds after which bytes without acknowledgement end a connection.
 const SILENCE_MILLIS: u64 = 2_000;
 
@@ -80,14 +91,46 @@
         let _ = socket.set_recv_buffer_size(SMALL_BUFFER);
     }
 
+    /// Limits what the kernel holds for a peer that may not read: bytes that are written and not
+    /// yet sent, and `millis` without acknowledgement or room at the peer.
+    pub fn limit_unsent(&self, millis: u64) {
+        let socket = SockRef::from(&self.stream);
+        // Where an option can't be set the connection still serves.
+        let _ = socket.set_tcp_notsent_lowat(UNSENT_BYTES);
+        let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(millis)));
+    }
+
     /// Reads more bytes; false where the peer has ended its side.
     ///
     /// # Errors
     ///
     /// Where the connection broke.
     pub async fn read(&mut self) -> io::Result<bool> {
-        self.input.reserve(READ_SIZE);
-        Ok(self.stream.read_buf(&mut self.input).await? > 0)
+        let Self { stream, input } = self;
+        if input.is_empty() {
+            // Many connections wait at a time, and none of them needs a buffer meanwhile.
+            *input = BytesMut::new();
+        }
+        let count = poll_fn(|context| {
+            let mut bytes = [MaybeUninit::uninit(); READ_SIZE];
+            let mut buffer = ReadBuf::uninit(&mut bytes);
+            ready!(Pin::new(&mut *stream).poll_read(context, &mut buffer))?;
+            input.extend_from_slice(buffer.filled());
+            Poll::Ready(Ok::<_, io::Error>(buffer.filled().len()))
+        });
+        Ok(count.await? > 0)
+    }
+
+    /// Number of bytes, `limit` at most, that the kernel holds and that were not read; `None` where
+    /// the peer has ended its side or the connection broke.
+    pub fn arrived(&self, limit: usize) -> Option<usize> {
+        let mut bytes = Vec::with_capacity(limit);
+        match SockRef::from(&self.stream).peek(bytes.spare_capacity_mut()) {
+            Ok(0) => None,
+            Ok(count) => Some(count),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Some(0),
+            Err(_) => None,
+        }
     }
 
     /// Writes all of `bytes`.
@@ -99,6 +142,15 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes as many of `bytes` as the kernel takes at once and returns their number.
+    ///
+    /// # Errors
+    ///
+    /// Where the connection broke.
+    pub async fn write_some(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.write(bytes).await
+    }
+
     /// Writes `bytes` while it reads what comes meanwhile; true once all are written, false where
     /// a whole response head came first.
     ///
--- a/crates/gingerpier_http1/src/head.rs
+++ b/crates/gingerpier_http1/src/head.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{body::Framing, error::Error},
-    bytes::{Bytes, BytesMut},
+    bytes::{Buf, Bytes, BytesMut},
     std::ops::Range,
 };
 
@@ -115,10 +115,10 @@
 }
 
 fn take(input: &mut BytesMut, length: usize, ranges: Vec<Field>) -> Fields {
-    Fields {
-        head: input.split_to(length).freeze(),
-        ranges,
-    }
+    // A slice would keep the whole buffer of the connection as long as the head.
+    let head = Bytes::copy_from_slice(&input[..length]);
+    input.advance(length);
+    Fields { head, ranges }
 }
 
 fn ranges_of(head: &[u8], fields: &[httparse::Header<'_>]) -> Vec<Field> {
--- a/crates/gingerpier_http1/src/writer.rs
+++ b/crates/gingerpier_http1/src/writer.rs
@@ -80,11 +80,15 @@
     }
 }
 
+/// Most bytes that a chunk has beside its data.
+pub const CHUNK_FRAME_BYTES: usize = 20;
+
 /// Adds `data` as one chunk to `output`.
 pub fn chunk(output: &mut Vec<u8>, data: &[u8]) {
     if data.is_empty() {
         return;
     }
+    output.reserve_exact(data.len() + CHUNK_FRAME_BYTES);
     let _ = write!(output, "{:x}\r\n", data.len());
     output.extend_from_slice(data);
     output.extend_from_slice(b"\r\n");
--- a/crates/gingerpier_serving/src/events.rs
+++ b/crates/gingerpier_serving/src/events.rs
@@ -19,15 +19,24 @@
         let search_start = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(data);
         let end = last_event_end(&self.pending, search_start)?;
-        let events = self.pending.split_to(end).freeze();
+        let events = match end == self.pending.len() {
+            // Leaves no capacity behind, as many streams wait between events.
+            true => std::mem::take(&mut self.pending).freeze(),
+            false => self.pending.split_to(end).freeze(),
+        };
         self.record_ids(&events);
         Some(events)
     }
 
+    /// Number of bytes after the last whole event.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns the bytes after the last whole event. They are only valid if the response has ended
     /// properly.
     pub fn finish(&mut self) -> Bytes {
-        self.pending.split().freeze()
+        std::mem::take(&mut self.pending).freeze()
     }
 
     /// Discards an incomplete event.
@@ -49,7 +58,8 @@
         for line in events.split(|byte| *byte == b'\n') {
             let line = line.trim_ascii();
             if let Some(id) = line.strip_prefix(b"id:") {
-                self.last_id = Some(events.slice_ref(id.trim_ascii()));
+                // A slice would keep the memory of all events of this part.
+                self.last_id = Some(Bytes::copy_from_slice(id.trim_ascii()));
                 self.count += 1;
             }
         }
