Admission: no request to an engine whose memory can't hold its prompt

An engine that reports its memory capacity is treated as full for a prompt that exceeds what is free, less the prompts that were sent to it since its report. Engines that report no capacity, such as those of other zones (digests carry none), are not limited.

--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -159,7 +159,9 @@
             hash.is_multiple_of(u64::from(subsets))
         };
         if let Some(sampled) = best_candidate(fleet, criteria, now, draw, is_in_subset) {
-            if sampled.expected_millis() <= bound_millis(criteria, &sampled.components) {
+            if sampled.has_memory
+                && sampled.expected_millis() <= bound_millis(criteria, &sampled.components)
+            {
                 return sampled.choice();
             }
             queue_share = FALLBACK_QUEUE_SHARE;
@@ -173,7 +175,7 @@
     // everywhere.
     let fallback_bound =
         own_millis + (bound_millis(criteria, &fallback.components) - own_millis) * queue_share;
-    match fallback.expected_millis() <= fallback_bound {
+    match fallback.has_memory && fallback.expected_millis() <= fallback_bound {
         true => fallback.choice(),
         false => Choice::Full(Refusal {
             bound_millis: fallback_bound,
@@ -227,7 +229,11 @@
         if !has_valid_weights(engine, criteria, now, starts_at) {
             continue;
         }
+        let has_memory = has_memory(engine, criteria, now);
+        // An engine without memory only stands for the refusal.
+        let memory_cost = if has_memory { 0.0 } else { f64::INFINITY };
         let cost_millis = predicted
+            + memory_cost
             + lateness_millis
             + extra_cost_millis(engine, criteria, now)
             + jitter_millis(key, draw);
@@ -238,6 +244,7 @@
                 components,
                 overdue_millis,
                 error_millis: loaded_error_millis(engine, now),
+                has_memory,
             });
         }
     }
@@ -262,6 +269,8 @@
     components: Components,
     overdue_millis: f64,
     error_millis: f64,
+    /// Whether the engine's memory can hold the prompt.
+    has_memory: bool,
 }
 
 impl Candidate {
@@ -329,6 +338,12 @@
         && !engine.latest_report(now).is_busy
 }
 
+/// Returns true unless the engine reports that its memory can't hold the prompt.
+fn has_memory(engine: &Engine, criteria: &Criteria<'_>, now: Instant) -> bool {
+    let free_tokens = engine.free_memory_tokens(now);
+    free_tokens.is_none_or(|free_tokens| criteria.prompt_tokens <= free_tokens)
+}
+
 fn predict(
     engine: &Engine,
     criteria: &Criteria<'_>,
--- a/crates/gingerpier_admission/src/selection/availability.rs
+++ b/crates/gingerpier_admission/src/selection/availability.rs
@@ -5,7 +5,8 @@
 
 use {
     super::{
-        Criteria, bound_millis, loaded_error_millis, min_version, predict, unreported_per_milli,
+        Criteria, bound_millis, has_memory, loaded_error_millis, min_version, predict,
+        unreported_per_milli,
     },
     gingerpier_base::Instant,
     gingerpier_serving::{engine::Engine, fleet::Fleet},
@@ -179,7 +180,7 @@
     let predicted = predict(engine, criteria, unreported_per_milli, now);
     let expected = predicted.total_millis() + loaded_error_millis(engine, now);
     let bound = bound_millis(criteria, &predicted);
-    if expected > bound {
+    if expected > bound || !has_memory(engine, criteria, now) {
         return Availability::Full;
     }
     match expected + engine.overdue_millis(now) as f64 > bound {
--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -247,6 +247,17 @@
         }
     }
 
+    /// Tokens that the engine's memory can still hold, less the prompts that were sent to it since
+    /// its last report; `None` if it reports no capacity.
+    pub fn free_memory_tokens(&self, now: Instant) -> Option<u64> {
+        let report = self.fresh_report(now)?;
+        let unreported = self.load.unreported.iter();
+        let unreported_tokens: u64 = unreported.map(|request| request.prompt_tokens).sum();
+        let used_tokens = report.memory_used_tokens + unreported_tokens;
+        (report.memory_total_tokens > 0)
+            .then(|| report.memory_total_tokens.saturating_sub(used_tokens))
+    }
+
     /// Estimated number of requests of all gateways.
     pub fn occupancy(&self, now: Instant) -> f64 {
         self.estimated_load(now).requests
