--- a/crates/gingerpier_gateway/src/buffers.rs
+++ b/crates/gingerpier_gateway/src/buffers.rs
@@ -6,17 +6,22 @@
 
 use {
     gingerpier_base::Instant,
+    gingerpier_serving::configuration::RouteKey,
     prometheus_client::metrics::gauge::Gauge,
-    std::{cell::Cell, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+    },
 };
 
 /// Bound of the request bodies up to [`LARGE_BYTES`] in total, and of the longer ones in total, in
 /// bytes. A gateway has at least 160 MB and spends a tenth of it on 500 slow callers, of which the
 /// connections themselves take about 12 MB.
-pub const MAX_REQUEST_BYTES: usize = 2 * 1024 * 1024;
+pub const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
 
 /// Bound of the buffered responses in total, in bytes; see [`MAX_REQUEST_BYTES`].
-pub const MAX_RESPONSE_BYTES: usize = 2 * 1024 * 1024;
+pub const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// Largest reservation that counts as small, in bytes. Prompts are shorter.
 pub const LARGE_BYTES: usize = 64 * 1024;
@@ -27,12 +32,15 @@
 /// Bytes of one kind that may be held in total.
 ///
 /// Large reservations have a bound of their own, so that they don't keep small ones waiting. A
-/// single large one is always possible, whatever its size.
+/// single large one is always possible, whatever its size. Small reservations of one route get at
+/// most half of their bound, as requests wait at an engine that doesn't read.
 #[derive(Debug)]
 pub struct Quota {
     limit: usize,
     held: Cell<usize>,
     held_by_large: Cell<usize>,
+    /// Small reservations by route.
+    held_by_route: RefCell<HashMap<Option<RouteKey>, usize>>,
     refused_at: Cell<Option<Instant>>,
     gauge: Gauge,
 }
@@ -44,6 +52,7 @@
             limit,
             held: Cell::new(0),
             held_by_large: Cell::new(0),
+            held_by_route: RefCell::default(),
             refused_at: Cell::new(None),
             gauge,
         })
@@ -60,13 +69,21 @@
         refused_at.is_some_and(|at| !at.after_millis(SHORTAGE_MILLIS).has_passed(now))
     }
 
-    /// True if small reservations take more than half of their bound.
-    pub const fn is_tight(&self) -> bool {
-        self.held.get() - self.held_by_large.get() > self.limit / 2
+    /// True if small reservations of `route` take more than half of what they may.
+    pub fn is_tight(&self, route: Option<RouteKey>) -> bool {
+        let by_route = self.held_by_route.borrow();
+        let of_route = by_route.get(&route).copied().unwrap_or_default();
+        let small = self.held.get() - self.held_by_large.get();
+        of_route > self.limit / 4 || small > self.limit / 2
     }
 
-    fn allows(&self, from: usize, to: usize) -> bool {
+    fn allows(&self, route: Option<RouteKey>, from: usize, to: usize) -> bool {
         if to <= LARGE_BYTES {
+            let by_route = self.held_by_route.borrow();
+            let of_route = by_route.get(&route).copied().unwrap_or_default() - from;
+            if of_route + to > self.limit / 2 {
+                return false;
+            }
             let other_small = self.held.get() - self.held_by_large.get() - from;
             return other_small + to <= self.limit;
         }
@@ -77,13 +94,19 @@
         other_large == 0 || other_large + to <= self.limit
     }
 
-    fn change(&self, from: usize, to: usize) {
+    fn change(&self, route: Option<RouteKey>, from: usize, to: usize) {
         let replace = |total: &Cell<usize>, from: usize, to: usize| {
             total.set(total.get() - from + to);
         };
         let large = |bytes: usize| if bytes > LARGE_BYTES { bytes } else { 0 };
         replace(&self.held, from, to);
         replace(&self.held_by_large, large(from), large(to));
+        let mut by_route = self.held_by_route.borrow_mut();
+        let of_route = by_route.entry(route).or_default();
+        *of_route = *of_route - (from - large(from)) + (to - large(to));
+        if *of_route == 0 {
+            by_route.remove(&route);
+        }
         self.gauge.set(self.held.get() as i64);
     }
 }
@@ -92,14 +115,16 @@
 #[derive(Debug)]
 pub struct Reservation {
     quota: Rc<Quota>,
+    route: Option<RouteKey>,
     bytes: usize,
 }
 
 impl Reservation {
-    /// Reservation of no bytes.
-    pub fn new(quota: &Rc<Quota>) -> Self {
+    /// Reservation of no bytes for a request of `route`.
+    pub fn new(quota: &Rc<Quota>, route: Option<RouteKey>) -> Self {
         Self {
             quota: quota.clone(),
+            route,
             bytes: 0,
         }
     }
@@ -109,18 +134,18 @@
         if bytes <= self.bytes {
             return true;
         }
-        if !self.quota.allows(self.bytes, bytes) {
+        if !self.quota.allows(self.route, self.bytes, bytes) {
             self.quota.refused_at.set(Some(now));
             return false;
         }
-        self.quota.change(self.bytes, bytes);
+        self.quota.change(self.route, self.bytes, bytes);
         self.bytes = bytes;
         true
     }
 
     /// Ends the reservation.
     pub fn release(&mut self) {
-        self.quota.change(self.bytes, 0);
+        self.quota.change(self.route, self.bytes, 0);
         self.bytes = 0;
     }
 }
--- a/crates/gingerpier_gateway/src/proxy/body.rs
+++ b/crates/gingerpier_gateway/src/proxy/body.rs
@@ -13,7 +13,9 @@
         body::{Decoder, Framing, Part},
         connection::Connection,
         error::Error,
+        head::Request,
     },
+    gingerpier_serving::configuration::RouteKey,
 };
 
 /// Bytes of a body that a connection may hold without a reservation. Most prompts fit.
@@ -57,6 +59,7 @@
 pub async fn read(
     state: &State,
     caller: &mut Connection,
+    head: &Request,
     framing: Framing,
     max_bytes: usize,
     deadline: Instant,
@@ -68,10 +71,11 @@
     if declared > max_bytes {
         return Err(BodyError::Http(Error::BodyTooLong));
     }
-    let mut reservation = Reservation::new(&state.request_quota);
+    let route = route_of(state, head);
+    let mut reservation = Reservation::new(&state.request_quota, route);
     if declared > FREE_BYTES {
         if declared <= LARGE_BYTES {
-            wait_for_arrival(state, caller, declared, deadline).await?;
+            wait_for_arrival(state, caller, route, declared, deadline).await?;
         }
         reserve(&mut reservation, declared, deadline).await?;
     }
@@ -100,17 +104,24 @@
     })
 }
 
+fn route_of(state: &State, head: &Request) -> Option<RouteKey> {
+    let target = std::str::from_utf8(head.target()).ok()?;
+    let path = target.split('?').next().unwrap_or_default();
+    state.configuration()?.find(head.fields.text("host")?, path)
+}
+
 /// Waits until a body that is not large has arrived, if others occupy much memory; until then the
 /// kernel holds it. A caller that stalls thus keeps no other one waiting.
 async fn wait_for_arrival(
     state: &State,
     caller: &Connection,
+    route: Option<RouteKey>,
     length: usize,
     deadline: Instant,
 ) -> Result<(), BodyError> {
     let missing = length.saturating_sub(caller.input.len());
     let (mut progress_at, mut last, mut interval_millis) = (clock::now(), 0, 1);
-    while state.request_quota.is_tight() {
+    while state.request_quota.is_tight(route) {
         let arrived = caller.arrived(missing).ok_or(BodyError::Http(Error::Cut))?;
         if arrived >= missing {
             break;
--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -78,7 +78,7 @@
             connection,
             decoder: Decoder::new(framing),
             body: BytesMut::new(),
-            reservation: Reservation::new(&self.state.response_quota),
+            reservation: Reservation::new(&self.state.response_quota, Some(self.request.route)),
         };
         let may_pass_on = is_final(head.status) && !is_refused && !progress.has_begun();
         loop {
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -173,7 +173,7 @@
     }
     let body_deadline = received.after_millis(limits.idle_timeout_millis);
     let max_bytes = limits.max_body_bytes;
-    let body = body::read(state, connection, framing, max_bytes, body_deadline).await;
+    let body = body::read(state, connection, head, framing, max_bytes, body_deadline).await;
     let body = match body {
         Ok(body) => body,
         Err(error) => {
--- a/crates/gingerpier_gateway/tests/buffers.rs
+++ b/crates/gingerpier_gateway/tests/buffers.rs
@@ -4,6 +4,7 @@
 use {
     gingerpier_base::Instant,
     gingerpier_gateway::buffers::{LARGE_BYTES, Quota, Reservation},
+    gingerpier_serving::configuration::RouteKey,
     prometheus_client::metrics::gauge::Gauge,
     std::rc::Rc,
 };
@@ -17,8 +18,15 @@
 
 /// Makes reservations of `bytes` until one is refused.
 fn fill(quota: &Rc<Quota>, bytes: usize) -> Vec<Reservation> {
+    let mut held = fill_route(quota, 1, bytes);
+    held.extend(fill_route(quota, 2, bytes));
+    held
+}
+
+/// The same for one route.
+fn fill_route(quota: &Rc<Quota>, route: u32, bytes: usize) -> Vec<Reservation> {
     let next = || {
-        let mut reservation = Reservation::new(quota);
+        let mut reservation = Reservation::new(quota, Some(RouteKey(route)));
         reservation
             .raise(bytes, Instant::from_millis(0))
             .then_some(reservation)
@@ -55,7 +63,7 @@
 #[test]
 fn a_reservation_that_grows_large_counts_once() {
     let (quota, _) = quota();
-    let mut reservation = Reservation::new(&quota);
+    let mut reservation = Reservation::new(&quota, None);
     let at = Instant::from_millis(0);
     assert!(reservation.raise(LARGE_BYTES, at) && reservation.raise(2 * LARGE_BYTES, at));
     assert_eq!(quota.held(), 2 * LARGE_BYTES);
@@ -71,3 +79,14 @@
     assert!(quota.is_short(Instant::from_millis(999)));
     assert!(!quota.is_short(Instant::from_millis(1_001)));
 }
+
+#[test]
+fn a_route_leaves_half_of_the_quota_to_others() {
+    let (quota, _) = quota();
+    let stuck = fill_route(&quota, 1, LARGE_BYTES / 2);
+    assert_eq!(stuck.len(), 4);
+    assert!(quota.is_tight(Some(RouteKey(1))) && !quota.is_tight(Some(RouteKey(2))));
+    assert_eq!(fill_route(&quota, 2, LARGE_BYTES / 2).len(), 4);
+    drop(stuck);
+    assert_eq!(fill_route(&quota, 1, LARGE_BYTES / 2).len(), 4);
+}
