--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -98,6 +98,10 @@
             connection.shutdown().await;
             return;
         }
+        if !connection.input.is_empty() {
+            // A client that pipelines requests gets one at a time, as other connections wait.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
