--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -218,7 +218,8 @@
     let components = predict(engine, criteria, EngineRates::default(), now);
     let predicted_millis = components.total_millis() + engine.overdue_millis(now) as f64;
     let expected_millis = predicted_millis + loaded_error_millis(engine, now);
-    (expected_millis <= bound_millis(criteria, &components)).then_some(Choice::Send {
+    let is_within = expected_millis <= bound_millis(criteria, &components);
+    (is_within && has_memory(engine, criteria, now)).then_some(Choice::Send {
         engine: key,
         predicted_millis,
         own_millis: components.own_prompt_millis,
@@ -298,6 +299,12 @@
         && !engine.latest_report(now).is_busy
 }
 
+/// Returns true unless the engine reports that its memory can't hold the prompt.
+fn has_memory(engine: &Engine, criteria: &Criteria<'_>, now: Instant) -> bool {
+    let free_tokens = engine.free_memory_tokens(now);
+    free_tokens.is_none_or(|free_tokens| criteria.prompt_tokens <= free_tokens)
+}
+
 fn predict(
     engine: &Engine,
     criteria: &Criteria<'_>,
--- a/crates/gingerpier_admission/src/selection/availability.rs
+++ b/crates/gingerpier_admission/src/selection/availability.rs
@@ -5,8 +5,8 @@
 
 use {
     super::{
-        Criteria, EngineRates, bound_millis, engine_rates, loaded_error_millis, min_version,
-        predict,
+        Criteria, EngineRates, bound_millis, engine_rates, has_memory, loaded_error_millis,
+        min_version, predict,
     },
     gingerpier_base::Instant,
     gingerpier_serving::{engine::Engine, fleet::Fleet},
@@ -180,7 +180,7 @@
     let predicted = predict(engine, criteria, rates, now);
     let expected = predicted.total_millis() + loaded_error_millis(engine, now);
     let bound = bound_millis(criteria, &predicted);
-    if expected > bound {
+    if expected > bound || !has_memory(engine, criteria, now) {
         return Availability::Full;
     }
     match expected + engine.overdue_millis(now) as f64 > bound {
--- a/crates/gingerpier_admission/src/selection/ranking.rs
+++ b/crates/gingerpier_admission/src/selection/ranking.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Choice, Criteria, bound_millis, engine_rates, has_valid_weights, is_eligible, latest_start,
-        loaded_error_millis, predict,
+        Choice, Criteria, bound_millis, engine_rates, has_memory, has_valid_weights, is_eligible,
+        latest_start, loaded_error_millis, predict,
     },
     crate::prediction::Components,
     gingerpier_base::{Instant, order},
@@ -81,7 +81,9 @@
                 false => 0.0,
             },
         };
-        if candidate.expected_millis() <= candidate.bound_millis(criteria, queue_share) {
+        let is_within = has_memory(engine, criteria, now)
+            && candidate.expected_millis() <= candidate.bound_millis(criteria, queue_share);
+        if is_within {
             best = Some(Ranked::Within(candidate));
         } else if best.is_none_or(
             |best| matches!(best, Ranked::Beyond(best) if cost_millis < best.cost_millis),
--- a/crates/gingerpier_gateway/src/lib.rs
+++ b/crates/gingerpier_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! # }
 //! ```
 
+pub mod buffers;
 pub mod capacity_sharing;
 pub mod client;
 pub mod compression;
--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     TimedOut,
     /// The caller closed its connection.
     Left,
+    /// The caller stopped reading its response.
+    Stalled,
     /// The request is invalid, unauthenticated or matches no route.
     Denied,
 }
@@ -82,6 +84,22 @@
     pub zone: String,
 }
 
+/// Direction of a message between a caller and the gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Direction {
+    /// From the caller: bodies of requests.
+    Request,
+    /// To the caller: responses.
+    Response,
+}
+
+/// Labels of metrics about slow callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SlowLabels {
+    /// Direction of the bytes.
+    pub direction: Direction,
+}
+
 /// Labels of an engine gauge.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EngineLabels {
@@ -132,6 +150,10 @@
     pub issued_grants: Family<GrantLabels, Gauge<f64, AtomicU64>>,
     /// Requests sent to another zone with its grant, by that zone.
     pub granted_requests: Family<ZoneLabels, Counter>,
+    /// Connections closed as their callers read or sent too slowly.
+    pub slow_callers: Family<SlowLabels, Counter>,
+    /// Bytes reserved for callers beyond what each connection may hold.
+    pub held_bytes: Family<SlowLabels, Gauge>,
     /// Listed engines by service and by availability for a usual request.
     pub engines: Family<EngineLabels, Gauge>,
     /// Number of requests that are suspected of crashing engines.
@@ -164,6 +186,8 @@
         let refusals = Family::<RefusalLabels, Counter>::default();
         let issued_grants = Family::<GrantLabels, Gauge<f64, AtomicU64>>::default();
         let granted_requests = Family::<ZoneLabels, Counter>::default();
+        let slow_callers = Family::<SlowLabels, Counter>::default();
+        let held_bytes = Family::<SlowLabels, Gauge>::default();
         let engines = Family::<EngineLabels, Gauge>::default();
         let unparsed_items = Gauge::default();
         let suspect_requests = Gauge::default();
@@ -193,6 +217,12 @@
             "Requests sent with a grant of another zone",
             granted_requests.clone(),
         );
+        registry.register(
+            "slow_callers",
+            "Connections closed for slow reading or sending",
+            slow_callers.clone(),
+        );
+        registry.register("held_bytes", "Bytes held for callers", held_bytes.clone());
         registry.register("engines", "Listed engines by standing", engines.clone());
         registry.register(
             "suspects",
@@ -227,6 +257,8 @@
             refusals,
             issued_grants,
             granted_requests,
+            slow_callers,
+            held_bytes,
             engines,
             unparsed_items,
             suspect_requests,
