--- a/crates/gingerpier_overload/src/callers.rs
+++ b/crates/gingerpier_overload/src/callers.rs
@@ -33,6 +33,8 @@
     pub tried_at: f64,
     /// Gateway that it tried last.
     pub gateway: usize,
+    /// Index of its client account.
+    pub account: usize,
     /// Kind of its request.
     pub kind: usize,
     /// Zone of the gateway that it came to first.
--- a/crates/gingerpier_overload/src/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -1,7 +1,7 @@
 //! Deployments that the model plays: one that is like a real one, and any number that are drawn.
 
 use {
-    crate::draw::Draw,
+    crate::{accounts::Accounts, draw::Draw},
     gingerpier_admission::{prediction, shedding::ReturnPolicy},
     gingerpier_serving::configuration::EngineModel,
 };
@@ -69,6 +69,8 @@
     pub zones: usize,
     /// Kinds of its requests.
     pub kinds: Vec<Kind>,
+    /// Client accounts of its requests.
+    pub accounts: Accounts,
     /// Requests that an engine lets wait.
     pub queue: usize,
     /// Milliseconds within which a first event has its full worth.
@@ -114,6 +116,7 @@
             gateways: 6,
             zones: 3,
             kinds: vec![ONE_KIND],
+            accounts: Accounts::default(),
             queue: 32,
             target_millis: 500,
             report_every_millis: 50,
--- a/crates/gingerpier_overload/src/lib.rs
+++ b/crates/gingerpier_overload/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(played.share_of_worth > 0.9, "nobody is refused where engines are free");
 //! ```
 
+pub mod accounts;
 pub mod callers;
 pub mod deployment;
 pub mod draw;
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -139,6 +139,8 @@
 pub struct World {
     deployment: Deployment,
     draw: Draw,
+    /// Separate from `draw`, so that accounts do not change what else is drawn from a seed.
+    account_draw: Draw,
     now: f64,
     count: u64,
     events: BinaryHeap<Reverse<Timed>>,
@@ -163,6 +165,7 @@
         let gateway = |index| Gateway::new(index, deployment, &lives, 0);
         let mut world = Self {
             draw: Draw::new(deployment.seed),
+            account_draw: Draw::new(!deployment.seed),
             now: 0.0,
             count: 0,
             events: BinaryHeap::new(),
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -43,16 +43,20 @@
             _ => 1.0,
         };
         let per_milli = self.deployment.capacity_per_milli() * self.load * burst;
+        let per_milli = per_milli * self.deployment.accounts.rate_factor(self.now);
         let mean = self.gateways.len() as f64 / per_milli;
         let pause = self.draw.pause(mean);
         self.after(pause, Event::Arrival(gateway));
         let kind = self.deployment.kind(&mut self.draw);
+        let accounts = &self.deployment.accounts;
+        let account = accounts.draw(&mut self.account_draw, self.now);
         let model = &self.deployment.model;
         let usual_prompt = f64::from(model.mean_prompt_tokens) * self.deployment.kinds[kind].prompt;
         let caller = Caller {
             came_at: self.now,
             tried_at: self.now,
             gateway,
+            account,
             kind,
             zone: gateway % self.deployment.zones,
             prompt: deployment::tokens(&mut self.draw, usual_prompt as u32),
