--- a/crates/gingerpier_admission/src/lib.rs
+++ b/crates/gingerpier_admission/src/lib.rs
@@ -9,6 +9,7 @@
 //! All modules are plain data and functions without I/O: time and events are arguments. Engines and
 //! their load reports come from [`gingerpier_serving::fleet`].
 
+pub mod accounts;
 pub mod arrivals;
 pub mod backlog;
 pub mod fairness;
--- a/crates/gingerpier_overload/src/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -1,7 +1,10 @@
 //! Deployments that the model plays: one that is like a real one, and any number that are drawn.
 
 use {
-    crate::{accounts::Accounts, draw::Draw},
+    crate::{
+        accounts::{AccountRule, Accounts},
+        draw::Draw,
+    },
     gingerpier_admission::{prediction, shedding::ReturnPolicy},
     gingerpier_serving::configuration::EngineModel,
 };
@@ -71,6 +74,8 @@
     pub kinds: Vec<Kind>,
     /// Client accounts of its requests.
     pub accounts: Accounts,
+    /// Sharing of the capacity between client accounts.
+    pub account_rule: AccountRule,
     /// Requests that an engine lets wait.
     pub queue: usize,
     /// Milliseconds within which a first event has its full worth.
@@ -117,6 +122,7 @@
             zones: 3,
             kinds: vec![ONE_KIND],
             accounts: Accounts::default(),
+            account_rule: AccountRule::default(),
             queue: 32,
             target_millis: 500,
             report_every_millis: 50,
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -3,6 +3,7 @@
 use {
     crate::deployment::Deployment,
     gingerpier_admission::{
+        accounts,
         arrivals::Arrivals,
         return_detection::Visit,
         selection::{self, Choice, Criteria},
@@ -33,6 +34,8 @@
     arrivals: Arrivals,
     budget: Budget,
     shedding: Controller,
+    /// Sharing between client accounts.
+    pub accounts: accounts::Controller,
     /// Gateways that it knows of, itself included.
     known_gateways: usize,
     /// Counts its incarnations.
@@ -59,6 +62,7 @@
             arrivals: Arrivals::default(),
             budget: Budget::new(limits),
             shedding: Controller::new(deployment.way),
+            accounts: accounts::Controller::default(),
             known_gateways: 1,
             life,
         };
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -90,6 +90,9 @@
             caller.gateway =
                 (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
         }
+        if self.exceeds_account_part(index) {
+            return self.retry_later(index, &RETRY_FULL);
+        }
         self.send(index, true);
         let gap = self.deployment.gap_millis() as f64;
         self.after(gap, Event::Leave(index));
@@ -127,6 +130,7 @@
             }
             Choice::Full(refusal) => {
                 let wait = self.wait_of(index, refusal.components.own_prompt_millis);
+                self.record_account_refusal(index);
                 return self.refuse(index, &RETRY_FULL, Some(wait));
             }
             Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE, None),
@@ -138,6 +142,8 @@
         gateway.note_sent(key, caller.prompt, is_first, now);
         if is_first {
             gateway.note_fate(caller.visit, false, Some(wait), now);
+            let pressure = (predicted - own) / wait.max(1.0);
+            gateway.accounts.record_admission(pressure, now);
         }
         let (engine, engine_life) = gateway.place_of(key);
         caller.tried.push(key);
@@ -184,6 +190,12 @@
         let now = self.instant();
         let caller = &mut self.callers[index];
         self.gateways[caller.gateway].note_fate(caller.visit, true, wait, now);
+        self.retry_later(index, pause);
+    }
+
+    /// A refused caller tries again later, once.
+    fn retry_later(&mut self, index: usize, pause: &Range<f64>) {
+        let caller = &mut self.callers[index];
         caller.attempt = None;
         if caller.first_at.is_some() || caller.tries > 1 {
             caller.outcome = Outcome::Refused;
--- a/crates/gingerpier_overload/tests/accounts.rs
+++ b/crates/gingerpier_overload/tests/accounts.rs
@@ -4,7 +4,7 @@
 use {
     gingerpier_overload::{
         Deployment,
-        accounts::{self, Accounts, Burst, Service},
+        accounts::{self, AccountRule, Accounts, Burst, Service},
         play,
         world::World,
     },
@@ -126,3 +126,95 @@
     let loss = others[0].served_share() - others[1].served_share();
     assert!(loss > 0.02, "{loss:.4}");
 }
+
+/// Largest decrease of the served share of the other accounts.
+const MAX_LOSS: f64 = 0.02;
+
+fn with_rule(seed: u64) -> Deployment {
+    Deployment {
+        account_rule: AccountRule::Own,
+        ..many_gateways(seed)
+    }
+}
+
+/// Guards against a burst of one account that displaces the others.
+#[test]
+fn burst_leaves_the_other_accounts_their_capacity() {
+    let (others, bursting) = run(with_rule, LOAD, BURST_FACTOR);
+    print("others", &others);
+    print("bursting account", &bursting);
+    for (index, period) in [(1, "during"), (2, "after")] {
+        let loss = others[0].served_share() - others[index].served_share();
+        assert!(loss <= MAX_LOSS, "{loss:.4} {period} the burst");
+    }
+    assert!(bursting[1].served_share() > 0.5, "the account is starved");
+}
+
+/// Guards against a rule that leaves capacity unused or refuses without need: over all accounts, as many requests must
+/// be served as without it.
+#[test]
+fn rule_costs_no_capacity() {
+    for (load, factor) in [
+        (LOAD, 1.0),
+        (LOAD, BURST_FACTOR),
+        (LOAD, 10.0),
+        (1.5, 1.0),
+        (3.0, 1.0),
+    ] {
+        let served = |rule| {
+            let (others, bursting) = run(
+                |seed| Deployment {
+                    account_rule: rule,
+                    ..many_gateways(seed)
+                },
+                load,
+                factor,
+            );
+            print(
+                &format!("load {load}, factor {factor}, {rule:?}, others"),
+                &others,
+            );
+            print(
+                &format!("load {load}, factor {factor}, {rule:?}, bursting"),
+                &bursting,
+            );
+            let mut all = others[1];
+            all.add(bursting[1]);
+            (all.served_share(), all.on_time_share())
+        };
+        let without = served(AccountRule::None);
+        let with = served(AccountRule::Own);
+        println!("load {load}, factor {factor}: all {without:.4?} without, {with:.4?} with");
+        assert!(
+            with.0 >= without.0 - 0.005,
+            "load {load}: served {with:.4?}"
+        );
+        assert!(
+            with.1 >= without.1 - 0.005,
+            "load {load}: on time {with:.4?}"
+        );
+    }
+}
+
+/// Prints what the rates of the zone's other gateways change.
+#[test]
+fn zone_rates() {
+    for (load, factor) in [(LOAD, BURST_FACTOR), (LOAD, 10.0), (1.5, 1.0)] {
+        let (others, bursting) = run(
+            |seed| Deployment {
+                account_rule: AccountRule::Zone,
+                ..many_gateways(seed)
+            },
+            load,
+            factor,
+        );
+        print(
+            &format!("load {load} factor {factor} zone, others"),
+            &others,
+        );
+        print(
+            &format!("load {load} factor {factor} zone, bursting"),
+            &bursting,
+        );
+    }
+}
