--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -123,6 +123,7 @@
                     self.slack_millis(),
                     clock::now(),
                 );
+                self.record_account_shortage();
             }
             let reason = match (self.refusal_reason, self.has_candidate) {
                 (Some(reason), _) => reason,
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -1,5 +1,6 @@
 //! Server side of the proxy: callers' connections and their requests.
 
+pub mod account_sharing;
 pub mod attempt;
 pub mod completion;
 pub mod engine_choice;
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! State of a gateway, shared by its tasks on one thread.
 
+mod accounts;
 mod engines;
 mod placement;
 mod release;
@@ -94,6 +95,7 @@
     return_detector: RefCell<Detector>,
     prompt_sizes: RefCell<Sizes>,
     shedding: RefCell<shedding::SheddingTable>,
+    accounts: RefCell<accounts::AccountTable>,
     regions: Regions,
     releases: RefCell<HashMap<String, Releases>>,
     /// Version that the origin offers, by model.
@@ -146,6 +148,7 @@
             return_detector: RefCell::new(Detector::new(started)),
             prompt_sizes: RefCell::default(),
             shedding: RefCell::default(),
+            accounts: RefCell::default(),
             regions,
             releases: RefCell::default(),
             origin_versions: RefCell::default(),
