--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -43,16 +43,20 @@
             _ => 1.0,
         };
         let per_milli = self.deployment.capacity_per_milli() * self.load * burst;
+        let per_milli = per_milli * self.deployment.accounts.rate_factor(self.now);
         let mean = self.gateways.len() as f64 / per_milli;
         let pause = self.draw.pause(mean);
         self.after(pause, Event::Arrival(gateway));
         let kind = self.deployment.kind(&mut self.draw);
+        let accounts = &self.deployment.accounts;
+        let account = accounts.draw(&mut self.account_draw, self.now);
         let model = &self.deployment.model;
         let usual_prompt = f64::from(model.mean_prompt_tokens) * self.deployment.kinds[kind].prompt;
         let caller = Caller {
             came_at: self.now,
             tried_at: self.now,
             gateway,
+            account,
             kind,
             zone: gateway % self.deployment.zones,
             prompt: deployment::tokens(&mut self.draw, usual_prompt as u32),
@@ -86,6 +90,9 @@
             caller.gateway =
                 (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
         }
+        if self.exceeds_account_part(index) {
+            return self.retry_later(index, &RETRY_FULL);
+        }
         self.send(index, true);
         let gap = self.deployment.gap_millis() as f64;
         self.after(gap, Event::Leave(index));
@@ -123,6 +130,7 @@
             }
             Choice::Full(refusal) => {
                 let wait = self.wait_of(index, refusal.components.own_prompt_millis);
+                self.record_account_refusal(index);
                 return self.refuse(index, &RETRY_FULL, Some(wait));
             }
             Choice::NoEngine => return self.refuse(index, &RETRY_NO_ENGINE, None),
@@ -134,6 +142,8 @@
         gateway.note_sent(key, caller.prompt, is_first, now);
         if is_first {
             gateway.note_fate(caller.visit, false, Some(wait), now);
+            let pressure = (predicted - own) / wait.max(1.0);
+            gateway.accounts.record_admission(pressure, now);
         }
         let (engine, engine_life) = gateway.place_of(key);
         caller.tried.push(key);
@@ -180,6 +190,12 @@
         let now = self.instant();
         let caller = &mut self.callers[index];
         self.gateways[caller.gateway].note_fate(caller.visit, true, wait, now);
+        self.retry_later(index, pause);
+    }
+
+    /// A refused caller tries again later, once.
+    fn retry_later(&mut self, index: usize, pause: &Range<f64>) {
+        let caller = &mut self.callers[index];
         caller.attempt = None;
         if caller.first_at.is_some() || caller.tries > 1 {
             caller.outcome = Outcome::Refused;
