--- a/crates/gingerpier_admission/src/selection/ranking.rs
+++ b/crates/gingerpier_admission/src/selection/ranking.rs
@@ -65,18 +65,28 @@
         if !has_valid_weights(engine, criteria, now, starts_at) {
             continue;
         }
-        let candidate = Candidate {
+        let mut candidate = Candidate {
             key,
             cost_millis,
             components,
             overdue_millis,
-            error_millis: loaded_error_millis(engine, now),
+            error_millis: 0.0,
         };
-        if candidate.expected_millis() <= candidate.bound_millis(criteria, queue_share) {
+        // The error is costly to determine, and most engines are ranked without it.
+        let bound_millis = candidate.bound_millis(criteria, queue_share);
+        let may_be_within = candidate.expected_millis() <= bound_millis;
+        let is_cheapest = match best {
+            None => true,
+            Some(Ranked::Beyond(best)) => cost_millis < best.cost_millis,
+            Some(Ranked::Within(_)) => false,
+        };
+        if !may_be_within && !is_cheapest {
+            continue;
+        }
+        candidate.error_millis = loaded_error_millis(engine, now);
+        if candidate.expected_millis() <= bound_millis {
             best = Some(Ranked::Within(candidate));
-        } else if best.is_none_or(
-            |best| matches!(best, Ranked::Beyond(best) if cost_millis < best.cost_millis),
-        ) {
+        } else if is_cheapest {
             best = Some(Ranked::Beyond(candidate));
         }
     }
