--- a/crates/gingerpier_gateway/src/state/priority.rs
+++ b/crates/gingerpier_gateway/src/state/priority.rs
@@ -65,9 +65,9 @@
         rank: Option<Rank>,
         now: Instant,
     ) -> f64 {
+        let Some(rank) = rank else { return 0.0 };
         let priorities = self.priorities.borrow();
-        let controller = priorities.controllers.find(traffic_class);
-        let (Some(rank), Some(controller)) = (rank, controller) else {
+        let Some(controller) = priorities.controllers.find(traffic_class) else {
             return 0.0;
         };
         let arrivals = self.arrivals.borrow();
