--- a/crates/gingerpier_admission/src/prediction.rs
+++ b/crates/gingerpier_admission/src/prediction.rs
@@ -89,16 +89,16 @@
         self.queue_millis + self.pass_millis + self.other_prompts_millis + self.own_prompt_millis
     }
 
-    /// Returns the components of a request that `overtaking_per_milli` more urgent requests overtake
-    /// while it waits for a slot. Without a queue, nothing changes.
+    /// Returns the components of a request that more urgent requests overtake while it waits for a
+    /// slot; these take `overtaking_share` of the engine's time at normal speed. Without a queue,
+    /// nothing changes.
     #[must_use]
-    pub fn with_overtaking(self, model: &EngineModel, overtaking_per_milli: f64) -> Self {
-        if overtaking_per_milli <= 0.0 || self.queue_millis <= 0.0 {
+    pub fn with_overtaking(self, overtaking_share: f64) -> Self {
+        if overtaking_share <= 0.0 || self.queue_millis <= 0.0 {
             return self;
         }
         // Each request that overtakes prolongs the wait, in which further ones arrive.
-        let work_millis = mean_work_millis(model) * self.slowdown;
-        let overtaking_share = (overtaking_per_milli * work_millis).min(MAX_OVERTAKING_SHARE);
+        let overtaking_share = (overtaking_share * self.slowdown).min(MAX_OVERTAKING_SHARE);
         Self {
             queue_millis: self.queue_millis / (1.0 - overtaking_share),
             ..self
--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -246,13 +246,13 @@
     best
 }
 
-/// Estimated arrival rates at each open engine, in requests per millisecond.
+/// Estimated arrivals at each open engine.
 #[derive(Debug, Clone, Copy)]
 struct EngineRates {
-    /// Requests of other gateways.
+    /// Requests of other gateways per millisecond.
     unreported: f64,
-    /// More urgent requests of all gateways.
-    overtaking: f64,
+    /// Part of the engine's time that more urgent requests of all gateways take.
+    overtaking_share: f64,
 }
 
 fn engine_rates(fleet: &Fleet, criteria: &Criteria<'_>, now: Instant) -> EngineRates {
@@ -261,9 +261,12 @@
     let is_open = |engine: &Engine| engine.is_open(now) && engine.signals.request_limit().is_none();
     let open_count = listed.filter(|(_, engine)| is_open(engine)).count();
     let open_count = open_count.max(1) as f64;
+    let work_millis = criteria
+        .engine_model
+        .map_or(0.0, prediction::mean_work_millis);
     EngineRates {
         unreported: criteria.other_arrivals_per_milli / open_count,
-        overtaking: criteria.overtaking_per_milli / open_count,
+        overtaking_share: criteria.overtaking_per_milli * work_millis / open_count,
     }
 }
 
@@ -357,7 +360,7 @@
             rates.unreported,
             now,
         )
-        .with_overtaking(model, rates.overtaking),
+        .with_overtaking(rates.overtaking_share),
         None => {
             let default_work = PLAIN_DEFAULT_WORK_SHARE * criteria.target_millis as f64;
             Components {
