--- a/crates/gingerpier_gateway/src/buffers.rs
+++ b/crates/gingerpier_gateway/src/buffers.rs
@@ -16,8 +16,8 @@
 };
 
 /// Bound of the request bodies up to [`LARGE_BYTES`] in total, and of the longer ones in total, in
-/// bytes. A gateway has at least 160 MB and spends a tenth of it on 500 slow callers, of which the
-/// connections themselves take about 12 MB.
+/// bytes. 500 slow callers may cost 16 MB, a tenth of the memory of the smallest gateway; measured
+/// are 5 to 14 MB, with the connections themselves.
 pub const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
 
 /// Bound of the buffered responses in total, in bytes; see [`MAX_REQUEST_BYTES`].
