Overload model: zones with digests, request classes and incidents

Zones have uneven shares of requests and engines; reports of other zones' engines come in digests every 500 ms with their real age. Requests have a class with a priority, a target and a value. Zones are evacuated, lost or partitioned, gateways killed or frozen. Deployments P and O of docs/design/hard-load.md.

--- a/crates/gingerpier_overload/src/callers.rs
+++ b/crates/gingerpier_overload/src/callers.rs
@@ -8,6 +8,12 @@
 /// Worth of an answer that came late, where one in time is worth 1.
 const LATE_WORTH: f64 = 0.3;
 
+/// Part of a kind's value that a late answer earns.
+const LATE_SCORE: f64 = 0.2;
+
+/// Part of a kind's value that is lost where a caller comes back and is refused again.
+const REFUSED_AGAIN_PENALTY: f64 = 0.3;
+
 /// Share of a request's worth that does not grow with its size.
 const FLAT_WORTH: f64 = 0.3;
 
@@ -61,7 +67,10 @@
 
 impl Caller {
     /// What its answer was worth, counted from its first try.
-    fn worth(&self, deployment: &Deployment) -> f64 {
+    pub fn worth(&self, deployment: &Deployment) -> f64 {
+        if let Some(value) = deployment.kinds[self.kind].value {
+            return value * self.score(deployment);
+        }
         let Some(first) = self.first_at.filter(|_| self.outcome == Outcome::Served) else {
             return 0.0;
         };
@@ -77,8 +86,25 @@
         share * self.size(deployment)
     }
 
+    /// Part of a kind's value that was earned; below 0 where it came back and was refused again.
+    pub fn score(&self, deployment: &Deployment) -> f64 {
+        let target = deployment.target_of(self.kind);
+        match (self.outcome, self.first_at) {
+            (Outcome::Served, Some(first)) if first - self.came_at <= target => 1.0,
+            (Outcome::Served, Some(first)) if first - self.tried_at <= target => {
+                f64::midpoint(1.0, LATE_SCORE)
+            }
+            (Outcome::Served, _) => LATE_SCORE,
+            (Outcome::Refused, _) if self.tries > 1 => -REFUSED_AGAIN_PENALTY,
+            _ => 0.0,
+        }
+    }
+
     /// What it could have been worth: more where it is large.
-    fn size(&self, deployment: &Deployment) -> f64 {
+    pub fn size(&self, deployment: &Deployment) -> f64 {
+        if let Some(value) = deployment.kinds[self.kind].value {
+            return value;
+        }
         let model = &deployment.model;
         let usual = f64::from(model.mean_prompt_tokens + 10 * model.mean_answer_tokens);
         FLAT_WORTH + (1.0 - FLAT_WORTH) * (self.prompt + 10 * self.answer) as f64 / usual
--- a/crates/gingerpier_overload/src/deployment.rs
+++ b/crates/gingerpier_overload/src/deployment.rs
@@ -1,7 +1,10 @@
 //! Deployments that the model plays: one that is like a real one, and any number that are drawn.
 
 use {
-    crate::draw::Draw,
+    crate::{
+        draw::Draw,
+        zoning::{self, Zoning},
+    },
     gingerpier_admission::{prediction, shedding::ReturnPolicy},
     gingerpier_serving::configuration::EngineModel,
 };
@@ -21,6 +24,12 @@
     pub target: f64,
     /// Its mean prompt, as a part of the usual one.
     pub prompt: f64,
+    /// Its mean answer, as a part of the usual one.
+    pub answer: f64,
+    /// Priority; 0 is the most urgent.
+    pub rank: u8,
+    /// Worth of a request in time; by its size where none is given.
+    pub value: Option<f64>,
 }
 
 /// The only kind of a deployment that has one.
@@ -28,6 +37,9 @@
     share: 1.0,
     target: 1.0,
     prompt: 1.0,
+    answer: 1.0,
+    rank: 0,
+    value: None,
 };
 
 /// Long ones, ones with a narrower target, short ones with that target, and a few of an account that sends only large ones.
@@ -36,21 +48,33 @@
         share: 0.38,
         target: 1.0,
         prompt: 1.3,
+        answer: 1.0,
+        rank: 0,
+        value: None,
     },
     Kind {
         share: 0.29,
         target: 0.8,
         prompt: 0.8,
+        answer: 1.0,
+        rank: 0,
+        value: None,
     },
     Kind {
         share: 0.28,
         target: 0.8,
         prompt: 0.6,
+        answer: 1.0,
+        rank: 0,
+        value: None,
     },
     Kind {
         share: 0.05,
         target: 1.0,
         prompt: 2.0,
+        answer: 1.0,
+        rank: 0,
+        value: None,
     },
 ];
 
@@ -90,6 +114,9 @@
     pub hold_millis: f64,
     /// Worth of an answer in time for those.
     pub returned_worth: f64,
+    /// Uneven zones that exchange digests; zones take turns, and all gateways hear from all engines, where there is
+    /// none.
+    pub zoning: Option<Zoning>,
 }
 
 impl Deployment {
@@ -124,6 +151,7 @@
             way: ReturnPolicy::default(),
             hold_millis: 0.0,
             returned_worth: RETURNED_WORTH,
+            zoning: None,
         }
     }
 
@@ -135,14 +163,15 @@
         }
     }
 
-    /// Which kind the next request is of; nothing is drawn where there is one.
-    pub fn kind(&self, draw: &mut Draw) -> usize {
+    /// Which kind the next request is of, with the kinds' shares multiplied by `factors`; nothing is drawn where there
+    /// is one.
+    pub fn kind(&self, factors: &[f64], draw: &mut Draw) -> usize {
         if self.kinds.len() == 1 {
             return 0;
         }
-        let mut left = draw.share();
-        let found = self.kinds.iter().position(|kind| {
-            left -= kind.share;
+        let mut left = draw.share() * self.growth(factors);
+        let found = self.kinds.iter().zip(factors).position(|(kind, factor)| {
+            left -= kind.share * factor;
             left < 0.0
         });
         found.unwrap_or_default()
@@ -220,12 +249,50 @@
         }
     }
 
-    /// Milliseconds of the way between two zones.
-    pub fn way_millis(&self, one: usize, other: usize) -> f64 {
-        if one % self.zones == other % self.zones {
-            self.near_millis
-        } else {
-            self.far_millis
+    /// Times as many requests where the kinds' shares are multiplied by `factors`.
+    pub fn growth(&self, factors: &[f64]) -> f64 {
+        let is_usual = factors.iter().all(|factor| *factor == 1.0);
+        let shares = self.kinds.iter().zip(factors);
+        match is_usual {
+            true => 1.0,
+            false => shares.map(|(kind, factor)| kind.share * factor).sum(),
+        }
+    }
+
+    /// Zone of a gateway.
+    pub fn zone_of_gateway(&self, gateway: usize) -> usize {
+        match &self.zoning {
+            Some(zoning) => zoning::zone_of(&zoning.gateways, gateway),
+            None => gateway % self.zones,
+        }
+    }
+
+    /// Zone of an engine.
+    pub fn zone_of_engine(&self, engine: usize) -> usize {
+        match &self.zoning {
+            Some(zoning) => zoning::zone_of(&zoning.engines, engine),
+            None => engine % self.zones,
+        }
+    }
+
+    /// Part of all requests that come to a gateway first.
+    pub fn share_of_gateway(&self, gateway: usize) -> f64 {
+        match &self.zoning {
+            Some(zoning) => zoning.share_of_gateway(gateway),
+            None => 1.0 / self.gateways as f64,
+        }
+    }
+
+    /// True where a gateway and an engine are in one zone.
+    pub fn is_near(&self, gateway: usize, engine: usize) -> bool {
+        self.zone_of_gateway(gateway) == self.zone_of_engine(engine)
+    }
+
+    /// Milliseconds of the way between a gateway and an engine.
+    pub fn way_millis(&self, gateway: usize, engine: usize) -> f64 {
+        match self.is_near(gateway, engine) {
+            true => self.near_millis,
+            false => self.far_millis,
         }
     }
 }
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -11,6 +11,7 @@
     gingerpier_base::Instant,
     gingerpier_serving::{
         budget::{Budget, Limits},
+        engine,
         fleet::{EngineKey, Fleet, Record, State},
         mirror::Revision,
         region::RegionSet,
@@ -44,9 +45,14 @@
     format!("{engine}/{life}")
 }
 
+/// Name of a zone.
+pub fn zone_name(zone: usize) -> String {
+    format!("z{zone}")
+}
+
 impl Gateway {
     /// A gateway that knows nothing but the list of engines, given by their incarnations.
-    pub fn new(zone: usize, deployment: &Deployment, lives: &[Option<u32>], life: u32) -> Self {
+    pub fn new(index: usize, deployment: &Deployment, lives: &[Option<u32>], life: u32) -> Self {
         let limits = Limits {
             ratio: RETRIES.0,
             extra: RETRIES.1,
@@ -54,7 +60,11 @@
             gateways: deployment.gateways as u32,
         };
         let mut gateway = Self {
-            zone,
+            // Without zoning, only the first gateway of each zone prefers that zone's engines.
+            zone: match deployment.zoning {
+                Some(_) => deployment.zone_of_gateway(index),
+                None => index,
+            },
             fleet: Fleet::default(),
             arrivals: Arrivals::default(),
             budget: Budget::new(limits),
@@ -76,7 +86,7 @@
             id: name(engine, life),
             service: crate::SERVICE.to_owned(),
             address: ([10, 0, 0, engine as u8], 80).into(),
-            zone: format!("z{}", engine % deployment.zones),
+            zone: zone_name(deployment.zone_of_engine(engine)),
             state: State::Ready,
             slots: deployment.model.slots,
             cold_millis: 0,
@@ -110,10 +120,34 @@
         }
     }
 
+    /// Reports of the engines in `zone`, with their age in milliseconds.
+    pub fn reports_of_zone(&self, zone: usize, now: Instant) -> Vec<(ReportOf, Report, u64)> {
+        let name = zone_name(zone);
+        let engines = self.fleet.of_service(crate::SERVICE);
+        let own = engines.filter(|(_, engine)| engine.record.zone == name);
+        let report = |(key, engine): (EngineKey, &engine::Engine)| {
+            let report = engine.fresh_report(now)?.clone();
+            let (engine_index, life) = self.place_of(key);
+            let of = ReportOf {
+                engine: engine_index,
+                life,
+                is_direct: false,
+            };
+            Some((of, report, engine.report_age(now)?))
+        };
+        own.filter_map(report).collect()
+    }
+
+    /// Sets whether the engines of `zone` get no new requests.
+    pub fn set_evacuated(&mut self, zone: usize, is_evacuated: bool, now: Instant) {
+        self.fleet
+            .set_evacuated(&zone_name(zone), is_evacuated, now);
+    }
+
     /// Chooses an engine for a request.
     pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Choice {
         let others = (self.known_gateways - 1) as f64;
-        let zone = format!("z{}", self.zone);
+        let zone = zone_name(self.zone);
         let criteria = Criteria {
             service: crate::SERVICE,
             engine_model: Some(&ask.deployment.model),
@@ -155,7 +189,7 @@
     }
 
     /// An engine, to be changed.
-    pub fn engine_mut(&mut self, key: EngineKey) -> &mut gingerpier_serving::engine::Engine {
+    pub fn engine_mut(&mut self, key: EngineKey) -> &mut engine::Engine {
         self.fleet.engine_mut(key)
     }
 
--- a/crates/gingerpier_overload/src/lib.rs
+++ b/crates/gingerpier_overload/src/lib.rs
@@ -4,8 +4,10 @@
 //! predictions, admission, arrivals, retry budget) with the calls that a gateway makes of it. What is played
 //! is one deployment that is like a real one, and any number that are drawn.
 //!
-//! Left out are versions of weights, ordinary services, priorities and links that are full: each way takes
-//! as long as it takes.
+//! A deployment may have uneven zones ([`zoning`]): gateways then know the engines of other zones from digests, requests
+//! belong to classes with a priority, a target and a value, and zones and gateways have incidents ([`incident`]).
+//!
+//! Left out are versions of weights, ordinary services and links that are full: each way takes as long as it takes.
 //!
 //! ```
 //! use gingerpier_overload::{Deployment, pattern::Pattern, play};
@@ -20,11 +22,14 @@
 pub mod engine;
 pub mod error;
 pub mod gateway;
+pub mod incident;
 pub mod parts;
 pub mod pattern;
 pub mod play;
 pub mod report;
+pub mod shares;
 pub mod world;
+pub mod zoning;
 
 pub use deployment::Deployment;
 
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -1,100 +1,29 @@
 //! Callers, gateways, engines and the ways between them, in virtual time.
 
 mod attempts;
+mod events;
+mod incidents;
+mod zones;
 
 use {
+    self::events::{Event, Timed, Word},
     crate::{
-        callers::{Caller, Outcome},
+        callers::Caller,
         deployment::Deployment,
         draw::Draw,
         engine::{Brought, Engine},
         gateway::{Gateway, ReportOf},
+        incident::Incident,
     },
     gingerpier_admission::backlog::Backlog,
     gingerpier_base::Instant,
     gingerpier_serving::{fleet::EngineKey, report::Report},
-    std::{cmp::Reverse, collections::BinaryHeap, ops::Range},
+    std::{cmp::Reverse, collections::BinaryHeap},
 };
 
 /// Milliseconds between an engine's end and the word that it is off the list.
 const LIST_MILLIS: f64 = 300.0;
 
-/// What comes to pass.
-#[derive(Debug, Clone)]
-enum Event {
-    /// The next request comes to a gateway.
-    Arrival(usize),
-    /// A caller tries.
-    Try(usize),
-    /// A gateway looks again at a caller that it holds.
-    Again(usize),
-    /// A caller gives up where its attempt shows nothing.
-    Leave(usize),
-    /// An attempt reaches its engine.
-    Reach(usize),
-    /// An attempt's caller left, and its engine learns of it.
-    Cancel(usize),
-    /// An engine's pass ends.
-    Pass { engine: usize, life: u32 },
-    /// A gateway gets an attempt's events, or learns that it failed.
-    Word(usize, Word),
-    /// A gateway looks whether an attempt shows anything.
-    Patience(usize),
-    /// An engine tells its load to a gateway.
-    Tell { engine: usize, gateway: usize },
-    /// A report reaches a gateway.
-    Hear {
-        gateway: usize,
-        of: ReportOf,
-        report: Box<Report>,
-        at: f64,
-    },
-    /// Engines end, or begin.
-    Switch { engines: Range<usize>, is_up: bool },
-    /// Gateways learn of it.
-    List {
-        engine: usize,
-        life: u32,
-        is_up: bool,
-    },
-    /// All gateways end, and begin without knowledge.
-    Restart,
-}
-
-/// What a gateway learns of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Word {
-    First,
-    Last,
-    Full,
-    Broken,
-    TimedOut,
-}
-
-/// An event and its time in microseconds; the number keeps those of one time in order.
-#[derive(Debug)]
-struct Timed(u64, u64, Event);
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// An attempt of a gateway at an engine.
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
@@ -134,6 +63,59 @@
     pub refused_free: usize,
 }
 
+/// State of zones and gateways that incidents change.
+#[derive(Debug, Clone, Default)]
+struct Conditions {
+    /// Zones whose engines get no new requests.
+    evacuated: Vec<bool>,
+    /// Zones that exchange nothing with the others.
+    partitioned: Vec<bool>,
+    /// Gateways that aren't there.
+    is_down: Vec<bool>,
+    /// Until when each gateway doesn't run.
+    frozen_until: Vec<f64>,
+    /// Multiple of each kind's usual number of requests.
+    kind_factors: Vec<f64>,
+}
+
+impl Conditions {
+    fn new(deployment: &Deployment) -> Self {
+        Self {
+            evacuated: vec![false; deployment.zones],
+            partitioned: vec![false; deployment.zones],
+            is_down: vec![false; deployment.gateways],
+            frozen_until: vec![0.0; deployment.gateways],
+            kind_factors: vec![1.0; deployment.kinds.len()],
+        }
+    }
+}
+
+/// A try of a caller at a gateway.
+#[derive(Debug, Clone, Copy)]
+pub struct Try {
+    /// When it ended: sent to an engine or refused.
+    pub at: f64,
+    /// Gateway.
+    pub gateway: usize,
+    /// True where the gateway refused it.
+    pub is_refused: bool,
+}
+
+/// The first event of an attempt.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstEvent {
+    /// When the attempt was sent.
+    pub sent_at: f64,
+    /// Gateway that sent it.
+    pub gateway: usize,
+    /// Engine that ran it.
+    pub engine: usize,
+    /// Predicted milliseconds to the first event.
+    pub predicted: f64,
+    /// Actual ones.
+    pub actual: f64,
+}
+
 /// The model.
 #[derive(Debug)]
 pub struct World {
@@ -151,6 +133,12 @@
     /// Load, as a part of the capacity.
     load: f64,
     trigger: Option<Trigger>,
+    incidents: Vec<Incident>,
+    conditions: Conditions,
+    /// Tries of callers at gateways, in their order.
+    pub tries: Vec<Try>,
+    /// First events beside their predictions.
+    pub first_events: Vec<FirstEvent>,
     /// What was worst.
     pub worst: Worst,
 }
@@ -158,6 +146,17 @@
 impl World {
     /// Plays a deployment at `load`, from empty engines on, until `until` milliseconds.
     pub fn play(deployment: &Deployment, load: f64, trigger: Option<Trigger>, until: f64) -> Self {
+        Self::play_with(deployment, load, trigger, Vec::new(), until)
+    }
+
+    /// The same with incidents of zones and gateways.
+    pub fn play_with(
+        deployment: &Deployment,
+        load: f64,
+        trigger: Option<Trigger>,
+        incidents: Vec<Incident>,
+        until: f64,
+    ) -> Self {
         let engine = Engine::new(deployment.model.clone(), deployment.queue);
         let lives = vec![Some(0); deployment.engines];
         let gateway = |index| Gateway::new(index, deployment, &lives, 0);
@@ -173,6 +172,10 @@
             callers: Vec::new(),
             load,
             trigger,
+            incidents,
+            conditions: Conditions::new(deployment),
+            tries: Vec::new(),
+            first_events: Vec::new(),
             worst: Worst::default(),
             deployment: deployment.clone(),
         };
@@ -190,11 +193,18 @@
     fn begin(&mut self) {
         for gateway in 0..self.gateways.len() {
             self.after(0.0, Event::Arrival(gateway));
+            if self.deployment.zoning.is_some() {
+                continue;
+            }
             for engine in 0..self.engines.len() {
                 let phase = self.draw.between(0.0, 50.0);
                 self.after(phase, Event::Tell { engine, gateway });
             }
         }
+        if self.deployment.zoning.is_some() {
+            self.begin_zones();
+        }
+        self.begin_incidents();
         if let Some(trigger) = self.trigger {
             let lost = 0..(self.engines.len() as f64 * trigger.engines_lost) as usize;
             let ends = Event::Switch {
@@ -227,6 +237,9 @@
     }
 
     fn handle(&mut self, event: Event) {
+        if let Some(until) = self.frozen_until(&event) {
+            return self.after(until - self.now, event);
+        }
         match event {
             Event::Arrival(gateway) => self.arrive(gateway),
             Event::Try(caller) => self.attempt_first(caller),
@@ -262,6 +275,10 @@
                 is_up,
             } => self.list(engine, life, is_up),
             Event::Restart => self.restart(),
+            Event::TellZone(engine) => self.tell_zone(engine),
+            Event::Digest(gateway) => self.send_digest(gateway),
+            Event::HearDigest { gateway, digest } => self.hear_digest(gateway, &digest),
+            Event::Incident { index, is_begin } => self.change(index, is_begin),
         }
     }
 
@@ -296,7 +313,7 @@
     fn tell(&mut self, engine: usize, gateway: usize) {
         let deployment = &self.deployment;
         let way = deployment.way_millis(gateway, engine);
-        let is_near = gateway % deployment.zones == engine % deployment.zones;
+        let is_near = deployment.is_near(gateway, engine);
         let every = match is_near {
             true => deployment.report_every_millis,
             false => deployment.far_report_every_millis,
@@ -373,27 +390,7 @@
     }
 
     fn restart(&mut self) {
-        let lives: Vec<Option<u32>> = self
-            .engines
-            .iter()
-            .map(|engine| engine.is_up.then_some(engine.life))
-            .collect();
-        for attempt in 0..self.attempts.len() {
-            let Some(known) = self.open(attempt) else {
-                continue;
-            };
-            self.attempts[attempt].is_over = true;
-            let way = self.way(attempt);
-            self.after(way, Event::Cancel(attempt));
-            let caller = &mut self.callers[known.caller];
-            caller.attempt = None;
-            match caller.tries {
-                1 => self.after(20.0, Event::Try(known.caller)),
-                _ => caller.outcome = Outcome::Lost,
-            }
-        }
-        for (index, gateway) in self.gateways.iter_mut().enumerate() {
-            *gateway = Gateway::new(index, &self.deployment, &lives, gateway.life + 1);
-        }
+        let all: Vec<usize> = (0..self.gateways.len()).collect();
+        self.restart_gateways(&all);
     }
 }
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -1,7 +1,7 @@
 //! The course of a caller's request: it comes, goes to an engine or is refused, and ends.
 
 use {
-    super::{Attempt, Event, Word, World},
+    super::{Attempt, Event, FirstEvent, Try, Word, World, incidents},
     crate::{
         callers::{Caller, Outcome},
         deployment,
@@ -42,21 +42,32 @@
             Some(trigger) if self.is_triggered() => trigger.burst,
             _ => 1.0,
         };
-        let per_milli = self.deployment.capacity_per_milli() * self.load * burst;
-        let mean = self.gateways.len() as f64 / per_milli;
+        let factors = &self.conditions.kind_factors;
+        let growth = self.deployment.growth(factors);
+        let per_milli = self.deployment.capacity_per_milli() * self.load * burst * growth;
+        let mean = match &self.deployment.zoning {
+            Some(zoning) => 1.0 / (per_milli * zoning.share_of_gateway(gateway)),
+            None => self.gateways.len() as f64 / per_milli,
+        };
         let pause = self.draw.pause(mean);
+        let factors = &self.conditions.kind_factors;
+        let kind = self.deployment.kind(factors, &mut self.draw);
         self.after(pause, Event::Arrival(gateway));
-        let kind = self.deployment.kind(&mut self.draw);
+        let zone = self.deployment.zone_of_gateway(gateway);
+        let Some(gateway) = self.accepting(gateway) else {
+            return;
+        };
         let model = &self.deployment.model;
         let usual_prompt = f64::from(model.mean_prompt_tokens) * self.deployment.kinds[kind].prompt;
+        let usual_answer = f64::from(model.mean_answer_tokens) * self.deployment.kinds[kind].answer;
         let caller = Caller {
             came_at: self.now,
             tried_at: self.now,
             gateway,
             kind,
-            zone: gateway % self.deployment.zones,
+            zone,
             prompt: deployment::tokens(&mut self.draw, usual_prompt as u32),
-            answer: deployment::tokens(&mut self.draw, model.mean_answer_tokens),
+            answer: deployment::tokens(&mut self.draw, usual_answer as u32),
             is_impatient: self.draw.share() < self.deployment.impatient_share,
             tries: 0,
             first_at: None,
@@ -83,8 +94,16 @@
         caller.tried.clear();
         caller.held_until = None;
         if caller.tries > 1 {
-            caller.gateway =
-                (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
+            let draw = self.draw.number();
+            caller.gateway = match &self.deployment.zoning {
+                Some(zoning) => zoning.other_gateway(caller.gateway, draw),
+                None => (caller.gateway + 1 + (draw % gateways as u64) as usize) % gateways,
+            };
+            let Some(gateway) = self.accepting(self.callers[index].gateway) else {
+                self.callers[index].outcome = Outcome::Lost;
+                return;
+            };
+            self.callers[index].gateway = gateway;
         }
         self.send(index, true);
         let gap = self.deployment.gap_millis() as f64;
@@ -134,6 +153,11 @@
         gateway.note_sent(key, caller.prompt, is_first, now);
         if is_first {
             gateway.note_fate(caller.visit, false, Some(wait), now);
+            self.tries.push(Try {
+                at: self.now,
+                gateway: caller.gateway,
+                is_refused: false,
+            });
         }
         let (engine, engine_life) = gateway.place_of(key);
         caller.tried.push(key);
@@ -180,6 +204,13 @@
         let now = self.instant();
         let caller = &mut self.callers[index];
         self.gateways[caller.gateway].note_fate(caller.visit, true, wait, now);
+        if caller.tried.is_empty() {
+            self.tries.push(Try {
+                at: self.now,
+                gateway: caller.gateway,
+                is_refused: true,
+            });
+        }
         caller.attempt = None;
         if caller.first_at.is_some() || caller.tries > 1 {
             caller.outcome = Outcome::Refused;
@@ -219,6 +250,12 @@
             deadline: caller.tried_at + self.deployment.timeout_millis() as f64,
         };
         let way = self.way(attempt);
+        if self.is_cut_off(attempt) {
+            return self.after(
+                incidents::CONNECT_TIMEOUT_MILLIS,
+                Event::Word(attempt, Word::Broken),
+            );
+        }
         let there = &mut self.engines[engine];
         if !there.is_up || there.life != engine_life {
             return self.after(way, Event::Word(attempt, Word::Broken));
@@ -261,6 +298,13 @@
                 engine.record_lateness(self.now - known.sent_at - known.predicted);
                 self.attempts[attempt].is_waiting = false;
                 caller.first_at = caller.first_at.or(Some(self.now));
+                self.first_events.push(FirstEvent {
+                    sent_at: known.sent_at,
+                    gateway: known.gateway,
+                    engine: known.engine,
+                    predicted: known.predicted,
+                    actual: self.now - known.sent_at,
+                });
             }
             Word::Last => {
                 engine.record_success();
--- /dev/null
+++ b/crates/gingerpier_overload/src/zoning.rs
@@ -0,0 +1,148 @@
+//! Zones with uneven shares of requests and engines, whose gateways learn of engines in other zones by digests.
+
+use {
+    crate::deployment::{Deployment, Kind},
+    gingerpier_serving::configuration::EngineModel,
+};
+
+/// Zones of a deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Zoning {
+    /// Gateways of each zone; their indexes follow each other.
+    pub gateways: Vec<usize>,
+    /// Engines of each zone; their indexes follow each other.
+    pub engines: Vec<usize>,
+    /// Part of the requests that comes to each zone.
+    pub requests: Vec<f64>,
+    /// Milliseconds between two digests of a zone.
+    pub digest_millis: u64,
+}
+
+/// Zone of the member with this index, where each zone has so many.
+pub fn zone_of(counts: &[usize], index: usize) -> usize {
+    let mut end = 0;
+    let found = counts.iter().position(|count| {
+        end += count;
+        index < end
+    });
+    found.unwrap_or_default()
+}
+
+impl Zoning {
+    /// Indexes of the gateways of a zone.
+    pub fn gateways_of(&self, zone: usize) -> std::ops::Range<usize> {
+        let begin = self.gateways[..zone].iter().sum();
+        begin..begin + self.gateways[zone]
+    }
+
+    /// Indexes of the engines of a zone.
+    pub fn engines_of(&self, zone: usize) -> std::ops::Range<usize> {
+        let begin = self.engines[..zone].iter().sum();
+        begin..begin + self.engines[zone]
+    }
+
+    /// Part of all requests that comes to a gateway.
+    pub fn share_of_gateway(&self, gateway: usize) -> f64 {
+        let zone = zone_of(&self.gateways, gateway);
+        self.requests[zone] / self.gateways[zone] as f64
+    }
+
+    /// Another gateway of the same zone, where there is one.
+    pub fn other_gateway(&self, gateway: usize, draw: u64) -> usize {
+        let own = self.gateways_of(zone_of(&self.gateways, gateway));
+        let steps = match own.len() {
+            1 => 0,
+            count => 1 + draw as usize % (count - 1),
+        };
+        own.start + (gateway - own.start + steps) % own.len()
+    }
+}
+
+/// A class of requests of a deployment: its share, target in milliseconds, mean prompt, events, priority and value.
+struct Class(f64, f64, f64, f64, u8, f64);
+
+/// Deployment P of `docs/design/hard-load.md`: three zones with 15 engines each.
+///
+/// The page states no shares of classes and zones for P; they are equal here.
+pub fn deployment_p(seed: u64) -> Deployment {
+    let third = 1.0 / 3.0;
+    let classes = [
+        Class(third, 400.0, 1_290.0, 18.0, 0, 3.6),
+        Class(third, 400.0, 787.0, 18.0, 1, 1.7),
+        Class(third, 800.0, 607.0, 10.0, 2, 0.55),
+    ];
+    let zoning = Zoning {
+        gateways: vec![10, 10, 9],
+        engines: vec![15, 15, 15],
+        requests: vec![third; 3],
+        digest_millis: 500,
+    };
+    with_zones(seed, zoning, &classes, [7.4, 31.9, 7.0], 1.8)
+}
+
+/// Deployment O of the page: one of three zones has 35% of the engines and receives 41% of the requests.
+pub fn deployment_o(seed: u64) -> Deployment {
+    let third = 1.0 / 3.0;
+    let classes = [
+        Class(third, 500.0, 1_290.0, 22.0, 1, 2.4),
+        Class(third, 400.0, 787.0, 22.0, 1, 2.0),
+        Class(third, 400.0, 607.0, 14.0, 1, 1.5),
+    ];
+    let zoning = Zoning {
+        gateways: vec![14, 11, 10],
+        engines: vec![14, 13, 13],
+        requests: vec![0.41, 0.295, 0.295],
+        digest_millis: 500,
+    };
+    with_zones(seed, zoning, &classes, [8.87, 19.1, 5.0], 4.9)
+}
+
+/// A deployment with engines of 12 slots, given by milliseconds of a step, prompt tokens per millisecond and tokens of
+/// an event.
+fn with_zones(
+    seed: u64,
+    zoning: Zoning,
+    classes: &[Class],
+    [step_millis, prompt_tokens_per_milli, stride]: [f64; 3],
+    far_millis: f64,
+) -> Deployment {
+    let usual = Deployment::usual(seed);
+    let mean = |part: fn(&Class) -> f64| -> f64 {
+        classes.iter().map(|class| class.0 * part(class)).sum()
+    };
+    let prompt = mean(|class| class.2);
+    let events = mean(|class| class.3);
+    let target = classes[0].1;
+    let kind = |class: &Class| Kind {
+        share: class.0,
+        target: class.1 / target,
+        prompt: class.2 / prompt,
+        answer: class.3 / events,
+        rank: class.4,
+        value: Some(class.5),
+    };
+    let slower = step_millis / usual.model.step_millis;
+    Deployment {
+        model: EngineModel {
+            slots: 12,
+            stride: stride as u32,
+            step_millis,
+            per_request_millis: usual.model.per_request_millis * slower,
+            per_thousand_tokens_millis: usual.model.per_thousand_tokens_millis * slower,
+            prompt_tokens_per_milli,
+            mean_prompt_tokens: prompt as u32,
+            mean_answer_tokens: (events * stride) as u32,
+            ..usual.model
+        },
+        engines: zoning.engines.iter().sum(),
+        gateways: zoning.gateways.iter().sum(),
+        zones: zoning.engines.len(),
+        kinds: classes.iter().map(kind).collect(),
+        queue: 24,
+        target_millis: target as u64,
+        near_millis: 0.3,
+        far_millis,
+        zoning: Some(zoning),
+        ..usual
+    }
+}
