Overload model: demand, grants and their placement

Gateways carry the state of gingerpier_admission::sharing: demand goes to the digest senders, digests carry demand and grants.

--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -1,11 +1,16 @@
 //! A gateway: the product's own state, and the calls that the gateway's I/O makes of it.
 
 use {
-    crate::deployment::Deployment,
+    crate::{
+        deployment::Deployment,
+        sharing::{Part, Sharing},
+        zoning::{Placement, Policy},
+    },
     gingerpier_admission::{
         arrivals::Arrivals,
         return_detection::Visit,
         selection::{self, Choice, Criteria},
+        sharing::placement,
         shedding::Controller,
     },
     gingerpier_base::Instant,
@@ -36,6 +41,8 @@
     shedding: Controller,
     /// Gateways that it knows of, itself included.
     known_gateways: usize,
+    /// Demand and grants; none without zoning.
+    pub sharing: Option<Sharing>,
     /// Counts its incarnations.
     pub life: u32,
 }
@@ -52,7 +59,13 @@
 
 impl Gateway {
     /// A gateway that knows nothing but the list of engines, given by their incarnations.
-    pub fn new(index: usize, deployment: &Deployment, lives: &[Option<u32>], life: u32) -> Self {
+    pub fn new(
+        index: usize,
+        deployment: &Deployment,
+        lives: &[Option<u32>],
+        life: u32,
+        now: Instant,
+    ) -> Self {
         let limits = Limits {
             ratio: RETRIES.0,
             extra: RETRIES.1,
@@ -70,6 +83,10 @@
             budget: Budget::new(limits),
             shedding: Controller::new(deployment.way),
             known_gateways: 1,
+            sharing: deployment.zoning.as_ref().map(|zoning| {
+                let zone = deployment.zone_of_gateway(index);
+                Sharing::new(index, zone, zoning.gateways[zone], now)
+            }),
             life,
         };
         for (engine, life) in lives.iter().enumerate() {
@@ -146,9 +163,89 @@
 
     /// Chooses an engine for a request.
     pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Choice {
-        let others = (self.known_gateways - 1) as f64;
         let zone = zone_name(self.zone);
+        let criteria = self.criteria(ask, &zone, now);
+        selection::choose(&self.fleet, &criteria, now, ask.draw)
+    }
+
+    /// Chooses an engine of `granting_zone` for a request that exceeds the bound elsewhere.
+    pub fn choose_granted(
+        &self,
+        ask: &Ask<'_>,
+        granting_zone: &str,
+        placement: Placement,
+        now: Instant,
+    ) -> Option<Choice> {
+        let zone = zone_name(self.zone);
+        let criteria = self.criteria(ask, &zone, now);
+        let others = match placement {
+            Placement::TwoDrawn => ask.tried.to_vec(),
+            Placement::LeastLoaded => self.all_but_least_loaded(ask, granting_zone, now),
+        };
         let criteria = Criteria {
+            tried_engines: &others,
+            ..criteria
+        };
+        placement::choose(&self.fleet, &criteria, granting_zone, now, ask.draw)
+    }
+
+    /// Chooses an engine of this gateway's zone for a request of another zone's gateway.
+    pub fn place(
+        &mut self,
+        ask: &Ask<'_>,
+        tried: &[(usize, u32)],
+        places_all: bool,
+        now: Instant,
+    ) -> Choice {
+        let zone = zone_name(self.zone);
+        let engines = self.fleet.of_service(crate::SERVICE);
+        let others = engines.filter(|(key, engine)| {
+            engine.record.zone != zone || tried.contains(&self.place_of(*key))
+        });
+        let others: Vec<EngineKey> = others.map(|(key, _)| key).collect();
+        let criteria = self.criteria(ask, &zone, now);
+        let criteria = Criteria {
+            tried_engines: &others,
+            other_arrivals_per_milli: match places_all {
+                true => 0.0,
+                false => criteria.other_arrivals_per_milli,
+            },
+            gateway_count: match places_all {
+                true => 1,
+                false => criteria.gateway_count,
+            },
+            ..criteria
+        };
+        let choice = selection::choose(&self.fleet, &criteria, now, ask.draw);
+        if let Choice::Send { engine, .. } = choice {
+            // Counts until a report shows it.
+            let engine = self.fleet.engine_mut(engine);
+            engine.record_sent(ask.prompt, now);
+            engine.record_end(ask.prompt, true);
+        }
+        choice
+    }
+
+    /// Key of an engine, where it is listed here.
+    pub fn key_of(&self, (engine, life): (usize, u32)) -> Option<EngineKey> {
+        self.fleet.find(&name(engine, life))
+    }
+
+    fn all_but_least_loaded(&self, ask: &Ask<'_>, zone: &str, now: Instant) -> Vec<EngineKey> {
+        let engines = self.fleet.of_service(crate::SERVICE);
+        let own = engines.filter(|(key, engine)| {
+            engine.record.zone == zone && engine.is_open(now) && !ask.tried.contains(key)
+        });
+        let least =
+            own.min_by(|(_, one), (_, other)| one.occupancy(now).total_cmp(&other.occupancy(now)));
+        let least = least.map(|(key, _)| key);
+        let all = self.fleet.of_service(crate::SERVICE).map(|(key, _)| key);
+        all.filter(|key| Some(*key) != least).collect()
+    }
+
+    fn criteria<'a>(&self, ask: &'a Ask<'_>, zone: &'a str, now: Instant) -> Criteria<'a> {
+        let others = (self.known_gateways - 1) as f64;
+        Criteria {
             service: crate::SERVICE,
             engine_model: Some(&ask.deployment.model),
             model: Some(crate::MODEL),
@@ -158,15 +255,27 @@
             target_millis: ask.target_millis,
             target_share: self.shedding.target_share(ask.visit, now),
             fairness: self.shedding.fairness(now),
-            zone: &zone,
+            zone,
             gateway_count: self.known_gateways as u32,
             other_arrivals_per_milli: self.arrivals.per_milli(now) * others,
             tried_engines: ask.tried,
             may_crash_engine: false,
             allowed_regions: RegionSet::ALL,
             cold_limits: warmup::ColdLimits::NEVER_COLD,
-        };
-        selection::choose(&self.fleet, &criteria, now, ask.draw)
+        }
+    }
+
+    /// Demand and grants of a digest that is due.
+    pub fn poll_digest(
+        &mut self,
+        is_sender: bool,
+        policy: &Policy,
+        deployment: &Deployment,
+        now: Instant,
+    ) -> Option<Part> {
+        let sharing = self.sharing.as_mut()?;
+        let view = (&self.fleet, &deployment.model, deployment.zones);
+        sharing.poll_digest(is_sender, policy, view, now)
     }
 
     /// Notes a request that was sent to an engine; `is_first` where it is no retry.
--- a/crates/gingerpier_overload/src/lib.rs
+++ b/crates/gingerpier_overload/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod play;
 pub mod report;
 pub mod shares;
+pub mod sharing;
 pub mod world;
 pub mod zoning;
 
--- a/crates/gingerpier_overload/src/shares.rs
+++ b/crates/gingerpier_overload/src/shares.rs
@@ -24,6 +24,8 @@
     pub tries: usize,
     /// Tries that the gateway refused.
     pub refused_tries: usize,
+    /// Tries that were sent with a grant.
+    pub granted_tries: usize,
     /// Value that was earned.
     pub earned: f64,
     /// Value that all requests could have earned.
@@ -50,6 +52,11 @@
         self.refused_tries as f64 / self.tries.max(1) as f64
     }
 
+    /// Part of the tries that were sent with a grant.
+    pub fn granted_share(&self) -> f64 {
+        self.granted_tries as f64 / self.tries.max(1) as f64
+    }
+
     /// Part of the value that was earned.
     pub fn value_share(&self) -> f64 {
         self.earned / self.value.max(f64::MIN_POSITIVE)
@@ -122,6 +129,7 @@
             ] {
                 share.tries += 1;
                 share.refused_tries += usize::from(one.is_refused);
+                share.granted_tries += usize::from(one.is_granted);
             }
         }
         let events = world.first_events.iter();
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod events;
 mod incidents;
+mod placing;
 mod zones;
 
 use {
@@ -24,6 +25,9 @@
 /// Milliseconds between an engine's end and the word that it is off the list.
 const LIST_MILLIS: f64 = 300.0;
 
+/// Instant at which a play begins, in milliseconds: one of the product's clock is never near zero.
+const EPOCH_MILLIS: u64 = 1_000_000;
+
 /// An attempt of a gateway at an engine.
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
@@ -35,6 +39,7 @@
     engine_life: u32,
     sent_at: f64,
     predicted: f64,
+    is_granted: bool,
     is_waiting: bool,
     is_over: bool,
 }
@@ -72,6 +77,8 @@
     partitioned: Vec<bool>,
     /// Gateways that aren't there.
     is_down: Vec<bool>,
+    /// Since when each gateway is down or doesn't run; none while it runs.
+    silent_since: Vec<Option<f64>>,
     /// Until when each gateway doesn't run.
     frozen_until: Vec<f64>,
     /// Multiple of each kind's usual number of requests.
@@ -84,6 +91,7 @@
             evacuated: vec![false; deployment.zones],
             partitioned: vec![false; deployment.zones],
             is_down: vec![false; deployment.gateways],
+            silent_since: vec![None; deployment.gateways],
             frozen_until: vec![0.0; deployment.gateways],
             kind_factors: vec![1.0; deployment.kinds.len()],
         }
@@ -99,6 +107,8 @@
     pub gateway: usize,
     /// True where the gateway refused it.
     pub is_refused: bool,
+    /// True where it was sent with a grant.
+    pub is_granted: bool,
 }
 
 /// The first event of an attempt.
@@ -112,6 +122,8 @@
     pub engine: usize,
     /// Predicted milliseconds to the first event.
     pub predicted: f64,
+    /// True where it was sent with a grant.
+    pub is_granted: bool,
     /// Actual ones.
     pub actual: f64,
 }
@@ -159,7 +171,15 @@
     ) -> Self {
         let engine = Engine::new(deployment.model.clone(), deployment.queue);
         let lives = vec![Some(0); deployment.engines];
-        let gateway = |index| Gateway::new(index, deployment, &lives, 0);
+        let gateway = |index| {
+            Gateway::new(
+                index,
+                deployment,
+                &lives,
+                0,
+                Instant::from_millis(EPOCH_MILLIS),
+            )
+        };
         let mut world = Self {
             draw: Draw::new(deployment.seed),
             now: 0.0,
@@ -232,8 +252,7 @@
     }
 
     const fn instant(&self) -> Instant {
-        // An instant of the product's clock is never near zero.
-        Instant::from_millis(1_000_000 + self.now as u64)
+        Instant::from_millis(EPOCH_MILLIS + self.now as u64)
     }
 
     fn handle(&mut self, event: Event) {
@@ -276,7 +295,13 @@
             } => self.list(engine, life, is_up),
             Event::Restart => self.restart(),
             Event::TellZone(engine) => self.tell_zone(engine),
-            Event::Digest(gateway) => self.send_digest(gateway),
+            Event::Poll(gateway) => self.poll(gateway),
+            Event::HearDemand {
+                gateway,
+                from,
+                services,
+                sent_at,
+            } => self.hear_demand(gateway, from, services, sent_at),
             Event::HearDigest { gateway, digest } => self.hear_digest(gateway, &digest),
             Event::Incident { index, is_begin } => self.change(index, is_begin),
         }
@@ -348,7 +373,7 @@
 
     fn hear(&mut self, gateway: usize, of: ReportOf, report: Report, at: f64) {
         let as_of = if of.is_direct { self.now } else { at };
-        let as_of = Instant::from_millis(1_000_000 + as_of as u64);
+        let as_of = Instant::from_millis(EPOCH_MILLIS + as_of as u64);
         let count = self.gateways.len();
         self.gateways[gateway].note_report(of, report, count, as_of);
     }
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -105,18 +105,30 @@
             };
             self.callers[index].gateway = gateway;
         }
+        let now = self.instant();
+        let gateway = self.callers[index].gateway;
+        if let Some(sharing) = &mut self.gateways[gateway].sharing {
+            sharing.note_arrival(now);
+        }
         self.send(index, true);
         let gap = self.deployment.gap_millis() as f64;
         self.after(gap, Event::Leave(index));
     }
 
     pub(super) fn choose(&mut self, index: usize) -> Choice {
+        let draw = self.draw.number();
+        let ask = self.ask(index, draw);
+        let gateway = self.callers[index].gateway;
+        self.gateways[gateway].choose(&ask, self.instant())
+    }
+
+    pub(super) fn ask(&self, index: usize, draw: u64) -> Ask<'_> {
         let caller = &self.callers[index];
         let held = match caller.held_until {
             Some(_) if caller.tried.is_empty() => self.now - caller.tried_at,
             _ => 0.0,
         };
-        let ask = Ask {
+        Ask {
             deployment: &self.deployment,
             target_millis: (self.deployment.target_of(caller.kind) - held).max(0.0) as u64,
             prompt: caller.prompt,
@@ -125,13 +137,16 @@
                 false => Visit::Returned,
             },
             tried: &caller.tried,
-            draw: self.draw.number(),
-        };
-        self.gateways[caller.gateway].choose(&ask, self.instant())
+            draw,
+        }
     }
 
     pub(super) fn send(&mut self, index: usize, is_first: bool) {
-        let (key, predicted, own) = match self.choose(index) {
+        let (choice, is_granted) = match is_first {
+            true => self.choose_or_grant(index),
+            false => (self.choose(index), false),
+        };
+        let (key, predicted, own) = match choice {
             Choice::Send {
                 engine,
                 predicted_millis,
@@ -157,9 +172,11 @@
                 at: self.now,
                 gateway: caller.gateway,
                 is_refused: false,
+                is_granted,
             });
         }
         let (engine, engine_life) = gateway.place_of(key);
+        let caller_gateway = caller.gateway;
         caller.tried.push(key);
         caller.attempt = Some(self.attempts.len());
         self.attempts.push(Attempt {
@@ -171,11 +188,15 @@
             engine_life,
             sent_at: self.now,
             predicted,
+            is_granted,
             is_waiting: true,
             is_over: false,
         });
         let attempt = self.attempts.len() - 1;
-        let way = self.way(attempt);
+        let way = match is_granted {
+            true => self.way(attempt) + self.question_millis(caller_gateway, engine),
+            false => self.way(attempt),
+        };
         self.after(way, Event::Reach(attempt));
         let patience = PATIENCE.0.max(PATIENCE.1 * self.deployment.target_millis);
         self.after(patience as f64, Event::Patience(attempt));
@@ -209,6 +230,7 @@
                 at: self.now,
                 gateway: caller.gateway,
                 is_refused: true,
+                is_granted: false,
             });
         }
         caller.attempt = None;
@@ -303,6 +325,7 @@
                     gateway: known.gateway,
                     engine: known.engine,
                     predicted: known.predicted,
+                    is_granted: known.is_granted,
                     actual: self.now - known.sent_at,
                 });
             }
--- a/crates/gingerpier_overload/src/world/events.rs
+++ b/crates/gingerpier_overload/src/world/events.rs
@@ -3,6 +3,8 @@
 use {
     super::zones::Digest,
     crate::gateway::ReportOf,
+    gingerpier_admission::sharing::ServiceDemand,
+    gingerpier_base::Instant,
     gingerpier_serving::report::Report,
     std::{ops::Range, sync::Arc},
 };
@@ -41,8 +43,15 @@
     Switch { engines: Range<usize>, is_up: bool },
     /// An engine tells its load to the gateways of its zone.
     TellZone(usize),
-    /// A gateway looks whether it sends a digest.
-    Digest(usize),
+    /// A gateway looks whether it sends a digest or its demand.
+    Poll(usize),
+    /// A gateway's demand reaches one that sends digests.
+    HearDemand {
+        gateway: usize,
+        from: usize,
+        services: Vec<ServiceDemand>,
+        sent_at: Instant,
+    },
     /// A digest reaches a gateway.
     HearDigest { gateway: usize, digest: Arc<Digest> },
     /// An incident begins or ends.
--- a/crates/gingerpier_overload/src/world/incidents.rs
+++ b/crates/gingerpier_overload/src/world/incidents.rs
@@ -39,9 +39,11 @@
             What::GatewayKilled(gateway) => self.switch_gateway(gateway, !is_begin),
             What::GatewayFrozen(gateway) if is_begin => {
                 self.conditions.frozen_until[gateway] = incident.until;
+                self.conditions.silent_since[gateway] = Some(self.now);
             }
+            What::GatewayFrozen(gateway) => self.conditions.silent_since[gateway] = None,
             What::Restarted if is_begin => self.restart(),
-            What::GatewayFrozen(_) | What::Restarted => {}
+            What::Restarted => {}
             What::Burst { kind, factor } => {
                 self.conditions.kind_factors[kind] = match is_begin {
                     true => factor,
@@ -86,6 +88,7 @@
 
     fn switch_gateway(&mut self, gateway: usize, is_up: bool) {
         self.conditions.is_down[gateway] = !is_up;
+        self.conditions.silent_since[gateway] = (!is_up).then_some(self.now);
         self.restart_gateways(&[gateway]);
     }
 
@@ -115,7 +118,7 @@
         let now = self.instant();
         for gateway in gateways {
             let life = self.gateways[*gateway].life + 1;
-            let mut renewed = Gateway::new(*gateway, &self.deployment, &lives, life);
+            let mut renewed = Gateway::new(*gateway, &self.deployment, &lives, life, now);
             for (zone, is_evacuated) in self.conditions.evacuated.iter().enumerate() {
                 if *is_evacuated {
                     renewed.set_evacuated(zone, true, now);
@@ -149,7 +152,8 @@
             Event::Word(attempt, _) | Event::Patience(attempt) => self.attempts[*attempt].gateway,
             Event::Hear { gateway, .. }
             | Event::HearDigest { gateway, .. }
-            | Event::Digest(gateway) => *gateway,
+            | Event::HearDemand { gateway, .. }
+            | Event::Poll(gateway) => *gateway,
             _ => return None,
         };
         let until = self.conditions.frozen_until[gateway];
--- a/crates/gingerpier_overload/src/world/zones.rs
+++ b/crates/gingerpier_overload/src/world/zones.rs
@@ -2,20 +2,34 @@
 
 use {
     super::{Event, World},
-    crate::gateway::ReportOf,
+    crate::{
+        gateway::ReportOf,
+        sharing::{self, Part},
+        zoning::Policy,
+    },
+    gingerpier_admission::sharing::ServiceDemand,
     gingerpier_base::Instant,
     gingerpier_serving::{report::Report, zones::DIGEST_SENDERS},
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Largest offset between the digests of a zone's two senders, in milliseconds: they started together.
 const SENDER_OFFSET_MILLIS: f64 = 60.0;
 
+/// Milliseconds between two looks of a gateway at what is due, as in `gingerpier_gateway::zones`.
+const POLL_MILLIS: f64 = 25.0;
+
+/// Milliseconds after which a silent gateway counts as dead, as in `gingerpier_serving::liveness`.
+const DETECTION_MILLIS: f64 = 2_500.0;
+
 /// Reports of a zone's engines with their age in milliseconds.
 #[derive(Debug, Clone)]
 pub(super) struct Digest {
     zone: usize,
+    sender: usize,
+    stamp: Instant,
     reports: Vec<(ReportOf, Report, u64)>,
+    part: Part,
 }
 
 impl World {
@@ -27,10 +41,10 @@
         }
         let zoning = self.deployment.zoning.clone().expect("a zoned deployment");
         for zone in 0..self.deployment.zones {
-            let phase = self.draw.between(0.0, zoning.digest_millis as f64);
+            let phase = self.draw.between(0.0, zoning.policy.digest_millis as f64);
             for gateway in zoning.gateways_of(zone) {
                 let offset = self.draw.between(0.0, SENDER_OFFSET_MILLIS);
-                self.after(phase + offset, Event::Digest(gateway));
+                self.after(phase + offset, Event::Poll(gateway));
             }
         }
     }
@@ -71,23 +85,43 @@
             .collect()
     }
 
-    /// True where a gateway is one of those that send its zone's digests.
-    pub(super) fn is_sender(&self, gateway: usize) -> bool {
-        let zone = self.deployment.zone_of_gateway(gateway);
-        let alive = self.gateways_of(zone);
-        alive.iter().take(DIGEST_SENDERS).any(|one| *one == gateway)
+    /// Gateways that send their zone's digests: the first two that count as alive.
+    pub(super) fn senders(&self, zone: usize) -> Vec<usize> {
+        let zoning = self.deployment.zoning.as_ref().expect("a zoned deployment");
+        let is_alive = |gateway: &usize| {
+            let silent_since = self.conditions.silent_since[*gateway];
+            silent_since.is_none_or(|since| self.now - since < DETECTION_MILLIS)
+        };
+        let alive = zoning.gateways_of(zone).filter(is_alive);
+        alive.take(DIGEST_SENDERS).collect()
     }
 
-    pub(super) fn send_digest(&mut self, gateway: usize) {
-        let zoning = self.deployment.zoning.as_ref().expect("a zoned deployment");
-        let every = zoning.digest_millis as f64;
-        self.after(every, Event::Digest(gateway));
-        if self.conditions.is_down[gateway] || !self.is_sender(gateway) {
+    /// A gateway sends its demand and a digest where they are due.
+    pub(super) fn poll(&mut self, gateway: usize) {
+        self.after(POLL_MILLIS, Event::Poll(gateway));
+        if self.conditions.is_down[gateway] {
             return;
         }
+        let now = self.instant();
         let zone = self.deployment.zone_of_gateway(gateway);
-        let reports = self.gateways[gateway].reports_of_zone(zone, self.instant());
-        let digest = Arc::new(Digest { zone, reports });
+        let policy = self.policy();
+        let senders = self.senders(zone);
+        if policy.grants {
+            self.send_demand(gateway, &senders);
+        }
+        let is_sender = senders.contains(&gateway);
+        let there = &mut self.gateways[gateway];
+        let Some(part) = there.poll_digest(is_sender, &policy, &self.deployment, now) else {
+            return;
+        };
+        let reports = there.reports_of_zone(zone, now);
+        let digest = Arc::new(Digest {
+            zone,
+            sender: gateway,
+            stamp: now,
+            reports,
+            part,
+        });
         let others = (0..self.deployment.zones).filter(|other| *other != zone);
         for other in others.collect::<Vec<_>>() {
             if self.conditions.partitioned[zone] || self.conditions.partitioned[other] {
@@ -102,6 +136,43 @@
         }
     }
 
+    pub(super) fn policy(&self) -> Policy {
+        let zoning = self.deployment.zoning.as_ref();
+        zoning.map_or(Policy::DIGESTS, |zoning| zoning.policy)
+    }
+
+    fn send_demand(&mut self, gateway: usize, senders: &[usize]) {
+        let now = self.instant();
+        let addresses: Vec<SocketAddr> = senders.iter().copied().map(sharing::address).collect();
+        let sharing = self.gateways[gateway].sharing.as_mut();
+        let report = sharing.and_then(|sharing| sharing.poll_demand(&addresses, now));
+        let Some(report) = report else { return };
+        for sender in senders {
+            if report.receivers.contains(&sharing::address(*sender)) {
+                let event = Event::HearDemand {
+                    gateway: *sender,
+                    from: gateway,
+                    services: report.services.clone(),
+                    sent_at: now,
+                };
+                self.after(self.deployment.near_millis, event);
+            }
+        }
+    }
+
+    pub(super) fn hear_demand(
+        &mut self,
+        gateway: usize,
+        from: usize,
+        services: Vec<ServiceDemand>,
+        sent_at: Instant,
+    ) {
+        let now = self.instant();
+        if let Some(sharing) = &mut self.gateways[gateway].sharing {
+            sharing.note_demand(sharing::address(from), services, sent_at, now);
+        }
+    }
+
     /// Ages count from the digest's receipt, as in the gateway.
     pub(super) fn hear_digest(&mut self, gateway: usize, digest: &Digest) {
         let now = self.instant();
@@ -110,6 +181,8 @@
             let at = Instant::from_millis(now.as_millis().saturating_sub(*age));
             self.gateways[gateway].note_report(*of, report.clone(), count, at);
         }
-        debug_assert!(digest.zone != self.deployment.zone_of_gateway(gateway));
+        if let Some(sharing) = &mut self.gateways[gateway].sharing {
+            sharing.hear(digest.zone, digest.sender, digest.stamp, &digest.part, now);
+        }
     }
 }
--- a/crates/gingerpier_overload/src/zoning.rs
+++ b/crates/gingerpier_overload/src/zoning.rs
@@ -14,8 +14,74 @@
     pub engines: Vec<usize>,
     /// Part of the requests that comes to each zone.
     pub requests: Vec<f64>,
-    /// Milliseconds between two digests of a zone.
+    /// How zones share engines.
+    pub policy: Policy,
+}
+
+/// Which engine of a granting zone a request goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// The less loaded of two that are drawn.
+    TwoDrawn,
+    /// The least loaded of all, as last reported.
+    LeastLoaded,
+}
+
+/// Gateway that places requests in its zone for gateways of other zones: an alternative to grants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// Any.
+    Any,
+    /// The zone's first one, which places all requests there, those of its own zone, too.
+    First,
+}
+
+/// How zones share engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Milliseconds between two digests of one sender.
     pub digest_millis: u64,
+    /// The same where a zone knows of another one's demand or grants it something.
+    pub shortage_digest_millis: u64,
+    /// True where a zone with demand of its own sends digests as often, too.
+    pub is_fast_on_own_demand: bool,
+    /// True where zones grant requests to each other.
+    pub grants: bool,
+    /// Engine of a granting zone.
+    pub placement: Placement,
+    /// Which gateway of the other zone places a request there; none where the own gateway does.
+    pub asked: Option<Asked>,
+}
+
+impl Policy {
+    /// Digests every 500 ms, no grants.
+    pub const DIGESTS: Self = Self {
+        digest_millis: 500,
+        shortage_digest_millis: 500,
+        is_fast_on_own_demand: false,
+        grants: false,
+        placement: Placement::TwoDrawn,
+        asked: None,
+    };
+
+    /// Digests every 100 ms, no grants.
+    pub const FREQUENT_DIGESTS: Self = Self {
+        digest_millis: 100,
+        ..Self::DIGESTS
+    };
+
+    /// A gateway of the other zone chooses the engine there.
+    pub const ASKED: Self = Self {
+        asked: Some(Asked::Any),
+        ..Self::DIGESTS
+    };
+
+    /// Grants, with frequent digests in a shortage.
+    pub const GRANTS: Self = Self {
+        shortage_digest_millis: 100,
+        grants: true,
+        ..Self::DIGESTS
+    };
 }
 
 /// Zone of the member with this index, where each zone has so many.
@@ -58,6 +124,30 @@
     }
 }
 
+/// The same deployment with one gateway that gets the reports of all engines directly, without those of `closed` zones;
+/// also gives the factor by which a load, a part of the capacity, is larger there.
+pub fn with_single_gateway(deployment: &Deployment, closed: &[usize]) -> (Deployment, f64) {
+    let zoning = deployment.zoning.as_ref().expect("a zoned deployment");
+    let zones = zoning.engines.iter().enumerate();
+    let open = zones.filter(|(zone, _)| !closed.contains(zone));
+    let engines: usize = open.map(|(_, engines)| engines).sum();
+    let factor = deployment.engines as f64 / engines as f64;
+    let zoning = Zoning {
+        gateways: vec![1],
+        engines: vec![engines],
+        requests: vec![1.0],
+        policy: Policy::DIGESTS,
+    };
+    let single = Deployment {
+        engines,
+        gateways: 1,
+        zones: 1,
+        zoning: Some(zoning),
+        ..deployment.clone()
+    };
+    (single, factor)
+}
+
 /// A class of requests of a deployment: its share, target in milliseconds, mean prompt, events, priority and value.
 struct Class(f64, f64, f64, f64, u8, f64);
 
@@ -75,7 +165,7 @@
         gateways: vec![10, 10, 9],
         engines: vec![15, 15, 15],
         requests: vec![third; 3],
-        digest_millis: 500,
+        policy: Policy::DIGESTS,
     };
     with_zones(seed, zoning, &classes, [7.4, 31.9, 7.0], 1.8)
 }
@@ -92,7 +182,7 @@
         gateways: vec![14, 11, 10],
         engines: vec![14, 13, 13],
         requests: vec![0.41, 0.295, 0.295],
-        digest_millis: 500,
+        policy: Policy::DIGESTS,
     };
     with_zones(seed, zoning, &classes, [8.87, 19.1, 5.0], 4.9)
 }
