--- a/crates/gingerpier_overload/src/bin/gingerpier-overload-zones.rs
+++ b/crates/gingerpier_overload/src/bin/gingerpier-overload-zones.rs
@@ -48,9 +48,9 @@
             }),
         ),
         (
-            "grants, always 100 ms",
+            "grants, frequent digests for 10 s more",
             Some(Policy {
-                digest_millis: 100,
+                hold_millis: 10_000,
                 ..Policy::GRANTS
             }),
         ),
--- a/crates/gingerpier_overload/src/sharing.rs
+++ b/crates/gingerpier_overload/src/sharing.rs
@@ -8,7 +8,7 @@
         grantee::{Grantee, Share},
         granter::{self, Capacity, Granter},
     },
-    gingerpier_base::Instant,
+    gingerpier_base::{Instant, order},
     gingerpier_serving::{configuration::EngineModel, fleet::Fleet},
     std::net::SocketAddr,
 };
@@ -39,6 +39,7 @@
     granter: Granter,
     grantee: Grantee,
     last_digest: Instant,
+    frequent_until: Instant,
 }
 
 impl Sharing {
@@ -53,6 +54,7 @@
             granter: Granter::new(now),
             grantee: Grantee::new(&zone),
             last_digest: now,
+            frequent_until: now,
             zone,
         }
     }
@@ -93,38 +95,65 @@
         &mut self,
         is_sender: bool,
         policy: &Policy,
-        (fleet, model, zones): (&Fleet, &EngineModel, usize),
+        view: (&Fleet, &EngineModel, usize),
         now: Instant,
     ) -> Option<Part> {
+        if policy.grants {
+            self.update_grants(is_sender, view, now);
+        }
         if !is_sender {
-            self.granter.reset(now);
             return None;
         }
-        if policy.grants {
-            let own_demand = self.total.demand(crate::SERVICE, self.zone_gateways, now);
-            let capacity = Capacity {
-                service: crate::SERVICE,
-                per_second: granter::open_capacity(fleet, crate::SERVICE, model, &self.zone, now),
-                own_demand,
-            };
-            self.granter.update(&[capacity], zones, now);
-        }
-        let grants = self.granter.grants(now);
         let demand = match policy.grants {
             true => self.total.services(self.zone_gateways, now),
             false => Vec::new(),
         };
-        let is_asked = self.granter.has_demand(now) || !grants.is_empty();
-        let asks = policy.is_fast_on_own_demand && !demand.is_empty();
-        let every = match is_asked || asks {
-            true => policy.digest_millis.min(policy.shortage_digest_millis),
+        if self.granter.is_active(now) {
+            self.frequent_until = now.after_millis(policy.hold_millis);
+        }
+        let is_frequent = self.granter.is_active(now) || !self.frequent_until.has_passed(now);
+        let every = match is_frequent {
+            true => policy.shortage_digest_millis,
             false => policy.digest_millis,
         };
         if now.millis_since(self.last_digest) < every {
             return None;
         }
         self.last_digest = now;
-        Some(Part { demand, grants })
+        Some(Part {
+            demand,
+            grants: self.granter.grants(now),
+        })
+    }
+
+    /// Updates the grants that it issues and its part of those that it has.
+    fn update_grants(
+        &mut self,
+        is_sender: bool,
+        (fleet, model, zones): (&Fleet, &EngineModel, usize),
+        now: Instant,
+    ) {
+        if !is_sender {
+            self.granter.reset(now);
+        }
+        let mut capacities = Vec::new();
+        if self.granter.is_active(now) {
+            capacities.push(Capacity {
+                service: crate::SERVICE,
+                per_second: granter::open_capacity(fleet, crate::SERVICE, model, &self.zone, now),
+                own_demand: self.total.demand(crate::SERVICE, self.zone_gateways, now),
+            });
+        }
+        self.granter.update(&capacities, zones, now);
+        let share = self.share(now);
+        self.grantee.collect(crate::SERVICE, &share, now);
+    }
+
+    fn share(&self, now: Instant) -> Share {
+        Share {
+            own_demand: self.counter.demand(crate::SERVICE, now),
+            gateway_count: self.zone_gateways,
+        }
     }
 
     /// Notes what another zone's digest carries.
@@ -137,22 +166,20 @@
         self.granter.record_demand(&zone, part.demand.clone(), now);
     }
 
-    /// Takes a token of a grant; gives the zone that granted it. `draw` chooses where to begin among several.
-    pub fn take(&mut self, draw: u64, now: Instant) -> Option<String> {
+    /// Zones that granted a request for which a token is left, in an order given by `draw`.
+    pub fn granting(&mut self, draw: u64, now: Instant) -> Vec<String> {
         let zones = self.grantee.granting_zones(crate::SERVICE, now);
-        let zones: Vec<String> = zones.map(str::to_owned).collect();
-        let share = Share {
-            own_demand: self.counter.demand(crate::SERVICE, now),
-            gateway_count: self.zone_gateways,
-        };
-        let begin = draw.checked_rem(zones.len() as u64)? as usize;
-        let order = zones.iter().cycle().skip(begin).take(zones.len());
-        for zone in order {
-            if self.grantee.take(zone, crate::SERVICE, &share, now) {
-                return Some(zone.clone());
-            }
-        }
-        None
+        let mut zones: Vec<String> = zones.map(str::to_owned).collect();
+        order::sort_by_score(draw, &mut zones, order::hash);
+        let share = self.share(now);
+        zones.retain(|zone| self.grantee.has_token(zone, crate::SERVICE, &share, now));
+        zones
+    }
+
+    /// Takes a token of a zone's grant.
+    pub fn take(&mut self, zone: &str, now: Instant) {
+        let share = self.share(now);
+        self.grantee.take(zone, crate::SERVICE, &share, now);
     }
 
     /// Requests per second that all other zones grant to this gateway's zone.
--- a/crates/gingerpier_overload/src/world/placing.rs
+++ b/crates/gingerpier_overload/src/world/placing.rs
@@ -33,17 +33,21 @@
         let draw = self.draw.number();
         let gateway = self.callers[index].gateway;
         let sharing = self.gateways[gateway].sharing.as_mut()?;
-        let zone = sharing.take(draw, now);
+        let zones = sharing.granting(draw, now);
         let ask = self.ask(index, draw);
         let there = &self.gateways[gateway];
-        let choice = zone.and_then(|zone| there.choose_granted(&ask, &zone, placement, now));
-        let outcome = match choice {
-            Some(_) => Shortfall::Granted,
-            None => Shortfall::Refused,
-        };
+        let granted = zones.into_iter().find_map(|zone| {
+            let choice = there.choose_granted(&ask, &zone, placement, now)?;
+            Some((zone, choice))
+        });
         let sharing = self.gateways[gateway].sharing.as_mut()?;
-        sharing.note_shortfall(outcome, now);
-        choice
+        let Some((zone, choice)) = granted else {
+            sharing.note_shortfall(Shortfall::Refused, now);
+            return None;
+        };
+        sharing.take(&zone, now);
+        sharing.note_shortfall(Shortfall::Granted, now);
+        Some(choice)
     }
 
     /// Lets a gateway of another zone choose an engine there, where none of the own zone is best; of the own zone first
--- a/crates/gingerpier_overload/src/zoning.rs
+++ b/crates/gingerpier_overload/src/zoning.rs
@@ -43,8 +43,8 @@
     pub digest_millis: u64,
     /// The same where a zone knows of another one's demand or grants it something.
     pub shortage_digest_millis: u64,
-    /// True where a zone with demand of its own sends digests as often, too.
-    pub is_fast_on_own_demand: bool,
+    /// Milliseconds for which it keeps sending them as often afterwards.
+    pub hold_millis: u64,
     /// True where zones grant requests to each other.
     pub grants: bool,
     /// Engine of a granting zone.
@@ -58,7 +58,7 @@
     pub const DIGESTS: Self = Self {
         digest_millis: 500,
         shortage_digest_millis: 500,
-        is_fast_on_own_demand: false,
+        hold_millis: 0,
         grants: false,
         placement: Placement::TwoDrawn,
         asked: None,
