--- a/crates/gingerpier_overload/src/bin/gingerpier-overload-zones.rs
+++ b/crates/gingerpier_overload/src/bin/gingerpier-overload-zones.rs
@@ -62,6 +62,13 @@
                 ..Policy::DIGESTS
             }),
         ),
+        (
+            "one gateway of a zone is asked in a shortage",
+            Some(Policy {
+                asked: Some(Asked::FirstInShortage),
+                ..Policy::DIGESTS
+            }),
+        ),
         ("single gateway", None),
     ]
 }
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -189,12 +189,13 @@
         placement::choose(&self.fleet, &criteria, granting_zone, now, ask.draw)
     }
 
-    /// Chooses an engine of this gateway's zone for a request of another zone's gateway.
+    /// Chooses an engine of this gateway's zone for a request of another gateway, and counts it there where `counts`. A
+    /// gateway that `places_all` requests of its zone expects no others.
     pub fn place(
         &mut self,
         ask: &Ask<'_>,
         tried: &[(usize, u32)],
-        places_all: bool,
+        (places_all, counts): (bool, bool),
         now: Instant,
     ) -> Choice {
         let zone = zone_name(self.zone);
@@ -217,11 +218,8 @@
             ..criteria
         };
         let choice = selection::choose(&self.fleet, &criteria, now, ask.draw);
-        if let Choice::Send { engine, .. } = choice {
-            // Counts until a report shows it.
-            let engine = self.fleet.engine_mut(engine);
-            engine.record_sent(ask.prompt, now);
-            engine.record_end(ask.prompt, true);
+        if counts && let Choice::Send { engine, .. } = choice {
+            self.fleet.engine_mut(engine).record_sent(ask.prompt, now);
         }
         choice
     }
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -28,6 +28,14 @@
 /// Instant at which a play begins, in milliseconds: one of the product's clock is never near zero.
 const EPOCH_MILLIS: u64 = 1_000_000;
 
+/// A gateway that placed an attempt, and counts it until it learns of its end.
+#[derive(Debug, Clone, Copy)]
+struct Placed {
+    gateway: usize,
+    gateway_life: u32,
+    key: EngineKey,
+}
+
 /// An attempt of a gateway at an engine.
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
@@ -40,6 +48,8 @@
     sent_at: f64,
     predicted: f64,
     is_granted: bool,
+    /// Gateway that placed it in its zone, where that is another one.
+    placed: Option<Placed>,
     is_waiting: bool,
     is_over: bool,
 }
@@ -81,6 +91,8 @@
     silent_since: Vec<Option<f64>>,
     /// Until when each gateway doesn't run.
     frozen_until: Vec<f64>,
+    /// Until when one gateway places all requests of each zone.
+    placed_until: Vec<f64>,
     /// Multiple of each kind's usual number of requests.
     kind_factors: Vec<f64>,
 }
@@ -93,6 +105,7 @@
             is_down: vec![false; deployment.gateways],
             silent_since: vec![None; deployment.gateways],
             frozen_until: vec![0.0; deployment.gateways],
+            placed_until: vec![0.0; deployment.zones],
             kind_factors: vec![1.0; deployment.kinds.len()],
         }
     }
--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -142,9 +142,9 @@
     }
 
     pub(super) fn send(&mut self, index: usize, is_first: bool) {
-        let (choice, is_granted) = match is_first {
+        let (choice, is_granted, placed) = match is_first {
             true => self.choose_or_grant(index),
-            false => (self.choose(index), false),
+            false => (self.choose(index), false, None),
         };
         let (key, predicted, own) = match choice {
             Choice::Send {
@@ -189,6 +189,7 @@
             sent_at: self.now,
             predicted,
             is_granted,
+            placed: placed.filter(|placed| placed.gateway != caller_gateway),
             is_waiting: true,
             is_over: false,
         });
@@ -300,6 +301,7 @@
     }
 
     pub(super) fn end(&mut self, attempt: usize) {
+        self.tell_placer(attempt, true);
         let known = &mut self.attempts[attempt];
         known.is_over = true;
         let prompt = self.callers[known.caller].prompt;
@@ -328,6 +330,7 @@
                     is_granted: known.is_granted,
                     actual: self.now - known.sent_at,
                 });
+                self.tell_placer(attempt, false);
             }
             Word::Last => {
                 engine.record_success();
--- a/crates/gingerpier_overload/src/world/incidents.rs
+++ b/crates/gingerpier_overload/src/world/incidents.rs
@@ -101,6 +101,7 @@
             if !gateways.contains(&known.gateway) {
                 continue;
             }
+            self.tell_placer(attempt, true);
             self.attempts[attempt].is_over = true;
             let way = self.way(attempt);
             self.after(way, Event::Cancel(attempt));
--- a/crates/gingerpier_overload/src/world/placing.rs
+++ b/crates/gingerpier_overload/src/world/placing.rs
@@ -1,8 +1,11 @@
 //! Requests that go to engines of another zone with its consent: by grants, or where a gateway there places them.
 
 use {
-    super::World,
-    crate::{gateway::Ask, zoning::Asked},
+    super::{Placed, World},
+    crate::{
+        gateway::Ask,
+        zoning::{ASKED_ABOVE, ASKED_FOR_MILLIS, Asked},
+    },
     gingerpier_admission::{
         prediction::Components,
         selection::{Choice, Refusal},
@@ -13,16 +16,16 @@
 impl World {
     /// Chooses an engine for a caller's try, in another zone with that zone's consent where that is the rule. True where
     /// it has that consent.
-    pub(super) fn choose_or_grant(&mut self, index: usize) -> (Choice, bool) {
+    pub(super) fn choose_or_grant(&mut self, index: usize) -> (Choice, bool, Option<Placed>) {
         let policy = self.policy();
         let chosen = self.choose(index);
         match (policy.asked, policy.grants, chosen) {
             (Some(asked), ..) => self.choose_or_ask(index, chosen, asked),
             (None, true, Choice::Full(_)) => match self.choose_granted(index) {
-                Some(choice) => (choice, true),
-                None => (chosen, false),
+                Some(choice) => (choice, true, None),
+                None => (chosen, false, None),
             },
-            _ => (chosen, false),
+            _ => (chosen, false, None),
         }
     }
 
@@ -52,7 +55,12 @@
 
     /// Lets a gateway of another zone choose an engine there, where none of the own zone is best; of the own zone first
     /// where one gateway places all requests of a zone.
-    fn choose_or_ask(&mut self, index: usize, chosen: Choice, asked: Asked) -> (Choice, bool) {
+    fn choose_or_ask(
+        &mut self,
+        index: usize,
+        chosen: Choice,
+        asked: Asked,
+    ) -> (Choice, bool, Option<Placed>) {
         let gateway = self.callers[index].gateway;
         let own = self.deployment.zone_of_gateway(gateway);
         let best = match chosen {
@@ -62,17 +70,18 @@
             }
             _ => None,
         };
-        if asked == Asked::Any && best == Some(own) || chosen == Choice::NoEngine {
-            return (chosen, false);
+        let is_direct = best == Some(own) && self.is_direct(index, chosen, asked);
+        if is_direct || chosen == Choice::NoEngine {
+            return (chosen, false, None);
         }
         let zones = self.deployment.zones;
         let begin = self.draw.number() as usize % zones;
         let mut order: Vec<usize> = (0..zones).map(|step| (begin + step) % zones).collect();
         order.sort_by_key(|zone| Some(*zone) != best);
         for zone in order {
-            let is_asked = zone != own || asked == Asked::First;
-            if is_asked && let Some(choice) = self.ask_zone(index, zone, asked) {
-                return (choice, true);
+            let is_asked = zone != own || asked != Asked::Any;
+            if is_asked && let Some((choice, placed)) = self.ask_zone(index, zone, asked) {
+                return (choice, true, Some(placed));
             }
         }
         let full = match chosen {
@@ -88,10 +97,30 @@
             }),
             other => other,
         };
-        (full, false)
+        (full, false, None)
+    }
+
+    /// True where a gateway sends a request to an engine of its own zone without asking.
+    fn is_direct(&self, index: usize, chosen: Choice, asked: Asked) -> bool {
+        let caller = &self.callers[index];
+        let zone = self.deployment.zone_of_gateway(caller.gateway);
+        match (asked, chosen) {
+            (Asked::Any, _) => true,
+            (
+                Asked::FirstInShortage,
+                Choice::Send {
+                    predicted_millis, ..
+                },
+            ) => {
+                let target = self.deployment.target_of(caller.kind);
+                self.now >= self.conditions.placed_until[zone]
+                    && predicted_millis <= ASKED_ABOVE * target
+            }
+            _ => false,
+        }
     }
 
-    fn ask_zone(&mut self, index: usize, zone: usize, asked: Asked) -> Option<Choice> {
+    fn ask_zone(&mut self, index: usize, zone: usize, asked: Asked) -> Option<(Choice, Placed)> {
         let own = self.callers[index].gateway;
         let own_zone = self.deployment.zone_of_gateway(own);
         let is_cut_off = zone != own_zone
@@ -102,7 +131,9 @@
         let now = self.instant();
         let candidates = match asked {
             Asked::Any => self.gateways_of(zone),
-            Asked::First => self.senders(zone).into_iter().take(1).collect(),
+            Asked::First | Asked::FirstInShortage => {
+                self.senders(zone).into_iter().take(1).collect()
+            }
         };
         let draw = self.draw.number();
         let placer = candidates[draw.checked_rem(candidates.len() as u64)? as usize];
@@ -122,7 +153,11 @@
             tried: &[],
             draw,
         };
-        let placed = self.gateways[placer].place(&ask, &tried, asked == Asked::First, now);
+        let placed =
+            self.gateways[placer].place(&ask, &tried, (asked != Asked::Any, placer != own), now);
+        if zone != own_zone || !matches!(placed, Choice::Send { .. }) {
+            self.conditions.placed_until[zone] = self.now + ASKED_FOR_MILLIS;
+        }
         let Choice::Send {
             engine,
             predicted_millis,
@@ -132,12 +167,37 @@
             return None;
         };
         let place = self.gateways[placer].place_of(engine);
+        let placed = Placed {
+            gateway: placer,
+            gateway_life: self.gateways[placer].life,
+            key: engine,
+        };
         let engine = self.gateways[own].key_of(place)?;
-        Some(Choice::Send {
+        let choice = Choice::Send {
             engine,
             predicted_millis: predicted_millis + question_millis,
             own_millis,
-        })
+        };
+        Some((choice, placed))
+    }
+
+    /// Tells the gateway that placed an attempt of its first event or its end.
+    pub(super) fn tell_placer(&mut self, attempt: usize, is_end: bool) {
+        let known = self.attempts[attempt];
+        let Some(placed) = known.placed else { return };
+        let there = &mut self.gateways[placed.gateway];
+        if there.life != placed.gateway_life {
+            return;
+        }
+        let prompt = self.callers[known.caller].prompt;
+        let engine = there.engine_mut(placed.key);
+        match is_end {
+            true => engine.record_end(prompt, known.is_waiting),
+            false => {
+                engine.record_first_event(prompt);
+                engine.record_lateness(self.now - known.sent_at - known.predicted);
+            }
+        }
     }
 
     fn zone_way_millis(&self, one: usize, other: usize) -> f64 {
--- a/crates/gingerpier_overload/src/zoning.rs
+++ b/crates/gingerpier_overload/src/zoning.rs
@@ -27,6 +27,12 @@
     LeastLoaded,
 }
 
+/// Milliseconds after the last sign of a shortage for which one gateway places all requests of a zone.
+pub const ASKED_FOR_MILLIS: f64 = 2_000.0;
+
+/// Part of the target above which a prediction for an engine of the own zone is uncertain.
+pub const ASKED_ABOVE: f64 = 0.5;
+
 /// Gateway that places requests in its zone for gateways of other zones: an alternative to grants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asked {
@@ -34,6 +40,9 @@
     Any,
     /// The zone's first one, which places all requests there, those of its own zone, too.
     First,
+    /// The same while it is asked by other zones or refuses requests, and for [`ASKED_FOR_MILLIS`] more; before that, a
+    /// gateway only asks it where the best engine is predicted to take more than [`ASKED_ABOVE`].
+    FirstInShortage,
 }
 
 /// How zones share engines.
@@ -140,6 +149,8 @@
     };
     let single = Deployment {
         engines,
+        // It is in no zone, and as far from all engines as one zone from another.
+        near_millis: deployment.far_millis,
         gateways: 1,
         zones: 1,
         zoning: Some(zoning),
