--- a/crates/gingerpier_overload/src/bin/gingerpier-overload-zones.rs
+++ b/crates/gingerpier_overload/src/bin/gingerpier-overload-zones.rs
@@ -47,13 +47,6 @@
                 ..Policy::GRANTS
             }),
         ),
-        (
-            "grants, frequent digests for 10 s more",
-            Some(Policy {
-                hold_millis: 10_000,
-                ..Policy::GRANTS
-            }),
-        ),
         ("asked", Some(Policy::ASKED)),
         (
             "one gateway of a zone is asked",
--- a/crates/gingerpier_overload/src/sharing.rs
+++ b/crates/gingerpier_overload/src/sharing.rs
@@ -39,7 +39,6 @@
     granter: Granter,
     grantee: Grantee,
     last_digest: Instant,
-    frequent_until: Instant,
 }
 
 impl Sharing {
@@ -54,7 +53,6 @@
             granter: Granter::new(now),
             grantee: Grantee::new(&zone),
             last_digest: now,
-            frequent_until: now,
             zone,
         }
     }
@@ -108,11 +106,7 @@
             true => self.total.services(self.zone_gateways, now),
             false => Vec::new(),
         };
-        if self.granter.is_active(now) {
-            self.frequent_until = now.after_millis(policy.hold_millis);
-        }
-        let is_frequent = self.granter.is_active(now) || !self.frequent_until.has_passed(now);
-        let every = match is_frequent {
+        let every = match self.granter.is_active(now) {
             true => policy.shortage_digest_millis,
             false => policy.digest_millis,
         };
--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -270,7 +270,8 @@
 
     fn handle(&mut self, event: Event) {
         if let Some(until) = self.frozen_until(&event) {
-            return self.after(until - self.now, event);
+            // Event times are whole microseconds, so an exact pause may end just before.
+            return self.after(until - self.now + 0.01, event);
         }
         match event {
             Event::Arrival(gateway) => self.arrive(gateway),
--- a/crates/gingerpier_overload/src/world/placing.rs
+++ b/crates/gingerpier_overload/src/world/placing.rs
@@ -77,7 +77,8 @@
         let zones = self.deployment.zones;
         let begin = self.draw.number() as usize % zones;
         let mut order: Vec<usize> = (0..zones).map(|step| (begin + step) % zones).collect();
-        order.sort_by_key(|zone| Some(*zone) != best);
+        // Digests are too old to tell which of the other zones is less loaded.
+        order.sort_by_key(|zone| *zone != own);
         for zone in order {
             let is_asked = zone != own || asked != Asked::Any;
             if is_asked && let Some((choice, placed)) = self.ask_zone(index, zone, asked) {
--- a/crates/gingerpier_overload/src/zoning.rs
+++ b/crates/gingerpier_overload/src/zoning.rs
@@ -52,8 +52,6 @@
     pub digest_millis: u64,
     /// The same where a zone knows of another one's demand or grants it something.
     pub shortage_digest_millis: u64,
-    /// Milliseconds for which it keeps sending them as often afterwards.
-    pub hold_millis: u64,
     /// True where zones grant requests to each other.
     pub grants: bool,
     /// Engine of a granting zone.
@@ -67,7 +65,6 @@
     pub const DIGESTS: Self = Self {
         digest_millis: 500,
         shortage_digest_millis: 500,
-        hold_millis: 0,
         grants: false,
         placement: Placement::TwoDrawn,
         asked: None,
@@ -135,6 +132,10 @@
 
 /// The same deployment with one gateway that gets the reports of all engines directly, without those of `closed` zones;
 /// also gives the factor by which a load, a part of the capacity, is larger there.
+///
+/// # Panics
+///
+/// Where the deployment has no zoning.
 pub fn with_single_gateway(deployment: &Deployment, closed: &[usize]) -> (Deployment, f64) {
     let zoning = deployment.zoning.as_ref().expect("a zoned deployment");
     let zones = zoning.engines.iter().enumerate();
@@ -166,16 +167,22 @@
 ///
 /// The page states no shares of classes and zones for P; they are equal here.
 pub fn deployment_p(seed: u64) -> Deployment {
+    alike_zones(seed, vec![10, 10, 9])
+}
+
+/// Zones like those of deployment P with so many gateways each.
+pub fn alike_zones(seed: u64, gateways: Vec<usize>) -> Deployment {
     let third = 1.0 / 3.0;
+    let zones = gateways.len();
     let classes = [
         Class(third, 400.0, 1_290.0, 18.0, 0, 3.6),
         Class(third, 400.0, 787.0, 18.0, 1, 1.7),
         Class(third, 800.0, 607.0, 10.0, 2, 0.55),
     ];
     let zoning = Zoning {
-        gateways: vec![10, 10, 9],
-        engines: vec![15, 15, 15],
-        requests: vec![third; 3],
+        gateways,
+        engines: vec![15; zones],
+        requests: vec![1.0 / zones as f64; zones],
         policy: Policy::DIGESTS,
     };
     with_zones(seed, zoning, &classes, [7.4, 31.9, 7.0], 1.8)
