--- a/crates/gingerpier_overload/src/world.rs
+++ b/crates/gingerpier_overload/src/world.rs
@@ -7,7 +7,10 @@
 mod zones;
 
 use {
-    self::events::{Event, Timed, Word},
+    self::{
+        events::{Event, Timed, Word},
+        incidents::Conditions,
+    },
     crate::{
         callers::Caller,
         deployment::Deployment,
@@ -78,39 +81,6 @@
     pub refused_free: usize,
 }
 
-/// State of zones and gateways that incidents change.
-#[derive(Debug, Clone, Default)]
-struct Conditions {
-    /// Zones whose engines get no new requests.
-    evacuated: Vec<bool>,
-    /// Zones that exchange nothing with the others.
-    partitioned: Vec<bool>,
-    /// Gateways that aren't there.
-    is_down: Vec<bool>,
-    /// Since when each gateway is down or doesn't run; none while it runs.
-    silent_since: Vec<Option<f64>>,
-    /// Until when each gateway doesn't run.
-    frozen_until: Vec<f64>,
-    /// Until when one gateway places all requests of each zone.
-    placed_until: Vec<f64>,
-    /// Multiple of each kind's usual number of requests.
-    kind_factors: Vec<f64>,
-}
-
-impl Conditions {
-    fn new(deployment: &Deployment) -> Self {
-        Self {
-            evacuated: vec![false; deployment.zones],
-            partitioned: vec![false; deployment.zones],
-            is_down: vec![false; deployment.gateways],
-            silent_since: vec![None; deployment.gateways],
-            frozen_until: vec![0.0; deployment.gateways],
-            placed_until: vec![0.0; deployment.zones],
-            kind_factors: vec![1.0; deployment.kinds.len()],
-        }
-    }
-}
-
 /// A try of a caller at a gateway.
 #[derive(Debug, Clone, Copy)]
 pub struct Try {
--- a/crates/gingerpier_overload/src/world/incidents.rs
+++ b/crates/gingerpier_overload/src/world/incidents.rs
@@ -2,12 +2,45 @@
 
 use {
     super::{Event, Word, World},
-    crate::{callers::Outcome, gateway::Gateway, incident::What},
+    crate::{callers::Outcome, deployment::Deployment, gateway::Gateway, incident::What},
 };
 
 /// Milliseconds after which a gateway gives up an engine that it can't reach.
 pub(super) const CONNECT_TIMEOUT_MILLIS: f64 = 300.0;
 
+/// State of zones and gateways that incidents change.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Conditions {
+    /// Zones whose engines get no new requests.
+    pub(super) evacuated: Vec<bool>,
+    /// Zones that exchange nothing with the others.
+    pub(super) partitioned: Vec<bool>,
+    /// Gateways that aren't there.
+    pub(super) is_down: Vec<bool>,
+    /// Since when each gateway is down or doesn't run; none while it runs.
+    pub(super) silent_since: Vec<Option<f64>>,
+    /// Until when each gateway doesn't run.
+    pub(super) frozen_until: Vec<f64>,
+    /// Until when one gateway places all requests of each zone.
+    pub(super) placed_until: Vec<f64>,
+    /// Multiple of each kind's usual number of requests.
+    pub(super) kind_factors: Vec<f64>,
+}
+
+impl Conditions {
+    pub(super) fn new(deployment: &Deployment) -> Self {
+        Self {
+            evacuated: vec![false; deployment.zones],
+            partitioned: vec![false; deployment.zones],
+            is_down: vec![false; deployment.gateways],
+            silent_since: vec![None; deployment.gateways],
+            frozen_until: vec![0.0; deployment.gateways],
+            placed_until: vec![0.0; deployment.zones],
+            kind_factors: vec![1.0; deployment.kinds.len()],
+        }
+    }
+}
+
 impl World {
     pub(super) fn begin_incidents(&mut self) {
         for (index, incident) in self.incidents.clone().into_iter().enumerate() {
