--- a/crates/gingerpier_overload/src/world/attempts.rs
+++ b/crates/gingerpier_overload/src/world/attempts.rs
@@ -1,7 +1,7 @@
 //! The course of a caller's request: it comes, goes to an engine or is refused, and ends.
 
 use {
-    super::{Attempt, Event, Word, World},
+    super::{Attempt, Event, FirstEvent, Try, Word, World, incidents},
     crate::{
         callers::{Caller, Outcome},
         deployment,
@@ -42,25 +42,36 @@
             Some(trigger) if self.is_triggered() => trigger.burst,
             _ => 1.0,
         };
-        let per_milli = self.deployment.capacity_per_milli() * self.load * burst;
+        let factors = &self.conditions.kind_factors;
+        let growth = self.deployment.growth(factors);
+        let per_milli = self.deployment.capacity_per_milli() * self.load * burst * growth;
         let per_milli = per_milli * self.deployment.accounts.rate_factor(self.now);
-        let mean = self.gateways.len() as f64 / per_milli;
+        let mean = match &self.deployment.zoning {
+            Some(zoning) => 1.0 / (per_milli * zoning.share_of_gateway(gateway)),
+            None => self.gateways.len() as f64 / per_milli,
+        };
         let pause = self.draw.pause(mean);
+        let factors = &self.conditions.kind_factors;
+        let kind = self.deployment.kind(factors, &mut self.draw);
         self.after(pause, Event::Arrival(gateway));
-        let kind = self.deployment.kind(&mut self.draw);
         let accounts = &self.deployment.accounts;
         let account = accounts.draw(&mut self.account_draw, self.now);
+        let zone = self.deployment.zone_of_gateway(gateway);
+        let Some(gateway) = self.accepting(gateway) else {
+            return;
+        };
         let model = &self.deployment.model;
         let usual_prompt = f64::from(model.mean_prompt_tokens) * self.deployment.kinds[kind].prompt;
+        let usual_answer = f64::from(model.mean_answer_tokens) * self.deployment.kinds[kind].answer;
         let caller = Caller {
             came_at: self.now,
             tried_at: self.now,
             gateway,
             account,
             kind,
-            zone: gateway % self.deployment.zones,
+            zone,
             prompt: deployment::tokens(&mut self.draw, usual_prompt as u32),
-            answer: deployment::tokens(&mut self.draw, model.mean_answer_tokens),
+            answer: deployment::tokens(&mut self.draw, usual_answer as u32),
             is_impatient: self.draw.share() < self.deployment.impatient_share,
             tries: 0,
             first_at: None,
@@ -87,8 +98,21 @@
         caller.tried.clear();
         caller.held_until = None;
         if caller.tries > 1 {
-            caller.gateway =
-                (caller.gateway + 1 + (self.draw.number() % gateways as u64) as usize) % gateways;
+            let draw = self.draw.number();
+            caller.gateway = match &self.deployment.zoning {
+                Some(zoning) => zoning.other_gateway(caller.gateway, draw),
+                None => (caller.gateway + 1 + (draw % gateways as u64) as usize) % gateways,
+            };
+            let Some(gateway) = self.accepting(self.callers[index].gateway) else {
+                self.callers[index].outcome = Outcome::Lost;
+                return;
+            };
+            self.callers[index].gateway = gateway;
+        }
+        let now = self.instant();
+        let gateway = self.callers[index].gateway;
+        if let Some(sharing) = &mut self.gateways[gateway].sharing {
+            sharing.note_arrival(now);
         }
         if self.exceeds_account_part(index) {
             return self.retry_later(index, &RETRY_FULL);
@@ -99,12 +123,19 @@
     }
 
     pub(super) fn choose(&mut self, index: usize) -> Choice {
+        let draw = self.draw.number();
+        let ask = self.ask(index, draw);
+        let gateway = self.callers[index].gateway;
+        self.gateways[gateway].choose(&ask, self.instant())
+    }
+
+    pub(super) fn ask(&self, index: usize, draw: u64) -> Ask<'_> {
         let caller = &self.callers[index];
         let held = match caller.held_until {
             Some(_) if caller.tried.is_empty() => self.now - caller.tried_at,
             _ => 0.0,
         };
-        let ask = Ask {
+        Ask {
             deployment: &self.deployment,
             target_millis: (self.deployment.target_of(caller.kind) - held).max(0.0) as u64,
             prompt: caller.prompt,
@@ -113,13 +144,16 @@
                 false => Visit::Returned,
             },
             tried: &caller.tried,
-            draw: self.draw.number(),
-        };
-        self.gateways[caller.gateway].choose(&ask, self.instant())
+            draw,
+        }
     }
 
     pub(super) fn send(&mut self, index: usize, is_first: bool) {
-        let (key, predicted, own) = match self.choose(index) {
+        let (choice, is_granted, placed) = match is_first {
+            true => self.choose_or_grant(index),
+            false => (self.choose(index), false, None),
+        };
+        let (key, predicted, own) = match choice {
             Choice::Send {
                 engine,
                 predicted_millis,
@@ -144,8 +178,15 @@
             gateway.note_fate(caller.visit, false, Some(wait), now);
             let pressure = (predicted - own) / wait.max(1.0);
             gateway.accounts.record_admission(pressure, now);
+            self.tries.push(Try {
+                at: self.now,
+                gateway: caller.gateway,
+                is_refused: false,
+                is_granted,
+            });
         }
         let (engine, engine_life) = gateway.place_of(key);
+        let caller_gateway = caller.gateway;
         caller.tried.push(key);
         caller.attempt = Some(self.attempts.len());
         self.attempts.push(Attempt {
@@ -157,11 +198,16 @@
             engine_life,
             sent_at: self.now,
             predicted,
+            is_granted,
+            placed: placed.filter(|placed| placed.gateway != caller_gateway),
             is_waiting: true,
             is_over: false,
         });
         let attempt = self.attempts.len() - 1;
-        let way = self.way(attempt);
+        let way = match is_granted {
+            true => self.way(attempt) + self.question_millis(caller_gateway, engine),
+            false => self.way(attempt),
+        };
         self.after(way, Event::Reach(attempt));
         let patience = PATIENCE.0.max(PATIENCE.1 * self.deployment.target_millis);
         self.after(patience as f64, Event::Patience(attempt));
@@ -190,6 +236,14 @@
         let now = self.instant();
         let caller = &mut self.callers[index];
         self.gateways[caller.gateway].note_fate(caller.visit, true, wait, now);
+        if caller.tried.is_empty() {
+            self.tries.push(Try {
+                at: self.now,
+                gateway: caller.gateway,
+                is_refused: true,
+                is_granted: false,
+            });
+        }
         self.retry_later(index, pause);
     }
 
@@ -235,6 +289,12 @@
             deadline: caller.tried_at + self.deployment.timeout_millis() as f64,
         };
         let way = self.way(attempt);
+        if self.is_cut_off(attempt) {
+            return self.after(
+                incidents::CONNECT_TIMEOUT_MILLIS,
+                Event::Word(attempt, Word::Broken),
+            );
+        }
         let there = &mut self.engines[engine];
         if !there.is_up || there.life != engine_life {
             return self.after(way, Event::Word(attempt, Word::Broken));
@@ -257,6 +317,7 @@
     }
 
     pub(super) fn end(&mut self, attempt: usize) {
+        self.tell_placer(attempt, true);
         let known = &mut self.attempts[attempt];
         known.is_over = true;
         let prompt = self.callers[known.caller].prompt;
@@ -277,6 +338,15 @@
                 engine.record_lateness(self.now - known.sent_at - known.predicted);
                 self.attempts[attempt].is_waiting = false;
                 caller.first_at = caller.first_at.or(Some(self.now));
+                self.first_events.push(FirstEvent {
+                    sent_at: known.sent_at,
+                    gateway: known.gateway,
+                    engine: known.engine,
+                    predicted: known.predicted,
+                    is_granted: known.is_granted,
+                    actual: self.now - known.sent_at,
+                });
+                self.tell_placer(attempt, false);
             }
             Word::Last => {
                 engine.record_success();
