--- a/crates/gingerpier_admission/src/accounts.rs
+++ b/crates/gingerpier_admission/src/accounts.rs
@@ -280,7 +280,7 @@
 
 /// Returns the largest demand that is served in full if `capacity` is shared max-min fairly.
 /// Without at least two accounts, no other account could use what one of them leaves.
-fn equal_part(demands: &mut [f64], capacity: f64) -> f64 {
+pub fn equal_part(demands: &mut [f64], capacity: f64) -> f64 {
     if demands.len() < 2 {
         return f64::INFINITY;
     }
--- a/crates/gingerpier_admission/tests/accounts.rs
+++ b/crates/gingerpier_admission/tests/accounts.rs
@@ -1,7 +1,7 @@
 //! Capacity sharing between client accounts at the low rates of one gateway.
 
 use {
-    gingerpier_admission::accounts::{Controller, MAX_ACCOUNTS},
+    gingerpier_admission::accounts::{self, Controller, MAX_ACCOUNTS},
     gingerpier_base::Instant,
     proptest::prelude::*,
 };
@@ -180,6 +180,15 @@
         }
     }
 
+    /// Guards against parts that leave capacity unused, or give out more than there is.
+    #[test]
+    fn parts_use_the_whole_capacity(rates in rates(2..40), share in 0.01_f64..0.99) {
+        let capacity = share * rates.iter().sum::<f64>();
+        let part = accounts::equal_part(&mut rates.clone(), capacity);
+        let used: f64 = rates.iter().map(|rate| rate.min(part)).sum();
+        prop_assert!((used - capacity).abs() < 1e-6, "{} of {}", used, capacity);
+    }
+
     /// Guards against a result that is no probability, and against an account that avoids refusals by sending more.
     #[test]
     fn more_requests_raise_the_probability(seed: u64, rates in rates(2..40), capacity in 0.05_f64..0.9) {
