--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -53,8 +53,6 @@
     NoEngine,
     /// All engines that can run the request are predicted to miss its latency target.
     Full,
-    /// The client account exceeds its part of a scarce capacity.
-    Account,
     /// The request is on hold, as engines crashed while they ran it.
     Held,
     /// The request is suspected of crashing engines, and another trial of it is running.
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -132,7 +132,6 @@
                     self.slack_millis(),
                     clock::now(),
                 );
-                self.record_account_shortage();
             }
             let reason = self.final_reason();
             self.record_refused(reason);
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -145,10 +145,6 @@
     async fn run(&mut self, caller: &mut Connection) -> Persistence {
         let mut progress = Progress::default();
         let mut fallback = None;
-        if self.exceeds_account_part() {
-            let reason = Reason::Account;
-            return self.abort(caller, reason, &progress, fallback).await;
-        }
         loop {
             // The trial ends when its guard is dropped, after the attempt.
             let (engine, _trial) = match self.admit(caller, &progress).await {
@@ -256,7 +252,6 @@
                 self.slack_millis(),
                 clock::now(),
             );
-            self.record_account_pressure();
         }
         self.retry_state.attempts += 1;
         self.sent_at = Some(clock::now());
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -1,6 +1,5 @@
 //! Server side of the proxy: callers' connections and their requests.
 
-pub mod account_sharing;
 pub mod attempt;
 pub mod body;
 pub mod buffered;
--- a/crates/gingerpier_gateway/src/proxy/priority.rs
+++ b/crates/gingerpier_gateway/src/proxy/priority.rs
@@ -38,7 +38,7 @@
             _ if self.request.visit == Visit::Returned => return,
             Reason::Full => Outcome::Full,
             Reason::Priority => Outcome::Yielded,
-            Reason::Account | Reason::NoEngine | Reason::Held | Reason::OnTrial => return,
+            Reason::NoEngine | Reason::Held | Reason::OnTrial => return,
         };
         self.record_outcome(outcome);
     }
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -1,6 +1,5 @@
 //! State of a gateway, shared by its tasks on one thread.
 
-mod accounts;
 mod engines;
 mod placement;
 mod priority;
@@ -102,7 +101,6 @@
     return_detector: RefCell<Detector>,
     prompt_sizes: RefCell<Sizes>,
     shedding: RefCell<shedding::SheddingTable>,
-    accounts: RefCell<accounts::AccountTable>,
     priorities: RefCell<priority::Priorities>,
     sharing: RefCell<sharing::Sharing>,
     regions: Regions,
@@ -165,7 +163,6 @@
             return_detector: RefCell::new(Detector::new(started)),
             prompt_sizes: RefCell::default(),
             shedding: RefCell::default(),
-            accounts: RefCell::default(),
             priorities: RefCell::default(),
             sharing: RefCell::new(sharing),
             regions,
