--- a/crates/gingerpier_admission/src/accounts.rs
+++ b/crates/gingerpier_admission/src/accounts.rs
@@ -13,6 +13,9 @@
 //! shares, which an estimate that each of them integrates over time doesn't ensure. Each gateway
 //! decides alone: in the model, the rates of the zone's other gateways gained nothing.
 //!
+//! Only the overload model uses this. At three times the capacity, large accounts are served 0.10
+//! of their requests, less than their equal part, so the gateway doesn't apply the rule yet.
+//!
 //! ```
 //! use {gingerpier_admission::accounts::Controller, gingerpier_base::Instant};
 //!
