Gateway: requests to ordinary services are not withdrawn

A request to an ordinary service may name a model, and its engine may report an older version of it: each such request was ended at once after a cutover.

--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -234,6 +234,8 @@
     /// Time at which the request is withdrawn from `engine` unless it has started; `None` if the
     /// engine's weights don't expire.
     pub(super) fn withdraw_at(&self, engine: EngineKey) -> Option<Instant> {
+        // An ordinary service may name a model, but its engines load no weights.
+        self.request.engine_model()?;
         let fleet = self.state.fleet.borrow();
         let model = self.request.model.as_deref()?;
         let loaded = fleet.engine(engine).loaded_version(model, clock::now())?;
