--- a/crates/gingerpier_admission/tests/memory.rs
+++ b/crates/gingerpier_admission/tests/memory.rs
@@ -1,20 +1,17 @@
 //! Guards against requests that are sent to engines whose memory can't hold their prompts, where
 //! they would wait until others end.
 
+#[expect(dead_code, reason = "other tests use the rest")]
+mod common;
+
 use {
-    gingerpier_admission::{
-        fairness::Adjustment,
-        selection::{self, Availability, Choice, Criteria},
-        shedding,
-    },
+    gingerpier_admission::selection::{self, Availability, Choice, Criteria},
     gingerpier_base::Instant,
     gingerpier_serving::{
         configuration::EngineModel,
-        fleet::{EngineKey, Fleet, Record, State},
+        fleet::{EngineKey, Fleet},
         mirror::Revision,
-        region::RegionSet,
-        report::{Held, Report, Version},
-        warmup::ColdLimits,
+        report::Report,
     },
 };
 
@@ -42,15 +39,9 @@
 
 fn report(active: u32, used: u64, total: u64) -> Report {
     Report {
-        loaded: vec![Held {
-            model: "m".to_owned(),
-            version: Version(1),
-        }],
-        active,
         memory_used_tokens: used,
         memory_total_tokens: total,
-        slowdown: 1.0,
-        ..Report::default()
+        ..common::report(active)
     }
 }
 
@@ -58,16 +49,7 @@
 fn fleet(reports: &[Report]) -> (Fleet, Vec<EngineKey>) {
     let mut fleet = Fleet::default();
     let mut list = |(number, report): (u8, &Report)| {
-        let record = Record {
-            id: format!("e{number}"),
-            service: "s".to_owned(),
-            address: ([10, 0, 0, number], 80).into(),
-            zone: "z".to_owned(),
-            state: State::Ready,
-            slots: 16,
-            cold_millis: 0,
-            report: report.clone(),
-        };
+        let record = common::record(number, "z", 16, report.clone());
         let key = fleet.list(record, Revision(1));
         fleet.engine_mut(key).record_report(report.clone(), at(0));
         key
@@ -80,23 +62,9 @@
 fn with_criteria<T>(prompt_tokens: u64, decide: impl FnOnce(&Criteria<'_>) -> T) -> T {
     let model = model();
     decide(&Criteria {
-        service: "s",
-        engine_model: Some(&model),
-        model: Some("m"),
-        cutovers: &[],
-        resume_version: None,
         prompt_tokens,
         target_millis: 500,
-        target_share: shedding::TARGET_SHARE,
-        fairness: Adjustment::default(),
-        zone: "z",
-        gateway_count: 1,
-        other_arrivals_per_milli: 0.0,
-        overtaking_per_milli: 0.0,
-        tried_engines: &[],
-        may_crash_engine: false,
-        allowed_regions: RegionSet::ALL,
-        cold_limits: ColdLimits::NEVER_COLD,
+        ..common::criteria(&model)
     })
 }
 
--- a/crates/gingerpier_admission/tests/overtaking.rs
+++ b/crates/gingerpier_admission/tests/overtaking.rs
@@ -1,25 +1,14 @@
 //! Tests of the prediction for requests that more urgent ones overtake in an engine's queue.
 
+#[expect(dead_code, reason = "other tests use the rest")]
+mod common;
+
 use {
-    gingerpier_admission::{
-        fairness::Adjustment,
-        selection::{self, Choice, Criteria},
-    },
-    gingerpier_base::Instant,
-    gingerpier_serving::{
-        configuration::EngineModel,
-        fleet::{Fleet, Record, State},
-        mirror::Revision,
-        region::RegionSet,
-        report::{Held, Report, Version},
-        warmup::ColdLimits,
-    },
+    common::at,
+    gingerpier_admission::selection::{self, Choice, Criteria},
+    gingerpier_serving::{configuration::EngineModel, fleet::Fleet, mirror::Revision},
 };
 
-const fn at(millis: u64) -> Instant {
-    Instant::from_millis(100_000 + millis)
-}
-
 fn model() -> EngineModel {
     EngineModel {
         slots: 16,
@@ -38,29 +27,9 @@
 
 /// Creates a fleet of one engine with `active` running requests.
 fn fleet(active: u32) -> Fleet {
-    let report = Report {
-        loaded: vec![Held {
-            model: "m".to_owned(),
-            version: Version(1),
-        }],
-        active,
-        slowdown: 1.0,
-        ..Report::default()
-    };
+    let report = common::report(active);
     let mut fleet = Fleet::default();
-    let key = fleet.list(
-        Record {
-            id: "e".to_owned(),
-            service: "s".to_owned(),
-            address: ([10, 0, 0, 1], 80).into(),
-            zone: "z".to_owned(),
-            state: State::Ready,
-            slots: 16,
-            cold_millis: 0,
-            report: report.clone(),
-        },
-        Revision(1),
-    );
+    let key = fleet.list(common::record(1, "z", 16, report.clone()), Revision(1));
     fleet.engine_mut(key).record_report(report, at(0));
     fleet
 }
@@ -69,23 +38,10 @@
 fn predicted_millis(requests: u32, overtaking_per_milli: f64) -> f64 {
     let model = model();
     let criteria = Criteria {
-        service: "s",
-        engine_model: Some(&model),
-        model: Some("m"),
-        cutovers: &[],
-        resume_version: None,
-        prompt_tokens: 900,
         target_millis: 100_000,
         target_share: 1.0,
-        fairness: Adjustment::default(),
-        zone: "z",
-        gateway_count: 1,
-        other_arrivals_per_milli: 0.0,
         overtaking_per_milli,
-        tried_engines: &[],
-        may_crash_engine: false,
-        allowed_regions: RegionSet::ALL,
-        cold_limits: ColdLimits::NEVER_COLD,
+        ..common::criteria(&model)
     };
     match selection::choose(&fleet(requests), &criteria, at(0), 0) {
         Choice::Send {
--- a/crates/gingerpier_admission/tests/sharing_placement.rs
+++ b/crates/gingerpier_admission/tests/sharing_placement.rs
@@ -1,72 +1,30 @@
 //! Tests of the choice of an engine in a granting zone.
 
+mod common;
+
 use {
+    common::{at, model, report},
     gingerpier_admission::{
-        fairness::Adjustment,
         selection::{Choice, Criteria},
         sharing::{granter, placement},
-        shedding,
     },
-    gingerpier_base::Instant,
     gingerpier_serving::{
         configuration::EngineModel,
-        fleet::{EngineKey, Fleet, Record, State},
+        fleet::{EngineKey, Fleet},
         mirror::Revision,
-        region::{RegionSet, Regions},
-        report::{Held, Report, Version},
-        warmup::ColdLimits,
+        region::Regions,
+        report::{Report, Version},
     },
     std::collections::HashMap,
 };
 
-const fn at(millis: u64) -> Instant {
-    Instant::from_millis(100_000 + millis)
-}
-
-fn model() -> EngineModel {
-    EngineModel {
-        slots: 12,
-        stride: 7,
-        step_millis: 7.4,
-        per_request_millis: 0.0,
-        per_thousand_tokens_millis: 0.0,
-        prompt_tokens_per_milli: 31.9,
-        max_prompt_tokens_per_pass: None,
-        mean_prompt_tokens: 900,
-        mean_answer_tokens: 110,
-        memory_tokens: 317_000,
-        models: vec!["m".to_owned()],
-    }
-}
-
-fn report(active: u32) -> Report {
-    Report {
-        loaded: vec![Held {
-            model: "m".to_owned(),
-            version: Version(1),
-        }],
-        active,
-        slowdown: 1.0,
-        ..Report::default()
-    }
-}
-
 fn fleet() -> Fleet {
     Fleet::with_regions(Regions::new([("y", "north"), ("z", "south")]))
 }
 
 fn add_engine(fleet: &mut Fleet, zone: &str, active: u32) -> EngineKey {
     let index = fleet.all_engines().count() as u8;
-    let record = Record {
-        id: format!("e{index}"),
-        service: "s".to_owned(),
-        address: ([10, 0, 0, index], 80).into(),
-        zone: zone.to_owned(),
-        state: State::Ready,
-        slots: 12,
-        cold_millis: 0,
-        report: report(active),
-    };
+    let record = common::record(index, zone, 12, report(active));
     let key = fleet.list(record, Revision(1));
     fleet.engine_mut(key).record_report(report(active), at(0));
     key
@@ -74,23 +32,9 @@
 
 fn criteria<'a>(model: &'a EngineModel, tried_engines: &'a [EngineKey]) -> Criteria<'a> {
     Criteria {
-        service: "s",
-        engine_model: Some(model),
-        model: Some("m"),
-        cutovers: &[],
-        resume_version: None,
-        prompt_tokens: 900,
-        target_millis: 400,
-        target_share: shedding::TARGET_SHARE,
-        fairness: Adjustment::default(),
-        allowed_regions: RegionSet::ALL,
-        cold_limits: ColdLimits::NEVER_COLD,
-        zone: "z",
         gateway_count: 29,
-        other_arrivals_per_milli: 0.0,
-        overtaking_per_milli: 0.0,
         tried_engines,
-        may_crash_engine: false,
+        ..common::criteria(model)
     }
 }
 
