Weights: the platform's store keeps the manifest of current weights

What callers saw: after a restart of everything while the origin was away, every gateway refused all requests for models until the origin came back; plain services were served.

Cause: engines load only chunks that match a manifest, and after a common restart the origin alone had the manifest, although all chunks were staged at the engines.

Change: one gateway writes the manifest of the newest release, or of what engines hold, to the store, conditional on the revision that it replaces; gateways check staged chunks against it and tell loaders its version. Why it works: nothing that recovery of staged weights needs is at one process.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -88,6 +88,7 @@
     if state.settings.carries_weights {
         actix_rt::spawn(weights::relay::run(state.clone()));
         actix_rt::spawn(weights::origin_poll::run(state.clone()));
+        actix_rt::spawn(weights::manifest_keeper::run(state.clone()));
     }
     actix_rt::spawn(reports::subscribe(state.clone(), socket.clone()));
     actix_rt::spawn(zones::send_digests(state.clone(), socket.clone()));
--- a/crates/gingerpier_gateway/src/items.rs
+++ b/crates/gingerpier_gateway/src/items.rs
@@ -33,6 +33,7 @@
             let is_short = value.len() <= MAX_ENTRY_BYTES;
             is_short && platform_api.parse_item(&item.key, value).is_ok()
         }
+        ItemKind::Manifest(_) => platform_api.parse_item(&item.key, value).is_ok(),
         ItemKind::Other => false,
     };
     match is_used {
--- a/crates/gingerpier_gateway/src/loader/sync.rs
+++ b/crates/gingerpier_gateway/src/loader/sync.rs
@@ -218,7 +218,10 @@
             Some(Content::Weights(model_version)) => {
                 loader.record_release(&model_version, LOCAL, 0)
             }
-            Some(Content::Engine(_) | Content::Evacuation(_) | Content::Other) | None => {}
+            Some(
+                Content::Engine(_) | Content::Evacuation(_) | Content::Manifest(_) | Content::Other,
+            )
+            | None => {}
         }
     }
     loader.revision.set(loader.revision.get().max(at));
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -25,6 +25,7 @@
         let id = match self.platform_api.item_kind(&item.key) {
             ItemKind::Engine(id) => id,
             ItemKind::Evacuation(zone) => return self.set_evacuated(&zone, false, item.revision),
+            ItemKind::Manifest(model) => return self.distributor.kept_manifests.remove(&model),
             _ => return,
         };
         let revision = item.revision.0;
@@ -79,10 +80,13 @@
         }
     }
 
-    /// Unlists the engine whose entry can't be parsed, until a valid entry replaces it.
-    pub(super) fn unlist_unreadable(&self, item: &Item) {
-        let ItemKind::Engine(id) = self.platform_api.item_kind(&item.key) else {
-            return;
+    /// Unlists the engine whose entry can't be parsed, until a valid entry replaces it; drops a
+    /// manifest that can't be parsed, so that it is written again.
+    pub(super) fn drop_unreadable(&self, item: &Item) {
+        let id = match self.platform_api.item_kind(&item.key) {
+            ItemKind::Engine(id) => id,
+            ItemKind::Manifest(model) => return self.distributor.kept_manifests.remove(&model),
+            _ => return,
         };
         let mut fleet = self.fleet.borrow_mut();
         let known = fleet.find(&id);
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -241,8 +241,9 @@
             Some(Content::Engine(record)) => self.list_engine(*record, item.revision),
             Some(Content::Weights(release)) => self.record_release(&release),
             Some(Content::Evacuation(zone)) => self.set_evacuated(&zone, true, item.revision),
+            Some(Content::Manifest(manifest)) => self.record_kept_manifest(*manifest, item),
             Some(Content::Other) => {}
-            None => self.unlist_unreadable(item),
+            None => self.drop_unreadable(item),
         }
     }
 
--- a/crates/gingerpier_gateway/src/state/unreleased.rs
+++ b/crates/gingerpier_gateway/src/state/unreleased.rs
@@ -2,9 +2,13 @@
 
 use {
     super::State,
-    crate::{clock, message},
+    crate::{clock, message, weights::manifest_keeper::KeptManifest},
+    bytes::Bytes,
     gingerpier_serving::{
-        configuration::Configuration, platform_api::ModelVersion, unreleased::Known,
+        configuration::Configuration,
+        mirror::Item,
+        platform_api::{ItemKind, Manifest, ModelVersion},
+        unreleased::Known,
     },
 };
 
@@ -17,14 +21,17 @@
 }
 
 impl State {
-    /// Known versions of `model`, including those that engines of `service` have loaded.
+    /// Known versions of `model`, including those that engines of `service` have loaded or, if none
+    /// reports one, the version whose manifest the store keeps: engines had loaded it.
     pub fn known_versions(&self, service: &str, model: &str) -> Known {
         let now = clock::now();
         let fleet = self.fleet.borrow();
         let present = fleet.current_of_service(service);
         let loaded_versions = present.filter_map(|(_, engine)| engine.loaded_version(model, now));
         Known {
-            held: loaded_versions.max(),
+            held: loaded_versions
+                .max()
+                .or_else(|| self.distributor.kept_manifests.version(model)),
             ..self.available_versions(model)
         }
     }
@@ -38,6 +45,24 @@
         }
     }
 
+    /// Records a manifest that the store keeps.
+    pub(super) fn record_kept_manifest(&self, manifest: Manifest, item: &Item) {
+        let Some(value) = &item.value else { return };
+        if self.platform_api.item_kind(&item.key) != ItemKind::Manifest(manifest.model.clone()) {
+            return self.drop_unreadable(item);
+        }
+        tracing::info!(
+            model = manifest.model,
+            version = manifest.version.0,
+            revision = item.revision.0,
+            "manifest found in the store"
+        );
+        let bytes = Bytes::copy_from_slice(value);
+        let kept = KeptManifest { manifest, bytes };
+        self.distributor.kept_manifests.insert(kept);
+        self.distributor.arrived.notify_waiters();
+    }
+
     /// True if an engine of `service` has no weights of `model` loaded.
     pub fn lacks_weights(&self, service: &str, model: &str) -> bool {
         let now = clock::now();
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -95,6 +95,7 @@
             return model_version;
         }
         // If even the origin's chunks mismatch, the manifest is likely corrupt.
+        distributor.kept_manifests.remove(&model_version.model);
         let mut chunk_cache = distributor.chunk_cache.borrow_mut();
         chunk_cache.remove(&model_version.model, model_version.version);
     }
--- a/crates/gingerpier_gateway/src/weights/manifest.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest.rs
@@ -32,8 +32,8 @@
 /// of each other zone.
 const MAX_PEER_SOURCES: usize = 6;
 
-/// Fetches the manifest of a version from the first source of `route` that returns it, and returns
-/// the version that was found.
+/// Fetches the manifest of a version from the store's copy or else from the first source of `route`
+/// that returns it, and returns the version that was found.
 ///
 /// Polls all sources concurrently, because any of them may be down for seconds.
 pub async fn fetch(
@@ -50,6 +50,37 @@
     if is_cached(&distributor.chunk_cache.borrow()) {
         return model_version.clone();
     }
+    tokio::select! {
+        biased;
+        kept = wait_for_kept(distributor, model_version) => cache_manifest(distributor, kept),
+        fetched = poll_sources(distributor, sources, route, model_version) => {
+            cache_manifest(distributor, fetched)
+        }
+    }
+}
+
+/// Returns the manifest from the store once this process knows it.
+async fn wait_for_kept(distributor: &Distributor, model_version: &ModelVersion) -> FetchedManifest {
+    loop {
+        let arrived = distributor.arrived.notified();
+        if let Some(kept) = distributor.kept_manifests.get(model_version) {
+            return FetchedManifest {
+                manifest: kept.manifest,
+                bytes: kept.bytes,
+                source: None,
+            };
+        }
+        arrived.await;
+    }
+}
+
+/// Polls all sources of `route` until one returns the manifest.
+async fn poll_sources(
+    distributor: &Rc<Distributor>,
+    sources: &Rc<Sources>,
+    route: &Route,
+    model_version: &ModelVersion,
+) -> FetchedManifest {
     let mut route_sources = Vec::new();
     route.sources(0, &mut route_sources);
     let origin_delay = match route.may_request_manifest_from_origin() {
@@ -81,14 +112,15 @@
         return std::future::pending().await;
     }
     let (fetched, _, _) = future::select_all(requests).await;
-    cache_manifest(distributor, fetched)
+    fetched
 }
 
 /// A parsed manifest and its source.
 struct FetchedManifest {
     manifest: Manifest,
     bytes: Bytes,
-    source: SocketAddr,
+    /// None for the store.
+    source: Option<SocketAddr>,
 }
 
 /// Polls one source until it returns the manifest.
@@ -115,7 +147,7 @@
             return FetchedManifest {
                 manifest,
                 bytes,
-                source: address,
+                source: Some(address),
             };
         }
         if !std::mem::replace(&mut is_logged, true) {
@@ -134,7 +166,7 @@
 ) -> Option<ModelVersion> {
     let bytes = read_from_origin(distributor, origin, model_version).await?;
     let manifest = distributor.platform_api.parse_manifest(200, &bytes).ok()?;
-    let source = origin.peer();
+    let source = Some(origin.peer());
     Some(cache_manifest(
         distributor,
         FetchedManifest {
@@ -156,7 +188,7 @@
         version: manifest.version,
     };
     let chunks = manifest.digests.len();
-    tracing::info!(model = model_version.model, version = model_version.version.0, chunks, %source, "manifest taken");
+    tracing::info!(model = model_version.model, version = model_version.version.0, chunks, source = ?source, "manifest taken");
     let chunk_set = ChunkSet::new(manifest, bytes);
     distributor.chunk_cache.borrow_mut().insert(chunk_set);
     distributor.arrived.notify_waiters();
@@ -165,7 +197,7 @@
 
 /// Reads the manifest from the origin until two reads agree, as a corrupt manifest would invalidate
 /// every check against it.
-async fn read_from_origin(
+pub async fn read_from_origin(
     distributor: &Distributor,
     origin: &mut Client,
     model_version: &ModelVersion,
--- /dev/null
+++ b/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
@@ -0,0 +1,190 @@
+//! Keeps the manifest of each model's current weights in the platform's store, where it outlasts a
+//! crash of all processes and an outage of the origin.
+
+use {
+    super::manifest,
+    crate::{
+        client::Client,
+        clock,
+        error::{Error, Step},
+        state::{State, configured_models},
+        store,
+    },
+    bytes::Bytes,
+    gingerpier_base::order,
+    gingerpier_serving::{
+        manifest_keeping::{Observed, Schedule},
+        platform_api::{Manifest, ModelVersion, PutOutcome},
+        report::Version,
+    },
+    std::{
+        cell::RefCell,
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// Interval between checks, each of which scans the engines of services without a release.
+const POLL_INTERVAL_MILLIS: u64 = 500;
+
+/// Timeout for a write to the store.
+const WRITE_TIMEOUT_MILLIS: u64 = 1_500;
+
+/// Longest manifest that is kept: half of the longest value that the store accepts, as base64 adds
+/// a third.
+const MAX_MANIFEST_BYTES: usize = 512 * 1024;
+
+/// A manifest from the store.
+#[derive(Debug, Clone)]
+pub struct KeptManifest {
+    /// Manifest.
+    pub manifest: Manifest,
+    /// Encoded manifest as received from the origin.
+    pub bytes: Bytes,
+}
+
+/// Manifests from the store, by model.
+#[derive(Debug, Default)]
+pub struct KeptManifests(RefCell<HashMap<String, KeptManifest>>);
+
+impl KeptManifests {
+    /// Sets the manifest of a model.
+    pub fn insert(&self, kept: KeptManifest) {
+        let model = kept.manifest.model.clone();
+        self.0.borrow_mut().insert(model, kept);
+    }
+
+    /// Removes the manifest of a model, as it was deleted or its digests turned out to be wrong.
+    pub fn remove(&self, model: &str) {
+        self.0.borrow_mut().remove(model);
+    }
+
+    /// Manifest of exactly this version.
+    pub fn get(&self, model_version: &ModelVersion) -> Option<KeptManifest> {
+        let kept = self.0.borrow();
+        let kept = kept.get(&model_version.model)?;
+        (kept.manifest.version == model_version.version).then(|| kept.clone())
+    }
+
+    /// Version of the model's manifest.
+    pub fn version(&self, model: &str) -> Option<Version> {
+        let kept = self.0.borrow();
+        kept.get(model).map(|kept| kept.manifest.version)
+    }
+}
+
+/// Writes the manifests that the store lacks.
+pub async fn run(state: Rc<State>) {
+    let mut schedules: HashMap<String, Schedule> = HashMap::new();
+    let mut oversized: HashSet<(String, Version)> = HashSet::new();
+    loop {
+        clock::pause(POLL_INTERVAL_MILLIS).await;
+        let Some(configuration) = state.configuration() else {
+            continue;
+        };
+        let origin = configuration.origin().map(|origin| origin.address);
+        for (service, model) in configured_models(&configuration) {
+            let observed = observe(&state, service, model);
+            let schedule = schedules.entry(model.to_owned()).or_default();
+            if !schedule.is_due(&observed, clock::now()) {
+                continue;
+            }
+            let Some(version) = observed.wanted else {
+                continue;
+            };
+            let model_version = ModelVersion {
+                model: model.to_owned(),
+                version,
+            };
+            if oversized.contains(&(model.to_owned(), version)) {
+                continue;
+            }
+            let Some(bytes) = obtain(&state, origin, &model_version).await else {
+                tracing::info!(model, version = version.0, "manifest to keep not obtained");
+                schedule.record_failure(clock::now(), fastrand::u64(..));
+                continue;
+            };
+            if bytes.len() > MAX_MANIFEST_BYTES {
+                let bytes = bytes.len();
+                tracing::warn!(
+                    model,
+                    version = version.0,
+                    bytes,
+                    "manifest is too long for the store; recovery depends on the origin"
+                );
+                oversized.insert((model.to_owned(), version));
+                continue;
+            }
+            match write(&state, model, &bytes).await {
+                Ok(outcome) => {
+                    tracing::info!(
+                        model,
+                        version = version.0,
+                        bytes = bytes.len(),
+                        ?outcome,
+                        "manifest written to the store"
+                    );
+                    schedule.record_response(clock::now());
+                }
+                Err(error) => {
+                    tracing::warn!(model, version = version.0, cause = %error, "manifest not written to the store");
+                    schedule.record_failure(clock::now(), fastrand::u64(..));
+                }
+            }
+        }
+    }
+}
+
+fn observe(state: &State, service: &str, model: &str) -> Observed {
+    let known = state.known_versions(service, model);
+    let mut observed = Observed {
+        wanted: known.named.or(known.held),
+        kept: state.distributor.kept_manifests.version(model),
+        rank: 0,
+    };
+    if observed.is_lacking() {
+        observed.rank = rank(state, model);
+    }
+    observed
+}
+
+/// Number of live gateways of all zones that write the manifest of `model` before this one.
+fn rank(state: &State, model: &str) -> u32 {
+    let subject = order::hash(model);
+    let score = |address: SocketAddr| order::score(subject, order::hash(&address));
+    let own = score(state.settings.peers);
+    let alive = state.alive_gateways().into_iter();
+    let higher_ranked = alive.filter(|gateway| score(gateway.address) > own);
+    higher_ranked.count() as u32
+}
+
+/// Manifest of a version, from the chunk cache or else from the origin.
+async fn obtain(
+    state: &State,
+    origin: Option<SocketAddr>,
+    model_version: &ModelVersion,
+) -> Option<Bytes> {
+    if let Some(bytes) = state.distributor.manifest_bytes(model_version) {
+        return Some(bytes);
+    }
+    let mut client = Client::new(origin?);
+    manifest::read_from_origin(&state.distributor, &mut client, model_version).await
+}
+
+/// Writes the manifest of `model`, unless another gateway has written one meanwhile.
+async fn write(state: &State, model: &str, bytes: &[u8]) -> Result<PutOutcome, Error> {
+    let key = state.platform_api.manifest_key(model);
+    let expected = state.mirror.borrow().item_revision(&key);
+    let expected = expected.unwrap_or_default();
+    let call = state.platform_api.put(&key, bytes, expected);
+    state.metrics.store_calls.inc();
+    let mut client = store::client(state.settings.store, state.platform_api);
+    let response = client.call(&call, WRITE_TIMEOUT_MILLIS).await?;
+    let outcome = state.platform_api.parse_put(response.head.status);
+    outcome.map_err(|cause| Error::Response {
+        step: Step::Parse,
+        peer: client.peer(),
+        cause,
+    })
+}
--- a/crates/gingerpier_gateway/src/weights/mod.rs
+++ b/crates/gingerpier_gateway/src/weights/mod.rs
@@ -9,6 +9,7 @@
 pub mod cache;
 pub mod fetch;
 pub mod manifest;
+pub mod manifest_keeper;
 pub mod origin_poll;
 pub mod peers;
 pub mod relay;
@@ -28,6 +29,7 @@
     },
     gingerpier_settings::gateway::ZoneRegion,
     gingerpier_weights::{Relays, plan::Replica},
+    manifest_keeper::KeptManifests,
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -48,6 +50,8 @@
     pub platform_api: &'static dyn PlatformApi,
     /// Chunks in memory.
     pub chunk_cache: RefCell<ChunkCache>,
+    /// Manifests from the store; empty on loaders.
+    pub kept_manifests: KeptManifests,
     /// Encoded engine and service configuration for loaders; set on gateways once known.
     pub configuration: RefCell<Option<Bytes>>,
     /// Engine on this machine; none on gateways.
@@ -89,6 +93,7 @@
         Self {
             platform_api,
             chunk_cache: RefCell::default(),
+            kept_manifests: KeptManifests::default(),
             configuration: RefCell::default(),
             engine: None,
             served_version: RefCell::default(),
@@ -108,6 +113,13 @@
         Some(chunk_set.manifest.clone())
     }
 
+    /// Encoded manifest of a cached version.
+    pub fn manifest_bytes(&self, model_version: &ModelVersion) -> Option<Bytes> {
+        let chunk_cache = self.chunk_cache.borrow();
+        let chunk_set = chunk_cache.get(&model_version.model, model_version.version)?;
+        Some(chunk_set.manifest_bytes.clone())
+    }
+
     /// Number of cached chunks of a version.
     pub fn cached_count(&self, model_version: &ModelVersion) -> usize {
         let chunk_cache = self.chunk_cache.borrow();
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod fleet;
 pub mod liveness;
 pub mod loader_polling;
+pub mod manifest_keeping;
 pub mod mirror;
 pub mod outage;
 pub mod pacing;
--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Returns the revision of the last write of an existing item.
+    pub fn item_revision(&self, key: &str) -> Option<Revision> {
+        self.items.get(key).map(|stored| stored.revision)
+    }
+
     /// Returns the changes after revision `after`, without rewrites of equal values; none if the
     /// history doesn't reach back that far and a full copy is needed.
     pub fn changes_after(&self, after: Revision) -> Option<Changes> {
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -98,6 +98,8 @@
     Weights(ModelVersion),
     /// Zone whose engines get no requests.
     Evacuation(String),
+    /// A manifest that gateways keep.
+    Manifest(Box<Manifest>),
     /// Not relevant here.
     Other,
 }
@@ -145,6 +147,8 @@
     Weights(String),
     /// Evacuation of a zone.
     Evacuation(String),
+    /// The manifest of a model's weights that gateways keep.
+    Manifest(String),
     /// Not relevant here.
     Other,
 }
@@ -237,6 +241,20 @@
     /// If the request was rejected or the response is malformed.
     fn parse_watch(&self, status: u16, body: &[u8]) -> Result<WatchResponse, Error>;
 
+    /// Request that writes an item, unless its revision differs from `expected`; revision 0 stands
+    /// for an item that doesn't exist.
+    fn put(&self, key: &str, value: &[u8], expected: Revision) -> ApiRequest;
+
+    /// Parses the response to [`PlatformApi::put`].
+    ///
+    /// # Errors
+    ///
+    /// If the request was rejected.
+    fn parse_put(&self, status: u16) -> Result<PutOutcome, Error>;
+
+    /// Key of the item with the manifest of a model's weights.
+    fn manifest_key(&self, model: &str) -> String;
+
     /// Returns what the key of an item identifies.
     fn item_kind(&self, key: &str) -> ItemKind;
 
@@ -297,6 +315,15 @@
     Engines,
 }
 
+/// Response of the store to a conditional write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PutOutcome {
+    /// The item is written.
+    Written,
+    /// The item has another revision than expected, and is unchanged.
+    Conflict,
+}
+
 /// Response of an engine to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartOutcome {
