Admission: an idle engine of an ordinary service is always within the bound

Cause: a request is refused where the measured response time is over twice the target; then no request is sent, and no response corrects the measurement.

Change: the bound of an ordinary service includes the response time of an idle engine and a quarter on top, as that of models does. Why it works: an idle engine always gets a request, so the estimate follows its responses; a slow one gets at most a quarter of its slots.

--- a/crates/gingerpier_admission/src/selection.rs
+++ b/crates/gingerpier_admission/src/selection.rs
@@ -41,8 +41,9 @@
 /// Upper bound of the number of subsets. A sample must contain an engine with free capacity.
 const MAX_SUBSETS: u32 = 4;
 
-/// Multiple of an idle engine's time to first event that is always admitted: a request that misses
-/// its target on an idle engine would miss it on every retry.
+/// Multiple of an idle engine's time to first event, or of its response time, that is always
+/// admitted: a request that misses its target on an idle engine would miss it on every retry, and
+/// only further responses correct a response time that was measured while the engine was slow.
 const IDLE_TOLERANCE: f64 = 1.25;
 
 /// Fraction of the queueing time allowed on engines outside the sampled subset, as other gateways
@@ -329,6 +330,7 @@
             Components {
                 own_prompt_millis: engine.work_millis().unwrap_or(default_work)
                     * engine.sharing_slowdown(),
+                slowdown: engine.sharing_slowdown(),
                 ..Components::default()
             }
         }
@@ -339,7 +341,8 @@
 fn bound_millis(criteria: &Criteria<'_>, components: &Components) -> f64 {
     let target_millis = criteria.target_millis as f64;
     let Some(model) = criteria.engine_model else {
-        return target_millis * PLAIN_TARGET_SHARE;
+        let idle_millis = components.own_prompt_millis / components.slowdown;
+        return (target_millis * PLAIN_TARGET_SHARE).max(idle_millis * IDLE_TOLERANCE);
     };
     // A slow engine is slow when idle, too, so the idle time is scaled by its slowdown.
     let idle_millis =
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -830,6 +830,62 @@
     assert!((predicted(&fleet) - 40.0).abs() < 1.0);
 }
 
+/// All requests of a service are refused for good after its engines were slow for a while, as no response can
+/// correct the measured time any more.
+#[test]
+fn ordinary_service_is_not_refused_for_good_after_slow_responses() {
+    let (mut fleet, keys) = fleet(2);
+    let ordinary = Criteria {
+        engine_model: None,
+        model: None,
+        target_millis: 100,
+        ..default_criteria()
+    };
+    let choose = |fleet: &Fleet| selection::choose(fleet, &ordinary, at(0), 0);
+    for key in &keys {
+        for _ in 0..50 {
+            fleet.engine_mut(*key).record_work(5_000.0, 1.0);
+        }
+    }
+    for _ in 0..200 {
+        let Choice::Send { engine, .. } = choose(&fleet) else {
+            panic!("an idle engine is refused: {:?}", choose(&fleet));
+        };
+        fleet.engine_mut(engine).record_sent(0, at(0));
+        fleet.engine_mut(engine).record_work(20.0, 1.0);
+        fleet.engine_mut(engine).record_end(0, true);
+    }
+    let Choice::Send {
+        predicted_millis, ..
+    } = choose(&fleet)
+    else {
+        panic!("{:?}", choose(&fleet));
+    };
+    assert!((predicted_millis - 20.0).abs() < 1.0, "{predicted_millis}");
+}
+
+/// A queue at engines that are measured as too slow for the target.
+#[test]
+fn slow_ordinary_engines_get_few_requests_at_once() {
+    let (mut fleet, keys) = fleet(1);
+    let ordinary = Criteria {
+        engine_model: None,
+        model: None,
+        target_millis: 100,
+        ..default_criteria()
+    };
+    for _ in 0..50 {
+        fleet.engine_mut(keys[0]).record_work(5_000.0, 1.0);
+    }
+    let slots = fleet.engine(keys[0]).record.slots;
+    let mut sent = 0;
+    while let Choice::Send { engine, .. } = selection::choose(&fleet, &ordinary, at(0), 0) {
+        fleet.engine_mut(engine).record_sent(0, at(0));
+        sent += 1;
+        assert!(sent <= slots / 4 + 1, "{sent} requests at {slots} slots");
+    }
+}
+
 #[test]
 fn arrival_rate_follows_recent_arrivals() {
     let mut arrivals = Arrivals::default();
