--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -37,6 +37,9 @@
 /// Retry delay for a request that is held until an operator dismisses its crashes.
 const RETRY_AFTER_HELD_SECONDS: f64 = 3_600.0;
 
+/// Failure rate of an engine from which a request line names it; below, it ranks the engine hardly lower.
+const LOGGED_FAILURE_RATE: f64 = 0.05;
+
 /// Backoff for an engine that refused a request.
 const FULL_BACKOFF_MILLIS: u64 = 60;
 
@@ -258,6 +261,8 @@
             configuration = self.request.configuration.version,
             engine = engine.map(|engine| engine.record.id.as_str()),
             report_age = ?engine.and_then(|engine| engine.report_age(now)),
+            late = engine.map(|engine| engine.lateness_millis() as u64).filter(|millis| *millis > 0),
+            failing = engine.map(|engine| engine.failure_rate()).filter(|rate| *rate > LOGGED_FAILURE_RATE),
             attempts = self.retry_state.attempts,
             cause = ?self.cause,
             barred = self.refusal_reason.map(tracing::field::debug),
