--- a/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
@@ -17,12 +17,7 @@
         platform_api::{Manifest, ModelVersion, PutOutcome},
         report::Version,
     },
-    std::{
-        cell::RefCell,
-        collections::{HashMap, HashSet},
-        net::SocketAddr,
-        rc::Rc,
-    },
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
 };
 
 /// Interval between checks, each of which scans the engines of services without a release.
@@ -74,10 +69,19 @@
     }
 }
 
+/// What became of an attempt to keep a manifest.
+enum Attempt {
+    /// The store has this manifest, or one that another gateway wrote meanwhile.
+    Kept,
+    /// The origin or the store gave no usable response.
+    Failed,
+    /// The manifest is longer than [`MAX_MANIFEST_BYTES`].
+    TooLong,
+}
+
 /// Writes the manifests that the store lacks.
 pub async fn run(state: Rc<State>) {
     let mut schedules: HashMap<String, Schedule> = HashMap::new();
-    let mut oversized: HashSet<(String, Version)> = HashSet::new();
     loop {
         clock::pause(POLL_INTERVAL_MILLIS).await;
         let Some(configuration) = state.configuration() else {
@@ -87,55 +91,56 @@
         for (service, model) in configured_models(&configuration) {
             let observed = observe(&state, service, model);
             let schedule = schedules.entry(model.to_owned()).or_default();
-            if !schedule.is_due(&observed, clock::now()) {
-                continue;
-            }
-            let Some(version) = observed.wanted else {
+            let is_due = schedule.is_due(&observed, clock::now());
+            let Some(version) = observed.wanted.filter(|_| is_due) else {
                 continue;
             };
-            let model_version = ModelVersion {
-                model: model.to_owned(),
-                version,
-            };
-            if oversized.contains(&(model.to_owned(), version)) {
-                continue;
-            }
-            let Some(bytes) = obtain(&state, origin, &model_version).await else {
-                tracing::info!(model, version = version.0, "manifest to keep not obtained");
-                schedule.record_failure(clock::now(), fastrand::u64(..));
-                continue;
-            };
-            if bytes.len() > MAX_MANIFEST_BYTES {
-                let bytes = bytes.len();
-                tracing::warn!(
-                    model,
-                    version = version.0,
-                    bytes,
-                    "manifest is too long for the store; recovery depends on the origin"
-                );
-                oversized.insert((model.to_owned(), version));
-                continue;
-            }
-            match write(&state, model, &bytes).await {
-                Ok(outcome) => {
-                    tracing::info!(
-                        model,
-                        version = version.0,
-                        bytes = bytes.len(),
-                        ?outcome,
-                        "manifest written to the store"
-                    );
-                    schedule.record_response(clock::now());
-                }
-                Err(error) => {
-                    tracing::warn!(model, version = version.0, cause = %error, "manifest not written to the store");
-                    schedule.record_failure(clock::now(), fastrand::u64(..));
-                }
+            let model = model.to_owned();
+            match keep(&state, origin, &ModelVersion { model, version }).await {
+                Attempt::Kept => schedule.record_response(clock::now()),
+                Attempt::Failed => schedule.record_failure(clock::now(), fastrand::u64(..)),
+                Attempt::TooLong => schedule.stop(),
             }
         }
     }
 }
 
+/// Obtains the manifest of a version and writes it to the store.
+async fn keep(state: &State, origin: Option<SocketAddr>, model_version: &ModelVersion) -> Attempt {
+    let ModelVersion { model, version } = model_version;
+    let version = version.0;
+    let Some(bytes) = obtain(state, origin, model_version).await else {
+        tracing::info!(model, version, "manifest to keep not obtained");
+        return Attempt::Failed;
+    };
+    let length = bytes.len();
+    if length > MAX_MANIFEST_BYTES {
+        tracing::warn!(
+            model,
+            version,
+            bytes = length,
+            "manifest is too long for the store; recovery depends on the origin"
+        );
+        return Attempt::TooLong;
+    }
+    match write(state, model, &bytes).await {
+        Ok(outcome) => {
+            tracing::info!(
+                model,
+                version,
+                bytes = length,
+                ?outcome,
+                "manifest written to the store"
+            );
+            Attempt::Kept
+        }
+        Err(error) => {
+            tracing::warn!(model, version, cause = %error, "manifest not written to the store");
+            Attempt::Failed
+        }
+    }
+}
+
 fn observe(state: &State, service: &str, model: &str) -> Observed {
     let known = state.known_versions(service, model);
     let mut observed = Observed {
--- a/crates/gingerpier_serving/src/manifest_keeping.rs
+++ b/crates/gingerpier_serving/src/manifest_keeping.rs
@@ -60,7 +60,7 @@
 /// Schedule of one gateway's writes for one model.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Schedule {
-    /// Time of the next write; none if the store lacks nothing.
+    /// Time of the next write; none if the store lacks nothing, or can't keep what it lacks.
     due_at: Option<Instant>,
     wanted: Option<Version>,
     failures: u32,
@@ -92,6 +92,11 @@
         self.due_at = Some(now.after_millis(retry_millis / 2 + draw % (retry_millis / 2)));
     }
 
+    /// Ends the writes until another version is wanted, as this manifest can't be kept.
+    pub const fn stop(&mut self) {
+        self.due_at = None;
+    }
+
     /// Records that the store has accepted this write or, as it conflicts, that of another gateway.
     pub fn record_response(&mut self, now: Instant) {
         self.failures = 0;
--- a/crates/gingerpier_serving/tests/manifest_keeping.rs
+++ b/crates/gingerpier_serving/tests/manifest_keeping.rs
@@ -51,6 +51,20 @@
     assert!(schedule.is_due(&observed(2, 0, 0), released.after_millis(1_000)));
 }
 
+/// Gateways that read a manifest from the origin again and again, although the store can't keep it.
+#[test]
+fn a_manifest_that_cannot_be_kept_is_not_tried_again() {
+    let mut schedule = Schedule::default();
+    let now = Instant::from_millis(0);
+    assert!(!schedule.is_due(&observed(1, 0, 0), now));
+    assert!(schedule.is_due(&observed(1, 0, 0), now.after_millis(2_000)));
+    schedule.stop();
+    let late = now.after_millis(100_000);
+    assert!(!schedule.is_due(&observed(1, 0, 0), late));
+    assert!(!schedule.is_due(&observed(2, 0, 0), late));
+    assert!(schedule.is_due(&observed(2, 0, 0), late.after_millis(1_000)));
+}
+
 proptest! {
     /// All gateways at the store at once after a release, or a manifest that is never written as the first
     /// ones are cut off, or the origin or the store is away for a while.
