--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -803,15 +803,20 @@
     assert_eq!(engine.blocked_millis(at(500)), None);
 }
 
-#[test]
-fn ordinary_service_time_is_measured_without_sharing() {
-    let (mut fleet, keys) = fleet(1);
-    let ordinary = Criteria {
+/// A request to a service without models, whose target is 100 ms.
+fn ordinary_criteria() -> Criteria<'static> {
+    Criteria {
         engine_model: None,
         model: None,
         target_millis: 100,
         ..default_criteria()
-    };
+    }
+}
+
+#[test]
+fn ordinary_service_time_is_measured_without_sharing() {
+    let (mut fleet, keys) = fleet(1);
+    let ordinary = ordinary_criteria();
     let predicted = |fleet: &Fleet| match selection::choose(fleet, &ordinary, at(0), 0) {
         Choice::Send {
             predicted_millis, ..
@@ -835,12 +840,7 @@
 #[test]
 fn ordinary_service_is_not_refused_for_good_after_slow_responses() {
     let (mut fleet, keys) = fleet(2);
-    let ordinary = Criteria {
-        engine_model: None,
-        model: None,
-        target_millis: 100,
-        ..default_criteria()
-    };
+    let ordinary = ordinary_criteria();
     let choose = |fleet: &Fleet| selection::choose(fleet, &ordinary, at(0), 0);
     for key in &keys {
         for _ in 0..50 {
@@ -868,12 +868,7 @@
 #[test]
 fn slow_ordinary_engines_get_few_requests_at_once() {
     let (mut fleet, keys) = fleet(1);
-    let ordinary = Criteria {
-        engine_model: None,
-        model: None,
-        target_millis: 100,
-        ..default_criteria()
-    };
+    let ordinary = ordinary_criteria();
     for _ in 0..50 {
         fleet.engine_mut(keys[0]).record_work(5_000.0, 1.0);
     }
