Gateway: a migration of a stream writes a line

A stream that left its engine and was then refused elsewhere showed only the second failure; which condition closed the first engine, and for how long, stood nowhere. The line names both, with the age of the engine's report.

--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -6,7 +6,7 @@
         forward::Forwarder,
         stream::Progress,
     },
-    crate::clock,
+    crate::{clock, log},
     gingerpier_admission::{
         return_detection::Visit,
         selection::{self, AvailabilityCounts, Choice, Criteria, Cutover},
@@ -53,19 +53,43 @@
     /// than processing one prompt again on another engine.
     pub fn should_migrate(&mut self, engine: EngineKey, progress: &Progress) -> bool {
         let now = clock::now();
-        let closed_millis = self.state.fleet.borrow().engine(engine).blocked_millis(now);
+        let blocked_millis = self.state.fleet.borrow().engine(engine).blocked_millis(now);
         // Keeps the check cheap, as it runs for each event of each stream.
-        if closed_millis.is_none_or(|closed_millis| closed_millis < MIGRATE_AFTER_MILLIS) {
+        let Some(blocked_millis) = blocked_millis.filter(|millis| *millis >= MIGRATE_AFTER_MILLIS)
+        else {
             return false;
-        }
+        };
         let latest_start = now.after_millis(MIGRATION_LEAD_MILLIS);
         let would_be_late =
             selection::min_version(&self.cutovers(), latest_start) > progress.version();
         if would_be_late || !self.can_retry(progress) {
             return false;
         }
-        self.state
-            .spend_retry(&self.request.service_settings().name, now)
+        let may_migrate = self
+            .state
+            .spend_retry(&self.request.service_settings().name, now);
+        if may_migrate {
+            self.log_migration(engine, blocked_millis, progress);
+        }
+        may_migrate
+    }
+
+    fn log_migration(&self, engine: EngineKey, blocked_millis: u64, progress: &Progress) {
+        if !log::allows_request_line() {
+            return;
+        }
+        let now = clock::now();
+        let fleet = self.state.fleet.borrow();
+        let engine = fleet.engine(engine);
+        tracing::info!(
+            id = self.request.attempt_id(self.state.platform_api.header_names()),
+            engine = engine.record.id,
+            blocked_millis,
+            report_age = ?engine.report_age(now),
+            version = progress.version().0,
+            events = progress.event_count(),
+            "stream migrates, as its engine waits to load weights"
+        );
     }
 
     fn cutovers(&self) -> Vec<Cutover> {
