Gateway: a stream leaves an engine that works only once another one has accepted it

Callers got some events of a stream and a closed connection (the users' record, LOST), though their engine was sound. A gateway closed the connection to an engine that waits to load weights, and asked another one for the rest; if that one refused (in the record the last engine that still took requests, 19 and 41 ms later), nothing was left. The class: giving up what works before what replaces it has accepted.

Now the stream is offered to the other engine while its own is read on. Events that arrive meanwhile are held back, as the other one resumes after the last event that the caller has: they are dropped once it accepts, and forwarded if it refuses, breaks or takes longer than three quarters of the route's longest pause. If the first engine breaks meanwhile, the offer still counts. An engine whose first event is predicted later than half of that pause gets no offer, and a stream is offered once. Requests suspected of crashing engines run on one engine at a time and stay.

--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -14,13 +14,17 @@
         shedding,
     },
     gingerpier_base::Instant,
-    gingerpier_serving::{fleet::EngineKey, report::Version, retry::Failure},
+    gingerpier_serving::{fleet::EngineKey, report::Version, retry::Failure, suspects::Status},
 };
 
 /// Milliseconds for which streams stay on an engine that stopped accepting requests; short ones end
 /// by then.
 const MIGRATE_AFTER_MILLIS: u64 = 450;
 
+/// Share of the route's longest pause within which the other engine's first event is predicted;
+/// leaves as much time again for an error of the prediction.
+const MAX_PREDICTED_PAUSE_SHARE: f64 = 0.5;
+
 /// Time before the cutover to a newer version from which streams no longer migrate, as one that is
 /// delayed would start after it. The longest time seen from a migration to the start was 2.1 s,
 /// behind a narrow link; 1.2 s lie between the cutover and the operators' bound.
@@ -40,38 +44,55 @@
 impl Forwarder<'_, '_> {
     /// True if another engine could run the request now.
     pub fn can_retry(&mut self, progress: &Progress) -> bool {
+        self.may_resume(progress) && self.choose_engine(progress).is_some()
+    }
+
+    /// True if the request may be sent to another engine while its outcome is unknown.
+    fn may_resume(&self, progress: &Progress) -> bool {
         let is_idempotent = self.retry_state.repeat.is_idempotent();
         let has_attempts = self.retry_state.attempts < self.retry_state.max_attempts;
-        let may_resume = is_idempotent && has_attempts && !progress.is_committed();
-        may_resume && self.choose_engine(progress).is_some()
+        is_idempotent && has_attempts && !progress.is_committed()
     }
 
-    /// True if the stream migrates off `engine`, which waits to load new weights; spends a retry
-    /// from the budget.
+    /// Engine that a stream is to be handed over to, as `engine` waits to load new weights; spends
+    /// a retry from the budget.
     ///
     /// An engine that waits runs below its full speed until its last stream ends, which costs more
     /// than processing one prompt again on another engine.
-    pub fn should_migrate(&mut self, engine: EngineKey, progress: &Progress) -> bool {
+    pub fn migration_target(
+        &mut self,
+        engine: EngineKey,
+        progress: &Progress,
+    ) -> Option<EngineKey> {
         let now = clock::now();
         let blocked_millis = self.state.fleet.borrow().engine(engine).blocked_millis(now);
         // Keeps the check cheap, as it runs for each event of each stream.
-        let Some(blocked_millis) = blocked_millis.filter(|millis| *millis >= MIGRATE_AFTER_MILLIS)
-        else {
-            return false;
-        };
+        let blocked_millis = blocked_millis.filter(|millis| *millis >= MIGRATE_AFTER_MILLIS)?;
         let latest_start = now.after_millis(MIGRATION_LEAD_MILLIS);
         let would_be_late =
             selection::min_version(&self.cutovers(), latest_start) > progress.version();
-        if would_be_late || !self.can_retry(progress) {
-            return false;
+        if would_be_late || self.is_suspected() || !self.may_resume(progress) {
+            return None;
+        }
+        let target = self.choose_engine(progress)?;
+        let max_pause_millis = self.request.route_settings().max_pause_millis as f64;
+        if self.predicted_millis > max_pause_millis * MAX_PREDICTED_PAUSE_SHARE {
+            return None;
         }
-        let may_migrate = self
+        if !self
             .state
-            .spend_retry(&self.request.service_settings().name, now);
-        if may_migrate {
-            self.log_migration(engine, blocked_millis, progress);
+            .spend_retry(&self.request.service_settings().name, now)
+        {
+            return None;
         }
-        may_migrate
+        self.log_migration(engine, blocked_millis, progress);
+        Some(target)
+    }
+
+    /// True if the request is suspected of crashing engines, so that it runs on one at a time.
+    fn is_suspected(&self) -> bool {
+        let suspects = self.state.suspect_state.suspects.borrow();
+        suspects.status(self.request.fingerprint) != Status::Clear
     }
 
     fn log_migration(&self, engine: EngineKey, blocked_millis: u64, progress: &Progress) {
@@ -88,7 +109,7 @@
             report_age = ?engine.report_age(now),
             version = progress.version().0,
             events = progress.event_count(),
-            "stream migrates, as its engine waits to load weights"
+            "stream is offered to another engine, as its own waits to load weights"
         );
     }
 
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -45,8 +45,6 @@
     Stalled,
     /// The request was put on hold meanwhile, as engines crashed while they ran it.
     Held,
-    /// The stream is to migrate to another engine; the retry is already spent.
-    Migrated,
     /// No complete response arrived.
     Failed(AttemptError),
     /// The engine returned a response with an error status.
@@ -186,7 +184,6 @@
                     self.retry_state.may_have_run = true;
                     return self.abort(caller, Reason::Held, &progress, fallback).await;
                 }
-                AttemptOutcome::Migrated => continue,
                 AttemptOutcome::Failed(error) => error,
                 AttemptOutcome::ErrorStatus(response) => {
                     fallback = Some(response);
@@ -196,6 +193,8 @@
                     }
                 }
             };
+            // The stream may have been handed over.
+            let engine = self.tried.last().copied().unwrap_or(engine);
             self.record_failure(engine, error);
             let aftermath = self.check_for_crash(engine, error, &progress).await;
             self.log_failure(engine, error, aftermath);
@@ -313,13 +312,10 @@
         progress: &mut Progress,
         in_flight: &mut InFlight,
     ) -> AttemptOutcome {
-        let header_names = self.state.platform_api.header_names();
         let head = &response.head;
-        let is_refused = head.status == 421 || head.fields.get(header_names.not_run).is_some();
-        let is_success = (200..300).contains(&head.status);
-        if is_success {
-            let is_sealed = head.fields.get(header_names.signature).is_some();
-            if is_refused || !is_sealed || head.fields.get("content-encoding").is_some() {
+        let is_refused = self.is_refused(head);
+        if is_success(head) {
+            if is_refused || !self.is_authentic(head) {
                 return AttemptOutcome::Failed(attempt::invalid_response());
             }
             if self.retry_state.repeat.is_stream() {
@@ -330,12 +326,45 @@
             .await
     }
 
+    /// True if the engine confirms that it didn't run the request.
+    fn is_refused(&self, head: &Response) -> bool {
+        let header_names = self.state.platform_api.header_names();
+        head.status == 421 || head.fields.get(header_names.not_run).is_some()
+    }
+
+    /// True if the engine signed the response, and nobody encoded its body.
+    fn is_authentic(&self, head: &Response) -> bool {
+        let header_names = self.state.platform_api.header_names();
+        let is_signed = head.fields.get(header_names.signature).is_some();
+        is_signed && head.fields.get("content-encoding").is_none()
+    }
+
+    /// Checks that the response begins a stream.
+    ///
+    /// # Errors
+    ///
+    /// If the engine refused the request or failed.
+    pub(super) fn check_stream_head(&self, head: &Response) -> Result<(), AttemptError> {
+        match (self.is_refused(head), is_success(head)) {
+            (true, false) => Err(refused_by_engine(head.status)),
+            (false, false) => Err(AttemptError {
+                failure: Failure::Unknown,
+                cause: Cause::EngineFailed,
+            }),
+            (false, true) if self.is_authentic(head) => Ok(()),
+            (_, true) => Err(attempt::invalid_response()),
+        }
+    }
+
+    /// Weights version that the engine names in a response.
+    pub(super) fn response_version(&self, head: &Response) -> Version {
+        let header_names = self.state.platform_api.header_names();
+        Version(head.fields.number(header_names.version).unwrap_or_default())
+    }
+
     /// Records that the engine with this response head ran the request to its end.
     pub(super) fn record_completion(&self, head: &Response) {
-        let version = head
-            .fields
-            .number(self.state.platform_api.header_names().version);
-        let version = Version(version.unwrap_or_default());
+        let version = self.response_version(head);
         self.state
             .record_completion(self.request.fingerprint, version);
     }
@@ -377,6 +406,10 @@
     }
 }
 
+const fn is_success(head: &Response) -> bool {
+    matches!(head.status, 200..300)
+}
+
 /// Completes at `deadline`; never without one.
 async fn withdrawal(deadline: Option<Instant>) {
     match deadline {
--- /dev/null
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -0,0 +1,172 @@
+//! Handover of a running stream to another engine.
+//!
+//! The first engine's response is read on until the second engine has accepted the stream, so an
+//! attempt that fails costs the caller nothing. The second engine resumes after the last event that
+//! the caller has, so events that arrive meanwhile are held back: they are dropped once it accepts,
+//! and released if it refuses or takes too long.
+
+use {
+    super::{
+        attempt::{self, AttemptError, InFlight, PendingResponse},
+        forward::Forwarder,
+        request::AttemptOptions,
+        stream::Progress,
+    },
+    crate::{clock, log},
+    gingerpier_base::Instant,
+    gingerpier_serving::{engine::Engine, events::Position, fleet::EngineKey, report::Version},
+    std::pin::Pin,
+};
+
+/// Quarters of the route's longest pause after which the other engine takes too long, so that
+/// events that were held back still arrive within the pause.
+const EXPIRY_PAUSE_QUARTERS: u64 = 3;
+
+type Sending<'a> = Pin<Box<dyn Future<Output = Result<PendingResponse, AttemptError>> + 'a>>;
+
+/// An attempt to hand a stream over to another engine.
+pub struct Handover<'a> {
+    /// The other engine.
+    pub engine: EngineKey,
+    /// Counts the request in the other engine's load.
+    pub in_flight: InFlight,
+    /// Position after which the other engine resumes.
+    pub position: Position,
+    sending: Sending<'a>,
+    begun: Instant,
+    /// Time at which the other engine takes too long.
+    expires_at: Instant,
+    /// Events that arrived from the first engine since then, as HTTP chunks.
+    held: Vec<u8>,
+}
+
+impl Handover<'_> {
+    /// Holds back events, which leaves `events` empty.
+    pub fn hold(&mut self, events: &mut Vec<u8>) {
+        self.held.append(events);
+    }
+
+    /// Time at which the other engine takes too long.
+    pub const fn expires_at(&self) -> Instant {
+        self.expires_at
+    }
+
+    /// Ends the attempt; returns the events that were held back.
+    pub fn into_held(self) -> Vec<u8> {
+        self.held
+    }
+}
+
+/// Completes with the other engine's response; never without a handover.
+pub(super) async fn response(
+    handover: &mut Option<Handover<'_>>,
+) -> Result<PendingResponse, AttemptError> {
+    match handover {
+        Some(handover) => handover.sending.as_mut().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Completes once the other engine takes too long; never without a handover.
+pub(super) async fn expiry(expires_at: Option<Instant>) {
+    match expires_at {
+        Some(expires_at) => clock::until(expires_at).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl<'a> Forwarder<'a, '_> {
+    /// Offers the stream to `engine`.
+    pub(super) fn begin_handover(
+        &mut self,
+        engine: EngineKey,
+        progress: &Progress,
+    ) -> Handover<'a> {
+        let (state, request) = (self.state, self.request);
+        self.retry_state.attempts += 1;
+        let position = progress.position();
+        let last_event_id = position.last_id().cloned();
+        let required_version = self.required_version(engine, progress);
+        let needs_new_connection = self.is_outdated(engine);
+        let max_pause_millis = request.route_settings().max_pause_millis;
+        let begun = clock::now();
+        let sending = async move {
+            let options = AttemptOptions {
+                now: begun,
+                required_version,
+                last_event_id: last_event_id.as_deref(),
+                needs_new_connection,
+            };
+            attempt::send(state, request, engine, &options).await
+        };
+        Handover {
+            engine,
+            in_flight: InFlight::new(state, engine, request.prompt_tokens),
+            position,
+            sending: Box::pin(sending),
+            begun,
+            expires_at: begun.after_millis(max_pause_millis * EXPIRY_PAUSE_QUARTERS / 4),
+            held: Vec::new(),
+        }
+    }
+
+    /// Checks whether the response of the other engine continues a stream of `version`.
+    ///
+    /// # Errors
+    ///
+    /// If the engine refused, failed, or runs another version.
+    pub(super) fn check_accepted(
+        &self,
+        response: Result<PendingResponse, AttemptError>,
+        version: Version,
+    ) -> Result<PendingResponse, AttemptError> {
+        let response = response?;
+        self.check_stream_head(&response.head)?;
+        match self.response_version(&response.head) == version {
+            true => Ok(response),
+            false => Err(attempt::invalid_response()),
+        }
+    }
+
+    /// Records that the other engine runs the stream from now on.
+    pub(super) fn complete_handover(&mut self, handover: &Handover<'_>) {
+        self.log_handover(handover, "stream handed over");
+        self.tried.push(handover.engine);
+    }
+
+    /// Records that the other engine didn't accept the stream.
+    pub(super) fn fail_handover(&mut self, handover: &Handover<'_>, error: AttemptError) {
+        self.record_failure(handover.engine, error);
+        self.log_failure(handover.engine, error, None);
+        self.log_handover(
+            handover,
+            "stream stays on its engine, as the other one failed",
+        );
+    }
+
+    /// Records that the other engine didn't accept the stream in time.
+    pub(super) fn abandon_handover(&self, handover: &Handover<'_>) {
+        self.log_handover(
+            handover,
+            "stream stays on its engine, as the other one took too long",
+        );
+    }
+
+    fn log_handover(&self, handover: &Handover<'_>, message: &'static str) {
+        if !log::allows_request_line() {
+            return;
+        }
+        let fleet = self.state.fleet.borrow();
+        let id_of = |engine: &'_ Engine| engine.record.id.clone();
+        tracing::info!(
+            id = self
+                .request
+                .attempt_id(self.state.platform_api.header_names()),
+            engine = self.tried.last().map(|engine| id_of(fleet.engine(*engine))),
+            other = id_of(fleet.engine(handover.engine)),
+            took = clock::now().millis_since(handover.begun),
+            held_bytes = handover.held.len(),
+            "{message}"
+        );
+    }
+}
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 pub mod engine_choice;
 pub mod error_response;
 pub mod forward;
+pub mod handover;
 pub mod priority;
 pub mod request;
 pub mod startup;
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -1,10 +1,14 @@
 //! Forwarding of event streams, with resumption on another engine after the last complete event.
+//!
+//! A stream whose engine failed resumes with the next attempt. One whose engine waits to load
+//! weights is handed over while its response is read on.
 
 use {
     super::{
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
         caller,
         forward::{AttemptOutcome, Forwarder, disconnected},
+        handover::{self, Handover},
         request::RoutedRequest,
     },
     crate::clock,
@@ -13,9 +17,14 @@
     gingerpier_http1::{
         body::{Decoder, Part},
         connection::Connection,
+        head::Response,
         writer::{self, LAST_CHUNK},
     },
-    gingerpier_serving::{events::Splitter, report::Version, retry::Failure},
+    gingerpier_serving::{
+        events::{Position, Splitter},
+        report::Version,
+        retry::Failure,
+    },
 };
 
 /// Timeout for the next event, after which a stream may resume on another engine.
@@ -85,6 +94,11 @@
         self.version
     }
 
+    /// Position after the last event that was forwarded.
+    pub fn position(&self) -> Position {
+        self.splitter.position().clone()
+    }
+
     /// Id of the last event that was forwarded.
     pub fn last_event_id(&self) -> Option<&Bytes> {
         self.splitter.last_id()
@@ -167,48 +181,78 @@
     Error(AttemptError),
 }
 
-/// Reads until at least one complete event arrives or the stream ends; appends the events to
-/// `output` as HTTP chunks.
-async fn read_events(
-    connection: &mut Connection,
-    decoder: &mut Decoder,
-    progress: &mut Progress,
-    output: &mut Vec<u8>,
-) -> Batch {
-    loop {
+/// Response that a stream is read from.
+struct Upstream {
+    connection: Connection,
+    head: Response,
+    decoder: Decoder,
+    is_request_sent: bool,
+}
+
+impl From<PendingResponse> for Upstream {
+    fn from(response: PendingResponse) -> Self {
+        Self {
+            connection: response.connection,
+            head: response.head,
+            decoder: Decoder::new(response.framing),
+            is_request_sent: response.is_request_sent,
+        }
+    }
+}
+
+impl Upstream {
+    /// Reads until at least one complete event arrives or the stream ends; appends the events to
+    /// `output` as HTTP chunks.
+    async fn read_events(&mut self, progress: &mut Progress, output: &mut Vec<u8>) -> Batch {
         loop {
-            match decoder.decode(&mut connection.input) {
-                Ok(Some(Part::Data(data))) => {
-                    if let Some(events) = progress.splitter.push(&data) {
-                        writer::chunk(output, &events);
-                    }
-                    if progress.splitter.pending_bytes() > MAX_EVENT_BYTES {
-                        progress.is_committed = true;
-                        writer::chunk(output, &progress.splitter.finish());
+            loop {
+                match self.decoder.decode(&mut self.connection.input) {
+                    Ok(Some(Part::Data(data))) => {
+                        if let Some(events) = progress.splitter.push(&data) {
+                            writer::chunk(output, &events);
+                        }
+                        if progress.splitter.pending_bytes() > MAX_EVENT_BYTES {
+                            progress.is_committed = true;
+                            writer::chunk(output, &progress.splitter.finish());
+                        }
                     }
+                    Ok(Some(Part::End)) => return Batch::End,
+                    Ok(None) => break,
+                    Err(error) => return Batch::Error(attempt::from_http(error)),
                 }
-                Ok(Some(Part::End)) => return Batch::End,
-                Ok(None) => break,
-                Err(error) => return Batch::Error(attempt::from_http(error)),
             }
-        }
-        if !output.is_empty() {
-            return Batch::Events;
-        }
-        match connection.read().await {
-            Ok(true) => {}
-            Ok(false) => {
-                return match decoder.close() {
-                    Ok(()) => Batch::End,
-                    Err(error) => Batch::Error(attempt::from_http(error)),
-                };
+            if !output.is_empty() {
+                return Batch::Events;
+            }
+            match self.connection.read().await {
+                Ok(true) => {}
+                Ok(false) => {
+                    return match self.decoder.close() {
+                        Ok(()) => Batch::End,
+                        Err(error) => Batch::Error(attempt::from_http(error)),
+                    };
+                }
+                Err(_) => {
+                    return Batch::Error(attempt::from_http(gingerpier_http1::error::Error::Cut));
+                }
             }
-            Err(_) => return Batch::Error(attempt::from_http(gingerpier_http1::error::Error::Cut)),
         }
     }
 }
 
-/// Forwards a stream until it ends, fails or migrates to another engine.
+/// What happened next to a stream.
+enum Step {
+    /// Its engine sent something.
+    Read(Batch),
+    /// The engine that it is offered to responded.
+    HandoverResponse(Result<PendingResponse, AttemptError>),
+    /// The engine that it is offered to takes too long.
+    HandoverExpired,
+    /// Its engine sent no event in time.
+    Stalled,
+}
+
+/// Forwards a stream until it ends or fails.
 pub async fn forward(
     forwarder: &mut Forwarder<'_, '_>,
     caller: &mut Connection,
@@ -216,37 +260,95 @@
     progress: &mut Progress,
     in_flight: &mut InFlight,
 ) -> AttemptOutcome {
-    let PendingResponse {
-        mut connection,
-        head,
-        framing,
-        is_request_sent,
-    } = response;
-    let mut decoder = Decoder::new(framing);
+    let mut upstream = Upstream::from(response);
     let mut unread = Unread::default();
-    let header_names = forwarder.state.platform_api.header_names();
-    let version = Version(head.fields.number(header_names.version).unwrap_or_default());
     let mut head_bytes = Vec::new();
     if !progress.has_begun {
-        progress.version = version;
+        progress.version = forwarder.response_version(&upstream.head);
         head_bytes = forwarder
-            .response_head(&head)
+            .response_head(&upstream.head)
             .field(b"transfer-encoding", b"chunked")
             .end();
     }
     let held = forwarder.state.until_held(forwarder.request.fingerprint);
     tokio::pin!(held);
     let mut events = Vec::new();
+    let mut handover: Option<Handover<'_>> = None;
+    let mut was_offered = false;
+    // Error of the engine, while another one may still accept the stream.
+    let mut failed: Option<AttemptError> = None;
     let mut stall_deadline = first_event_deadline(forwarder.request, clock::now());
     loop {
-        let batch = tokio::select! {
+        let expires_at = handover.as_ref().map(Handover::expires_at);
+        let step = tokio::select! {
             biased;
-            batch = read_events(&mut connection, &mut decoder, progress, &mut events) => batch,
+            batch = upstream.read_events(progress, &mut events), if failed.is_none() => {
+                Step::Read(batch)
+            }
             () = disconnected(caller) => return AttemptOutcome::Disconnected,
             () = clock::until(forwarder.request.deadline) => return AttemptOutcome::TimedOut,
             () = &mut held => return AttemptOutcome::Held,
-            () = clock::until(stall_deadline) => {
-                if forwarder.can_retry(progress) {
+            response = handover::response(&mut handover) => Step::HandoverResponse(response),
+            () = handover::expiry(expires_at) => Step::HandoverExpired,
+            () = clock::until(stall_deadline) => Step::Stalled,
+        };
+        let batch = match step {
+            Step::Read(batch) => {
+                let can_continue = !matches!(batch, Batch::End) && !progress.is_committed;
+                if let Some(pending) = &mut handover
+                    && can_continue
+                {
+                    let now = clock::now();
+                    pending.hold(&mut events);
+                    stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+                    if let Batch::Error(error) = batch {
+                        failed = Some(unread.attribute(error, now));
+                    }
+                    continue;
+                }
+                if let Some(pending) = handover.take() {
+                    // The engine has finished, or no other one can continue.
+                    forwarder.abandon_handover(&pending);
+                    let new_events = std::mem::replace(&mut events, pending.into_held());
+                    events.extend(new_events);
+                }
+                batch
+            }
+            Step::HandoverResponse(response) => {
+                let Some(pending) = handover.take() else {
+                    continue;
+                };
+                match forwarder.check_accepted(response, progress.version) {
+                    Ok(response) => {
+                        if let Some(error) = failed.take() {
+                            forwarder.record_failure(in_flight.engine, error);
+                            forwarder.log_failure(in_flight.engine, error, None);
+                        }
+                        forwarder.complete_handover(&pending);
+                        progress.splitter.rewind(pending.position);
+                        *in_flight = pending.in_flight;
+                        upstream = response.into();
+                        unread = Unread::default();
+                        stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+                        continue;
+                    }
+                    Err(error) => {
+                        forwarder.fail_handover(&pending, error);
+                        events = pending.into_held();
+                        failed.map_or(Batch::Events, Batch::Error)
+                    }
+                }
+            }
+            Step::HandoverExpired => {
+                let Some(pending) = handover.take() else {
+                    continue;
+                };
+                forwarder.abandon_handover(&pending);
+                events = pending.into_held();
+                failed.map_or(Batch::Events, Batch::Error)
+            }
+            Step::Stalled => {
+                if handover.is_none() && forwarder.can_retry(progress) {
                     progress.splitter.discard();
                     return AttemptOutcome::Failed(STALLED);
                 }
@@ -281,18 +383,20 @@
         }
         match batch {
             Batch::Events => {
-                if forwarder.should_migrate(in_flight.engine, progress) {
-                    progress.splitter.discard();
-                    return AttemptOutcome::Migrated;
+                if !was_offered
+                    && let Some(target) = forwarder.migration_target(in_flight.engine, progress)
+                {
+                    was_offered = true;
+                    handover = Some(forwarder.begin_handover(target, progress));
                 }
             }
             Batch::End => {
-                forwarder.record_completion(&head);
+                forwarder.record_completion(&upstream.head);
                 let mut fleet = forwarder.state.fleet.borrow_mut();
                 fleet.engine_mut(in_flight.engine).record_success();
-                if is_request_sent {
+                if upstream.is_request_sent {
                     let mut pool = forwarder.state.pool.borrow_mut();
-                    pool.put(in_flight.engine, connection, &head);
+                    pool.put(in_flight.engine, upstream.connection, &upstream.head);
                 }
                 return AttemptOutcome::Completed;
             }
--- a/crates/gingerpier_serving/src/events.rs
+++ b/crates/gingerpier_serving/src/events.rs
@@ -5,12 +5,25 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Position in a stream, after a whole event.
+#[derive(Debug, Clone, Default)]
+pub struct Position {
+    last_id: Option<Bytes>,
+    count: u64,
+}
+
+impl Position {
+    /// Id of the last event.
+    pub const fn last_id(&self) -> Option<&Bytes> {
+        self.last_id.as_ref()
+    }
+}
+
 /// Splits a byte stream after whole events.
 #[derive(Debug, Default)]
 pub struct Splitter {
     pending: BytesMut,
-    last_id: Option<Bytes>,
-    count: u64,
+    position: Position,
 }
 
 impl Splitter {
@@ -44,14 +57,25 @@
         self.pending.clear();
     }
 
+    /// Position after the last whole event.
+    pub const fn position(&self) -> &Position {
+        &self.position
+    }
+
+    /// Returns to an earlier position, from which another response continues.
+    pub fn rewind(&mut self, position: Position) {
+        self.pending.clear();
+        self.position = position;
+    }
+
     /// Id of the last whole event.
-    pub fn last_id(&self) -> Option<&Bytes> {
-        self.last_id.as_ref()
+    pub const fn last_id(&self) -> Option<&Bytes> {
+        self.position.last_id()
     }
 
     /// Number of whole events with an id.
     pub const fn count(&self) -> u64 {
-        self.count
+        self.position.count
     }
 
     fn record_ids(&mut self, events: &Bytes) {
@@ -59,8 +83,8 @@
             let line = line.trim_ascii();
             if let Some(id) = line.strip_prefix(b"id:") {
                 // A slice would keep the memory of all events of this part.
-                self.last_id = Some(Bytes::copy_from_slice(id.trim_ascii()));
-                self.count += 1;
+                self.position.last_id = Some(Bytes::copy_from_slice(id.trim_ascii()));
+                self.position.count += 1;
             }
         }
     }
