Gateway: a stream whose engine is silent stays there until another one has accepted it

Callers got a part of a stream and a closed connection when a sound engine had been silent for 1.2 s, as it may be for a second or so, and the next engine refused. The gateway gave the first response up before the second engine had accepted, as it did with engines that wait to load weights. Now the stream is offered to another engine and its own is read on: whichever sends first goes on. If both stay silent, the stream waits until its deadline. The silent engine still counts as failed at once, so it gets fewer requests meanwhile. A request that is suspected of crashing engines leaves as before, as it runs on one engine at a time.

Evidence: a_stream_goes_on_at_its_silent_engine_when_no_other_one_accepts_it failed before and passes (the other one refuses, hangs, closes); a_stream_leaves_its_silent_engine_for_one_that_accepts_it passes before and after.

--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -79,18 +79,30 @@
         if self.predicted_millis > max_pause_millis * MAX_PREDICTED_PAUSE_SHARE {
             return None;
         }
-        if !self
-            .state
-            .spend_retry(&self.request.service_settings().name, now)
-        {
+        if !self.spend_retry(now) {
             return None;
         }
         self.log_migration(engine, blocked_millis, progress);
         Some(target)
     }
 
+    /// Engine that a stream is to be handed over to, as its own is silent; spends a retry from the
+    /// budget.
+    pub fn stall_target(&mut self, progress: &Progress) -> Option<EngineKey> {
+        if self.is_suspected() || !self.may_resume(progress) {
+            return None;
+        }
+        let target = self.choose_engine(progress)?;
+        self.spend_retry(clock::now()).then_some(target)
+    }
+
+    fn spend_retry(&self, now: Instant) -> bool {
+        let service = &self.request.service_settings().name;
+        self.state.spend_retry(service, now)
+    }
+
     /// True if the request is suspected of crashing engines, so that it runs on one at a time.
-    fn is_suspected(&self) -> bool {
+    pub fn is_suspected(&self) -> bool {
         let suspects = self.state.suspect_state.suspects.borrow();
         suspects.status(self.request.fingerprint) != Status::Clear
     }
--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -10,7 +10,7 @@
         attempt::{self, AttemptError, InFlight, PendingResponse},
         forward::Forwarder,
         request::AttemptOptions,
-        stream::Progress,
+        stream::{Batch, Progress},
     },
     crate::{clock, log},
     gingerpier_base::Instant,
@@ -24,8 +24,19 @@
 
 type Sending<'a> = Pin<Box<dyn Future<Output = Result<PendingResponse, AttemptError>> + 'a>>;
 
+/// Why a stream is offered to another engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Its engine waits to load weights.
+    Loading,
+    /// Its engine sent nothing before the stall deadline.
+    Silent,
+}
+
 /// An attempt to hand a stream over to another engine.
 pub struct Handover<'a> {
+    /// Why it is made.
+    pub reason: Reason,
     /// The other engine.
     pub engine: EngineKey,
     /// Counts the request in the other engine's load.
@@ -34,23 +45,26 @@
     pub position: Position,
     sending: Sending<'a>,
     begun: Instant,
-    /// Time at which the other engine takes too long.
-    expires_at: Instant,
+    /// Time at which the other engine takes too long; none while the first one is silent.
+    expires_at: Option<Instant>,
     /// Events that arrived from the first engine since then, as HTTP chunks.
     held: Vec<u8>,
 }
 
 impl Handover<'_> {
+    /// True if the attempt goes on after the first engine sent this.
+    pub(super) const fn outlasts(&self, batch: &Batch) -> bool {
+        match (batch, self.reason) {
+            (Batch::End, _) | (Batch::Events, Reason::Silent) => false,
+            (Batch::Events, Reason::Loading) | (Batch::Error(_), _) => true,
+        }
+    }
+
     /// Holds back events, which leaves `events` empty.
     pub fn hold(&mut self, events: &mut Vec<u8>) {
         self.held.append(events);
     }
 
-    /// Time at which the other engine takes too long.
-    pub const fn expires_at(&self) -> Instant {
-        self.expires_at
-    }
-
     /// Ends the attempt; returns the events that were held back.
     pub fn into_held(self) -> Vec<u8> {
         self.held
@@ -67,7 +81,12 @@
     }
 }
 
-/// Completes once the other engine takes too long; never without a handover.
+/// Time at which the other engine takes too long.
+pub(super) fn expires_at(handover: Option<&Handover<'_>>) -> Option<Instant> {
+    handover.and_then(|handover| handover.expires_at)
+}
+
+/// Completes once the other engine takes too long; never without a bound.
 pub(super) async fn expiry(expires_at: Option<Instant>) {
     match expires_at {
         Some(expires_at) => clock::until(expires_at).await,
@@ -80,6 +99,7 @@
     pub(super) fn begin_handover(
         &mut self,
         engine: EngineKey,
+        reason: Reason,
         progress: &Progress,
     ) -> Handover<'a> {
         let (state, request) = (self.state, self.request);
@@ -100,12 +120,18 @@
             attempt::send(state, request, engine, &options).await
         };
         Handover {
+            reason,
             engine,
             in_flight: InFlight::new(state, engine, request.prompt_tokens),
             position,
             sending: Box::pin(sending),
             begun,
-            expires_at: begun.after_millis(max_pause_millis * EXPIRY_PAUSE_QUARTERS / 4),
+            expires_at: match reason {
+                Reason::Loading => {
+                    Some(begun.after_millis(max_pause_millis * EXPIRY_PAUSE_QUARTERS / 4))
+                }
+                Reason::Silent => None,
+            },
             held: Vec::new(),
         }
     }
@@ -140,15 +166,15 @@
         self.log_failure(handover.engine, error, None);
         self.log_handover(
             handover,
-            "stream stays on its engine, as the other one failed",
+            "stream stays on its engine; the other one did not accept it",
         );
     }
 
-    /// Records that the other engine didn't accept the stream in time.
-    pub(super) fn abandon_handover(&self, handover: &Handover<'_>) {
+    /// Records that the offer is withdrawn before the other engine accepted it.
+    pub(super) fn withdraw_handover(&self, handover: &Handover<'_>) {
         self.log_handover(
             handover,
-            "stream stays on its engine, as the other one took too long",
+            "stream stays on its engine; the offer is withdrawn",
         );
     }
 
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -8,7 +8,7 @@
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
         caller,
         forward::{AttemptOutcome, Forwarder, disconnected},
-        handover::{self, Handover},
+        handover::{self, Handover, Reason},
         request::RoutedRequest,
     },
     crate::clock,
@@ -175,7 +175,7 @@
 }
 
 /// Result of reading a part of a stream.
-enum Batch {
+pub(super) enum Batch {
     Events,
     End,
     Error(AttemptError),
@@ -279,7 +279,7 @@
     let mut failed: Option<AttemptError> = None;
     let mut stall_deadline = first_event_deadline(forwarder.request, clock::now());
     loop {
-        let expires_at = handover.as_ref().map(Handover::expires_at);
+        let expires_at = handover::expires_at(handover.as_ref());
         let step = tokio::select! {
             biased;
             batch = upstream.read_events(progress, &mut events), if failed.is_none() => {
@@ -294,9 +294,9 @@
         };
         let batch = match step {
             Step::Read(batch) => {
-                let can_continue = !matches!(batch, Batch::End) && !progress.is_committed;
                 if let Some(pending) = &mut handover
-                    && can_continue
+                    && pending.outlasts(&batch)
+                    && !progress.is_committed
                 {
                     let now = clock::now();
                     pending.hold(&mut events);
@@ -307,8 +307,8 @@
                     continue;
                 }
                 if let Some(pending) = handover.take() {
-                    // The engine has finished, or no other one can continue.
-                    forwarder.abandon_handover(&pending);
+                    // The engine goes on or has finished, or no other one can continue.
+                    forwarder.withdraw_handover(&pending);
                     let new_events = std::mem::replace(&mut events, pending.into_held());
                     events.extend(new_events);
                 }
@@ -343,14 +343,22 @@
                 let Some(pending) = handover.take() else {
                     continue;
                 };
-                forwarder.abandon_handover(&pending);
+                forwarder.withdraw_handover(&pending);
                 events = pending.into_held();
                 failed.map_or(Batch::Events, Batch::Error)
             }
+            Step::Stalled if forwarder.is_suspected() && forwarder.can_retry(progress) => {
+                // A suspected request runs on one engine at a time.
+                progress.splitter.discard();
+                return AttemptOutcome::Failed(STALLED);
+            }
             Step::Stalled => {
-                if handover.is_none() && forwarder.can_retry(progress) {
-                    progress.splitter.discard();
-                    return AttemptOutcome::Failed(STALLED);
+                if handover.is_none()
+                    && let Some(target) = forwarder.stall_target(progress)
+                {
+                    forwarder.record_failure(in_flight.engine, STALLED);
+                    forwarder.log_failure(in_flight.engine, STALLED, None);
+                    handover = Some(forwarder.begin_handover(target, Reason::Silent, progress));
                 }
                 stall_deadline = recheck_deadline();
                 continue;
@@ -387,7 +395,7 @@
                     && let Some(target) = forwarder.migration_target(in_flight.engine, progress)
                 {
                     was_offered = true;
-                    handover = Some(forwarder.begin_handover(target, progress));
+                    handover = Some(forwarder.begin_handover(target, Reason::Loading, progress));
                 }
             }
             Batch::End => {
