Gateway: the course of a stream in short functions

One value holds the stream, its engine and the offer to another one; each thing that may happen to it has a function of its own.

--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
-        caller,
+        caller::{self, WriteError},
         forward::{AttemptOutcome, Forwarder, disconnected},
         handover::{self, Handover, Reason},
         request::RoutedRequest,
@@ -22,6 +22,7 @@
     },
     gingerpier_serving::{
         events::{Position, Splitter},
+        fleet::EngineKey,
         report::Version,
         retry::Failure,
     },
@@ -252,6 +253,23 @@
     Stalled,
 }
 
+/// A stream that is forwarded, and the engine that it may be handed over to.
+struct Relay<'r, 'a, 'c> {
+    forwarder: &'r mut Forwarder<'a, 'c>,
+    progress: &'r mut Progress,
+    in_flight: &'r mut InFlight,
+    upstream: Upstream,
+    unread: Unread,
+    /// Response head, until the caller has it.
+    head_bytes: Vec<u8>,
+    handover: Option<Handover<'a>>,
+    /// True once the stream was offered because its engine waits to load weights.
+    was_offered: bool,
+    /// Error of the engine, while another one may still accept the stream.
+    failed: Option<AttemptError>,
+    stall_deadline: StallDeadline,
+}
+
 /// Forwards a stream until it ends or fails.
 pub async fn forward(
     forwarder: &mut Forwarder<'_, '_>,
@@ -260,158 +278,246 @@
     progress: &mut Progress,
     in_flight: &mut InFlight,
 ) -> AttemptOutcome {
-    let mut upstream = Upstream::from(response);
-    let mut unread = Unread::default();
-    let mut head_bytes = Vec::new();
-    if !progress.has_begun {
-        progress.version = forwarder.response_version(&upstream.head);
-        head_bytes = forwarder
-            .response_head(&upstream.head)
-            .field(b"transfer-encoding", b"chunked")
-            .end();
-    }
     let held = forwarder.state.until_held(forwarder.request.fingerprint);
     tokio::pin!(held);
+    let deadline = forwarder.request.deadline;
+    let mut relay = Relay::new(forwarder, response, progress, in_flight);
     let mut events = Vec::new();
-    let mut handover: Option<Handover<'_>> = None;
-    let mut was_offered = false;
-    // Error of the engine, while another one may still accept the stream.
-    let mut failed: Option<AttemptError> = None;
-    let mut stall_deadline = first_event_deadline(forwarder.request, clock::now());
     loop {
-        let expires_at = handover::expires_at(handover.as_ref());
+        let expires_at = handover::expires_at(relay.handover.as_ref());
         let step = tokio::select! {
             biased;
-            batch = upstream.read_events(progress, &mut events), if failed.is_none() => {
-                Step::Read(batch)
-            }
+            batch = relay.upstream.read_events(relay.progress, &mut events),
+                if relay.failed.is_none() => Step::Read(batch),
             () = disconnected(caller) => return AttemptOutcome::Disconnected,
-            () = clock::until(forwarder.request.deadline) => return AttemptOutcome::TimedOut,
+            () = clock::until(deadline) => return AttemptOutcome::TimedOut,
             () = &mut held => return AttemptOutcome::Held,
-            response = handover::response(&mut handover) => Step::HandoverResponse(response),
+            response = handover::response(&mut relay.handover) => Step::HandoverResponse(response),
             () = handover::expiry(expires_at) => Step::HandoverExpired,
-            () = clock::until(stall_deadline) => Step::Stalled,
+            () = clock::until(relay.stall_deadline) => Step::Stalled,
         };
         let batch = match step {
-            Step::Read(batch) => {
-                if let Some(pending) = &mut handover
-                    && pending.outlasts(&batch)
-                    && !progress.is_committed
-                {
-                    let now = clock::now();
-                    pending.hold(&mut events);
-                    stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
-                    if let Batch::Error(error) = batch {
-                        failed = Some(unread.attribute(error, now));
-                    }
-                    continue;
-                }
-                if let Some(pending) = handover.take() {
-                    // The engine goes on or has finished, or no other one can continue.
-                    forwarder.withdraw_handover(&pending);
-                    let new_events = std::mem::replace(&mut events, pending.into_held());
-                    events.extend(new_events);
-                }
-                batch
+            Step::Read(batch) => relay.handle_read(batch, &mut events),
+            Step::HandoverResponse(response) => relay.handle_response(response, &mut events),
+            Step::HandoverExpired => relay.withdraw_offer(&mut events),
+            // A suspected request runs on one engine at a time.
+            Step::Stalled if relay.forwarder.is_suspected() && relay.can_retry() => {
+                return relay.fail(STALLED);
             }
-            Step::HandoverResponse(response) => {
-                let Some(pending) = handover.take() else {
-                    continue;
-                };
-                match forwarder.check_accepted(response, progress.version) {
-                    Ok(response) => {
-                        if let Some(error) = failed.take() {
-                            forwarder.record_failure(in_flight.engine, error);
-                            forwarder.log_failure(in_flight.engine, error, None);
-                        }
-                        forwarder.complete_handover(&pending);
-                        progress.splitter.rewind(pending.position);
-                        *in_flight = pending.in_flight;
-                        upstream = response.into();
-                        unread = Unread::default();
-                        stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
-                        continue;
-                    }
-                    Err(error) => {
-                        forwarder.fail_handover(&pending, error);
-                        events = pending.into_held();
-                        failed.map_or(Batch::Events, Batch::Error)
-                    }
-                }
+            Step::Stalled => {
+                relay.handle_stall();
+                None
             }
-            Step::HandoverExpired => {
-                let Some(pending) = handover.take() else {
-                    continue;
-                };
-                forwarder.withdraw_handover(&pending);
-                events = pending.into_held();
-                failed.map_or(Batch::Events, Batch::Error)
+        };
+        let Some(batch) = batch else {
+            continue;
+        };
+        if let Err(error) = relay
+            .write(caller, &batch, std::mem::take(&mut events))
+            .await
+        {
+            return error.into();
+        }
+        match batch {
+            Batch::Events => relay.offer_if_loading(),
+            Batch::End => return relay.complete(),
+            Batch::Error(error) => return relay.fail(error),
+        }
+    }
+}
+
+impl<'r, 'a, 'c> Relay<'r, 'a, 'c> {
+    fn new(
+        forwarder: &'r mut Forwarder<'a, 'c>,
+        response: PendingResponse,
+        progress: &'r mut Progress,
+        in_flight: &'r mut InFlight,
+    ) -> Self {
+        let upstream = Upstream::from(response);
+        let mut head_bytes = Vec::new();
+        if !progress.has_begun {
+            progress.version = forwarder.response_version(&upstream.head);
+            head_bytes = forwarder
+                .response_head(&upstream.head)
+                .field(b"transfer-encoding", b"chunked")
+                .end();
+        }
+        let stall_deadline = first_event_deadline(forwarder.request, clock::now());
+        Self {
+            forwarder,
+            progress,
+            in_flight,
+            upstream,
+            unread: Unread::default(),
+            head_bytes,
+            handover: None,
+            was_offered: false,
+            failed: None,
+            stall_deadline,
+        }
+    }
+
+    /// Returns what of `batch` is to be forwarded now, with its `events`; `None` while another
+    /// engine may accept the stream.
+    fn handle_read(&mut self, batch: Batch, events: &mut Vec<u8>) -> Option<Batch> {
+        if let Some(pending) = &mut self.handover
+            && pending.outlasts(&batch)
+            && !self.progress.is_committed
+        {
+            pending.hold(events);
+            let now = clock::now();
+            self.stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+            if let Batch::Error(error) = batch {
+                self.failed = Some(self.unread.attribute(error, now));
             }
-            Step::Stalled if forwarder.is_suspected() && forwarder.can_retry(progress) => {
-                // A suspected request runs on one engine at a time.
-                progress.splitter.discard();
-                return AttemptOutcome::Failed(STALLED);
+            return None;
+        }
+        if let Some(pending) = self.handover.take() {
+            // The engine goes on or has finished, or no other one can continue.
+            self.forwarder.withdraw_handover(&pending);
+            let new_events = std::mem::replace(events, pending.into_held());
+            events.extend(new_events);
+        }
+        Some(match batch {
+            Batch::Error(error) => Batch::Error(self.unread.attribute(error, clock::now())),
+            batch => batch,
+        })
+    }
+
+    /// Switches to the other engine if it accepted the stream; otherwise returns what is to be
+    /// forwarded of the first one.
+    fn handle_response(
+        &mut self,
+        response: Result<PendingResponse, AttemptError>,
+        events: &mut Vec<u8>,
+    ) -> Option<Batch> {
+        let pending = self.handover.take()?;
+        let accepted = self
+            .forwarder
+            .check_accepted(response, self.progress.version);
+        match accepted {
+            Ok(response) => {
+                self.switch(pending, response);
+                None
             }
-            Step::Stalled => {
-                if handover.is_none()
-                    && let Some(target) = forwarder.stall_target(progress)
-                {
-                    forwarder.record_failure(in_flight.engine, STALLED);
-                    forwarder.log_failure(in_flight.engine, STALLED, None);
-                    handover = Some(forwarder.begin_handover(target, Reason::Silent, progress));
-                }
-                stall_deadline = recheck_deadline();
-                continue;
+            Err(error) => {
+                self.forwarder.fail_handover(&pending, error);
+                *events = pending.into_held();
+                Some(self.remaining_batch())
             }
+        }
+    }
+
+    fn withdraw_offer(&mut self, events: &mut Vec<u8>) -> Option<Batch> {
+        let pending = self.handover.take()?;
+        self.forwarder.withdraw_handover(&pending);
+        *events = pending.into_held();
+        Some(self.remaining_batch())
+    }
+
+    /// What is to be forwarded of the first engine once no other one accepted the stream.
+    fn remaining_batch(&mut self) -> Batch {
+        self.failed.take().map_or(Batch::Events, Batch::Error)
+    }
+
+    fn switch(&mut self, pending: Handover<'a>, response: PendingResponse) {
+        if let Some(error) = self.failed.take() {
+            let engine = self.in_flight.engine;
+            self.forwarder.record_failure(engine, error);
+            self.forwarder.log_failure(engine, error, None);
+        }
+        self.forwarder.complete_handover(&pending);
+        self.progress.splitter.rewind(pending.position);
+        *self.in_flight = pending.in_flight;
+        self.upstream = response.into();
+        self.unread = Unread::default();
+        self.stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+    }
+
+    fn can_retry(&mut self) -> bool {
+        self.forwarder.can_retry(self.progress)
+    }
+
+    /// Offers the stream to another engine, as its own is silent.
+    fn handle_stall(&mut self) {
+        self.stall_deadline = recheck_deadline();
+        if self.handover.is_some() {
+            return;
+        }
+        let Some(target) = self.forwarder.stall_target(self.progress) else {
+            return;
         };
+        let engine = self.in_flight.engine;
+        self.forwarder.record_failure(engine, STALLED);
+        self.forwarder.log_failure(engine, STALLED, None);
+        self.offer(target, Reason::Silent);
+    }
+
+    /// Offers the stream to another engine, once, if its own waits to load weights.
+    fn offer_if_loading(&mut self) {
+        if self.was_offered || self.handover.is_some() {
+            return;
+        }
+        let engine = self.in_flight.engine;
+        if let Some(target) = self.forwarder.migration_target(engine, self.progress) {
+            self.was_offered = true;
+            self.offer(target, Reason::Loading);
+        }
+    }
+
+    fn offer(&mut self, engine: EngineKey, reason: Reason) {
+        let handover = self.forwarder.begin_handover(engine, reason, self.progress);
+        self.handover = Some(handover);
+    }
+
+    /// Writes events to the caller, after the response head if it hasn't got that yet.
+    async fn write(
+        &mut self,
+        caller: &mut Connection,
+        batch: &Batch,
+        mut events: Vec<u8>,
+    ) -> Result<(), WriteError> {
         if matches!(batch, Batch::End) {
-            let rest = progress.splitter.finish();
+            let rest = self.progress.splitter.finish();
             writer::chunk(&mut events, &rest);
             events.extend_from_slice(LAST_CHUNK);
         }
-        if !events.is_empty() {
-            if !head_bytes.is_empty() {
-                // One packet carries the head and the first event.
-                head_bytes.append(&mut events);
-                events = std::mem::take(&mut head_bytes);
-            }
-            if progress.record_events(clock::now()) {
-                forwarder.record_first_bytes();
-            }
-            in_flight.record_first_event();
-            let begun = clock::now();
-            let written = caller::write(caller, &events, forwarder.request.deadline).await;
-            if let Err(error) = written {
-                return error.into();
-            }
-            events = Vec::new();
-            let now = clock::now();
-            unread.record_write(begun, now);
-            stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+        if events.is_empty() {
+            return Ok(());
         }
-        match batch {
-            Batch::Events => {
-                if !was_offered
-                    && let Some(target) = forwarder.migration_target(in_flight.engine, progress)
-                {
-                    was_offered = true;
-                    handover = Some(forwarder.begin_handover(target, Reason::Loading, progress));
-                }
-            }
-            Batch::End => {
-                forwarder.record_completion(&upstream.head);
-                let mut fleet = forwarder.state.fleet.borrow_mut();
-                fleet.engine_mut(in_flight.engine).record_success();
-                if upstream.is_request_sent {
-                    let mut pool = forwarder.state.pool.borrow_mut();
-                    pool.put(in_flight.engine, upstream.connection, &upstream.head);
-                }
-                return AttemptOutcome::Completed;
-            }
-            Batch::Error(error) => {
-                progress.splitter.discard();
-                return AttemptOutcome::Failed(unread.attribute(error, clock::now()));
-            }
+        if !self.head_bytes.is_empty() {
+            // One packet carries the head and the first event.
+            self.head_bytes.append(&mut events);
+            events = std::mem::take(&mut self.head_bytes);
+        }
+        if self.progress.record_events(clock::now()) {
+            self.forwarder.record_first_bytes();
+        }
+        self.in_flight.record_first_event();
+        let begun = clock::now();
+        caller::write(caller, &events, self.forwarder.request.deadline).await?;
+        let now = clock::now();
+        self.unread.record_write(begun, now);
+        self.stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+        Ok(())
+    }
+
+    fn complete(self) -> AttemptOutcome {
+        self.forwarder.record_completion(&self.upstream.head);
+        let mut fleet = self.forwarder.state.fleet.borrow_mut();
+        fleet.engine_mut(self.in_flight.engine).record_success();
+        if self.upstream.is_request_sent {
+            let mut pool = self.forwarder.state.pool.borrow_mut();
+            let Upstream {
+                connection, head, ..
+            } = self.upstream;
+            pool.put(self.in_flight.engine, connection, &head);
         }
+        AttemptOutcome::Completed
+    }
+
+    fn fail(self, error: AttemptError) -> AttemptOutcome {
+        self.progress.splitter.discard();
+        AttemptOutcome::Failed(error)
     }
 }
