--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -1,10 +1,14 @@
 //! Forwarding of event streams, with resumption on another engine after the last complete event.
+//!
+//! A stream whose engine failed resumes with the next attempt. One whose engine waits to load
+//! weights is handed over while its response is read on.
 
 use {
     super::{
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
-        caller,
+        caller::{self, WriteError},
         forward::{AttemptOutcome, Forwarder, disconnected},
+        handover::{self, Handover, Reason},
         request::RoutedRequest,
     },
     crate::clock,
@@ -13,9 +17,15 @@
     gingerpier_http1::{
         body::{Decoder, Part},
         connection::Connection,
+        head::Response,
         writer::{self, LAST_CHUNK},
     },
-    gingerpier_serving::{events::Splitter, report::Version, retry::Failure},
+    gingerpier_serving::{
+        events::{Position, Splitter},
+        fleet::EngineKey,
+        report::Version,
+        retry::Failure,
+    },
 };
 
 /// Timeout for the next event, after which a stream may resume on another engine.
@@ -85,6 +95,11 @@
         self.version
     }
 
+    /// Position after the last event that was forwarded.
+    pub fn position(&self) -> Position {
+        self.splitter.position().clone()
+    }
+
     /// Id of the last event that was forwarded.
     pub fn last_event_id(&self) -> Option<&Bytes> {
         self.splitter.last_id()
@@ -161,54 +176,101 @@
 }
 
 /// Result of reading a part of a stream.
-enum Batch {
+pub(super) enum Batch {
     Events,
     End,
     Error(AttemptError),
 }
 
-/// Reads until at least one complete event arrives or the stream ends; appends the events to
-/// `output` as HTTP chunks.
-async fn read_events(
-    connection: &mut Connection,
-    decoder: &mut Decoder,
-    progress: &mut Progress,
-    output: &mut Vec<u8>,
-) -> Batch {
-    loop {
+/// Response that a stream is read from.
+struct Upstream {
+    connection: Connection,
+    head: Response,
+    decoder: Decoder,
+    is_request_sent: bool,
+}
+
+impl From<PendingResponse> for Upstream {
+    fn from(response: PendingResponse) -> Self {
+        Self {
+            connection: response.connection,
+            head: response.head,
+            decoder: Decoder::new(response.framing),
+            is_request_sent: response.is_request_sent,
+        }
+    }
+}
+
+impl Upstream {
+    /// Reads until at least one complete event arrives or the stream ends; appends the events to
+    /// `output` as HTTP chunks.
+    async fn read_events(&mut self, progress: &mut Progress, output: &mut Vec<u8>) -> Batch {
         loop {
-            match decoder.decode(&mut connection.input) {
-                Ok(Some(Part::Data(data))) => {
-                    if let Some(events) = progress.splitter.push(&data) {
-                        writer::chunk(output, &events);
-                    }
-                    if progress.splitter.pending_bytes() > MAX_EVENT_BYTES {
-                        progress.is_committed = true;
-                        writer::chunk(output, &progress.splitter.finish());
+            loop {
+                match self.decoder.decode(&mut self.connection.input) {
+                    Ok(Some(Part::Data(data))) => {
+                        if let Some(events) = progress.splitter.push(&data) {
+                            writer::chunk(output, &events);
+                        }
+                        if progress.splitter.pending_bytes() > MAX_EVENT_BYTES {
+                            progress.is_committed = true;
+                            writer::chunk(output, &progress.splitter.finish());
+                        }
                     }
+                    Ok(Some(Part::End)) => return Batch::End,
+                    Ok(None) => break,
+                    Err(error) => return Batch::Error(attempt::from_http(error)),
                 }
-                Ok(Some(Part::End)) => return Batch::End,
-                Ok(None) => break,
-                Err(error) => return Batch::Error(attempt::from_http(error)),
             }
-        }
-        if !output.is_empty() {
-            return Batch::Events;
-        }
-        match connection.read().await {
-            Ok(true) => {}
-            Ok(false) => {
-                return match decoder.close() {
-                    Ok(()) => Batch::End,
-                    Err(error) => Batch::Error(attempt::from_http(error)),
-                };
+            if !output.is_empty() {
+                return Batch::Events;
+            }
+            match self.connection.read().await {
+                Ok(true) => {}
+                Ok(false) => {
+                    return match self.decoder.close() {
+                        Ok(()) => Batch::End,
+                        Err(error) => Batch::Error(attempt::from_http(error)),
+                    };
+                }
+                Err(_) => {
+                    return Batch::Error(attempt::from_http(gingerpier_http1::error::Error::Cut));
+                }
             }
-            Err(_) => return Batch::Error(attempt::from_http(gingerpier_http1::error::Error::Cut)),
         }
     }
 }
 
-/// Forwards a stream until it ends, fails or migrates to another engine.
+/// What happened next to a stream.
+enum Step {
+    /// Its engine sent something.
+    Read(Batch),
+    /// The engine that it is offered to responded.
+    HandoverResponse(Result<PendingResponse, AttemptError>),
+    /// The engine that it is offered to takes too long.
+    HandoverExpired,
+    /// Its engine sent no event in time.
+    Stalled,
+}
+
+/// A stream that is forwarded, and the engine that it may be handed over to.
+struct Relay<'r, 'a, 'c> {
+    forwarder: &'r mut Forwarder<'a, 'c>,
+    progress: &'r mut Progress,
+    in_flight: &'r mut InFlight,
+    upstream: Upstream,
+    unread: Unread,
+    /// Response head, until the caller has it.
+    head_bytes: Vec<u8>,
+    handover: Option<Handover<'a>>,
+    /// True once the stream was offered because its engine waits to load weights.
+    was_offered: bool,
+    /// Error of the engine, while another one may still accept the stream.
+    failed: Option<AttemptError>,
+    stall_deadline: StallDeadline,
+}
+
+/// Forwards a stream until it ends or fails.
 pub async fn forward(
     forwarder: &mut Forwarder<'_, '_>,
     caller: &mut Connection,
@@ -216,90 +278,246 @@
     progress: &mut Progress,
     in_flight: &mut InFlight,
 ) -> AttemptOutcome {
-    let PendingResponse {
-        mut connection,
-        head,
-        framing,
-        is_request_sent,
-    } = response;
-    let mut decoder = Decoder::new(framing);
-    let mut unread = Unread::default();
-    let header_names = forwarder.state.platform_api.header_names();
-    let version = Version(head.fields.number(header_names.version).unwrap_or_default());
-    let mut head_bytes = Vec::new();
-    if !progress.has_begun {
-        progress.version = version;
-        head_bytes = forwarder
-            .response_head(&head)
-            .field(b"transfer-encoding", b"chunked")
-            .end();
-    }
     let held = forwarder.state.until_held(forwarder.request.fingerprint);
     tokio::pin!(held);
+    let deadline = forwarder.request.deadline;
+    let mut relay = Relay::new(forwarder, response, progress, in_flight);
     let mut events = Vec::new();
-    let mut stall_deadline = first_event_deadline(forwarder.request, clock::now());
     loop {
-        let batch = tokio::select! {
+        let expires_at = handover::expires_at(relay.handover.as_ref());
+        let step = tokio::select! {
             biased;
-            batch = read_events(&mut connection, &mut decoder, progress, &mut events) => batch,
+            batch = relay.upstream.read_events(relay.progress, &mut events),
+                if relay.failed.is_none() => Step::Read(batch),
             () = disconnected(caller) => return AttemptOutcome::Disconnected,
-            () = clock::until(forwarder.request.deadline) => return AttemptOutcome::TimedOut,
+            () = clock::until(deadline) => return AttemptOutcome::TimedOut,
             () = &mut held => return AttemptOutcome::Held,
-            () = clock::until(stall_deadline) => {
-                if forwarder.can_retry(progress) {
-                    progress.splitter.discard();
-                    return AttemptOutcome::Failed(STALLED);
-                }
-                stall_deadline = recheck_deadline();
-                continue;
-            }
+            response = handover::response(&mut relay.handover) => Step::HandoverResponse(response),
+            () = handover::expiry(expires_at) => Step::HandoverExpired,
+            () = clock::until(relay.stall_deadline) => Step::Stalled,
         };
-        if matches!(batch, Batch::End) {
-            let rest = progress.splitter.finish();
-            writer::chunk(&mut events, &rest);
-            events.extend_from_slice(LAST_CHUNK);
-        }
-        if !events.is_empty() {
-            if !head_bytes.is_empty() {
-                // One packet carries the head and the first event.
-                head_bytes.append(&mut events);
-                events = std::mem::take(&mut head_bytes);
+        let batch = match step {
+            Step::Read(batch) => relay.handle_read(batch, &mut events),
+            Step::HandoverResponse(response) => relay.handle_response(response, &mut events),
+            Step::HandoverExpired => relay.withdraw_offer(&mut events),
+            // A suspected request runs on one engine at a time.
+            Step::Stalled if relay.forwarder.is_suspected() && relay.can_retry() => {
+                return relay.fail(STALLED);
             }
-            if progress.record_events(clock::now()) {
-                forwarder.record_first_bytes();
+            Step::Stalled => {
+                relay.handle_stall();
+                None
             }
-            in_flight.record_first_event();
-            let begun = clock::now();
-            let written = caller::write(caller, &events, forwarder.request.deadline).await;
-            if let Err(error) = written {
-                return error.into();
-            }
-            events = Vec::new();
-            let now = clock::now();
-            unread.record_write(begun, now);
-            stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+        };
+        let Some(batch) = batch else {
+            continue;
+        };
+        if let Err(error) = relay
+            .write(caller, &batch, std::mem::take(&mut events))
+            .await
+        {
+            return error.into();
         }
         match batch {
-            Batch::Events => {
-                if forwarder.should_migrate(in_flight.engine, progress) {
-                    progress.splitter.discard();
-                    return AttemptOutcome::Migrated;
-                }
+            Batch::Events => relay.offer_if_loading(),
+            Batch::End => return relay.complete(),
+            Batch::Error(error) => return relay.fail(error),
+        }
+    }
+}
+
+impl<'r, 'a, 'c> Relay<'r, 'a, 'c> {
+    fn new(
+        forwarder: &'r mut Forwarder<'a, 'c>,
+        response: PendingResponse,
+        progress: &'r mut Progress,
+        in_flight: &'r mut InFlight,
+    ) -> Self {
+        let upstream = Upstream::from(response);
+        let mut head_bytes = Vec::new();
+        if !progress.has_begun {
+            progress.version = forwarder.response_version(&upstream.head);
+            head_bytes = forwarder
+                .response_head(&upstream.head)
+                .field(b"transfer-encoding", b"chunked")
+                .end();
+        }
+        let stall_deadline = first_event_deadline(forwarder.request, clock::now());
+        Self {
+            forwarder,
+            progress,
+            in_flight,
+            upstream,
+            unread: Unread::default(),
+            head_bytes,
+            handover: None,
+            was_offered: false,
+            failed: None,
+            stall_deadline,
+        }
+    }
+
+    /// Returns what of `batch` is to be forwarded now, with its `events`; `None` while another
+    /// engine may accept the stream.
+    fn handle_read(&mut self, batch: Batch, events: &mut Vec<u8>) -> Option<Batch> {
+        if let Some(pending) = &mut self.handover
+            && pending.outlasts(&batch)
+            && !self.progress.is_committed
+        {
+            pending.hold(events);
+            let now = clock::now();
+            self.stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+            if let Batch::Error(error) = batch {
+                self.failed = Some(self.unread.attribute(error, now));
             }
-            Batch::End => {
-                forwarder.record_completion(&head);
-                let mut fleet = forwarder.state.fleet.borrow_mut();
-                fleet.engine_mut(in_flight.engine).record_success();
-                if is_request_sent {
-                    let mut pool = forwarder.state.pool.borrow_mut();
-                    pool.put(in_flight.engine, connection, &head);
-                }
-                return AttemptOutcome::Completed;
+            return None;
+        }
+        if let Some(pending) = self.handover.take() {
+            // The engine goes on or has finished, or no other one can continue.
+            self.forwarder.withdraw_handover(&pending);
+            let new_events = std::mem::replace(events, pending.into_held());
+            events.extend(new_events);
+        }
+        Some(match batch {
+            Batch::Error(error) => Batch::Error(self.unread.attribute(error, clock::now())),
+            batch => batch,
+        })
+    }
+
+    /// Switches to the other engine if it accepted the stream; otherwise returns what is to be
+    /// forwarded of the first one.
+    fn handle_response(
+        &mut self,
+        response: Result<PendingResponse, AttemptError>,
+        events: &mut Vec<u8>,
+    ) -> Option<Batch> {
+        let pending = self.handover.take()?;
+        let accepted = self
+            .forwarder
+            .check_accepted(response, self.progress.version);
+        match accepted {
+            Ok(response) => {
+                self.switch(pending, response);
+                None
             }
-            Batch::Error(error) => {
-                progress.splitter.discard();
-                return AttemptOutcome::Failed(unread.attribute(error, clock::now()));
+            Err(error) => {
+                self.forwarder.fail_handover(&pending, error);
+                *events = pending.into_held();
+                Some(self.remaining_batch())
             }
         }
     }
+
+    fn withdraw_offer(&mut self, events: &mut Vec<u8>) -> Option<Batch> {
+        let pending = self.handover.take()?;
+        self.forwarder.withdraw_handover(&pending);
+        *events = pending.into_held();
+        Some(self.remaining_batch())
+    }
+
+    /// What is to be forwarded of the first engine once no other one accepted the stream.
+    fn remaining_batch(&mut self) -> Batch {
+        self.failed.take().map_or(Batch::Events, Batch::Error)
+    }
+
+    fn switch(&mut self, pending: Handover<'a>, response: PendingResponse) {
+        if let Some(error) = self.failed.take() {
+            let engine = self.in_flight.engine;
+            self.forwarder.record_failure(engine, error);
+            self.forwarder.log_failure(engine, error, None);
+        }
+        self.forwarder.complete_handover(&pending);
+        self.progress.splitter.rewind(pending.position);
+        *self.in_flight = pending.in_flight;
+        self.upstream = response.into();
+        self.unread = Unread::default();
+        self.stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+    }
+
+    fn can_retry(&mut self) -> bool {
+        self.forwarder.can_retry(self.progress)
+    }
+
+    /// Offers the stream to another engine, as its own is silent.
+    fn handle_stall(&mut self) {
+        self.stall_deadline = recheck_deadline();
+        if self.handover.is_some() {
+            return;
+        }
+        let Some(target) = self.forwarder.stall_target(self.progress) else {
+            return;
+        };
+        let engine = self.in_flight.engine;
+        self.forwarder.record_failure(engine, STALLED);
+        self.forwarder.log_failure(engine, STALLED, None);
+        self.offer(target, Reason::Silent);
+    }
+
+    /// Offers the stream to another engine, once, if its own waits to load weights.
+    fn offer_if_loading(&mut self) {
+        if self.was_offered || self.handover.is_some() {
+            return;
+        }
+        let engine = self.in_flight.engine;
+        if let Some(target) = self.forwarder.migration_target(engine, self.progress) {
+            self.was_offered = true;
+            self.offer(target, Reason::Loading);
+        }
+    }
+
+    fn offer(&mut self, engine: EngineKey, reason: Reason) {
+        let handover = self.forwarder.begin_handover(engine, reason, self.progress);
+        self.handover = Some(handover);
+    }
+
+    /// Writes events to the caller, after the response head if it hasn't got that yet.
+    async fn write(
+        &mut self,
+        caller: &mut Connection,
+        batch: &Batch,
+        mut events: Vec<u8>,
+    ) -> Result<(), WriteError> {
+        if matches!(batch, Batch::End) {
+            let rest = self.progress.splitter.finish();
+            writer::chunk(&mut events, &rest);
+            events.extend_from_slice(LAST_CHUNK);
+        }
+        if events.is_empty() {
+            return Ok(());
+        }
+        if !self.head_bytes.is_empty() {
+            // One packet carries the head and the first event.
+            self.head_bytes.append(&mut events);
+            events = std::mem::take(&mut self.head_bytes);
+        }
+        if self.progress.record_events(clock::now()) {
+            self.forwarder.record_first_bytes();
+        }
+        self.in_flight.record_first_event();
+        let begun = clock::now();
+        caller::write(caller, &events, self.forwarder.request.deadline).await?;
+        let now = clock::now();
+        self.unread.record_write(begun, now);
+        self.stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
+        Ok(())
+    }
+
+    fn complete(self) -> AttemptOutcome {
+        self.forwarder.record_completion(&self.upstream.head);
+        let mut fleet = self.forwarder.state.fleet.borrow_mut();
+        fleet.engine_mut(self.in_flight.engine).record_success();
+        if self.upstream.is_request_sent {
+            let mut pool = self.forwarder.state.pool.borrow_mut();
+            let Upstream {
+                connection, head, ..
+            } = self.upstream;
+            pool.put(self.in_flight.engine, connection, &head);
+        }
+        AttemptOutcome::Completed
+    }
+
+    fn fail(self, error: AttemptError) -> AttemptOutcome {
+        self.progress.splitter.discard();
+        AttemptOutcome::Failed(error)
+    }
 }
