Gateway logs a watch that the store refused, and a full copy that it ignored

Both are logged now, with the revisions, once for each revision of the replica, so that a store that refuses every watch writes one line and not two a second.

--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -109,6 +109,8 @@
     origin_versions: RefCell<HashMap<String, Version>>,
     /// Names of fields in engines' responses that were logged as unknown.
     unknown_fields: RefCell<Vec<Vec<u8>>>,
+    /// Revision of the mirror when a full copy was last ignored, which is logged once.
+    ignored_copy_at: Cell<Option<Revision>>,
     last_contact: Cell<Option<Instant>>,
     freshness: Cell<Freshness>,
     outage: Cell<Outage>,
@@ -169,6 +171,7 @@
             releases: RefCell::default(),
             origin_versions: RefCell::default(),
             unknown_fields: RefCell::default(),
+            ignored_copy_at: Cell::new(None),
             last_contact: Cell::new(None),
             freshness: Cell::default(),
             outage: Cell::default(),
@@ -219,6 +222,14 @@
 
     /// Replaces the mirror with a full copy of the store at revision `at`.
     pub fn replace_mirror(&self, items: Vec<Item>, at: Revision) {
+        let known = self.mirror.borrow().revision();
+        if at < known && self.ignored_copy_at.replace(Some(known)) != Some(known) {
+            tracing::warn!(
+                revision = at.0,
+                known = known.0,
+                "full copy is older than the replica; ignored"
+            );
+        }
         let changes = self.mirror.borrow_mut().replace(items, at);
         self.handle_changes(changes, |_| Absence::Listed);
     }
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -185,6 +185,8 @@
     needs_copy: bool,
     /// True if the last watch returned nothing although the store had changed.
     has_missed_changes: bool,
+    /// Revision after which the store last refused a watch, which is logged once.
+    refused_after: Option<Revision>,
     /// Consecutive failed calls.
     consecutive_failures: u32,
 }
@@ -199,6 +201,7 @@
         copy: FullCopy::default(),
         needs_copy: false,
         has_missed_changes: false,
+        refused_after: None,
         consecutive_failures: 0,
     };
     let mut watcher: Option<Client> = None;
@@ -353,7 +356,16 @@
         return Ok(None);
     }
     match watched? {
-        WatchResponse::Compacted => polling.needs_copy = true,
+        WatchResponse::Compacted => {
+            if polling.refused_after.replace(after) != Some(after) {
+                tracing::info!(
+                    after = after.0,
+                    age = ?state.contact_age_millis(),
+                    "store has no history from the replica's revision on; reading a full copy"
+                );
+            }
+            polling.needs_copy = true;
+        }
         WatchResponse::Changes(page) if page.items.is_empty() => {
             let requested = clock::now();
             let is_behind = !is_current(state, &mut polling.client).await?;
