Mirror: revisions are ordered by the store's era first

The store had come back from a copy some seconds old: its revisions had gone back and were given out again. The replica took each full copy for older than itself, as its revision was lower, and ignored it until the store's counter had passed the replica's; what was written in between was lost, as a watch then went on from a revision that the restored store had given to another write.

The store names its era in the header Store-Era, which rises with each such return. A revision now is an era and a number, ordered in this sequence, so that the rule that a replica only rises holds across eras: a full copy of a newer era replaces the content, whatever its numbers, and input of a former era changes nothing. Changes of another era are not applied, as they may leave a gap that no 410 shows; a gateway whose watch, probe or page comes from another era reads a full copy at once. A copy whose pages come from two eras starts again. The first copy of a new era reports every item, as engines at one address are ordered by their revisions, too.

A watcher whose copy is of an older era than the follower's counts as stale.

Existing tests only name the constructor of a revision (Revision::new(7) for Revision(7)); nothing that they check has changed.

--- a/crates/gingerpier_admission/tests/fairness.rs
+++ b/crates/gingerpier_admission/tests/fairness.rs
@@ -62,7 +62,7 @@
             cold_millis: 0,
             report: report.clone(),
         },
-        Revision(1),
+        Revision::new(1),
     );
     fleet.engine_mut(key).record_report(report, at(0));
     fleet
--- a/crates/gingerpier_admission/tests/memory.rs
+++ b/crates/gingerpier_admission/tests/memory.rs
@@ -50,7 +50,7 @@
     let mut fleet = Fleet::default();
     let mut list = |(number, report): (u8, &Report)| {
         let record = common::record(number, "z", 16, report.clone());
-        let key = fleet.list(record, Revision(1));
+        let key = fleet.list(record, Revision::new(1));
         fleet.engine_mut(key).record_report(report.clone(), at(0));
         key
     };
--- a/crates/gingerpier_admission/tests/overtaking.rs
+++ b/crates/gingerpier_admission/tests/overtaking.rs
@@ -29,7 +29,7 @@
 fn fleet(active: u32) -> Fleet {
     let report = common::report(active);
     let mut fleet = Fleet::default();
-    let key = fleet.list(common::record(1, "z", 16, report.clone()), Revision(1));
+    let key = fleet.list(common::record(1, "z", 16, report.clone()), Revision::new(1));
     fleet.engine_mut(key).record_report(report, at(0));
     fleet
 }
--- a/crates/gingerpier_admission/tests/selection.rs
+++ b/crates/gingerpier_admission/tests/selection.rs
@@ -21,7 +21,7 @@
     };
     let number = fleet.listed().count() as u8;
     let record = common::record(number, zone, 12, report.clone());
-    let key = fleet.list(record, Revision(1));
+    let key = fleet.list(record, Revision::new(1));
     fleet.engine_mut(key).record_report(report, at(0));
     key
 }
--- a/crates/gingerpier_admission/tests/sharing_placement.rs
+++ b/crates/gingerpier_admission/tests/sharing_placement.rs
@@ -25,7 +25,7 @@
 fn add_engine(fleet: &mut Fleet, zone: &str, active: u32) -> EngineKey {
     let index = fleet.all_engines().count() as u8;
     let record = common::record(index, zone, 12, report(active));
-    let key = fleet.list(record, Revision(1));
+    let key = fleet.list(record, Revision::new(1));
     fleet.engine_mut(key).record_report(report(active), at(0));
     key
 }
--- a/crates/gingerpier_benches/benches/selection.rs
+++ b/crates/gingerpier_benches/benches/selection.rs
@@ -65,7 +65,7 @@
             cold_millis: 0,
             report: report.clone(),
         };
-        let key = fleet.list(record, Revision(1));
+        let key = fleet.list(record, Revision::new(1));
         fleet.engine_mut(key).record_report(report, now);
     }
     fleet
--- a/crates/gingerpier_gateway/src/client.rs
+++ b/crates/gingerpier_gateway/src/client.rs
@@ -203,8 +203,7 @@
 
 /// Encodes a call as an HTTP request.
 pub fn encode(call: &ApiRequest, host: SocketAddr) -> Vec<u8> {
-    let message = Message::request(call.method.as_bytes(), call.target.as_bytes())
-        .field(b"host", host.to_string().as_bytes());
+    let message = start_message(call, host);
     if call.body.is_empty() {
         return message.end();
     }
@@ -215,12 +214,20 @@
 
 /// Encodes a call without a body whose response may be compressed.
 fn encode_accepting_compression(call: &ApiRequest, host: SocketAddr) -> Vec<u8> {
-    Message::request(call.method.as_bytes(), call.target.as_bytes())
-        .field(b"host", host.to_string().as_bytes())
+    start_message(call, host)
         .field(b"accept-encoding", compression::ENCODING.as_bytes())
         .end()
 }
 
+fn start_message(call: &ApiRequest, host: SocketAddr) -> Message {
+    let message = Message::request(call.method.as_bytes(), call.target.as_bytes())
+        .field(b"host", host.to_string().as_bytes());
+    let fields = call.fields.iter();
+    fields.fold(message, |message, (name, value)| {
+        message.field(name.as_bytes(), value.as_bytes())
+    })
+}
+
 /// Sends a request and reads the head of its response.
 async fn send_request(
     peer: SocketAddr,
--- a/crates/gingerpier_gateway/src/items.rs
+++ b/crates/gingerpier_gateway/src/items.rs
@@ -73,7 +73,7 @@
     /// Content of `item`; none if it is deleted or invalid. Logs invalid items and missing fields.
     pub fn parse(&self, item: &Item) -> Option<Content> {
         let value = item.value.as_ref()?;
-        let revision = item.revision.0;
+        let revision = item.revision.number;
         match self.platform_api.parse_item(&item.key, value) {
             Ok(parsed) => {
                 for omission in parsed.omissions {
--- a/crates/gingerpier_gateway/src/message/snapshot.rs
+++ b/crates/gingerpier_gateway/src/message/snapshot.rs
@@ -36,6 +36,22 @@
     /// True if `items` has changes only.
     #[cbor(n(2), default)]
     pub is_changes: bool,
+    /// Era of all revisions; processes without eras are in the first one.
+    #[cbor(n(3), default)]
+    pub era: u64,
+}
+
+impl Snapshot {
+    /// Revision that this reaches up to.
+    pub const fn at(&self) -> Revision {
+        Revision::new(self.revision).in_era(self.era)
+    }
+
+    /// Decodes the items.
+    pub fn into_items(self) -> Vec<Item> {
+        let items = self.items.into_iter();
+        items.map(|item| item.item(self.era)).collect()
+    }
 }
 
 impl StoreItem {
@@ -43,17 +59,17 @@
     pub fn new(item: Item) -> Self {
         Self {
             key: item.key,
-            revision: item.revision.0,
+            revision: item.revision.number,
             is_deleted: item.value.is_none(),
             value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
         }
     }
 
-    /// Decodes the item.
-    pub fn item(self) -> Item {
+    /// Decodes the item of a snapshot in `era`.
+    fn item(self, era: u64) -> Item {
         Item {
             key: self.key,
-            revision: Revision(self.revision),
+            revision: Revision::new(self.revision).in_era(era),
             value: (!self.is_deleted).then(|| self.value.into()),
         }
     }
--- a/crates/gingerpier_gateway/src/snapshots.rs
+++ b/crates/gingerpier_gateway/src/snapshots.rs
@@ -67,7 +67,8 @@
     let is_changes = changes.is_some();
     let items = changes.unwrap_or_else(|| mirror.items().collect());
     let body = message::encode(&Snapshot {
-        revision: key.revision.0,
+        era: key.revision.era,
+        revision: key.revision.number,
         items: items.into_iter().map(StoreItem::new).collect(),
         is_changes,
     });
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -28,7 +28,7 @@
             ItemKind::Manifest(model) => return self.distributor.kept_manifests.remove(&model),
             _ => return,
         };
-        let revision = item.revision.0;
+        let revision = item.revision.number;
         let mut fleet = self.fleet.borrow_mut();
         match self.outage.get().excused_until(deletion, clock::now()) {
             Some(until) => {
@@ -92,7 +92,7 @@
         let known = fleet.find(&id);
         if known.is_some_and(|known| !fleet.engine(known).is_removed) {
             fleet.unlist(&id);
-            let revision = item.revision.0;
+            let revision = item.revision.number;
             tracing::warn!(
                 engine = id,
                 revision,
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -225,11 +225,23 @@
         let known = self.mirror.borrow().revision();
         if at < known && self.ignored_copy_at.replace(Some(known)) != Some(known) {
             tracing::warn!(
-                revision = at.0,
-                known = known.0,
+                era = at.era,
+                revision = at.number,
+                known_era = known.era,
+                known = known.number,
                 "full copy is older than the replica; ignored"
             );
         }
+        if at.era > known.era && known > Revision::default() {
+            tracing::warn!(
+                former = known.era,
+                new = at.era,
+                known = known.number,
+                revision = at.number,
+                age = ?self.contact_age_millis(),
+                "store came back from an older copy; replica replaced by its contents"
+            );
+        }
         let changes = self.mirror.borrow_mut().replace(items, at);
         self.handle_changes(changes, |_| Absence::Listed);
     }
@@ -242,7 +254,7 @@
             }
         }
         let at = self.mirror.borrow().revision();
-        self.metrics.revision.set(at.0 as i64);
+        self.metrics.revision.set(at.number as i64);
         self.mirror_changed.notify_waiters();
     }
 
--- a/crates/gingerpier_gateway/src/state/placement.rs
+++ b/crates/gingerpier_gateway/src/state/placement.rs
@@ -26,7 +26,7 @@
         tracing::info!(
             zone,
             is_evacuated,
-            revision = revision.0,
+            revision = revision.number,
             age = ?self.contact_age_millis(),
             "zone evacuation changed"
         );
--- a/crates/gingerpier_gateway/src/state/store_contact.rs
+++ b/crates/gingerpier_gateway/src/state/store_contact.rs
@@ -56,7 +56,7 @@
         if let Some(new) = self.last_recovery().filter(|new| Some(*new) != previous) {
             let millis = new.until.millis_since(now);
             tracing::info!(
-                revision = revision.0,
+                revision = revision.number,
                 millis,
                 "store reachable again; engines with missing entries are kept for now"
             );
--- a/crates/gingerpier_gateway/src/state/unreleased.rs
+++ b/crates/gingerpier_gateway/src/state/unreleased.rs
@@ -54,7 +54,7 @@
         tracing::info!(
             model = manifest.model,
             version = manifest.version.0,
-            revision = item.revision.0,
+            revision = item.revision.number,
             "manifest found in the store"
         );
         let bytes = Bytes::copy_from_slice(value);
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -75,7 +75,7 @@
 
 impl FullCopy {
     /// Reads the missing pages; returns when the first page was requested. Pages are kept on an
-    /// error, so the next call resumes after them.
+    /// error, so the next call resumes after them. Starts again if the store's era changes.
     ///
     /// # Errors
     ///
@@ -100,6 +100,10 @@
             let request = platform_api.list(scope, after, stale);
             let response = client.call(&request, READ_TIMEOUT_MILLIS).await?;
             let page = read_page(client.peer(), platform_api, &response)?;
+            if !is_first_page && page.revision.era != self.revision.era {
+                *self = Self::default();
+                continue;
+            }
             if is_first_page {
                 self.revision = page.revision;
             }
@@ -147,11 +151,18 @@
     response: &Whole,
 ) -> Result<Page, Error> {
     let page = platform_api.parse_list(response.head.status, &response.body);
-    page.map_err(|cause| Error::Response {
+    let page = page.map_err(|cause| Error::Response {
         step: Operation::Parse,
         peer,
         cause,
-    })
+    })?;
+    Ok(page.in_era(store_era(platform_api, response)))
+}
+
+/// Era of the store that sent `response`; 0 on platforms without eras.
+fn store_era(platform_api: &dyn PlatformApi, response: &Whole) -> u64 {
+    let name = platform_api.header_names().store_era;
+    response.head.fields.number(name).unwrap_or_default()
 }
 
 /// Watches for changes after revision `after` for up to `millis`.
@@ -169,10 +180,16 @@
     let request = platform_api.watch(scope, after, millis);
     let response = client.call(&request, millis + WATCH_SLACK_MILLIS).await?;
     let watched = platform_api.parse_watch(response.head.status, &response.body);
-    watched.map_err(|cause| Error::Response {
+    let watched = watched.map_err(|cause| Error::Response {
         step: Operation::Parse,
         peer: client.peer(),
         cause,
+    })?;
+    Ok(match watched {
+        WatchResponse::Changes(page) => {
+            WatchResponse::Changes(page.in_era(store_era(platform_api, &response)))
+        }
+        WatchResponse::Compacted => WatchResponse::Compacted,
     })
 }
 
@@ -276,20 +293,21 @@
 /// Checks the store's revision while other gateways are meant to watch it.
 async fn probe_store(state: &State, polling: &mut Polling, watching: &mut WatcherSelection) {
     let requested = clock::now();
-    let is_current = is_current(state, &mut polling.client).await;
+    let position = read_position(state, &mut polling.client).await;
     let elapsed_millis = clock::now().millis_since(requested);
-    let is_ahead = matches!(is_current, Ok(false));
-    if is_current.is_ok() {
+    let is_ahead = matches!(position, Ok(Position::Behind | Position::FormerEra));
+    if position.is_ok() {
         polling.consecutive_failures = 0;
     }
     watching.record_probe(is_ahead, elapsed_millis, clock::now());
-    match is_current {
-        Ok(true) => {
+    match position {
+        Ok(Position::Current) => {
             state.record_contact(0);
             state.record_fresh(requested);
             clock::pause(WATCH_PAUSE_MILLIS).await;
         }
-        Ok(false) => {}
+        Ok(Position::Behind) => {}
+        Ok(Position::FormerEra) => polling.needs_copy = true,
         Err(error) => {
             state.record_store_failure(&error);
             polling.back_off().await;
@@ -349,7 +367,7 @@
     let is_too_long = |error: &Error| matches!(error, Error::Http { cause, .. } if *cause == gingerpier_http1::error::Error::BodyTooLong);
     if watched.as_ref().is_err_and(is_too_long) {
         tracing::info!(
-            after = after.0,
+            after = after.number,
             "watch response is larger than a full copy; reading a full copy instead"
         );
         polling.needs_copy = true;
@@ -359,21 +377,30 @@
         WatchResponse::Compacted => {
             if polling.refused_after.replace(after) != Some(after) {
                 tracing::info!(
-                    after = after.0,
+                    era = after.era,
+                    after = after.number,
                     age = ?state.contact_age_millis(),
                     "store has no history from the replica's revision on; reading a full copy"
                 );
             }
             polling.needs_copy = true;
         }
+        // Revisions are given out again in a new era, so the changes may leave a gap.
+        WatchResponse::Changes(page) if page.revision.era != after.era => {
+            polling.needs_copy = true;
+        }
         WatchResponse::Changes(page) if page.items.is_empty() => {
             let requested = clock::now();
-            let is_behind = !is_current(state, &mut polling.client).await?;
+            let position = read_position(state, &mut polling.client).await?;
             // A change between the two responses is returned by the next watch; a full copy is read
             // if that one misses it, too.
-            polling.needs_copy = is_behind && polling.has_missed_changes;
-            polling.has_missed_changes = is_behind;
-            return Ok((!is_behind).then_some(requested));
+            polling.needs_copy = match position {
+                Position::Current => false,
+                Position::Behind => polling.has_missed_changes,
+                Position::FormerEra => true,
+            };
+            polling.has_missed_changes = position == Position::Behind;
+            return Ok((position == Position::Current).then_some(requested));
         }
         WatchResponse::Changes(page) => {
             polling.has_missed_changes = false;
@@ -396,8 +423,19 @@
     (copy_bytes * 3 / 2).max(MIN_WATCH_LIMIT_BYTES)
 }
 
-/// True if the mirror has reached the store's revision, which an empty page shows.
-async fn is_current(state: &State, client: &mut Client) -> Result<bool, Error> {
+/// Position of the mirror relative to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Position {
+    /// The mirror has reached the store's revision.
+    Current,
+    /// The store has later revisions of the same era.
+    Behind,
+    /// The store is in another era, so that a watch can't continue.
+    FormerEra,
+}
+
+/// Compares the mirror with the store's revision, which an empty page shows.
+async fn read_position(state: &State, client: &mut Client) -> Result<Position, Error> {
     state.metrics.store_calls.inc();
     let request = state
         .platform_api
@@ -405,5 +443,10 @@
     let response = client.call(&request, READ_TIMEOUT_MILLIS).await?;
     let page = read_page(client.peer(), state.platform_api, &response)?;
     state.record_store_response(page.revision);
-    Ok(page.revision <= state.mirror.borrow().revision())
+    let known = state.mirror.borrow().revision();
+    Ok(match page.revision {
+        latest if latest.era != known.era => Position::FormerEra,
+        latest if latest > known => Position::Behind,
+        _ => Position::Current,
+    })
 }
--- a/crates/gingerpier_gateway/src/store_sharing.rs
+++ b/crates/gingerpier_gateway/src/store_sharing.rs
@@ -7,7 +7,7 @@
     crate::{
         client::{Client, MAX_RESPONSE_BYTES},
         clock, compression,
-        message::{self, Snapshot, StoreItem},
+        message::{self, Snapshot},
         metrics::MessageKind,
         state::State,
     },
@@ -59,6 +59,10 @@
 /// Header field with the [`Ages`] of a snapshot, which keep the body equal for all requests.
 const AGES_FIELD: &str = "ages-millis";
 
+/// Request header field with the era of the revision that the sender has; a field, as processes of
+/// earlier versions reject further parameters in the query.
+const ERA_FIELD: &str = "known-era";
+
 /// Longest time that a connection may stay idle.
 const IDLE_TIMEOUT_MILLIS: u64 = 10_000;
 
@@ -120,7 +124,10 @@
         let status = if released > 0 { 200 } else { 404 };
         return Message::response(status).body(format!("released={released}\n").as_bytes());
     }
-    let Some(snapshot_request) = SnapshotRequest::parse(target) else {
+    // Processes of earlier versions know no eras and compare numbers only.
+    let own_era = state.mirror.borrow().revision().era;
+    let era = request.fields.number(ERA_FIELD).unwrap_or(own_era);
+    let Some(snapshot_request) = SnapshotRequest::parse(target, era) else {
         return Message::response(404).body(b"");
     };
     let received_at = clock::now();
@@ -175,17 +182,18 @@
     fn target(&self) -> String {
         format!(
             "{SNAPSHOT_PATH}?after={}&wait={}",
-            self.after.0, self.wait_millis
+            self.after.number, self.wait_millis
         )
     }
 
-    fn parse(target: &str) -> Option<Self> {
+    /// Parses `target`, whose revision is in `era`.
+    fn parse(target: &str, era: u64) -> Option<Self> {
         let query = target
             .strip_prefix(SNAPSHOT_PATH)?
             .strip_prefix("?after=")?;
         let (after, wait) = query.split_once("&wait=").unwrap_or((query, "0"));
         Some(Self {
-            after: Revision(after.parse().ok()?),
+            after: Revision::new(after.parse().ok()?).in_era(era),
             wait_millis: wait.parse().ok()?,
         })
     }
@@ -195,8 +203,8 @@
 ///
 /// # Errors
 ///
-/// If the gateway doesn't respond, or its last contact with the store is older than
-/// `max_age_millis` milliseconds.
+/// If the gateway doesn't respond, its copy is of an older era of the store than the own one, or its
+/// last contact with the store is older than `max_age_millis` milliseconds.
 pub async fn poll_watcher(
     state: &State,
     client: &mut Client,
@@ -214,6 +222,9 @@
     .await;
     let received = received.ok_or(Failure::Silent)?;
     let age = received.ages.last_contact_millis;
+    if received.snapshot.era < state.mirror.borrow().revision().era {
+        return Err(Failure::Old);
+    }
     record_outage(state, &received);
     apply_snapshot(state, received);
     if age > max_age_millis {
@@ -270,7 +281,8 @@
             .last_current_millis
             .map_or_else(String::new, |age| age.to_string());
         let last_recovery = self.last_recovery.map_or_else(String::new, |last| {
-            format!(",{},{}", last.remaining_millis, last.revision.0)
+            let Revision { era, number } = last.revision;
+            format!(",{},{number},{era}", last.remaining_millis)
         });
         format!(
             "{},{last_current},{}{last_recovery}",
@@ -286,9 +298,11 @@
             last_current_millis: next()?.parse().ok(),
             wait_millis: next()?.parse().ok()?,
             last_recovery: next().zip(next()).and_then(|(remaining_millis, revision)| {
+                // Processes without eras are in the first one.
+                let era = next().map_or(Some(0), |era| era.parse().ok())?;
                 Some(RecoveryAge {
                     remaining_millis: remaining_millis.parse().ok()?,
-                    revision: Revision(revision.parse().ok()?),
+                    revision: Revision::new(revision.parse().ok()?).in_era(era),
                 })
             }),
         })
@@ -308,7 +322,8 @@
     snapshot_request: &SnapshotRequest,
     timeout_millis: u64,
 ) -> Option<ReceivedSnapshot> {
-    let call = ApiRequest::get(snapshot_request.target());
+    let call = ApiRequest::get(snapshot_request.target())
+        .with_field(ERA_FIELD, snapshot_request.after.era.to_string());
     let sent_at = clock::now();
     let response = client.call(&call, timeout_millis).await.ok()?;
     if response.head.status != 200 {
@@ -351,10 +366,10 @@
 }
 
 fn apply_snapshot(state: &State, received: ReceivedSnapshot) {
-    let at = Revision(received.snapshot.revision);
-    let items = received.snapshot.items.into_iter();
-    let items = items.map(StoreItem::item).collect();
-    if received.snapshot.is_changes {
+    let at = received.snapshot.at();
+    let is_changes = received.snapshot.is_changes;
+    let items = received.snapshot.into_items();
+    if is_changes {
         state.apply_changes(items, at);
     } else {
         state.replace_mirror(items, at);
@@ -416,11 +431,12 @@
     let mut client = Client::accepting_compression(peer);
     let received = exchange(&mut client, &snapshot_request, RESPONSE_TIMEOUT_MILLIS).await?;
     record_outage(state, &received);
-    if received.snapshot.revision <= after.0 {
+    let at = received.snapshot.at();
+    if at <= after {
         return None;
     }
     let age = received.ages.last_contact_millis;
-    tracing::info!(%peer, at = received.snapshot.revision, had = after.0, age, "snapshot taken from a gateway");
+    tracing::info!(%peer, era = at.era, at = at.number, had_era = after.era, had = after.number, age, "snapshot taken from a gateway");
     apply_snapshot(state, received);
     Some(age)
 }
--- a/crates/gingerpier_gateway/tests/loader_configuration.rs
+++ b/crates/gingerpier_gateway/tests/loader_configuration.rs
@@ -110,7 +110,7 @@
     let mut fleet = Fleet::default();
     for number in 0..204_u8 {
         let id = format!("engine-{number}");
-        fleet.list(record(&id, number % 5, number, 3), Revision(1));
+        fleet.list(record(&id, number % 5, number, 3), Revision::new(1));
     }
     let message =
         loader_configuration::build(&configuration.services_part().for_loaders(), &fleet, now);
@@ -142,8 +142,8 @@
 #[test]
 fn replaced_engine_at_a_reused_address_is_omitted() {
     let mut fleet = Fleet::default();
-    fleet.list(record("new", 1, 1, 4), Revision(9));
-    fleet.list(record("old", 1, 1, 2), Revision(3));
+    fleet.list(record("new", 1, 1, 4), Revision::new(9));
+    fleet.list(record("old", 1, 1, 2), Revision::new(3));
     let now = Instant::from_millis(0);
     let services = configuration(origin(8_006)).services_part().for_loaders();
     let message = loader_configuration::build(&services, &fleet, now);
@@ -165,7 +165,7 @@
 #[test]
 fn engine_with_an_index_out_of_range_is_ignored() {
     let mut fleet = Fleet::default();
-    fleet.list(record("a", 1, 1, 4), Revision(1));
+    fleet.list(record("a", 1, 1, 4), Revision::new(1));
     let now = Instant::from_millis(0);
     let services = configuration(origin(8_006)).services_part().for_loaders();
     let mut message = loader_configuration::build(&services, &fleet, now);
--- a/crates/gingerpier_gateway/tests/rolling.rs
+++ b/crates/gingerpier_gateway/tests/rolling.rs
@@ -6,9 +6,12 @@
 use {
     gingerpier_gateway::message::{
         self, Datagram, Demand, Digest, DigestEngine, Grant, IndexedVersion, Load, ReportedRelease,
-        ServiceDemand, Subscribe,
+        ServiceDemand, Snapshot, StoreItem, Subscribe,
+    },
+    gingerpier_serving::{
+        mirror::Revision,
+        report::{Born, Held, Report, Version},
     },
-    gingerpier_serving::report::{Born, Held, Report, Version},
     minicbor::{Decode, Encode},
     std::net::SocketAddr,
 };
@@ -60,6 +63,18 @@
     first_start_millis: u64,
 }
 
+/// A snapshot, without an era.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+#[cbor(map)]
+struct PreviousSnapshot {
+    #[n(0)]
+    revision: u64,
+    #[n(1)]
+    items: Vec<StoreItem>,
+    #[cbor(n(2), default)]
+    is_changes: bool,
+}
+
 /// A datagram without demand.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 enum PreviousDatagram {
@@ -267,3 +282,34 @@
         "{without} bytes, {with} with start times"
     );
 }
+
+/// Guards against a gateway that can't follow another one while processes are replaced one by one.
+#[test]
+fn snapshots_without_an_era_are_of_the_first_one() {
+    let items = vec![StoreItem {
+        key: "op/config".to_owned(),
+        revision: 7,
+        value: b"{}".to_vec(),
+        is_deleted: false,
+    }];
+    let previous = PreviousSnapshot {
+        revision: 9,
+        items: items.clone(),
+        is_changes: false,
+    };
+    let current = Snapshot {
+        revision: 9,
+        items,
+        is_changes: false,
+        era: 3,
+    };
+    let received: PreviousSnapshot =
+        message::decode(&message::encode(&current)).expect("previous processes read it");
+    assert_eq!(received, previous);
+    let received: Snapshot =
+        message::decode(&message::encode(&previous)).expect("current processes read it");
+    assert_eq!(received.at(), Revision::new(9));
+    assert_eq!(current.at(), Revision::new(9).in_era(3));
+    let items = current.into_items();
+    assert_eq!(items[0].revision, Revision::new(7).in_era(3));
+}
--- a/crates/gingerpier_overload/src/gateway.rs
+++ b/crates/gingerpier_overload/src/gateway.rs
@@ -120,7 +120,7 @@
                 ..Report::default()
             },
         };
-        self.fleet.list(record, Revision(u64::from(life) + 1));
+        self.fleet.list(record, Revision::new(u64::from(life) + 1));
     }
 
     /// Takes an engine off the list.
--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -3,15 +3,36 @@
 //! Items come from a full read, from a watch or from a peer. Older input than the replica changes
 //! nothing, so a stale read or a peer that was cut off can't undo a newer write.
 //!
+//! A store that comes back from an older copy gives revisions out again, so its revisions are ordered
+//! by its era first: a full copy of a newer era replaces the replica, although its number is lower.
+//! Until then nothing of that era is applied, as what it changed before is unknown.
+//!
 //! Engines rewrite their entries as a heartbeat. Rewrites of an equal value are not changes: they
 //! are neither parsed again nor sent to followers, so traffic grows with changes and not with the
 //! number of items.
 
 use std::{collections::BTreeMap, rc::Rc};
 
-/// Revision of the store.
+/// Revision of the store, ordered by its era first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-pub struct Revision(pub u64);
+pub struct Revision {
+    /// Era of the store: how often it has come back from an older copy.
+    pub era: u64,
+    /// Number within the era; a later era gives numbers of an earlier one out again.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Creates a revision of the first era.
+    pub const fn new(number: u64) -> Self {
+        Self { era: 0, number }
+    }
+
+    /// Returns the revision with the same number in `era`.
+    pub const fn in_era(self, era: u64) -> Self {
+        Self { era, ..self }
+    }
+}
 
 /// Item of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +66,9 @@
     Gapless,
     /// A copy or a peer: a key may have been deleted and written again in between.
     WithGaps,
+    /// A copy of a newer era: each item is a change, as the order of the revisions of different
+    /// items may have changed, too.
+    NewEra,
 }
 
 /// Replica of the store.
@@ -125,6 +149,10 @@
     }
 
     fn apply_from(&mut self, source: Source, changes: Changes, at: Revision) -> Changes {
+        // Changes of another era don't continue this replica.
+        if source != Source::NewEra && at.era != self.revision.era {
+            return Vec::new();
+        }
         let changes = changes.into_iter();
         let effective = changes
             .filter(|item| self.apply_item(source, item))
@@ -154,7 +182,11 @@
         let changes = items.into_iter().chain(deletions).collect();
         // Keys may have been written and deleted between the replica's revision and this copy.
         self.deletions_known_since = at;
-        self.apply(changes, at)
+        let source = match at.era > self.revision.era {
+            true => Source::NewEra,
+            false => Source::WithGaps,
+        };
+        self.apply_from(source, changes, at)
     }
 
     fn apply_item(&mut self, source: Source, item: &Item) -> bool {
@@ -169,6 +201,7 @@
         }
         if let (Some(stored), Some(value)) = (self.items.get_mut(&item.key), &item.value)
             && stored.value == *value
+            && source != Source::NewEra
         {
             stored.revision = item.revision;
             // A follower that saw the deletion must learn that the key is back.
--- a/crates/gingerpier_serving/src/outage.rs
+++ b/crates/gingerpier_serving/src/outage.rs
@@ -20,13 +20,13 @@
 //!
 //! let at = Instant::from_millis;
 //! let mut outage = Outage::default();
-//! outage.record_response(Revision(7), at(1_000));
+//! outage.record_response(Revision::new(7), at(1_000));
 //! outage.record_failure(at(1_400));
 //! outage.record_failure(at(8_700));
-//! outage.record_response(Revision(20), at(9_000));
-//! let expired = Absence::Event(Revision(15));
+//! outage.record_response(Revision::new(20), at(9_000));
+//! let expired = Absence::Event(Revision::new(15));
 //! assert_eq!(outage.excused_until(expired, at(9_100)), Some(at(11_000)));
-//! let removed = Absence::Event(Revision(21));
+//! let removed = Absence::Event(Revision::new(21));
 //! assert_eq!(outage.excused_until(removed, at(9_100)), None);
 //! ```
 
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -48,6 +48,8 @@
     pub request_limit: &'static str,
     /// Set by an engine that is about to leave.
     pub draining: &'static str,
+    /// Era of the store, in each of its responses.
+    pub store_era: &'static str,
 }
 
 impl HeaderNames {
@@ -72,6 +74,8 @@
     pub method: &'static str,
     /// Path and query.
     pub target: String,
+    /// Header fields in addition to those that every request has.
+    pub fields: Vec<(&'static str, String)>,
     /// Body; JSON, except for chunks.
     pub body: Vec<u8>,
 }
@@ -82,9 +86,17 @@
         Self {
             method: "GET",
             target,
+            fields: Vec::new(),
             body: Vec::new(),
         }
     }
+
+    /// Adds a header field.
+    #[must_use]
+    pub fn with_field(mut self, name: &'static str, value: String) -> Self {
+        self.fields.push((name, value));
+        self
+    }
 }
 
 /// Parsed value of a store item.
@@ -175,6 +187,18 @@
     pub revision: Revision,
 }
 
+impl Page {
+    /// Returns the page with all its revisions in `era`.
+    #[must_use]
+    pub fn in_era(mut self, era: u64) -> Self {
+        for item in &mut self.items {
+            item.revision = item.revision.in_era(era);
+        }
+        self.revision = self.revision.in_era(era);
+        self
+    }
+}
+
 /// Response to a watch request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchResponse {
@@ -224,7 +248,8 @@
     /// Request for a page of items after key `after`; with `allow_stale`, an outdated response will do.
     fn list(&self, scope: Scope, after: &str, allow_stale: bool) -> ApiRequest;
 
-    /// Parses the response to [`PlatformApi::list`].
+    /// Parses the response to [`PlatformApi::list`]; its revisions are those of the first era, as the
+    /// era is in the head.
     ///
     /// # Errors
     ///
@@ -234,7 +259,7 @@
     /// Request for changes after revision `after`, which the store answers within `wait_millis`.
     fn watch(&self, scope: Scope, after: Revision, wait_millis: u64) -> ApiRequest;
 
-    /// Parses the response to [`PlatformApi::watch`].
+    /// Parses the response to [`PlatformApi::watch`], as [`PlatformApi::parse_list`] does.
     ///
     /// # Errors
     ///
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -80,7 +80,7 @@
         .map(|index| {
             let mut record = record(&format!("e{index}"), "z");
             record.address.set_port(80 + index as u16);
-            fleet.list(record, Revision(1))
+            fleet.list(record, Revision::new(1))
         })
         .collect();
     (fleet, keys)
@@ -277,9 +277,9 @@
         state: State::Draining,
         ..record("e0", "z")
     };
-    fleet.list(draining, Revision(2));
+    fleet.list(draining, Revision::new(2));
     // A stale entry must not reopen the engine.
-    fleet.list(record("e0", "z"), Revision(3));
+    fleet.list(record("e0", "z"), Revision::new(3));
     assert!(!fleet.engine(keys[0]).is_open(at(0)));
 }
 
@@ -287,8 +287,8 @@
 fn only_the_latest_engine_at_an_address_is_used() {
     let mut fleet = Fleet::default();
     // Store keys aren't ordered by time, and entries of stopped engines remain for a while.
-    let new = fleet.list(record("a-new", "z"), Revision(9));
-    let old = fleet.list(record("b-old", "z"), Revision(5));
+    let new = fleet.list(record("a-new", "z"), Revision::new(9));
+    let old = fleet.list(record("b-old", "z"), Revision::new(5));
     let address = "10.0.0.1:80".parse().expect("an address");
     assert_eq!(fleet.at_address(address), Some(new));
     assert!(fleet.engine(new).is_open(at(0)));
@@ -296,7 +296,7 @@
         !fleet.engine(old).is_open(at(0)),
         "a newer engine is listed at its address"
     );
-    let newest = fleet.list(record("c-newest", "z"), Revision(12));
+    let newest = fleet.list(record("c-newest", "z"), Revision::new(12));
     assert!(!fleet.engine(new).is_open(at(0)));
     assert_eq!(fleet.at_address(address), Some(newest));
     fleet.unlist("c-newest");
@@ -543,20 +543,20 @@
         for (revision, key, is_removed, is_snapshot) in steps {
             let item = Item {
                 key: key.to_string(),
-                revision: Revision(revision),
+                revision: Revision::new(revision),
                 value: (!is_removed).then(|| revision.to_be_bytes().to_vec().into()),
             };
             let before = mirror.revision();
             if is_snapshot && !is_removed {
-                mirror.replace(vec![item], Revision(revision));
+                mirror.replace(vec![item], Revision::new(revision));
             } else {
-                mirror.apply(vec![item], Revision(revision));
+                mirror.apply(vec![item], Revision::new(revision));
             }
             prop_assert!(mirror.revision() >= before);
             for item in mirror.items() {
                 let index: usize = item.key.parse().expect("a key");
-                prop_assert!(item.revision.0 >= newest[index]);
-                newest[index] = item.revision.0;
+                prop_assert!(item.revision.number >= newest[index]);
+                newest[index] = item.revision.number;
             }
         }
     }
@@ -604,17 +604,25 @@
 fn snapshot_without_a_key_reports_its_removal() {
     let item = |key: &str, revision| Item {
         key: key.to_owned(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         value: Some(vec![1].into()),
     };
     let mut mirror = Mirror::default();
-    mirror.apply(vec![item("a", 1), item("b", 2)], Revision(2));
-    let news = mirror.replace(vec![item("b", 2)], Revision(5));
+    mirror.apply(vec![item("a", 1), item("b", 2)], Revision::new(2));
+    let news = mirror.replace(vec![item("b", 2)], Revision::new(5));
     assert_eq!(news.len(), 1);
     assert_eq!((news[0].key.as_str(), news[0].value.is_none()), ("a", true));
     // An older snapshot that still contains the key changes nothing.
-    assert!(mirror.replace(vec![item("a", 1)], Revision(4)).is_empty());
-    assert!(mirror.apply(vec![item("a", 1)], Revision(1)).is_empty());
+    assert!(
+        mirror
+            .replace(vec![item("a", 1)], Revision::new(4))
+            .is_empty()
+    );
+    assert!(
+        mirror
+            .apply(vec![item("a", 1)], Revision::new(1))
+            .is_empty()
+    );
 }
 
 fn route(prefix: &str, service: u32) -> Route {
--- a/crates/gingerpier_serving/tests/incarnations.rs
+++ b/crates/gingerpier_serving/tests/incarnations.rs
@@ -57,9 +57,9 @@
 #[test]
 fn draining_engine_is_open_after_a_restart() {
     let mut fleet = Fleet::default();
-    let old = fleet.list(record(Some(10), State::Draining, 1), Revision(1));
+    let old = fleet.list(record(Some(10), State::Draining, 1), Revision::new(1));
     assert!(!fleet.engine(old).is_open(at(0)));
-    let new = fleet.list(record(Some(20), State::Ready, 1), Revision(2));
+    let new = fleet.list(record(Some(20), State::Ready, 1), Revision::new(2));
     assert!(fleet.engine(new).is_open(at(0)));
     assert!(!fleet.engine(old).is_open(at(0)));
     assert_eq!(fleet.find(ID), Some(new));
@@ -69,8 +69,8 @@
 #[test]
 fn engine_without_start_time_is_identified_by_its_id() {
     let mut fleet = Fleet::default();
-    let key = fleet.list(record(None, State::Draining, 1), Revision(1));
-    fleet.list(record(None, State::Ready, 1), Revision(2));
+    let key = fleet.list(record(None, State::Draining, 1), Revision::new(1));
+    fleet.list(record(None, State::Ready, 1), Revision::new(2));
     assert!(!fleet.engine(key).is_open(at(0)), "draining is final");
     // An engine that begins to report its start time is the same incarnation.
     assert_eq!(
@@ -84,7 +84,7 @@
 #[test]
 fn new_incarnation_inherits_no_state() {
     let mut fleet = Fleet::default();
-    let old = fleet.list(record(Some(10), State::Ready, 3), Revision(1));
+    let old = fleet.list(record(Some(10), State::Ready, 3), Revision::new(1));
     let engine = fleet.engine_mut(old);
     engine.record_report(report(Some(10), 3), at(0));
     engine.record_sent(900, at(0));
@@ -110,17 +110,17 @@
 #[test]
 fn engine_with_a_clock_set_back_is_accepted_eventually() {
     let mut fleet = Fleet::default();
-    let old = fleet.list(record(Some(1_000), State::Ready, 1), Revision(1));
+    let old = fleet.list(record(Some(1_000), State::Ready, 1), Revision::new(1));
     fleet
         .engine_mut(old)
         .record_report(report(Some(1_000), 1), at(0));
-    fleet.list(record(Some(500), State::Ready, 2), Revision(2));
+    fleet.list(record(Some(500), State::Ready, 2), Revision::new(2));
     assert_eq!(fleet.find(ID), Some(old), "the entry may be stale");
     // The known incarnation still reports, so the entry was stale.
     assert!(fleet.accept_contested(at(100)).is_empty());
     assert!(fleet.accept_contested(at(60_000)).is_empty());
     // The known incarnation no longer reports.
-    fleet.list(record(Some(500), State::Ready, 2), Revision(3));
+    fleet.list(record(Some(500), State::Ready, 2), Revision::new(3));
     assert!(fleet.accept_contested(at(60_000)).is_empty());
     assert_eq!(fleet.accept_contested(at(75_000)), [ID]);
     let key = fleet.find(ID).expect("the engine is known");
@@ -132,13 +132,13 @@
 fn entry_of_an_unconfigured_service_replaces_no_engine() {
     let mut fleet = Fleet::default();
     fleet.set_services(["s".to_owned()].into_iter());
-    let key = fleet.list(record(Some(1), State::Ready, 1), Revision(1));
+    let key = fleet.list(record(Some(1), State::Ready, 1), Revision::new(1));
     let other = Record {
         id: "other".to_owned(),
         service: "unknown".to_owned(),
         ..record(Some(9), State::Ready, 1)
     };
-    fleet.list(other, Revision(2));
+    fleet.list(other, Revision::new(2));
     assert_eq!(fleet.at_address(address()), Some(key));
     assert!(fleet.engine(key).is_open(at(0)));
     // Once the other service is configured, the engine listed last is the current one.
@@ -172,7 +172,7 @@
     fn stale_messages_of_former_incarnations_change_nothing(messages in prop::collection::vec(message(), 1..40)) {
         let start_times = [100, 200, 300];
         let mut fleet = Fleet::default();
-        fleet.list(record(Some(start_times[0]), State::Ready, 1), Revision(1));
+        fleet.list(record(Some(start_times[0]), State::Ready, 1), Revision::new(1));
         let mut newest_index = 0;
         let mut revision = 1;
         for (step, message) in messages.into_iter().enumerate() {
@@ -183,7 +183,7 @@
                 Message::Entry(index) => {
                     revision += 1;
                     let state = if index < 2 && step % 2 == 0 { State::Draining } else { State::Ready };
-                    fleet.list(record(Some(start_times[index]), state, version(index)), Revision(revision));
+                    fleet.list(record(Some(start_times[index]), state, version(index)), Revision::new(revision));
                     index
                 }
                 Message::Report(index) => {
--- a/crates/gingerpier_serving/tests/outage.rs
+++ b/crates/gingerpier_serving/tests/outage.rs
@@ -32,9 +32,9 @@
 /// revision 20 at `answered`.
 fn recovered(failed: u64, answered: u64) -> Outage {
     let mut outage = Outage::default();
-    outage.record_response(Revision(10), at(1_000));
+    outage.record_response(Revision::new(10), at(1_000));
     outage.record_failure(at(failed));
-    outage.record_response(Revision(20), at(answered));
+    outage.record_response(Revision::new(20), at(answered));
     outage
 }
 
@@ -43,12 +43,12 @@
     let outage = recovered(8_800, 9_000);
     let excused_until = |absence| outage.excused_until(absence, at(9_500));
     assert_eq!(
-        excused_until(Absence::Event(Revision(20))),
+        excused_until(Absence::Event(Revision::new(20))),
         Some(at(11_000)),
         "deleted during the outage"
     );
     assert_eq!(
-        excused_until(Absence::Event(Revision(21))),
+        excused_until(Absence::Event(Revision::new(21))),
         None,
         "removed after the recovery"
     );
@@ -63,7 +63,7 @@
 fn entries_still_missing_two_seconds_after_the_recovery_are_removed() {
     let outage = recovered(8_800, 9_000);
     assert_eq!(outage.excused_until(Absence::Listed, at(11_000)), None);
-    let expired = Absence::Event(Revision(15));
+    let expired = Absence::Event(Revision::new(15));
     assert_eq!(outage.excused_until(expired, at(11_000)), None);
 }
 
@@ -80,14 +80,14 @@
 fn a_failed_request_without_an_outage_excuses_nothing() {
     let outage = recovered(1_400, 1_900);
     assert_eq!(
-        outage.excused_until(Absence::Event(Revision(20)), at(1_950)),
+        outage.excused_until(Absence::Event(Revision::new(20)), at(1_950)),
         None
     );
     let mut outage = Outage::default();
-    outage.record_response(Revision(10), at(1_000));
+    outage.record_response(Revision::new(10), at(1_000));
     outage.record_failure(at(8_000));
     outage.record_peer_response(at(8_500));
-    outage.record_response(Revision(20), at(9_000));
+    outage.record_response(Revision::new(20), at(9_000));
     assert_eq!(
         outage.excused_until(Absence::Listed, at(9_100)),
         None,
@@ -98,22 +98,22 @@
 #[test]
 fn a_quiet_store_is_not_an_outage() {
     let mut outage = Outage::default();
-    outage.record_response(Revision(10), at(1_000));
-    outage.record_response(Revision(20), at(9_000));
+    outage.record_response(Revision::new(10), at(1_000));
+    outage.record_response(Revision::new(20), at(9_000));
     assert_eq!(outage.excused_until(Absence::Listed, at(9_000)), None);
 }
 
 #[test]
 fn recoveries_reported_by_peers_count_and_the_latest_wins() {
     let reported = |revision, until| Recovery {
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         until: at(until),
     };
     let mut outage = Outage::default();
     outage.record_peer_response(at(1_000));
     outage.record_peer_recovery(reported(20, 11_000), at(9_000));
     outage.record_peer_recovery(reported(12, 10_000), at(9_000));
-    let expired = Absence::Event(Revision(20));
+    let expired = Absence::Event(Revision::new(20));
     assert_eq!(outage.excused_until(expired, at(9_500)), Some(at(11_000)));
     assert_eq!(outage.last_recovery(at(9_500)), Some(reported(20, 11_000)));
     assert_eq!(outage.last_recovery(at(11_000)), None);
@@ -131,7 +131,7 @@
 #[test]
 fn a_missing_engine_serves_until_its_grace_period_ends() {
     let mut fleet = Fleet::default();
-    let key = fleet.list(record("a", State::Ready), Revision(1));
+    let key = fleet.list(record("a", State::Ready), Revision::new(1));
     fleet.mark_missing("a", at(11_000));
     assert!(fleet.engine(key).is_open(at(10_999)));
     assert_eq!(fleet.remove_expired(at(10_999)), []);
@@ -143,13 +143,13 @@
     assert_eq!(fleet.of_service("s").count(), 0);
     assert_eq!(fleet.remove_expired(at(12_000)), [], "reported once");
 
-    fleet.list(record("a", State::Ready), Revision(30));
+    fleet.list(record("a", State::Ready), Revision::new(30));
     assert!(
         fleet.engine(key).is_open(at(12_000)),
         "listed again after the grace period"
     );
     fleet.mark_missing("a", at(20_000));
-    fleet.list(record("a", State::Ready), Revision(40));
+    fleet.list(record("a", State::Ready), Revision::new(40));
     assert!(
         fleet.engine(key).is_open(at(20_000)),
         "listed again within the grace period"
@@ -160,7 +160,7 @@
 #[test]
 fn a_removed_engine_is_not_kept_by_an_earlier_grace_period() {
     let mut fleet = Fleet::default();
-    let key = fleet.list(record("a", State::Ready), Revision(1));
+    let key = fleet.list(record("a", State::Ready), Revision::new(1));
     fleet.mark_missing("a", at(11_000));
     fleet.unlist("a");
     assert!(!fleet.engine(key).is_open(at(10_000)));
@@ -172,19 +172,19 @@
 #[test]
 fn a_draining_engine_that_goes_missing_stays_draining() {
     let mut fleet = Fleet::default();
-    let key = fleet.list(record("a", State::Draining), Revision(1));
+    let key = fleet.list(record("a", State::Draining), Revision::new(1));
     fleet.mark_missing("a", at(11_000));
     assert!(!fleet.engine(key).is_open(at(10_000)));
-    fleet.list(record("a", State::Ready), Revision(30));
+    fleet.list(record("a", State::Ready), Revision::new(30));
     assert!(!fleet.engine(key).is_open(at(10_000)));
 }
 
 #[test]
 fn a_missing_engine_whose_address_was_reused_gets_no_requests() {
     let mut fleet = Fleet::default();
-    let old = fleet.list(record("a", State::Ready), Revision(1));
+    let old = fleet.list(record("a", State::Ready), Revision::new(1));
     fleet.mark_missing("a", at(11_000));
-    let new = fleet.list(record("b", State::Ready), Revision(22));
+    let new = fleet.list(record("b", State::Ready), Revision::new(22));
     assert!(!fleet.engine(old).is_open(at(10_000)));
     assert!(fleet.engine(new).is_open(at(10_000)));
     assert_eq!(
--- a/crates/gingerpier_serving/tests/places.rs
+++ b/crates/gingerpier_serving/tests/places.rs
@@ -480,7 +480,7 @@
                         let cold_millis = cold_until.saturating_sub(now);
                         let key = gateway.fleet.list(
                             record(zone, number, cold_millis),
-                            Revision(u64::from(revision)),
+                            Revision::new(u64::from(revision)),
                         );
                         gateway
                             .fleet
--- a/crates/gingerpier_serving/tests/watching.rs
+++ b/crates/gingerpier_serving/tests/watching.rs
@@ -264,7 +264,7 @@
 fn item(key: u8, revision: u64, exists: bool) -> Item {
     Item {
         key: key.to_string(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         value: exists.then(|| [key].into()),
     }
 }
@@ -274,12 +274,12 @@
     let mut store = Mirror::default();
     let mut watcher = Mirror::default();
     let mut follower = Mirror::default();
-    store.apply(vec![item(1, 1, true)], Revision(1));
+    store.apply(vec![item(1, 1, true)], Revision::new(1));
     follower.apply(
         store.changes_after(follower.revision()).expect("known"),
         store.revision(),
     );
-    store.apply(vec![item(1, 2, false)], Revision(2));
+    store.apply(vec![item(1, 2, false)], Revision::new(2));
     watcher.apply(
         store.changes_after(watcher.revision()).expect("known"),
         store.revision(),
@@ -302,7 +302,7 @@
             value: Some([value].into()),
             ..item(key, revision, true)
         };
-        mirror.apply_writes(vec![written], Revision(revision))
+        mirror.apply_writes(vec![written], Revision::new(revision))
     };
     for key in 0..ENGINES {
         write(&mut watcher, key, 1);
@@ -337,14 +337,14 @@
     for revision in 1..=KEYS {
         let deletion = Item {
             key: revision.to_string(),
-            revision: Revision(revision),
+            revision: Revision::new(revision),
             value: None,
         };
-        mirror.apply(vec![deletion], Revision(revision));
+        mirror.apply(vec![deletion], Revision::new(revision));
     }
-    assert!(mirror.changes_after(Revision(KEYS / 2)).is_none());
+    assert!(mirror.changes_after(Revision::new(KEYS / 2)).is_none());
     let recent = mirror
-        .changes_after(Revision(KEYS - 10))
+        .changes_after(Revision::new(KEYS - 10))
         .expect("recent deletions are kept");
     assert_eq!(recent.len(), 10);
 }
@@ -367,7 +367,7 @@
                 value: exists.then(|| [value].into()),
                 ..item(key, revision, exists)
             };
-            store.apply_writes(vec![written], Revision(revision));
+            store.apply_writes(vec![written], Revision::new(revision));
             match event {
                 // The watcher reads a full copy, or applies changes.
                 0 => {
