Outage: the first copy of a new era counts as a recovery

A store that comes back from an older copy lacks the entries of engines that registered since, and may have been away for less than a failed request takes to show. Without a recorded outage such an engine was unlisted at once, although it runs and writes its entry again within about two seconds. The first copy of a new era now is a recovery at that copy's revision, which also replaces one of the former era, by whose higher revision removals would be excused. A gateway writes one line when the era changes, with both eras and revisions.

Evidence: two tests in tests/outage.rs fail without the recorded recovery (nothing excused; the former recovery in force) and pass with it.

--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -232,18 +232,15 @@
                 "full copy is older than the replica; ignored"
             );
         }
-        if at.era > known.era && known > Revision::default() {
-            tracing::warn!(
-                former = known.era,
-                new = at.era,
-                known = known.number,
-                revision = at.number,
-                age = ?self.contact_age_millis(),
-                "store came back from an older copy; replica replaced by its contents"
-            );
-        }
+        let absence = match at.era > known.era && known > Revision::default() {
+            true => {
+                self.record_new_era(known, at);
+                Absence::Restored
+            }
+            false => Absence::Listed,
+        };
         let changes = self.mirror.borrow_mut().replace(items, at);
-        self.handle_changes(changes, |_| Absence::Listed);
+        self.handle_changes(changes, |_| absence);
     }
 
     fn handle_changes(&self, changes: Changes, deletion: impl Fn(&Item) -> Absence) {
--- a/crates/gingerpier_gateway/src/state/store_contact.rs
+++ b/crates/gingerpier_gateway/src/state/store_contact.rs
@@ -63,6 +63,19 @@
         }
     }
 
+    /// Records that a copy at `at` is of a newer era than the mirror at `known`.
+    pub(super) fn record_new_era(&self, known: Revision, at: Revision) {
+        self.with_outage(|outage| outage.record_new_era(at, clock::now()));
+        tracing::warn!(
+            former = known.era,
+            new = at.era,
+            known = known.number,
+            revision = at.number,
+            age = ?self.contact_age_millis(),
+            "store came back from an older copy; replica replaced, and engines with missing entries kept for now"
+        );
+    }
+
     /// Records when the store last responded to another gateway, and the last recovery that it saw.
     pub fn record_peer_outage(
         &self,
--- a/crates/gingerpier_serving/src/outage.rs
+++ b/crates/gingerpier_serving/src/outage.rs
@@ -9,7 +9,9 @@
 //! are excused; later ones are removals. A list has no revisions for missing keys, so all that it
 //! lacks are excused.
 //!
-//! An outage is detected by failed requests of this gateway, or reported by a peer.
+//! An outage is detected by failed requests of this gateway, or reported by a peer. A store that comes
+//! back from an older copy lacks entries even without a failed request; the first copy of its new era
+//! counts as a recovery.
 //!
 //! ```
 //! use gingerpier_base::Instant;
@@ -56,6 +58,9 @@
     Event(Revision),
     /// Not contained in a list of all keys.
     Listed,
+    /// Not contained in the first list of a new era, as it was written after the copy from which the
+    /// store came back.
+    Restored,
 }
 
 /// A recovery of the store.
@@ -83,6 +88,14 @@
         self.failed_at = Some(now);
     }
 
+    /// Records that the store is in a new era since `revision`.
+    pub fn record_new_era(&mut self, revision: Revision, now: Instant) {
+        self.last_recovery = Some(Recovery {
+            revision,
+            until: now.after_millis(REWRITE_MILLIS),
+        });
+    }
+
     /// Records that the store responded to a peer at `at`.
     pub fn record_peer_response(&mut self, at: Instant) {
         self.last_response_at = self.last_response_at.max(Some(at));
@@ -126,7 +139,7 @@
         let recovery = self.last_recovery(now)?;
         let is_excused = match absence {
             Absence::Event(revision) => revision <= recovery.revision,
-            Absence::Listed => true,
+            Absence::Listed | Absence::Restored => true,
         };
         is_excused.then_some(recovery.until)
     }
--- a/crates/gingerpier_serving/tests/outage.rs
+++ b/crates/gingerpier_serving/tests/outage.rs
@@ -206,3 +206,40 @@
         assert_eq!(until, at(noticed + 2_000), "pause {pause}");
     }
 }
+
+/// Guards against running engines that are unlisted because their entries are newer than the copy
+/// from which the store came back, without a request that failed.
+#[test]
+fn entries_that_a_restored_store_lacks_are_excused_without_a_failed_request() {
+    let mut outage = Outage::default();
+    outage.record_response(Revision::new(120), at(1_000));
+    let at_return = Revision::new(96).in_era(1);
+    outage.record_new_era(at_return, at(1_200));
+    let excused_until = |absence, millis| outage.excused_until(absence, at(millis));
+    assert_eq!(excused_until(Absence::Restored, 1_200), Some(at(3_200)));
+    assert_eq!(
+        excused_until(Absence::Event(at_return), 1_300),
+        Some(at(3_200)),
+        "expired before the return"
+    );
+    assert_eq!(
+        excused_until(Absence::Event(Revision::new(97).in_era(1)), 1_300),
+        None,
+        "removed after the return"
+    );
+    assert_eq!(excused_until(Absence::Restored, 3_200), None);
+}
+
+/// Guards against a recovery of the former era, by whose higher revision removals in the new era
+/// would be excused.
+#[test]
+fn a_new_era_ends_the_recovery_of_the_former() {
+    let mut outage = recovered(8_800, 9_000);
+    outage.record_new_era(Revision::new(5).in_era(1), at(9_100));
+    let removed = Absence::Event(Revision::new(15).in_era(1));
+    assert_eq!(outage.excused_until(removed, at(9_200)), None);
+    assert_eq!(
+        outage.excused_until(Absence::Restored, at(9_200)),
+        Some(at(11_100))
+    );
+}
