Fleet: an evacuation that a restored store lacks stays in force for 10 s

An evacuation that operators wrote after the copy from which the store came back is missing in the first copy of the new era. Gateways took this for the end of the evacuation and sent requests to the zone until operators had written it again. It now stays in force for 10 s, longer than for engines, which write their entries without being asked; one that the operators had ended and that therefore never returns ends then. A removal that a watch delivers still takes effect at once.

Evidence: the test in tests/outage.rs fails where a missing entry ends the evacuation at once ("may be written again") and passes with the fix. A log line is written only where the evacuation changes.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -126,6 +126,7 @@
     loop {
         clock::pause(SWEEP_INTERVAL_MILLIS).await;
         state.expire_engines();
+        state.end_missing_evacuations();
         state.settle_contested_entries();
         state.update_engine_metrics();
         state
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -24,7 +24,12 @@
     pub(super) fn handle_deletion(&self, item: &Item, deletion: Absence) {
         let id = match self.platform_api.item_kind(&item.key) {
             ItemKind::Engine(id) => id,
-            ItemKind::Evacuation(zone) => return self.set_evacuated(&zone, false, item.revision),
+            ItemKind::Evacuation(zone) => match deletion {
+                Absence::Restored => return self.keep_evacuation(&zone),
+                Absence::Event(_) | Absence::Listed => {
+                    return self.set_evacuated(&zone, false, item.revision);
+                }
+            },
             ItemKind::Manifest(model) => return self.distributor.kept_manifests.remove(&model),
             _ => return,
         };
--- a/crates/gingerpier_gateway/src/state/placement.rs
+++ b/crates/gingerpier_gateway/src/state/placement.rs
@@ -22,7 +22,9 @@
     pub(super) fn set_evacuated(&self, zone: &str, is_evacuated: bool, revision: Revision) {
         let now = clock::now();
         let mut fleet = self.fleet.borrow_mut();
-        fleet.set_evacuated(zone, is_evacuated, now);
+        if !fleet.set_evacuated(zone, is_evacuated, now) {
+            return;
+        }
         tracing::info!(
             zone,
             is_evacuated,
@@ -32,6 +34,21 @@
         );
     }
 
+    /// Keeps the evacuation of `zone` for now, whose entry a restored store lacks.
+    pub(super) fn keep_evacuation(&self, zone: &str) {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.mark_evacuation_missing(zone, clock::now());
+        tracing::info!(zone, "evacuation is missing in the store; kept for now");
+    }
+
+    /// Ends evacuations that operators did not write again after the store had lost them.
+    pub fn end_missing_evacuations(&self) {
+        let mut fleet = self.fleet.borrow_mut();
+        for zone in fleet.end_missing_evacuations(clock::now()) {
+            tracing::warn!(zone, "evacuation ended, as it was not written again");
+        }
+    }
+
     /// Logs regions that a configuration names and this deployment does not have.
     pub(super) fn log_unknown_regions(&self, configuration: &Configuration) {
         for (bound, regions) in configuration.restrictions() {
--- a/crates/gingerpier_serving/src/fleet.rs
+++ b/crates/gingerpier_serving/src/fleet.rs
@@ -24,6 +24,10 @@
 /// about every 1.2 s.
 const CONTESTED_MILLIS: u64 = 10_000;
 
+/// Time for which an evacuation that a restored store lacks stays in force; longer than for engines,
+/// as operators have no heartbeat that writes it again.
+const EVACUATION_REWRITE_MILLIS: u64 = 10_000;
+
 /// Key of an engine incarnation within its [`Fleet`]; never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineKey(pub u32);
@@ -101,6 +105,8 @@
     regions: Regions,
     /// Zones whose engines get no requests.
     evacuated: HashSet<String>,
+    /// Evacuated zones whose entry is missing, and when their evacuation ends.
+    missing_evacuations: HashMap<String, Instant>,
     contested: HashMap<String, ContestedEntry>,
 }
 
@@ -113,15 +119,16 @@
         }
     }
 
-    /// Sets whether `zone` is evacuated. Engines of a zone that becomes available again may be
-    /// cold.
-    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, now: Instant) {
+    /// Sets whether `zone` is evacuated; returns true if it was not before. Engines of a zone that
+    /// becomes available again may be cold.
+    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, now: Instant) -> bool {
+        self.missing_evacuations.remove(zone);
         let is_changed = match is_evacuated {
             true => self.evacuated.insert(zone.to_owned()),
             false => self.evacuated.remove(zone),
         };
         if !is_changed {
-            return;
+            return false;
         }
         for engine in &mut self.engines {
             if engine.record.zone != zone {
@@ -132,6 +139,27 @@
                 engine.warmup.record_possible_cooling(now);
             }
         }
+        true
+    }
+
+    /// Marks the entry of an evacuated zone as missing in a restored store: the evacuation ends unless
+    /// operators write it again in time.
+    pub fn mark_evacuation_missing(&mut self, zone: &str, now: Instant) {
+        if self.evacuated.contains(zone) {
+            let until = now.after_millis(EVACUATION_REWRITE_MILLIS);
+            self.missing_evacuations.insert(zone.to_owned(), until);
+        }
+    }
+
+    /// Ends the evacuations whose entries were not written again in time, and returns their zones.
+    pub fn end_missing_evacuations(&mut self, now: Instant) -> Vec<String> {
+        let missing = self.missing_evacuations.iter();
+        let ended = missing.filter(|(_, until)| until.has_passed(now));
+        let ended: Vec<String> = ended.map(|(zone, _)| zone.clone()).collect();
+        for zone in &ended {
+            self.set_evacuated(zone, false, now);
+        }
+        ended
     }
 
     /// Updates an engine's region and evacuation state from its zone.
--- a/crates/gingerpier_serving/tests/outage.rs
+++ b/crates/gingerpier_serving/tests/outage.rs
@@ -243,3 +243,29 @@
         Some(at(11_100))
     );
 }
+
+/// Guards against traffic to an evacuated zone while a restored store lacks the evacuation.
+#[test]
+fn an_evacuation_that_a_restored_store_lacks_ends_only_if_it_is_not_written_again() {
+    let mut fleet = Fleet::default();
+    let key = fleet.list(record("a", State::Ready), Revision::new(1));
+    let is_open = |fleet: &Fleet, millis| fleet.engine(key).is_open(at(millis));
+    assert!(fleet.set_evacuated("z", true, at(0)));
+    fleet.mark_evacuation_missing("z", at(1_000));
+    assert!(fleet.end_missing_evacuations(at(10_999)).is_empty());
+    assert!(!is_open(&fleet, 10_999), "may be written again");
+    assert!(!fleet.set_evacuated("z", true, at(10_999)), "written again");
+    assert!(fleet.end_missing_evacuations(at(30_000)).is_empty());
+    assert!(!is_open(&fleet, 30_000));
+
+    fleet.mark_evacuation_missing("z", at(30_000));
+    assert_eq!(fleet.end_missing_evacuations(at(40_000)), ["z"]);
+    assert!(is_open(&fleet, 40_000), "not written again");
+    assert!(fleet.end_missing_evacuations(at(50_000)).is_empty());
+
+    // A removal by operators takes effect at once.
+    fleet.set_evacuated("z", true, at(50_000));
+    fleet.mark_evacuation_missing("z", at(50_000));
+    assert!(fleet.set_evacuated("z", false, at(50_100)));
+    assert!(is_open(&fleet, 50_100));
+}
