Loader: a watch of another era leads to a read

A loader that watches the store itself goes on from a number that a restored store may have given out again: the watch then brings neither 410 nor what was released before, and the loader learns of that release from nobody if no gateway reports it. A response of another era now counts as lost history, and the store is read again. Suspected from the code; no run showed it, as loaders watch only while few gateways report releases.

--- a/crates/gingerpier_gateway/src/loader/sync.rs
+++ b/crates/gingerpier_gateway/src/loader/sync.rs
@@ -188,7 +188,8 @@
     Ok(())
 }
 
-/// Watches `scope`; false if the store has lost the history and has to be read again.
+/// Watches `scope`; false if the store has lost the history or is in a new era, and has to be read
+/// again.
 async fn watch_store(loader: &Loader, client: &mut Client, scope: Scope) -> Result<bool, Error> {
     let after = loader.revision.get();
     match store::watch(
@@ -201,6 +202,7 @@
     .await?
     {
         WatchResponse::Compacted => Ok(false),
+        WatchResponse::Changes(page) if page.revision.era != after.era => Ok(false),
         WatchResponse::Changes(page) => {
             apply_items(loader, &page.items, page.revision);
             Ok(true)
