Manifest keeper: manifests that a restored store lacks are kept and written again

Gateways keep one item a model in the store, the manifest of its weights, so that engines can load what they have staged while the origin is gone. A store that comes back from an older copy may have lost it, or have that of an older version. Gateways forgot the manifest with the copy, or took the older one, and could write it again only if the chunk cache or the origin still had it. The newest known manifest now remains available apart from the version that the store has, and is written again from there. A deletion that a watch delivers still ends it. A conditional write that conflicts while the store is in another era than the replica tells nothing of the item and is tried again, instead of counting as another gateway's write for 5 s.

Evidence: platform/tests/restored_copy.rs; with the former treatment of a missing and of an older manifest its two tests of manifests fail ("the origin may be gone"), with the fix they pass.

--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -30,7 +30,13 @@
                     return self.set_evacuated(&zone, false, item.revision);
                 }
             },
-            ItemKind::Manifest(model) => return self.distributor.kept_manifests.remove(&model),
+            ItemKind::Manifest(model) => {
+                let kept_manifests = &self.distributor.kept_manifests;
+                return match deletion {
+                    Absence::Restored => kept_manifests.mark_missing(&model),
+                    Absence::Event(_) | Absence::Listed => kept_manifests.remove(&model),
+                };
+            }
             _ => return,
         };
         let revision = item.revision.number;
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -156,11 +156,11 @@
         peer,
         cause,
     })?;
-    Ok(page.in_era(store_era(platform_api, response)))
+    Ok(page.in_era(era(platform_api, response)))
 }
 
 /// Era of the store that sent `response`; 0 on platforms without eras.
-fn store_era(platform_api: &dyn PlatformApi, response: &Whole) -> u64 {
+pub fn era(platform_api: &dyn PlatformApi, response: &Whole) -> u64 {
     let name = platform_api.header_names().store_era;
     response.head.fields.number(name).unwrap_or_default()
 }
@@ -187,7 +187,7 @@
     })?;
     Ok(match watched {
         WatchResponse::Changes(page) => {
-            WatchResponse::Changes(page.in_era(store_era(platform_api, &response)))
+            WatchResponse::Changes(page.in_era(era(platform_api, &response)))
         }
         WatchResponse::Compacted => WatchResponse::Compacted,
     })
--- a/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
@@ -39,15 +39,39 @@
     pub bytes: Bytes,
 }
 
-/// Manifests from the store, by model.
+/// The newest known manifest of a model.
+#[derive(Debug)]
+struct Entry {
+    kept: KeptManifest,
+    /// Version that the store has; none if it came back from a copy without a manifest.
+    stored: Option<Version>,
+}
+
+/// Manifests from the store, by model. They outlast a store that comes back from an older copy, as
+/// the origin may be gone.
 #[derive(Debug, Default)]
-pub struct KeptManifests(RefCell<HashMap<String, KeptManifest>>);
+pub struct KeptManifests(RefCell<HashMap<String, Entry>>);
 
 impl KeptManifests {
-    /// Sets the manifest of a model.
-    pub fn insert(&self, kept: KeptManifest) {
-        let model = kept.manifest.model.clone();
-        self.0.borrow_mut().insert(model, kept);
+    /// Records a manifest that the store has; a newer known one remains available.
+    pub fn insert(&self, stored: KeptManifest) {
+        let version = stored.manifest.version;
+        let model = stored.manifest.model.clone();
+        let mut entries = self.0.borrow_mut();
+        let newer = entries.remove(&model).map(|entry| entry.kept);
+        let newer = newer.filter(|known| known.manifest.version > version);
+        let entry = Entry {
+            kept: newer.unwrap_or(stored),
+            stored: Some(version),
+        };
+        entries.insert(model, entry);
+    }
+
+    /// Records that a restored store lacks the manifest of a model, which remains available.
+    pub fn mark_missing(&self, model: &str) {
+        if let Some(entry) = self.0.borrow_mut().get_mut(model) {
+            entry.stored = None;
+        }
     }
 
     /// Removes the manifest of a model, as it was deleted or its digests turned out to be wrong.
@@ -57,15 +81,20 @@
 
     /// Manifest of exactly this version.
     pub fn get(&self, model_version: &ModelVersion) -> Option<KeptManifest> {
-        let kept = self.0.borrow();
-        let kept = kept.get(&model_version.model)?;
+        let entries = self.0.borrow();
+        let kept = &entries.get(&model_version.model)?.kept;
         (kept.manifest.version == model_version.version).then(|| kept.clone())
     }
 
     /// Version of the model's manifest.
     pub fn version(&self, model: &str) -> Option<Version> {
-        let kept = self.0.borrow();
-        kept.get(model).map(|kept| kept.manifest.version)
+        let entries = self.0.borrow();
+        entries.get(model).map(|entry| entry.kept.manifest.version)
+    }
+
+    /// Version of the model's manifest that the store has.
+    pub fn stored_version(&self, model: &str) -> Option<Version> {
+        self.0.borrow().get(model)?.stored
     }
 }
 
@@ -124,7 +153,15 @@
         return Attempt::TooLong;
     }
     match write(state, model, &bytes).await {
-        Ok(outcome) => {
+        Ok(Written::FormerEra) => {
+            tracing::info!(
+                model,
+                version,
+                "manifest not written, as the store is in another era than the replica"
+            );
+            Attempt::Failed
+        }
+        Ok(Written::Outcome(outcome)) => {
             tracing::info!(
                 model,
                 version,
@@ -145,7 +182,7 @@
     let known = state.known_versions(service, model);
     let mut observed = Observed {
         wanted: known.named.or(known.held),
-        kept: state.distributor.kept_manifests.version(model),
+        kept: state.distributor.kept_manifests.stored_version(model),
         rank: 0,
     };
     if observed.is_lacking() {
@@ -164,7 +201,7 @@
     higher_ranked.count() as u32
 }
 
-/// Manifest of a version, from the chunk cache or else from the origin.
+/// Manifest of a version, from the chunk cache, an earlier copy of the store or else the origin.
 async fn obtain(
     state: &State,
     origin: Option<SocketAddr>,
@@ -173,23 +210,42 @@
     if let Some(bytes) = state.distributor.manifest_bytes(model_version) {
         return Some(bytes);
     }
+    if let Some(kept) = state.distributor.kept_manifests.get(model_version) {
+        return Some(kept.bytes);
+    }
     let mut client = Client::new(origin?);
     manifest::read_from_origin(&state.distributor, &mut client, model_version).await
 }
 
+/// Response to a conditional write.
+enum Written {
+    /// The store compared the revision with its own.
+    Outcome(PutOutcome),
+    /// The store rejected a revision of another era, which tells nothing of the item.
+    FormerEra,
+}
+
 /// Writes the manifest of `model`, unless another gateway has written one meanwhile.
-async fn write(state: &State, model: &str, bytes: &[u8]) -> Result<PutOutcome, Error> {
+async fn write(state: &State, model: &str, bytes: &[u8]) -> Result<Written, Error> {
     let key = state.platform_api.manifest_key(model);
-    let expected = state.mirror.borrow().item_revision(&key);
-    let expected = expected.unwrap_or_default();
+    let (expected, era) = {
+        let mirror = state.mirror.borrow();
+        let expected = mirror.item_revision(&key).unwrap_or_default();
+        (expected, mirror.revision().era)
+    };
     let call = state.platform_api.put(&key, bytes, expected);
     state.metrics.store_calls.inc();
     let mut client = store::client(state.settings.store, state.platform_api);
     let response = client.call(&call, WRITE_TIMEOUT_MILLIS).await?;
     let outcome = state.platform_api.parse_put(response.head.status);
-    outcome.map_err(|cause| Error::Response {
+    let outcome = outcome.map_err(|cause| Error::Response {
         step: Step::Parse,
         peer: client.peer(),
         cause,
+    })?;
+    let is_other_era = store::era(state.platform_api, &response) != era;
+    Ok(match outcome {
+        PutOutcome::Conflict if is_other_era => Written::FormerEra,
+        outcome => Written::Outcome(outcome),
     })
 }
