Gateway keeps newer configurations and releases over those of a restored copy

A gateway that restarts before operators have written again takes its first copy from a neighbour. Its neighbour still served by the newest configuration and release that it knew, but its mirror had the older ones of the restored store, so the two disagreed: the starting gateway accepted revoked keys and sent requests to weights that had been replaced. The first copy of a new era now takes over the newer versions that the mirror knows, under the revisions of that copy, so that each later write replaces them.

A gateway that starts from the restored store itself still has the older ones, and one that starts from a neighbour doesn't know an evacuation that the copy lacks.

--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod priority;
 mod release;
+mod restored;
 mod sharing;
 mod shedding;
 mod signals;
@@ -221,7 +222,7 @@
     }
 
     /// Replaces the mirror with a full copy of the store at revision `at`.
-    pub fn replace_mirror(&self, items: Vec<Item>, at: Revision) {
+    pub fn replace_mirror(&self, mut items: Vec<Item>, at: Revision) {
         let known = self.mirror.borrow().revision();
         if at < known && self.ignored_copy_at.replace(Some(known)) != Some(known) {
             tracing::warn!(
@@ -235,6 +236,7 @@
         let absence = match at.era > known.era && known > Revision::default() {
             true => {
                 self.record_new_era(known, at);
+                self.keep_newer(&mut items, at);
                 Absence::Restored
             }
             false => Absence::Listed,
