Loader: watches wait for 5 s at most while no gateway is known

A loader whose next watch names a revision that a restored store has given out again gets neither 410 nor an event, but an answer only at the end of the wait: it learned of a release after up to 20 s. With a gateway that reports releases this costs nothing; without one the watch is all that the loader has, so it now ends after 5 s, and its head tells the era. Watches are as rare as before wherever a gateway is known.

--- a/crates/gingerpier_gateway/src/loader/sync.rs
+++ b/crates/gingerpier_gateway/src/loader/sync.rs
@@ -18,6 +18,11 @@
 /// Longest time that a watch waits for changes.
 const WATCH_TIMEOUT_MILLIS: u64 = 20_000;
 
+/// Longest time that a watch waits while no gateway reports releases. Bounds the time for which a
+/// release in a new era is missed, as a store that has given out the watched revision again responds
+/// only at the end.
+const LONE_WATCH_TIMEOUT_MILLIS: u64 = 5_000;
+
 /// Pause between watches, which batches changes and limits reads from a store that keeps no
 /// history.
 const WATCH_PAUSE_MILLIS: u64 = 400;
@@ -192,15 +197,11 @@
 /// again.
 async fn watch_store(loader: &Loader, client: &mut Client, scope: Scope) -> Result<bool, Error> {
     let after = loader.revision.get();
-    match store::watch(
-        client,
-        loader.platform_api,
-        scope,
-        after,
-        WATCH_TIMEOUT_MILLIS,
-    )
-    .await?
-    {
+    let wait_millis = match loader.subscribers.borrow().is_empty() {
+        true => LONE_WATCH_TIMEOUT_MILLIS,
+        false => WATCH_TIMEOUT_MILLIS,
+    };
+    match store::watch(client, loader.platform_api, scope, after, wait_millis).await? {
         WatchResponse::Compacted => Ok(false),
         WatchResponse::Changes(page) if page.revision.era != after.era => Ok(false),
         WatchResponse::Changes(page) => {
