--- a/crates/gingerpier_gateway/tests/rolling.rs
+++ b/crates/gingerpier_gateway/tests/rolling.rs
@@ -287,7 +287,7 @@
 #[test]
 fn snapshots_without_an_era_are_of_the_first_one() {
     let items = vec![StoreItem {
-        key: "op/config".to_owned(),
+        key: "configuration".to_owned(),
         revision: 7,
         value: b"{}".to_vec(),
         is_deleted: false,
--- a/crates/gingerpier_serving/tests/eras.rs
+++ b/crates/gingerpier_serving/tests/eras.rs
@@ -35,15 +35,15 @@
     let mut replica = Mirror::default();
     replica.replace(
         vec![
-            item("op/config", former(100), 21),
-            item("servers/a", former(50), 1),
-            item("servers/b", former(120), 1),
+            item("configuration", former(100), 21),
+            item("engine-a", former(50), 1),
+            item("engine-b", former(120), 1),
         ],
         former(120),
     );
     let copy = vec![
-        item("op/config", new(95), 23),
-        item("servers/a", new(96), 2),
+        item("configuration", new(95), 23),
+        item("engine-a", new(96), 2),
     ];
     (replica, copy, new(96))
 }
@@ -66,7 +66,7 @@
 #[test]
 fn a_full_copy_of_a_restored_store_reports_items_of_equal_value() {
     let (mut replica, mut copy, at) = replica_and_restored_copy();
-    copy.push(item("servers/b", at, 1));
+    copy.push(item("engine-b", at, 1));
     let changes = replica.replace(copy, at);
     let revisions: Vec<Revision> = changes.iter().map(|item| item.revision).collect();
     assert_eq!(revisions.len(), 3);
@@ -83,8 +83,8 @@
     let (mut replica, _, _) = replica_and_restored_copy();
     let before = content(&replica);
     let at = Revision::new(121).in_era(1);
-    assert_eq!(replica.apply_writes(vec![item("servers/c", at, 1)], at), []);
-    assert_eq!(replica.apply(vec![item("servers/c", at, 1)], at), []);
+    assert_eq!(replica.apply_writes(vec![item("engine-c", at, 1)], at), []);
+    assert_eq!(replica.apply(vec![item("engine-c", at, 1)], at), []);
     assert_eq!(content(&replica), before);
     assert_eq!(replica.revision(), Revision::new(120));
 }
@@ -96,8 +96,14 @@
     replica.replace(copy, at);
     let before = content(&replica);
     let late = Revision::new(130);
-    assert_eq!(replica.replace(vec![item("op/config", late, 22)], late), []);
-    assert_eq!(replica.apply(vec![item("op/config", late, 22)], late), []);
+    assert_eq!(
+        replica.replace(vec![item("configuration", late, 22)], late),
+        []
+    );
+    assert_eq!(
+        replica.apply(vec![item("configuration", late, 22)], late),
+        []
+    );
     assert_eq!(content(&replica), before);
     assert_eq!(replica.revision(), at);
 }
