--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -24,11 +24,22 @@
     pub(super) fn handle_deletion(&self, item: &Item, deletion: Absence) {
         let id = match self.platform_api.item_kind(&item.key) {
             ItemKind::Engine(id) => id,
-            ItemKind::Evacuation(zone) => return self.set_evacuated(&zone, false, item.revision),
-            ItemKind::Manifest(model) => return self.distributor.kept_manifests.remove(&model),
+            ItemKind::Evacuation(zone) => match deletion {
+                Absence::Restored => return self.keep_evacuation(&zone),
+                Absence::Event(_) | Absence::Listed => {
+                    return self.set_evacuated(&zone, false, item.revision);
+                }
+            },
+            ItemKind::Manifest(model) => {
+                let kept_manifests = &self.distributor.kept_manifests;
+                return match deletion {
+                    Absence::Restored => kept_manifests.mark_missing(&model),
+                    Absence::Event(_) | Absence::Listed => kept_manifests.remove(&model),
+                };
+            }
             _ => return,
         };
-        let revision = item.revision.0;
+        let revision = item.revision.number;
         let mut fleet = self.fleet.borrow_mut();
         match self.outage.get().excused_until(deletion, clock::now()) {
             Some(until) => {
@@ -92,7 +103,7 @@
         let known = fleet.find(&id);
         if known.is_some_and(|known| !fleet.engine(known).is_removed) {
             fleet.unlist(&id);
-            let revision = item.revision.0;
+            let revision = item.revision.number;
             tracing::warn!(
                 engine = id,
                 revision,
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod priority;
 mod release;
+mod restored;
 mod sharing;
 mod shedding;
 mod signals;
@@ -109,6 +110,8 @@
     origin_versions: RefCell<HashMap<String, Version>>,
     /// Names of fields in engines' responses that were logged as unknown.
     unknown_fields: RefCell<Vec<Vec<u8>>>,
+    /// Revision of the mirror when a full copy was last ignored, which is logged once.
+    ignored_copy_at: Cell<Option<Revision>>,
     last_contact: Cell<Option<Instant>>,
     freshness: Cell<Freshness>,
     outage: Cell<Outage>,
@@ -169,6 +172,7 @@
             releases: RefCell::default(),
             origin_versions: RefCell::default(),
             unknown_fields: RefCell::default(),
+            ignored_copy_at: Cell::new(None),
             last_contact: Cell::new(None),
             freshness: Cell::default(),
             outage: Cell::default(),
@@ -218,9 +222,27 @@
     }
 
     /// Replaces the mirror with a full copy of the store at revision `at`.
-    pub fn replace_mirror(&self, items: Vec<Item>, at: Revision) {
+    pub fn replace_mirror(&self, mut items: Vec<Item>, at: Revision) {
+        let known = self.mirror.borrow().revision();
+        if at < known && self.ignored_copy_at.replace(Some(known)) != Some(known) {
+            tracing::warn!(
+                era = at.era,
+                revision = at.number,
+                known_era = known.era,
+                known = known.number,
+                "full copy is older than the replica; ignored"
+            );
+        }
+        let absence = match at.era > known.era && known > Revision::default() {
+            true => {
+                self.record_new_era(known, at);
+                self.keep_newer(&mut items, at);
+                Absence::Restored
+            }
+            false => Absence::Listed,
+        };
         let changes = self.mirror.borrow_mut().replace(items, at);
-        self.handle_changes(changes, |_| Absence::Listed);
+        self.handle_changes(changes, |_| absence);
     }
 
     fn handle_changes(&self, changes: Changes, deletion: impl Fn(&Item) -> Absence) {
@@ -231,7 +253,7 @@
             }
         }
         let at = self.mirror.borrow().revision();
-        self.metrics.revision.set(at.0 as i64);
+        self.metrics.revision.set(at.number as i64);
         self.mirror_changed.notify_waiters();
     }
 
