Gateway: an engine that refuses an offer of a stream takes no attempt and gets no second offer

A stream that another engine had refused kept its engine, but had used its last attempt: when its engine really failed, callers got no rest. And as only accepted offers were remembered, a refused stream was offered to the same engine again while a third one was never asked. Engines that may have run a request, those that declined an offer, and the one that runs it now are three things, and kept apart.

--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -252,7 +252,7 @@
         let has_availability_counts = lacks_engine && log::allows_availability_counts();
         let availability_counts = has_availability_counts.then(|| self.availability_counts());
         let fleet = self.state.fleet.borrow();
-        let engine = self.tried.last().map(|key| fleet.engine(*key));
+        let engine = self.current.map(|key| fleet.engine(key));
         tracing::info!(
             id = self.request.attempt_id(self.state.platform_api.header_names()),
             outcome = ?ending,
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -74,7 +74,7 @@
         if would_be_late || self.is_suspected() || !self.may_resume(progress) {
             return None;
         }
-        let target = self.choose_engine(progress)?;
+        let target = self.choose_other_engine(progress)?;
         let max_pause_millis = self.request.route_settings().max_pause_millis as f64;
         if self.predicted_millis > max_pause_millis * MAX_PREDICTED_PAUSE_SHARE {
             return None;
@@ -92,10 +92,19 @@
         if self.is_suspected() || !self.may_resume(progress) {
             return None;
         }
-        let target = self.choose_engine(progress)?;
+        let target = self.choose_other_engine(progress)?;
         self.spend_retry(clock::now()).then_some(target)
     }
 
+    /// Chooses an engine for an offer; one that has refused the stream gets no other one.
+    fn choose_other_engine(&mut self, progress: &Progress) -> Option<EngineKey> {
+        let tried_count = self.tried.len();
+        self.tried.extend_from_slice(&self.declined);
+        let chosen = self.choose_engine(progress);
+        self.tried.truncate(tried_count);
+        chosen
+    }
+
     fn spend_retry(&self, now: Instant) -> bool {
         let service = &self.request.service_settings().name;
         self.state.spend_retry(service, now)
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -78,8 +78,12 @@
     /// The request.
     pub request: &'a RoutedRequest<'c>,
     pub(super) retry_state: RetryState,
-    /// Engines that the request was sent to, in order.
+    /// Engines that may have run the request, in order.
     pub(super) tried: Vec<EngineKey>,
+    /// Engine that the request was sent to last, or that a stream was handed over to.
+    pub(super) current: Option<EngineKey>,
+    /// Engines that refused an offer of the stream.
+    pub(super) declined: Vec<EngineKey>,
     /// Predicted time to the first event on the engine chosen last.
     pub(super) predicted_millis: f64,
     /// Part of the prediction for the request's own prompt; `None` if no engine can run it.
@@ -123,6 +127,8 @@
             deadline: request.deadline,
         },
         tried: Vec::new(),
+        current: None,
+        declined: Vec::new(),
         predicted_millis: 0.0,
         own_millis: None,
         sent_at: None,
@@ -194,7 +200,7 @@
                 }
             };
             // The stream may have been handed over.
-            let engine = self.tried.last().copied().unwrap_or(engine);
+            let engine = self.current.unwrap_or(engine);
             self.record_failure(engine, error);
             let aftermath = self.check_for_crash(engine, error, &progress).await;
             self.log_failure(engine, error, aftermath);
@@ -255,6 +261,7 @@
         self.retry_state.attempts += 1;
         self.sent_at = Some(clock::now());
         self.tried.push(engine);
+        self.current = Some(engine);
     }
 
     async fn attempt(
@@ -398,10 +405,10 @@
         let millis = now.millis_since(self.request.received);
         self.state.metrics.first_byte_millis.observe(millis as f64);
         self.record_served(millis);
-        if let (Some(engine), Some(sent_at)) = (self.tried.last(), self.sent_at) {
+        if let (Some(engine), Some(sent_at)) = (self.current, self.sent_at) {
             let lateness_millis = now.millis_since(sent_at) as f64 - self.predicted_millis;
             let mut fleet = self.state.fleet.borrow_mut();
-            fleet.engine_mut(*engine).record_lateness(lateness_millis);
+            fleet.engine_mut(engine).record_lateness(lateness_millis);
         }
     }
 }
--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -14,7 +14,9 @@
     },
     crate::{clock, log},
     gingerpier_base::Instant,
-    gingerpier_serving::{engine::Engine, events::Position, fleet::EngineKey, report::Version},
+    gingerpier_serving::{
+        engine::Engine, events::Position, fleet::EngineKey, report::Version, retry::Failure,
+    },
     std::pin::Pin,
 };
 
@@ -158,12 +160,21 @@
     pub(super) fn complete_handover(&mut self, handover: &Handover<'_>) {
         self.log_handover(handover, "stream handed over");
         self.tried.push(handover.engine);
+        self.current = Some(handover.engine);
     }
 
-    /// Records that the other engine didn't accept the stream.
+    /// Records that the other engine didn't accept the stream. One that didn't run it takes no
+    /// attempt.
     pub(super) fn fail_handover(&mut self, handover: &Handover<'_>, error: AttemptError) {
         self.record_failure(handover.engine, error);
         self.log_failure(handover.engine, error, None);
+        match error.failure {
+            Failure::NotRun => {
+                self.retry_state.attempts -= 1;
+                self.declined.push(handover.engine);
+            }
+            Failure::Unknown => self.tried.push(handover.engine),
+        }
         self.log_handover(
             handover,
             "stream stays on its engine; the other one did not accept it",
@@ -171,7 +182,8 @@
     }
 
     /// Records that the offer is withdrawn before the other engine accepted it.
-    pub(super) fn withdraw_handover(&self, handover: &Handover<'_>) {
+    pub(super) fn withdraw_handover(&mut self, handover: &Handover<'_>) {
+        self.tried.push(handover.engine);
         self.log_handover(
             handover,
             "stream stays on its engine; the offer is withdrawn",
@@ -188,7 +200,7 @@
             id = self
                 .request
                 .attempt_id(self.state.platform_api.header_names()),
-            engine = self.tried.last().map(|engine| id_of(fleet.engine(*engine))),
+            engine = self.current.map(|engine| id_of(fleet.engine(engine))),
             other = id_of(fleet.engine(handover.engine)),
             took = clock::now().millis_since(handover.begun),
             held_bytes = handover.held.len(),
