Gateway: an offer of a silent stream ends like any attempt

A stream whose engine was silent waited for a second silent engine until its deadline, though a third one would have taken it, and the second could start it after its weights had expired. An offer now has the stall deadline of an attempt, at most the time at which a request is withdrawn from that engine, and counts as its failure then. One silence of the first engine is recorded once, however often the stream is offered.

--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -10,7 +10,7 @@
         attempt::{self, AttemptError, InFlight, PendingResponse},
         forward::Forwarder,
         request::AttemptOptions,
-        stream::{Batch, Progress},
+        stream::{self, Batch, Progress},
     },
     crate::{clock, log},
     gingerpier_base::Instant,
@@ -47,8 +47,8 @@
     pub position: Position,
     sending: Sending<'a>,
     begun: Instant,
-    /// Time at which the other engine takes too long; none while the first one is silent.
-    expires_at: Option<Instant>,
+    /// Time at which the other engine takes too long.
+    expires_at: Instant,
     /// Events that arrived from the first engine since then, as HTTP chunks.
     held: Vec<u8>,
 }
@@ -85,7 +85,7 @@
 
 /// Time at which the other engine takes too long.
 pub(super) fn expires_at(handover: Option<&Handover<'_>>) -> Option<Instant> {
-    handover.and_then(|handover| handover.expires_at)
+    handover.map(|handover| handover.expires_at)
 }
 
 /// Completes once the other engine takes too long; never without a bound.
@@ -110,7 +110,6 @@
         let last_event_id = position.last_id().cloned();
         let required_version = self.required_version(engine, progress);
         let needs_new_connection = self.is_outdated(engine);
-        let max_pause_millis = request.route_settings().max_pause_millis;
         let begun = clock::now();
         let sending = async move {
             let options = AttemptOptions {
@@ -128,16 +127,23 @@
             position,
             sending: Box::pin(sending),
             begun,
-            expires_at: match reason {
-                Reason::Loading => {
-                    Some(begun.after_millis(max_pause_millis * EXPIRY_PAUSE_QUARTERS / 4))
-                }
-                Reason::Silent => None,
-            },
+            expires_at: self.offer_expiry(engine, reason, begun),
             held: Vec::new(),
         }
     }
 
+    /// Time by which `engine` has to accept a stream that it is offered at `begun`, so that it
+    /// doesn't start the stream after its weights expire.
+    fn offer_expiry(&self, engine: EngineKey, reason: Reason, begun: Instant) -> Instant {
+        let max_pause_millis = self.request.route_settings().max_pause_millis;
+        let expires_at = match reason {
+            Reason::Loading => begun.after_millis(max_pause_millis * EXPIRY_PAUSE_QUARTERS / 4),
+            Reason::Silent => stream::first_event_deadline(self.request, begun),
+        };
+        let withdraw_at = self.withdraw_at(engine);
+        withdraw_at.map_or(expires_at, |withdraw_at| expires_at.min(withdraw_at))
+    }
+
     /// Checks whether the response of the other engine continues a stream of `version`.
     ///
     /// # Errors
@@ -181,7 +187,7 @@
         );
     }
 
-    /// Records that the offer is withdrawn before the other engine accepted it.
+    /// Records that the offer is withdrawn, as the stream goes on at its engine.
     pub(super) fn withdraw_handover(&mut self, handover: &Handover<'_>) {
         self.tried.push(handover.engine);
         self.log_handover(
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -267,6 +267,8 @@
     was_offered: bool,
     /// Error of the engine, while another one may still accept the stream.
     failed: Option<AttemptError>,
+    /// True once the engine's silence was recorded, until it sends something.
+    is_stalled: bool,
     stall_deadline: StallDeadline,
 }
 
@@ -299,7 +301,7 @@
         let batch = match step {
             Step::Read(batch) => relay.handle_read(batch, &mut events),
             Step::HandoverResponse(response) => relay.handle_response(response, &mut events),
-            Step::HandoverExpired => relay.withdraw_offer(&mut events),
+            Step::HandoverExpired => relay.handle_expiry(&mut events),
             // A suspected request runs on one engine at a time.
             Step::Stalled if relay.forwarder.is_suspected() && relay.can_retry() => {
                 return relay.fail(STALLED);
@@ -353,6 +355,7 @@
             handover: None,
             was_offered: false,
             failed: None,
+            is_stalled: false,
             stall_deadline,
         }
     }
@@ -360,6 +363,7 @@
     /// Returns what of `batch` is to be forwarded now, with its `events`; `None` while another
     /// engine may accept the stream.
     fn handle_read(&mut self, batch: Batch, events: &mut Vec<u8>) -> Option<Batch> {
+        self.is_stalled = false;
         if let Some(pending) = &mut self.handover
             && pending.outlasts(&batch)
             && !self.progress.is_committed
@@ -408,7 +412,13 @@
         }
     }
 
-    fn withdraw_offer(&mut self, events: &mut Vec<u8>) -> Option<Batch> {
+    /// Ends an offer that the other engine did not accept in time. Only one that is silent for as
+    /// long as an attempt may be has failed.
+    fn handle_expiry(&mut self, events: &mut Vec<u8>) -> Option<Batch> {
+        let reason = self.handover.as_ref()?.reason;
+        if reason == Reason::Silent {
+            return self.handle_response(Err(STALLED), events);
+        }
         let pending = self.handover.take()?;
         self.forwarder.withdraw_handover(&pending);
         *events = pending.into_held();
@@ -447,9 +457,11 @@
         let Some(target) = self.forwarder.stall_target(self.progress) else {
             return;
         };
-        let engine = self.in_flight.engine;
-        self.forwarder.record_failure(engine, STALLED);
-        self.forwarder.log_failure(engine, STALLED, None);
+        if !std::mem::replace(&mut self.is_stalled, true) {
+            let engine = self.in_flight.engine;
+            self.forwarder.record_failure(engine, STALLED);
+            self.forwarder.log_failure(engine, STALLED, None);
+        }
         self.offer(target, Reason::Silent);
     }
 
