Gateway: a stream that is handed over before its first event gets the head of its new engine

An engine that sent the head of a stream and then nothing had its signature and weights version on a response whose events all came from another engine, and a sound engine with newer weights was refused as invalid. Version and head are taken from the engine that runs the stream until the caller has a part of the response, and its lateness counts from the offer.

--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -88,7 +88,7 @@
     pub(super) predicted_millis: f64,
     /// Part of the prediction for the request's own prompt; `None` if no engine can run it.
     pub(super) own_millis: Option<f64>,
-    sent_at: Option<Instant>,
+    pub(super) sent_at: Option<Instant>,
     /// Cause of the last failed attempt.
     pub(super) cause: Option<Cause>,
     /// True if the last choice found an engine that can run the request, even if it is full.
--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -14,9 +14,7 @@
     },
     crate::{clock, log},
     gingerpier_base::Instant,
-    gingerpier_serving::{
-        engine::Engine, events::Position, fleet::EngineKey, report::Version, retry::Failure,
-    },
+    gingerpier_serving::{engine::Engine, events::Position, fleet::EngineKey, retry::Failure},
     std::pin::Pin,
 };
 
@@ -144,7 +142,7 @@
         withdraw_at.map_or(expires_at, |withdraw_at| expires_at.min(withdraw_at))
     }
 
-    /// Checks whether the response of the other engine continues a stream of `version`.
+    /// Checks whether the response of the other engine continues the stream.
     ///
     /// # Errors
     ///
@@ -152,11 +150,12 @@
     pub(super) fn check_accepted(
         &self,
         response: Result<PendingResponse, AttemptError>,
-        version: Version,
+        progress: &Progress,
     ) -> Result<PendingResponse, AttemptError> {
         let response = response?;
         self.check_stream_head(&response.head)?;
-        match self.response_version(&response.head) == version {
+        let version = self.response_version(&response.head);
+        match !progress.has_begun() || version == progress.version() {
             true => Ok(response),
             false => Err(attempt::invalid_response()),
         }
@@ -164,6 +163,7 @@
 
     /// Records that the other engine runs the stream from now on.
     pub(super) fn complete_handover(&mut self, handover: &Handover<'_>) {
+        self.sent_at = Some(handover.begun);
         self.log_handover(handover, "stream handed over");
         self.tried.push(handover.engine);
         self.current = Some(handover.engine);
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -335,29 +335,35 @@
         progress: &'r mut Progress,
         in_flight: &'r mut InFlight,
     ) -> Self {
-        let upstream = Upstream::from(response);
-        let mut head_bytes = Vec::new();
-        if !progress.has_begun {
-            progress.version = forwarder.response_version(&upstream.head);
-            head_bytes = forwarder
-                .response_head(&upstream.head)
-                .field(b"transfer-encoding", b"chunked")
-                .end();
-        }
         let stall_deadline = first_event_deadline(forwarder.request, clock::now());
-        Self {
+        let mut relay = Self {
             forwarder,
             progress,
             in_flight,
-            upstream,
+            upstream: response.into(),
             unread: Unread::default(),
-            head_bytes,
+            head_bytes: Vec::new(),
             handover: None,
             was_offered: false,
             failed: None,
             is_stalled: false,
             stall_deadline,
+        };
+        relay.take_head();
+        relay
+    }
+
+    /// Takes version and response head from the engine that runs the stream, unless the caller has
+    /// a part of the response.
+    fn take_head(&mut self) {
+        if self.progress.has_begun {
+            return;
         }
+        let head = &self.upstream.head;
+        self.progress.version = self.forwarder.response_version(head);
+        let response_head = self.forwarder.response_head(head);
+        let response_head = response_head.field(b"transfer-encoding", b"chunked");
+        self.head_bytes = response_head.end();
     }
 
     /// Returns what of `batch` is to be forwarded now, with its `events`; `None` while another
@@ -396,9 +402,7 @@
         events: &mut Vec<u8>,
     ) -> Option<Batch> {
         let pending = self.handover.take()?;
-        let accepted = self
-            .forwarder
-            .check_accepted(response, self.progress.version);
+        let accepted = self.forwarder.check_accepted(response, self.progress);
         match accepted {
             Ok(response) => {
                 self.switch(pending, response);
@@ -440,6 +444,7 @@
         self.progress.splitter.rewind(pending.position);
         *self.in_flight = pending.in_flight;
         self.upstream = response.into();
+        self.take_head();
         self.unread = Unread::default();
         self.stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
     }
