Gateway: a stream that becomes suspected keeps the events of an open offer

A stream whose request was found suspicious while it was offered to another engine left both, and the events that were held back were lost: the next engine would have resumed after them. It now waits for the offer's end first. Found by a review; by reading, no run showed it.

--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -302,10 +302,7 @@
             Step::Read(batch) => relay.handle_read(batch, &mut events),
             Step::HandoverResponse(response) => relay.handle_response(response, &mut events),
             Step::HandoverExpired => relay.handle_expiry(&mut events),
-            // A suspected request runs on one engine at a time.
-            Step::Stalled if relay.forwarder.is_suspected() && relay.can_retry() => {
-                return relay.fail(STALLED);
-            }
+            Step::Stalled if relay.leaves_when_stalled() => return relay.fail(STALLED),
             Step::Stalled => {
                 relay.handle_stall();
                 None
@@ -449,8 +446,11 @@
         self.stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
     }
 
-    fn can_retry(&mut self) -> bool {
-        self.forwarder.can_retry(self.progress)
+    /// True if the stream leaves its silent engine without an offer, as a suspected request runs on
+    /// one engine at a time.
+    fn leaves_when_stalled(&mut self) -> bool {
+        let is_alone = self.handover.is_none();
+        is_alone && self.forwarder.is_suspected() && self.forwarder.can_retry(self.progress)
     }
 
     /// Offers the stream to another engine, as its own is silent.
