Gateway: a request whose engine is late stays there until another one has accepted it

Callers got 502, which is neither an answer nor a refusal, when an engine sent nothing for 1.2 to 1.5 s and the next one refused, though the first would have answered at 1.7 s; so it went, too, when the retry budget was empty and no other engine was asked at all. The gateway gave the first attempt up before anything had replaced it, as it did with running streams. Now the request is offered to another engine beside it, and the first response of both counts.

--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         attempt::{self, AttemptError, InFlight, PendingResponse},
-        forward::Forwarder,
+        forward::{Forwarder, refused_by_engine},
         request::AttemptOptions,
         stream::{self, Batch, Progress},
     },
@@ -142,20 +142,27 @@
         withdraw_at.map_or(expires_at, |withdraw_at| expires_at.min(withdraw_at))
     }
 
-    /// Checks whether the response of the other engine continues the stream.
+    /// Checks whether an engine accepted the request, and continues the stream if it has begun.
     ///
     /// # Errors
     ///
-    /// If the engine refused, failed, or runs another version.
+    /// If the engine refused or failed, or runs another version than the one that the stream began
+    /// with.
     pub(super) fn check_accepted(
         &self,
         response: Result<PendingResponse, AttemptError>,
         progress: &Progress,
     ) -> Result<PendingResponse, AttemptError> {
         let response = response?;
-        self.check_stream_head(&response.head)?;
-        let version = self.response_version(&response.head);
-        match !progress.has_begun() || version == progress.version() {
+        let head = &response.head;
+        if !self.retry_state.repeat.is_stream() {
+            return match self.is_refused(head) {
+                true => Err(refused_by_engine(head.status)),
+                false => Ok(response),
+            };
+        }
+        self.check_stream_head(head)?;
+        match !progress.has_begun() || self.response_version(head) == progress.version() {
             true => Ok(response),
             false => Err(attempt::invalid_response()),
         }
