Mirror: items of the replica's era are stored by number

All items of the mirror are of its own era, so it stores their numbers only, and drops deletions of former eras, which no follower needs.

--- a/crates/gingerpier_serving/src/mirror.rs
+++ b/crates/gingerpier_serving/src/mirror.rs
@@ -51,11 +51,13 @@
 /// Deletions kept for followers.
 const MAX_DELETIONS: usize = 2_000;
 
+/// An item of the replica's era; numbers alone take less memory than revisions.
 #[derive(Debug, Clone)]
 struct StoredItem {
-    revision: Revision,
-    /// Revision at which the value last changed.
-    changed_at: Revision,
+    /// Number of the last write's revision.
+    number: u64,
+    /// Number of the revision at which the value last changed.
+    changed_at: u64,
     value: Rc<[u8]>,
 }
 
@@ -78,8 +80,8 @@
     /// Revision from which on all deletions are known.
     deletions_known_since: Revision,
     items: BTreeMap<String, StoredItem>,
-    /// Deleted keys, with the revision of the deletion.
-    deletions: BTreeMap<String, Revision>,
+    /// Keys deleted in this era, with the number of the deletion's revision.
+    deletions: BTreeMap<String, u64>,
     /// Effective changes so far.
     change_count: u64,
 }
@@ -100,14 +102,19 @@
     pub fn items(&self) -> impl Iterator<Item = Item> {
         self.items.iter().map(|(key, stored)| Item {
             key: key.clone(),
-            revision: stored.revision,
+            revision: self.revision_of(stored.number),
             value: Some(stored.value.clone()),
         })
     }
 
+    const fn revision_of(&self, number: u64) -> Revision {
+        Revision::new(number).in_era(self.revision.era)
+    }
+
     /// Returns the revision of the last write of an existing item.
     pub fn item_revision(&self, key: &str) -> Option<Revision> {
-        self.items.get(key).map(|stored| stored.revision)
+        let stored = self.items.get(key)?;
+        Some(self.revision_of(stored.number))
     }
 
     /// Returns the changes after revision `after`, without rewrites of equal values; none if the
@@ -119,15 +126,15 @@
         let stored = self
             .items
             .iter()
-            .filter(|(_, stored)| stored.changed_at > after);
+            .filter(|(_, stored)| self.revision_of(stored.changed_at) > after);
         let stored = stored.map(|(key, stored)| Item {
             key: key.clone(),
-            revision: stored.revision,
+            revision: self.revision_of(stored.number),
             value: Some(stored.value.clone()),
         });
-        let deletions = self.deletions.iter().map(|(key, revision)| Item {
+        let deletions = self.deletions.iter().map(|(key, number)| Item {
             key: key.clone(),
-            revision: *revision,
+            revision: self.revision_of(*number),
             value: None,
         });
         Some(
@@ -150,7 +157,7 @@
 
     fn apply_from(&mut self, source: Source, changes: Changes, at: Revision) -> Changes {
         // Changes of another era don't continue this replica.
-        if source != Source::NewEra && at.era != self.revision.era {
+        if at.era != self.revision.era {
             return Vec::new();
         }
         let changes = changes.into_iter();
@@ -183,19 +190,33 @@
         // Keys may have been written and deleted between the replica's revision and this copy.
         self.deletions_known_since = at;
         let source = match at.era > self.revision.era {
-            true => Source::NewEra,
+            true => {
+                self.begin_era(at.era);
+                Source::NewEra
+            }
             false => Source::WithGaps,
         };
         self.apply_from(source, changes, at)
     }
 
+    /// Makes all known revisions older than those of `era`.
+    fn begin_era(&mut self, era: u64) {
+        self.revision = Revision::new(0).in_era(era);
+        self.deletions.clear();
+        for stored in self.items.values_mut() {
+            stored.number = 0;
+            stored.changed_at = 0;
+        }
+    }
+
     fn apply_item(&mut self, source: Source, item: &Item) -> bool {
-        let stored_revision = self.items.get(&item.key).map(|stored| stored.revision);
-        let deletion_revision = self.deletions.get(&item.key).copied();
-        let newest_revision = stored_revision.max(deletion_revision).unwrap_or_default();
+        let Revision { era, number } = item.revision;
+        let stored_number = self.items.get(&item.key).map(|stored| stored.number);
+        let deletion_number = self.deletions.get(&item.key).copied();
+        let newest_number = stored_number.max(deletion_number).unwrap_or_default();
         // A key may be deleted at the very revision up to which a copy was read.
-        let is_newer = item.revision > newest_revision
-            || (item.value.is_none() && item.revision == newest_revision);
+        let is_newer = era == self.revision.era
+            && (number > newest_number || (item.value.is_none() && number == newest_number));
         if !is_newer {
             return false;
         }
@@ -203,10 +224,10 @@
             && stored.value == *value
             && source != Source::NewEra
         {
-            stored.revision = item.revision;
+            stored.number = number;
             // A follower that saw the deletion must learn that the key is back.
             if source == Source::WithGaps {
-                stored.changed_at = item.revision;
+                stored.changed_at = number;
             }
             return false;
         }
@@ -214,8 +235,8 @@
         match &item.value {
             Some(value) => {
                 let stored = StoredItem {
-                    revision: item.revision,
-                    changed_at: item.revision,
+                    number,
+                    changed_at: number,
                     value: value.clone(),
                 };
                 self.deletions.remove(&item.key);
@@ -223,7 +244,7 @@
             }
             None => {
                 // A follower may hold a key that was never here, and needs the deletion too.
-                self.deletions.insert(item.key.clone(), item.revision);
+                self.deletions.insert(item.key.clone(), number);
                 return self.items.remove(&item.key).is_some();
             }
         }
@@ -234,13 +255,13 @@
     /// then no longer complete.
     fn drop_oldest_deletions(&mut self) {
         while self.deletions.len() > MAX_DELETIONS {
-            let oldest = self.deletions.iter().min_by_key(|(_, revision)| **revision);
-            let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision))
-            else {
+            let oldest = self.deletions.iter().min_by_key(|(_, number)| **number);
+            let Some((key, number)) = oldest.map(|(key, number)| (key.clone(), *number)) else {
                 return;
             };
             self.deletions.remove(&key);
-            self.deletions_known_since = self.deletions_known_since.max(revision);
+            let dropped_at = self.revision_of(number);
+            self.deletions_known_since = self.deletions_known_since.max(dropped_at);
         }
     }
 }
