Items: an invalid item is logged and counted in each era

An invalid item is logged once for its key and revision. A revision that a restored store gave out again hid an invalid item of the new era from log and metric. The key now includes the era.

--- a/crates/gingerpier_gateway/src/items.rs
+++ b/crates/gingerpier_gateway/src/items.rs
@@ -2,7 +2,7 @@
 
 use {
     gingerpier_serving::{
-        mirror::Item,
+        mirror::{Item, Revision},
         platform_api::{Content, Error, ItemKind, Omission, PlatformApi},
     },
     std::{
@@ -50,7 +50,7 @@
     platform_api: &'static dyn PlatformApi,
     logged_omissions: RefCell<BTreeSet<Omission>>,
     /// Keys and revisions of invalid items that were logged.
-    logged_invalid: RefCell<BTreeSet<(String, u64)>>,
+    logged_invalid: RefCell<BTreeSet<(String, Revision)>>,
     invalid_count: Cell<u64>,
 }
 
@@ -73,11 +73,11 @@
     /// Content of `item`; none if it is deleted or invalid. Logs invalid items and missing fields.
     pub fn parse(&self, item: &Item) -> Option<Content> {
         let value = item.value.as_ref()?;
-        let revision = item.revision.number;
+        let revision = item.revision;
         match self.platform_api.parse_item(&item.key, value) {
             Ok(parsed) => {
                 for omission in parsed.omissions {
-                    self.log_omission(&item.key, revision, omission);
+                    self.log_omission(&item.key, revision.number, omission);
                 }
                 Some(parsed.content)
             }
@@ -88,7 +88,7 @@
         }
     }
 
-    fn record_invalid(&self, key: &str, revision: u64, error: &Error) {
+    fn record_invalid(&self, key: &str, revision: Revision, error: &Error) {
         let mut logged_invalid = self.logged_invalid.borrow_mut();
         if logged_invalid.contains(&(key.to_owned(), revision)) {
             return;
@@ -99,7 +99,7 @@
             if logged_invalid.len() < MAX_LOGGED_INVALID {
                 logged_invalid.insert((key.to_owned(), revision));
             }
-            tracing::error!(key, revision, cause = %error, "item not understood");
+            tracing::error!(key, revision = revision.number, cause = %error, "item not understood");
         }
     }
 
