--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -1,9 +1,13 @@
-//! Handover of a running stream to another engine.
+//! Handover of a request to another engine while its own may still respond.
 //!
-//! The first engine's response is read on until the second engine has accepted the stream, so an
-//! attempt that fails costs the caller nothing. The second engine resumes after the last event that
-//! the caller has, so events that arrive meanwhile are held back: they are dropped once it accepts,
-//! and released if it refuses or takes too long.
+//! A request is offered to a second engine if the first one is silent, and a running stream also if
+//! its engine waits to load weights. The first engine's response is read on until the second one has
+//! accepted, so an offer that fails costs the caller nothing.
+//!
+//! The second engine resumes a stream after the last event that the caller has. Events that a
+//! loading engine sends meanwhile are held back: they are dropped once the second engine accepts, and
+//! released if it refuses or takes too long. An engine that was silent keeps the stream as soon as it
+//! sends an event.
 
 use {
     super::{
@@ -24,7 +28,7 @@
 
 type Sending<'a> = Pin<Box<dyn Future<Output = Result<PendingResponse, AttemptError>> + 'a>>;
 
-/// Why a stream is offered to another engine.
+/// Why a request is offered to another engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
     /// Its engine waits to load weights.
@@ -33,7 +37,7 @@
     Silent,
 }
 
-/// An attempt to hand a stream over to another engine.
+/// An offer of a request to another engine.
 pub struct Handover<'a> {
     /// Why it is made.
     pub reason: Reason,
@@ -52,7 +56,7 @@
 }
 
 impl Handover<'_> {
-    /// True if the attempt goes on after the first engine sent this.
+    /// True if the offer stays open after the first engine sent this.
     pub(super) const fn outlasts(&self, batch: &Batch) -> bool {
         match (batch, self.reason) {
             (Batch::End, _) | (Batch::Events, Reason::Silent) => false,
@@ -65,7 +69,7 @@
         self.held.append(events);
     }
 
-    /// Ends the attempt; returns the events that were held back.
+    /// Ends the offer; returns the events that were held back.
     pub fn into_held(self) -> Vec<u8> {
         self.held
     }
@@ -95,7 +99,7 @@
 }
 
 impl<'a> Forwarder<'a, '_> {
-    /// Offers the stream to `engine`.
+    /// Offers the request to `engine`.
     pub(super) fn begin_handover(
         &mut self,
         engine: EngineKey,
@@ -130,8 +134,8 @@
         }
     }
 
-    /// Time by which `engine` has to accept a stream that it is offered at `begun`, so that it
-    /// doesn't start the stream after its weights expire.
+    /// Time by which `engine` has to accept what it is offered at `begun`; at most the time at which
+    /// the request is withdrawn, as it must not start after the engine's weights expire.
     fn offer_expiry(&self, engine: EngineKey, reason: Reason, begun: Instant) -> Instant {
         let max_pause_millis = self.request.route_settings().max_pause_millis;
         let expires_at = match reason {
@@ -168,16 +172,16 @@
         }
     }
 
-    /// Records that the other engine runs the stream from now on.
+    /// Records that the other engine runs the request from now on.
     pub(super) fn complete_handover(&mut self, handover: &Handover<'_>) {
         self.sent_at = Some(handover.begun);
-        self.log_handover(handover, "stream handed over");
+        self.log_handover(handover, "request handed over");
         self.tried.push(handover.engine);
         self.current = Some(handover.engine);
     }
 
-    /// Records that the other engine didn't accept the stream. One that didn't run it takes no
-    /// attempt.
+    /// Records that the other engine didn't accept the request. One that confirms that it didn't
+    /// run it takes no attempt.
     pub(super) fn fail_handover(&mut self, handover: &Handover<'_>, error: AttemptError) {
         self.record_failure(handover.engine, error);
         self.log_failure(handover.engine, error, None);
@@ -190,16 +194,16 @@
         }
         self.log_handover(
             handover,
-            "stream stays on its engine; the other one did not accept it",
+            "request stays on its engine; the other one did not accept it",
         );
     }
 
-    /// Records that the offer is withdrawn, as the stream goes on at its engine.
+    /// Records that the offer is withdrawn, as the request goes on at its engine.
     pub(super) fn withdraw_handover(&mut self, handover: &Handover<'_>) {
         self.tried.push(handover.engine);
         self.log_handover(
             handover,
-            "stream stays on its engine; the offer is withdrawn",
+            "request stays on its engine; the offer is withdrawn",
         );
     }
 
