--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -7,7 +7,6 @@
         buffered::BufferedResponse,
         caller::WriteError,
         engine_choice,
-        handover::{self, Handover},
         request::{AttemptOptions, RoutedRequest},
         startup::{self, StartupWait},
         stream::{self, Progress},
@@ -146,16 +145,6 @@
     forwarder.run(caller).await
 }
 
-/// What happened next to a request without a response.
-enum Step {
-    /// Its engine responded or failed.
-    Response(Result<PendingResponse, AttemptError>),
-    /// The engine that it was offered to responded or failed.
-    OtherResponse(Result<PendingResponse, AttemptError>),
-    /// Its engine sent nothing in time.
-    Stalled,
-}
-
 impl Forwarder<'_, '_> {
     async fn run(&mut self, caller: &mut Connection) -> Persistence {
         let mut progress = Progress::default();
@@ -281,27 +270,9 @@
         engine: EngineKey,
         progress: &mut Progress,
     ) -> AttemptOutcome {
-        let mut in_flight = InFlight::new(self.state, engine, self.request.prompt_tokens);
-        let response = self.response(caller, engine, progress, &mut in_flight);
-        match response.await {
-            Err(outcome) => outcome,
-            Ok(response) => {
-                self.handle_response(caller, response, progress, &mut in_flight)
-                    .await
-            }
-        }
-    }
-
-    /// Sends the request to `engine` and waits for the head of its response. If the engine is
-    /// silent, waits also for another one, and takes the first response of both.
-    async fn response(
-        &mut self,
-        caller: &mut Connection,
-        engine: EngineKey,
-        progress: &Progress,
-        in_flight: &mut InFlight,
-    ) -> Result<PendingResponse, AttemptOutcome> {
-        let (state, request) = (self.state, self.request);
+        let state = self.state;
+        let request = self.request;
+        let mut in_flight = InFlight::new(state, engine, request.prompt_tokens);
         let last_event_id = progress.last_event_id().cloned();
         let options = AttemptOptions {
             now: clock::now(),
@@ -314,82 +285,30 @@
         let sending = attempt::send(state, request, engine, &options);
         let held = state.until_held(request.fingerprint);
         tokio::pin!(sending, held);
-        let mut offer: Option<Handover<'_>> = None;
-        // Error of the first engine, while the other one may still respond.
-        let mut failed: Option<AttemptError> = None;
-        let mut is_stalled = false;
-        loop {
-            let expires_at = handover::expires_at(offer.as_ref());
-            let step = tokio::select! {
+        let response = loop {
+            tokio::select! {
                 biased;
-                response = &mut sending, if failed.is_none() => Step::Response(response),
-                () = disconnected(caller) => return Err(AttemptOutcome::Disconnected),
-                () = clock::until(request.deadline) => return Err(AttemptOutcome::TimedOut),
-                () = &mut held => return Err(AttemptOutcome::Held),
-                () = withdrawal(withdraw_at), if failed.is_none() => {
-                    Step::Response(Err(engine_choice::OUTDATED))
+                response = &mut sending => break response,
+                () = disconnected(caller) => return AttemptOutcome::Disconnected,
+                () = clock::until(request.deadline) => return AttemptOutcome::TimedOut,
+                () = &mut held => return AttemptOutcome::Held,
+                () = withdrawal(withdraw_at) => {
+                    return AttemptOutcome::Failed(engine_choice::OUTDATED);
                 }
-                response = handover::response(&mut offer) => Step::OtherResponse(response),
-                () = handover::expiry(expires_at) => Step::OtherResponse(Err(stream::STALLED)),
-                () = clock::until(stall_deadline) => Step::Stalled,
-            };
-            match step {
-                Step::Response(response) => {
-                    let Some(pending) = offer.take() else {
-                        return response.map_err(AttemptOutcome::Failed);
-                    };
-                    match self.check_accepted(response, progress) {
-                        Ok(response) => {
-                            self.withdraw_handover(&pending);
-                            return Ok(response);
-                        }
-                        Err(error) => {
-                            failed = Some(error);
-                            offer = Some(pending);
-                        }
+                () = clock::until(stall_deadline) => {
+                    if self.can_retry(progress) {
+                        return AttemptOutcome::Failed(stream::STALLED);
                     }
-                }
-                Step::OtherResponse(response) => {
-                    let Some(pending) = offer.take() else {
-                        continue;
-                    };
-                    match (self.check_accepted(response, progress), failed) {
-                        (Ok(response), failed) => {
-                            if let Some(error) = failed {
-                                self.record_failure(engine, error);
-                                self.log_failure(engine, error, None);
-                            }
-                            self.complete_handover(&pending);
-                            *in_flight = pending.in_flight;
-                            return Ok(response);
-                        }
-                        (Err(error), failed) => {
-                            self.fail_handover(&pending, error);
-                            if let Some(error) = failed {
-                                return Err(AttemptOutcome::Failed(error));
-                            }
-                        }
-                    }
-                }
-                Step::Stalled => {
                     stall_deadline = stream::recheck_deadline();
-                    if offer.is_some() {
-                        continue;
-                    }
-                    // A suspected request runs on one engine at a time.
-                    if self.is_suspected() && self.can_retry(progress) {
-                        return Err(AttemptOutcome::Failed(stream::STALLED));
-                    }
-                    if let Some(target) = self.stall_target(progress) {
-                        if !std::mem::replace(&mut is_stalled, true) {
-                            self.record_failure(engine, stream::STALLED);
-                            self.log_failure(engine, stream::STALLED, None);
-                        }
-                        offer =
-                            Some(self.begin_handover(target, handover::Reason::Silent, progress));
-                    }
                 }
             }
+        };
+        match response {
+            Err(error) => AttemptOutcome::Failed(error),
+            Ok(response) => {
+                self.handle_response(caller, response, progress, &mut in_flight)
+                    .await
+            }
         }
     }
 
@@ -415,7 +334,7 @@
     }
 
     /// True if the engine confirms that it didn't run the request.
-    pub(super) fn is_refused(&self, head: &Response) -> bool {
+    fn is_refused(&self, head: &Response) -> bool {
         let header_names = self.state.platform_api.header_names();
         head.status == 421 || head.fields.get(header_names.not_run).is_some()
     }
--- a/crates/gingerpier_gateway/src/proxy/handover.rs
+++ b/crates/gingerpier_gateway/src/proxy/handover.rs
@@ -1,18 +1,18 @@
-//! Handover of a request to another engine while its own may still respond.
+//! Handover of a running stream to another engine.
 //!
-//! A request is offered to a second engine if the first one is silent, and a running stream also if
-//! its engine waits to load weights. The first engine's response is read on until the second one has
-//! accepted, so an offer that fails costs the caller nothing.
+//! A stream is offered to a second engine if its own is silent, or waits to load weights. The first
+//! engine's response is read on until the second one has accepted, so an offer that fails costs the
+//! caller nothing.
 //!
-//! The second engine resumes a stream after the last event that the caller has. Events that a
-//! loading engine sends meanwhile are held back: they are dropped once the second engine accepts, and
-//! released if it refuses or takes too long. An engine that was silent keeps the stream as soon as it
-//! sends an event.
+//! The second engine resumes after the last event that the caller has. Events that a loading engine
+//! sends meanwhile are held back: they are dropped once the second engine accepts, and released if
+//! it refuses or takes too long. An engine that was silent keeps the stream as soon as it sends an
+//! event.
 
 use {
     super::{
         attempt::{self, AttemptError, InFlight, PendingResponse},
-        forward::{Forwarder, refused_by_engine},
+        forward::Forwarder,
         request::AttemptOptions,
         stream::{self, Batch, Progress},
     },
@@ -146,27 +146,20 @@
         withdraw_at.map_or(expires_at, |withdraw_at| expires_at.min(withdraw_at))
     }
 
-    /// Checks whether an engine accepted the request, and continues the stream if it has begun.
+    /// Checks whether the response of the other engine continues the stream.
     ///
     /// # Errors
     ///
-    /// If the engine refused or failed, or runs another version than the one that the stream began
-    /// with.
+    /// If the engine refused, failed, or runs another version.
     pub(super) fn check_accepted(
         &self,
         response: Result<PendingResponse, AttemptError>,
         progress: &Progress,
     ) -> Result<PendingResponse, AttemptError> {
         let response = response?;
-        let head = &response.head;
-        if !self.retry_state.repeat.is_stream() {
-            return match self.is_refused(head) {
-                true => Err(refused_by_engine(head.status)),
-                false => Ok(response),
-            };
-        }
-        self.check_stream_head(head)?;
-        match !progress.has_begun() || self.response_version(head) == progress.version() {
+        self.check_stream_head(&response.head)?;
+        let version = self.response_version(&response.head);
+        match !progress.has_begun() || version == progress.version() {
             true => Ok(response),
             false => Err(attempt::invalid_response()),
         }
