Gateway: lines of requests and failed attempts name the framing of the engine's response

A response that ends with its connection can't be told from a framed one in the lines so far, nor an end of the connection that counted as the end of the body from a body that ended by its framing.

--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -16,6 +16,7 @@
     gingerpier_admission::selection::Refusal,
     gingerpier_base::Instant,
     gingerpier_http1::{
+        body::Framing,
         connection::Connection,
         head::{self, Response},
         writer::Message,
@@ -91,6 +92,8 @@
     pub(super) sent_at: Option<Instant>,
     /// Cause of the last failed attempt.
     pub(super) cause: Option<Cause>,
+    /// Body framing of the last response whose head was read.
+    pub(super) framing: Option<Framing>,
     /// True if the last choice found an engine that can run the request, even if it is full.
     pub(super) has_candidate: bool,
     /// True if the request waited for the gateway's startup.
@@ -133,6 +136,7 @@
         own_millis: None,
         sent_at: None,
         cause: None,
+        framing: None,
         has_candidate: true,
         has_waited: false,
         refusal_reason: None,
@@ -319,6 +323,7 @@
         progress: &mut Progress,
         in_flight: &mut InFlight,
     ) -> AttemptOutcome {
+        self.framing = Some(response.framing);
         let head = &response.head;
         let is_refused = self.is_refused(head);
         if is_success(head) {
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -438,6 +438,7 @@
             self.forwarder.log_failure(engine, error, None);
         }
         self.forwarder.complete_handover(&pending);
+        self.forwarder.framing = Some(response.framing);
         self.progress.splitter.rewind(pending.position);
         *self.in_flight = pending.in_flight;
         self.upstream = response.into();
