Gateway: a response without length or chunks is complete only if its engine lives

Callers saw streams that ended early with status 200 and a proper last chunk. Such a response ends with its connection, and the end of the connection counted as the end of the body: an event that was cut was forwarded, the request was recorded as completed (which refutes that it crashes engines) and the engine as successful.

A body that ends with its connection is told from a framed one now (Part::Closed), so each reader has to say what it makes of it. A stream that ends so inside an event is broken off. One that ends between two events, and any other response, counts as complete only if the engine is alive: an idle connection to it stays open for 30 ms, or a new one does. Otherwise it is broken off: streams are resumed, safe requests run again, and other callers get an incomplete response or 502. Connections that have ended don't go into the pool. Store responses, reports and manifests that end early can't be decoded, and digests check chunks; doors of gingerpierd already reject responses without an end.

--- a/crates/gingerpier_gateway/src/client.rs
+++ b/crates/gingerpier_gateway/src/client.rs
@@ -172,7 +172,8 @@
         let mut body = BytesMut::new();
         loop {
             match connection.part(&mut decoder).await.map_err(http_error)? {
-                Part::End => return Ok(body.freeze()),
+                // Of a body that ends early with its connection, nothing can be decoded.
+                Part::End | Part::Closed => return Ok(body.freeze()),
                 Part::Data(data) => body.extend_from_slice(&data),
             }
             let now = Some(clock::now());
--- a/crates/gingerpier_gateway/src/pool.rs
+++ b/crates/gingerpier_gateway/src/pool.rs
@@ -3,7 +3,7 @@
 use {
     crate::clock,
     gingerpier_base::Instant,
-    gingerpier_http1::{connection::Connection, head::Response},
+    gingerpier_http1::{body::Framing, connection::Connection, head::Response},
     std::{collections::HashMap, hash::Hash},
 };
 
@@ -36,7 +36,7 @@
 
 /// Time that a connection may stay idle after `response`; none if it has to be closed.
 pub fn idle_millis(response: &Response) -> Option<u64> {
-    if !response.keeps_alive() {
+    if !response.keeps_alive() || response.framing() == Ok(Framing::UntilClose) {
         return None;
     }
     let announced = response.fields.text("keep-alive").and_then(|text| {
@@ -64,6 +64,15 @@
         None
     }
 
+    /// True if a connection to `peer` is open.
+    pub fn is_open(&mut self, peer: &K) -> bool {
+        let Some(idle) = self.idle.get_mut(peer) else {
+            return false;
+        };
+        idle.retain(|candidate| candidate.connection.is_idle());
+        !idle.is_empty()
+    }
+
     /// Adds a connection after `response`, unless it has to be closed or the limit is reached.
     pub fn put(&mut self, peer: K, connection: Connection, response: &Response) {
         let Some(millis) = idle_millis(response) else {
--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -230,6 +230,26 @@
 /// before its port closes.
 const PROBE_OPEN_MILLIS: u64 = 30;
 
+/// Checks whether a response is complete that ended with its connection and has no other end.
+///
+/// # Errors
+///
+/// If the engine crashed, or nothing shows that it didn't.
+pub async fn confirm_end(state: &State, engine: EngineKey) -> Result<(), AttemptError> {
+    // An engine that crashes breaks its idle connections as well.
+    if state.pool.borrow_mut().is_open(&engine) {
+        clock::pause(PROBE_OPEN_MILLIS).await;
+        if state.pool.borrow_mut().is_open(&engine) {
+            return Ok(());
+        }
+    }
+    let address = state.fleet.borrow().engine(engine).record.address;
+    match probe_engine(address).await {
+        Aftermath::Alive => Ok(()),
+        Aftermath::Ended | Aftermath::Unknown => Err(broken_connection()),
+    }
+}
+
 /// Probes with a new connection whether an engine still listens at `address`.
 pub async fn probe_engine(address: std::net::SocketAddr) -> Aftermath {
     let now = clock::now();
--- a/crates/gingerpier_gateway/src/proxy/body.rs
+++ b/crates/gingerpier_gateway/src/proxy/body.rs
@@ -84,7 +84,8 @@
     let mut bytes = BytesMut::new();
     loop {
         let data = match read_part(state, caller, &mut decoder, deadline).await? {
-            Part::End => break,
+            // A request body never ends with its connection.
+            Part::End | Part::Closed => break,
             Part::Data(data) => data,
         };
         let length = bytes.len() + data.len();
--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -15,6 +15,7 @@
     crate::{
         buffers::{self, Reservation},
         clock,
+        state::State,
     },
     bytes::{Bytes, BytesMut},
     gingerpier_http1::{
@@ -23,7 +24,7 @@
         head::Response,
         writer::{self, LAST_CHUNK},
     },
-    gingerpier_serving::retry::Failure,
+    gingerpier_serving::{fleet::EngineKey, retry::Failure},
 };
 
 /// Longest body that is buffered as a whole, in bytes. Ordinary responses are far shorter.
@@ -50,6 +51,22 @@
     decoder: Decoder,
     body: BytesMut,
     reservation: Reservation,
+    /// Engine that sends the body.
+    engine: EngineKey,
+    /// True if an end of the connection says too little about the body.
+    needs_end: bool,
+}
+
+impl Reading {
+    /// Reads the next part.
+    async fn next_part(&mut self, state: &State) -> Result<Part, AttemptError> {
+        let part = self.connection.part(&mut self.decoder).await;
+        let part = part.map_err(attempt::from_http)?;
+        if part == Part::Closed && self.needs_end {
+            attempt::confirm_end(state, self.engine).await?;
+        }
+        Ok(part)
+    }
 }
 
 /// True if the caller gets a response with this status even if another engine might succeed.
@@ -79,11 +96,13 @@
             decoder: Decoder::new(framing),
             body: BytesMut::new(),
             reservation: Reservation::new(&self.state.response_quota, Some(self.request.route)),
+            engine: in_flight.engine,
+            needs_end: !is_refused,
         };
         let may_pass_on = is_final(head.status) && !is_refused && !progress.has_begun();
         loop {
             let data = match self.read_part(caller, &mut reading).await {
-                Ok(Part::End) => break,
+                Ok(Part::End | Part::Closed) => break,
                 Ok(Part::Data(data)) => data,
                 Err(outcome) => return outcome,
             };
@@ -164,12 +183,12 @@
     ) -> Result<Part, AttemptOutcome> {
         let part = tokio::select! {
             biased;
-            part = reading.connection.part(&mut reading.decoder) => part,
+            part = reading.next_part(self.state) => part,
             () = disconnected(caller) => return Err(AttemptOutcome::Disconnected),
             () = clock::until(self.request.deadline) => return Err(AttemptOutcome::TimedOut),
             () = self.state.until_held(self.request.fingerprint) => return Err(AttemptOutcome::Held),
         };
-        part.map_err(|error| AttemptOutcome::Failed(attempt::from_http(error)))
+        part.map_err(AttemptOutcome::Failed)
     }
 
     /// Writes the part of the body that was read, and then each further part before the next one
@@ -209,7 +228,7 @@
             reading.reservation.release();
             data = match self.read_part(caller, reading).await {
                 Ok(Part::Data(data)) => data,
-                Ok(Part::End) => break,
+                Ok(Part::End | Part::Closed) => break,
                 Err(AttemptOutcome::Failed(error)) => {
                     return Err(AttemptOutcome::Failed(
                         unread.attribute(error, clock::now()),
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -17,6 +17,7 @@
     gingerpier_http1::{
         body::{Decoder, Part},
         connection::Connection,
+        error::Error,
         head::Response,
         writer::{self, LAST_CHUNK},
     },
@@ -26,6 +27,7 @@
         report::Version,
         retry::Failure,
     },
+    std::pin::Pin,
 };
 
 /// Timeout for the next event, after which a stream may resume on another engine.
@@ -52,6 +54,9 @@
 /// what the kernel had received before the abort.
 const UNREAD_EFFECT_MILLIS: u64 = 2_000;
 
+/// Media type of a response that consists of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Instant at which an attempt without a new event counts as stalled.
 pub type StallDeadline = Instant;
 
@@ -182,6 +187,17 @@
     Error(AttemptError),
 }
 
+/// Check whether a response is complete that ended with its connection.
+type Confirmation<'a> = Pin<Box<dyn Future<Output = Result<(), AttemptError>> + 'a>>;
+
+/// Completes with the result of the check; never without one.
+async fn confirmed(confirmation: &mut Option<Confirmation<'_>>) -> Result<(), AttemptError> {
+    match confirmation {
+        Some(confirmation) => confirmation.as_mut().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Response that a stream is read from.
 struct Upstream {
     connection: Connection,
@@ -202,9 +218,30 @@
 }
 
 impl Upstream {
+    /// True if the response has events; one that names another type has none.
+    fn is_event_stream(&self) -> bool {
+        let content_type = self.head.fields.get("content-type");
+        content_type.is_none_or(|text| {
+            let media_type = text.split(|byte| *byte == b';').next().unwrap_or_default();
+            media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+        })
+    }
+
+    /// Step that the end of the connection leads to.
+    fn close(&mut self, progress: &Progress) -> Step {
+        match self.decoder.close() {
+            Ok(Part::Closed) if self.is_event_stream() && progress.splitter.is_inside_event() => {
+                Step::failed(Error::Cut)
+            }
+            Ok(Part::Closed) => Step::Closed,
+            Ok(_) => Step::Read(Batch::End),
+            Err(error) => Step::failed(error),
+        }
+    }
+
     /// Reads until at least one complete event arrives or the stream ends; appends the events to
     /// `output` as HTTP chunks.
-    async fn read_events(&mut self, progress: &mut Progress, output: &mut Vec<u8>) -> Batch {
+    async fn read_events(&mut self, progress: &mut Progress, output: &mut Vec<u8>) -> Step {
         loop {
             loop {
                 match self.decoder.decode(&mut self.connection.input) {
@@ -214,28 +251,22 @@
                         }
                         if progress.splitter.pending_bytes() > MAX_EVENT_BYTES {
                             progress.is_committed = true;
-                            writer::chunk(output, &progress.splitter.finish());
+                            writer::chunk(output, &progress.splitter.flush());
                         }
                     }
-                    Ok(Some(Part::End)) => return Batch::End,
+                    Ok(Some(Part::End)) => return Step::Read(Batch::End),
+                    Ok(Some(Part::Closed)) => return Step::Closed,
                     Ok(None) => break,
-                    Err(error) => return Batch::Error(attempt::from_http(error)),
+                    Err(error) => return Step::failed(error),
                 }
             }
             if !output.is_empty() {
-                return Batch::Events;
+                return Step::Read(Batch::Events);
             }
             match self.connection.read().await {
                 Ok(true) => {}
-                Ok(false) => {
-                    return match self.decoder.close() {
-                        Ok(()) => Batch::End,
-                        Err(error) => Batch::Error(attempt::from_http(error)),
-                    };
-                }
-                Err(_) => {
-                    return Batch::Error(attempt::from_http(gingerpier_http1::error::Error::Cut));
-                }
+                Ok(false) => return self.close(progress),
+                Err(_) => return Step::failed(Error::Cut),
             }
         }
     }
@@ -245,6 +276,10 @@
 enum Step {
     /// Its engine sent something.
     Read(Batch),
+    /// Its engine closed the connection, and the response has no other end.
+    Closed,
+    /// Whether a response is complete whose engine closed the connection.
+    Confirmed(Result<(), AttemptError>),
     /// The engine that it is offered to responded.
     HandoverResponse(Result<PendingResponse, AttemptError>),
     /// The engine that it is offered to takes too long.
@@ -253,6 +288,12 @@
     Stalled,
 }
 
+impl Step {
+    const fn failed(error: Error) -> Self {
+        Self::Read(Batch::Error(attempt::from_http(error)))
+    }
+}
+
 /// A stream that is forwarded, and the engine that it may be handed over to.
 struct Relay<'r, 'a, 'c> {
     forwarder: &'r mut Forwarder<'a, 'c>,
@@ -263,6 +304,8 @@
     /// Response head, until the caller has it.
     head_bytes: Vec<u8>,
     handover: Option<Handover<'a>>,
+    /// Check of a response that ended with its connection.
+    confirmation: Option<Confirmation<'a>>,
     /// True once the stream was offered because its engine waits to load weights.
     was_offered: bool,
     /// Error of the engine, while another one may still accept the stream.
@@ -289,17 +332,28 @@
         let expires_at = handover::expires_at(relay.handover.as_ref());
         let step = tokio::select! {
             biased;
-            batch = relay.upstream.read_events(relay.progress, &mut events),
-                if relay.failed.is_none() => Step::Read(batch),
+            step = relay.upstream.read_events(relay.progress, &mut events),
+                if relay.is_reading() => step,
             () = disconnected(caller) => return AttemptOutcome::Disconnected,
             () = clock::until(deadline) => return AttemptOutcome::TimedOut,
             () = &mut held => return AttemptOutcome::Held,
+            result = confirmed(&mut relay.confirmation) => Step::Confirmed(result),
             response = handover::response(&mut relay.handover) => Step::HandoverResponse(response),
             () = handover::expiry(expires_at) => Step::HandoverExpired,
-            () = clock::until(relay.stall_deadline) => Step::Stalled,
+            () = clock::until(relay.stall_deadline),
+                if relay.confirmation.is_none() => Step::Stalled,
         };
         let batch = match step {
             Step::Read(batch) => relay.handle_read(batch, &mut events),
+            Step::Closed => {
+                relay.begin_confirmation();
+                None
+            }
+            Step::Confirmed(result) => {
+                relay.confirmation = None;
+                let batch = result.map_or_else(Batch::Error, |()| Batch::End);
+                relay.handle_read(batch, &mut events)
+            }
             Step::HandoverResponse(response) => relay.handle_response(response, &mut events),
             Step::HandoverExpired => relay.handle_expiry(&mut events),
             Step::Stalled if relay.leaves_when_stalled() => return relay.fail(STALLED),
@@ -341,6 +395,7 @@
             unread: Unread::default(),
             head_bytes: Vec::new(),
             handover: None,
+            confirmation: None,
             was_offered: false,
             failed: None,
             is_stalled: false,
@@ -363,6 +418,16 @@
         self.head_bytes = response_head.end();
     }
 
+    /// True while more is expected from the engine.
+    const fn is_reading(&self) -> bool {
+        self.failed.is_none() && self.confirmation.is_none()
+    }
+
+    fn begin_confirmation(&mut self) {
+        let (state, engine) = (self.forwarder.state, self.in_flight.engine);
+        self.confirmation = Some(Box::pin(attempt::confirm_end(state, engine)));
+    }
+
     /// Returns what of `batch` is to be forwarded now, with its `events`; `None` while another
     /// engine may accept the stream.
     fn handle_read(&mut self, batch: Batch, events: &mut Vec<u8>) -> Option<Batch> {
@@ -442,6 +507,7 @@
         self.progress.splitter.rewind(pending.position);
         *self.in_flight = pending.in_flight;
         self.upstream = response.into();
+        self.confirmation = None;
         self.take_head();
         self.unread = Unread::default();
         self.stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
--- a/crates/gingerpier_gateway/src/weights/request.rs
+++ b/crates/gingerpier_gateway/src/weights/request.rs
@@ -251,7 +251,8 @@
             self.send_progress();
             match part {
                 Part::Data(data) => body.extend_from_slice(&data),
-                Part::End => break,
+                // Digests show whether a body that ends with its connection is whole.
+                Part::End | Part::Closed => break,
             }
         }
         let is_slow = clock::now().millis_since(started) > SLOW_TRANSFER_MILLIS;
--- a/crates/gingerpier_http1/src/body.rs
+++ b/crates/gingerpier_http1/src/body.rs
@@ -29,6 +29,9 @@
     Data(Bytes),
     /// The body is whole.
     End,
+    /// The connection ended, which nothing but its framing tells from a broken connection: whether
+    /// the body is whole is not known (RFC 9112, section 8).
+    Closed,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -121,12 +124,13 @@
     /// # Errors
     ///
     /// Where the body was not whole.
-    pub fn close(&mut self) -> Result<(), Error> {
+    pub fn close(&mut self) -> Result<Part, Error> {
         match self.state {
-            State::Open | State::Ended => {
+            State::Open => {
                 self.state = State::Ended;
-                Ok(())
+                Ok(Part::Closed)
             }
+            State::Ended => Ok(Part::End),
             _ => Err(Error::Cut),
         }
     }
--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -218,13 +218,12 @@
                 return Ok(part);
             }
             if !self.read().await.map_err(|_| Error::Cut)? {
-                decoder.close()?;
-                return Ok(Part::End);
+                return decoder.close();
             }
         }
     }
 
-    /// Reads a body of at most `limit` bytes.
+    /// Reads a body of at most `limit` bytes. One that ends with its connection may be incomplete.
     ///
     /// # Errors
     ///
@@ -234,7 +233,7 @@
         let mut rest = BytesMut::new();
         loop {
             match self.part(&mut decoder).await? {
-                Part::End => break,
+                Part::End | Part::Closed => break,
                 Part::Data(data) if first.is_none() => first = Some(data),
                 Part::Data(data) => {
                     if rest.is_empty() {
--- a/crates/gingerpier_http1/tests/messages.rs
+++ b/crates/gingerpier_http1/tests/messages.rs
@@ -86,7 +86,7 @@
     let part = decoder.decode(&mut input).expect("right");
     assert_eq!(part, Some(Part::Data(Bytes::from_static(b"ab"))));
     assert_eq!(decoder.decode(&mut input), Ok(None));
-    assert_eq!(decoder.close(), Ok(()));
+    assert_eq!(decoder.close(), Ok(Part::Closed));
 }
 
 #[test]
@@ -164,7 +164,7 @@
             while let Some(part) = decoder.decode(&mut input).expect("right") {
                 match part {
                     Part::Data(data) => got.extend_from_slice(&data),
-                    Part::End => break,
+                    Part::End | Part::Closed => break,
                 }
             }
         }
--- a/crates/gingerpier_serving/tests/decisions.rs
+++ b/crates/gingerpier_serving/tests/decisions.rs
@@ -590,6 +590,42 @@
     }
 }
 
+/// Guards against a stream that counts as complete although it ended inside an event, and against one that counts as
+/// broken off although it ended between two.
+#[test]
+fn an_end_inside_an_event_is_told_from_one_between_events() {
+    let is_inside = |data: &[u8]| {
+        let mut splitter = Splitter::default();
+        splitter.push(data);
+        splitter.is_inside_event()
+    };
+    for whole in [
+        "",
+        "id: 1\ndata: a\n\n",
+        "id: 1\r\ndata: a\r\n\r\n",
+        "id: 1\rdata: a\r\r",
+        "id: 1\ndata: a\n\n\n",
+        "id: 1\ndata: a\n\n: comment\n",
+    ] {
+        assert!(!is_inside(whole.as_bytes()), "{whole:?}");
+    }
+    for cut in ["i", "id: 1\ndata: a\n", "id: 1\ndata: a\n\ndata"] {
+        assert!(is_inside(cut.as_bytes()), "{cut:?}");
+    }
+}
+
+/// Guards against the same for an event of which the beginning was forwarded already.
+#[test]
+fn the_end_of_a_flushed_event_is_found() {
+    let mut splitter = Splitter::default();
+    assert!(splitter.push(b"id: 1\ndata: long\n").is_none());
+    let flushed = splitter.flush();
+    assert!(splitter.is_inside_event());
+    let rest = splitter.push(b"\n").expect("the event ends");
+    assert_eq!([&flushed[..], &rest[..]].concat(), b"id: 1\ndata: long\n\n");
+    assert!(!splitter.is_inside_event());
+}
+
 #[test]
 fn incomplete_event_is_not_forwarded() {
     let mut splitter = Splitter::default();
