Gateway: lines of failed attempts name the shared parts of the prompt

Crashes of engines under different requests could not be told from those under requests that share a part: the lines have a mark of the whole request only.

--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -86,6 +86,7 @@
                 failure = ?error.failure,
                 framing = ?self.framing,
                 mark = %self.request.fingerprint,
+                parts = ?self.request.shared_parts,
                 aftermath = ?aftermath,
                 report_age = ?engine.report_age(now),
                 attempts = self.retry_state.attempts,
--- a/crates/gingerpier_gateway/src/proxy/request.rs
+++ b/crates/gingerpier_gateway/src/proxy/request.rs
@@ -60,6 +60,8 @@
     pub rank: Option<Rank>,
     /// Fingerprint that is equal for retries of the same request.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the parts of the prompt that other requests may share.
+    pub shared_parts: Vec<Fingerprint>,
 }
 
 impl<'a> RoutedRequest<'a> {
@@ -117,6 +119,11 @@
             account: account.as_deref().unwrap_or_default(),
             body,
         });
+        let model = fields.text(header_names.model);
+        let shared_parts = fields.text(header_names.prompt_parts).map(|list| {
+            let service = &configuration.service(service).name;
+            Fingerprint::of_shared_parts(service, model.unwrap_or_default(), list)
+        });
         Ok(Self {
             head,
             body,
@@ -125,7 +132,7 @@
             regions: configuration.allowed_regions(route, account_key),
             rank: state.rank(&configuration, service, route, account_key),
             account,
-            model: fields.text(header_names.model).map(str::to_owned),
+            model: model.map(str::to_owned),
             prompt_tokens,
             band,
             received,
@@ -133,6 +140,7 @@
             deadline,
             visit,
             fingerprint,
+            shared_parts: shared_parts.unwrap_or_default(),
             configuration,
         })
     }
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -28,6 +28,8 @@
     pub model: &'static str,
     /// Prompt tokens, and the maximum tokens of a response.
     pub tokens: &'static str,
+    /// Parts of the prompt, in order, each as `ID:TOKENS`; the last one belongs to the request alone.
+    pub prompt_parts: &'static str,
     /// Last event that the client received.
     pub last_event: &'static str,
     /// Only incarnation that may run the request.
