Gateway: a prompt part that crashes engines is held back like a request

Callers saw 502, closed connections and refusals while requests of one kind ended engine after engine. Evidence was kept for whole requests, and no two of these are alike, so each started at zero; what they have in common is one part of their prompts.

Each shared part of a prompt (all but the last one, 16 at most) has a case of its own, replicated as those of requests. It is held from four separate crashes on, two of them under other requests than the one with most; two crashes at most count of 50 ms, as a power loss strikes requests with any part. A complete successful response refutes all parts of its prompt, and stays remembered by last use, not by first insertion. Suspicion alone delays nobody, as sound requests share parts. What a held part explains no longer counts against requests. A held part is refused at once before each attempt, and what an engine has not begun is withdrawn; what it writes on goes on, since its end refutes a harmless part. Held cases are sent first to gateways that catch up. Held parts are listed and released like requests, and older gateways take them for requests that never come.

--- a/crates/gingerpier_benches/benches/suspects.rs
+++ b/crates/gingerpier_benches/benches/suspects.rs
@@ -52,6 +52,7 @@
         let engine = number / 16;
         let end = Crash {
             fingerprint: mark(number),
+            carrier: None,
             account: (number % 64) as u32,
             engine: Incarnation(engine),
             version: Version(1),
--- a/crates/gingerpier_gateway/src/message/suspects.rs
+++ b/crates/gingerpier_gateway/src/message/suspects.rs
@@ -32,7 +32,7 @@
 /// A request ran on an engine when that crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 pub struct CrashUpdate {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request, or of a part of its prompt.
     #[n(0)]
     pub fingerprint: FingerprintBytes,
     /// Hash of the client account.
@@ -47,6 +47,10 @@
     /// Milliseconds since the crash was detected.
     #[n(4)]
     pub age_millis: u64,
+    /// Hash of the request, if the fingerprint is that of a part. Older gateways take a part for a
+    /// request that never comes.
+    #[n(5)]
+    pub carrier: Option<u64>,
 }
 
 impl CrashUpdate {
@@ -58,6 +62,7 @@
             engine: crash.engine.0,
             version: crash.version.0,
             age_millis: now.millis_since(crash.at),
+            carrier: crash.carrier,
         }
     }
 
@@ -65,6 +70,7 @@
     pub fn crash(&self, now: Instant) -> Crash {
         Crash {
             fingerprint: self.fingerprint.into(),
+            carrier: self.carrier,
             account: self.account,
             engine: Incarnation(self.engine),
             version: Version(self.version),
@@ -73,7 +79,7 @@
     }
 }
 
-/// A request ran to completion.
+/// A request ran to completion, or one with a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 pub struct CompletionUpdate {
     /// Fingerprint of the request.
--- a/crates/gingerpier_gateway/src/proxy/engine_choice.rs
+++ b/crates/gingerpier_gateway/src/proxy/engine_choice.rs
@@ -114,6 +114,7 @@
     pub fn is_suspected(&self) -> bool {
         let suspects = self.state.suspect_state.suspects.borrow();
         suspects.status(self.request.fingerprint) != Status::Clear
+            || self.state.holds_part(&self.request.shared_parts)
     }
 
     fn log_migration(&self, engine: EngineKey, blocked_millis: u64, progress: &Progress) {
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -287,7 +287,7 @@
         let mut stall_deadline = stream::first_event_deadline(request, options.now);
         let withdraw_at = self.withdraw_at(engine);
         let sending = attempt::send(state, request, engine, &options);
-        let held = state.until_held(request.fingerprint);
+        let held = state.until_held(request.fingerprint, &request.shared_parts);
         tokio::pin!(sending, held);
         let response = loop {
             tokio::select! {
@@ -379,6 +379,11 @@
         let version = self.response_version(head);
         self.state
             .record_completion(self.request.fingerprint, version);
+        // An error response says nothing of what the engine would have done with the prompt.
+        if is_success(head) {
+            let parts = &self.request.shared_parts;
+            self.state.record_part_completions(parts, version);
+        }
     }
 
     pub(super) fn record_success(&self, engine: EngineKey) {
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -323,7 +323,10 @@
     progress: &mut Progress,
     in_flight: &mut InFlight,
 ) -> AttemptOutcome {
-    let held = forwarder.state.until_held(forwarder.request.fingerprint);
+    // A part that an engine writes on is refuted by a complete response if it is harmless.
+    let held = forwarder
+        .state
+        .until_held(forwarder.request.fingerprint, &[]);
     tokio::pin!(held);
     let deadline = forwarder.request.deadline;
     let mut relay = Relay::new(forwarder, response, progress, in_flight);
--- a/crates/gingerpier_gateway/src/proxy/trial.rs
+++ b/crates/gingerpier_gateway/src/proxy/trial.rs
@@ -10,13 +10,14 @@
         stream::Progress,
     },
     crate::{clock, state::State, suspects},
+    gingerpier_base::order,
     gingerpier_http1::connection::Connection,
     gingerpier_serving::{
         fleet::EngineKey,
         suspects::{Crash, Incarnation, Status},
         trials::{CONFLICT_WINDOW_MILLIS, Trial},
     },
-    std::{collections::HashSet, rc::Rc},
+    std::{collections::HashSet, iter, rc::Rc},
 };
 
 /// Divisor of the latency target for the time that a request waits for another trial of it to end.
@@ -96,6 +97,9 @@
         let wait_millis = self.request.route_settings().target_millis / WAIT_DIVISOR;
         let wait_deadline = clock::now().after_millis(wait_millis);
         loop {
+            if state.holds_part(&self.request.shared_parts) {
+                return Access::Held;
+            }
             let status = state.suspect_state.suspects.borrow().status(fingerprint);
             self.is_trial = status == Status::Suspect;
             match status {
@@ -194,7 +198,7 @@
         if error.cause != Cause::Broken {
             return None;
         }
-        let (address, crash) = {
+        let (address, crashes) = {
             let fleet = self.state.fleet.borrow();
             let engine = fleet.engine(key);
             // A draining engine exits on its own.
@@ -206,19 +210,27 @@
             let loaded = model.and_then(|model| engine.loaded_version(model, now));
             let crash = Crash {
                 fingerprint: self.request.fingerprint,
+                carrier: None,
                 account: suspects::account_hash(self.request.account.as_deref()),
                 engine: Incarnation::of(&engine.record, engine.start_time()),
                 version: loaded.unwrap_or_default().max(progress.version()),
                 at: now,
             };
-            (engine.record.address, crash)
+            let carrier = Some(order::hash(&self.request.fingerprint));
+            let parts = self.request.shared_parts.iter().map(|part| Crash {
+                fingerprint: *part,
+                carrier,
+                ..crash
+            });
+            let crashes: Vec<Crash> = iter::once(crash).chain(parts).collect();
+            (engine.record.address, crashes)
         };
         let aftermath = attempt::probe_engine(address).await;
         match aftermath {
-            Aftermath::Ended => self.state.record_crash(crash, self.state.engine_count()),
+            Aftermath::Ended => self.state.record_crashes(&crashes),
             Aftermath::Alive | Aftermath::Unknown => {
                 let state = self.state.clone();
-                actix_rt::spawn(async move { recheck_for_crash(&state, key, crash).await });
+                actix_rt::spawn(async move { recheck_for_crash(&state, key, &crashes).await });
             }
         }
         Some(aftermath)
@@ -226,7 +238,7 @@
 }
 
 /// Repeats the crash check after delays, and records a crash that shows only then.
-async fn recheck_for_crash(state: &State, key: EngineKey, crash: Crash) {
+async fn recheck_for_crash(state: &State, key: EngineKey, crashes: &[Crash]) {
     for millis in RECHECK_DELAYS_MILLIS {
         clock::pause(millis).await;
         let (address, has_restarted) = {
@@ -235,7 +247,7 @@
             (record.address, fleet.find(&record.id) != Some(key))
         };
         if has_restarted || attempt::probe_engine(address).await == Aftermath::Ended {
-            state.record_crash(crash, state.engine_count());
+            state.record_crashes(crashes);
             return;
         }
     }
--- a/crates/gingerpier_gateway/src/suspects.rs
+++ b/crates/gingerpier_gateway/src/suspects.rs
@@ -1,5 +1,5 @@
-//! Tracking of requests that are suspected of crashing engines, and its replication between
-//! gateways.
+//! Tracking of requests, and of parts of prompts, that are suspected of crashing engines, and its
+//! replication between gateways.
 //!
 //! A crash is announced to all gateways at once and repeated twice, as datagrams may be lost. Large
 //! deployments send it to two gateways of each other zone, which forward it. Gateways also exchange
@@ -82,17 +82,17 @@
 }
 
 impl State {
-    /// Records that an engine crashed while it ran a request of this gateway; `engine_count` is the
-    /// number of listed engines.
-    pub fn record_crash(&self, crash: Crash, engine_count: usize) {
-        let change = self
-            .suspect_state
-            .suspects
-            .borrow_mut()
-            .record_crash(crash, engine_count);
+    /// Records that an engine crashed while it ran a request of this gateway: for the request and
+    /// for the parts that its prompt shares with others.
+    pub fn record_crashes(&self, crashes: &[Crash]) {
+        let engine_count = self.engine_count();
+        let mut suspects = self.suspect_state.suspects.borrow_mut();
         // A refuted crash is not announced: most requests that many callers send are refuted soon.
-        if change == ReportOutcome::New {
-            self.suspect_state.outbox.borrow_mut().crashes.push(crash);
+        let is_new =
+            |crash: &&Crash| suspects.record_crash(**crash, engine_count) == ReportOutcome::New;
+        let new: Vec<Crash> = crashes.iter().filter(is_new).copied().collect();
+        if !new.is_empty() {
+            self.suspect_state.outbox.borrow_mut().crashes.extend(new);
             self.suspect_state.has_updates.notify_one();
         }
     }
@@ -105,8 +105,16 @@
         }
         let suspects = self.suspect_state.suspects.borrow();
         for fingerprint in newly_held {
-            let engines = suspects.case(fingerprint).map(|case| self.engine_ids(case));
-            tracing::warn!(mark = %fingerprint, ?engines, "request put on hold, as engines crashed while running it");
+            let case = suspects.case(fingerprint);
+            let engines = case.map(|case| self.engine_ids(case));
+            match case.is_some_and(Case::is_part) {
+                true => {
+                    tracing::warn!(mark = %fingerprint, ?engines, "prompt part put on hold, as engines crashed while running requests with it")
+                }
+                false => {
+                    tracing::warn!(mark = %fingerprint, ?engines, "request put on hold, as engines crashed while running it")
+                }
+            }
         }
         self.suspect_state.request_held.notify_waiters();
     }
@@ -136,6 +144,18 @@
         }
     }
 
+    /// Records the same for the parts that a request's prompt shares with others.
+    pub fn record_part_completions(&self, parts: &[Fingerprint], version: Version) {
+        for part in parts {
+            let mut suspects = self.suspect_state.suspects.borrow_mut();
+            if suspects.record_part_completion(*part, version) {
+                drop(suspects);
+                tracing::info!(mark = %part, version = version.0, "request with the prompt part completed; the part did not cause earlier engine crashes");
+                self.announce_completion(*part, version);
+            }
+        }
+    }
+
     fn announce_completion(&self, fingerprint: Fingerprint, version: Version) {
         let mut outbox = self.suspect_state.outbox.borrow_mut();
         outbox.completions.push((fingerprint, version));
@@ -172,22 +192,24 @@
                     engine: engine.0,
                 });
             }
-            tracing::warn!(mark = %fingerprint, "request no longer on hold; an operator dismissed its crashes");
+            tracing::warn!(mark = %fingerprint, "no longer on hold; an operator dismissed the crashes");
         }
         self.suspect_state.has_updates.notify_one();
         held.len()
     }
 
-    /// Held requests, one per line: fingerprint, number of crashed engines, and ids of those that
-    /// are known here.
+    /// Held requests and parts, one per line: fingerprint, number of crashed engines, ids of those
+    /// that are known here, and which of both it is.
     pub fn held_requests_text(&self) -> String {
         let suspects = self.suspect_state.suspects.borrow();
         let line = |(mark, case): (Fingerprint, &Case)| {
             let engines = self.engine_ids(case).join(",");
-            format!(
-                "mark={mark} ended={} engines={engines}\n",
-                case.crashes.len()
-            )
+            let kind = match case.is_part() {
+                true => "part",
+                false => "request",
+            };
+            let ended = case.crashes.len();
+            format!("mark={mark} ended={ended} engines={engines} kind={kind}\n")
         };
         suspects.held().map(line).collect()
     }
@@ -201,11 +223,18 @@
             .set(suspects.held().count() as i64);
     }
 
-    /// Completes once the request is on hold.
-    pub async fn until_held(&self, fingerprint: Fingerprint) {
+    /// True if a part of a prompt is on hold.
+    pub fn holds_part(&self, parts: &[Fingerprint]) -> bool {
+        let suspects = self.suspect_state.suspects.borrow();
+        parts.iter().any(|part| suspects.is_held(*part))
+    }
+
+    /// Completes once the request, or one of `parts`, is on hold.
+    pub async fn until_held(&self, fingerprint: Fingerprint, parts: &[Fingerprint]) {
         loop {
             let notified = self.suspect_state.request_held.notified();
-            if self.suspect_state.suspects.borrow().status(fingerprint) == Status::Held {
+            let status = self.suspect_state.suspects.borrow().status(fingerprint);
+            if status == Status::Held || self.holds_part(parts) {
                 return;
             }
             notified.await;
@@ -456,11 +485,11 @@
     (new_updates, refutations)
 }
 
-/// Messages with all serious cases.
+/// Messages with all serious cases, those on hold first, as only the first messages are sent.
 fn serious_cases(suspects: &Suspects, now: Instant) -> Vec<Message> {
-    let crashes = suspects
-        .replicated_cases()
-        .flat_map(|(_, case)| &case.crashes);
+    let mut cases: Vec<(Fingerprint, &Case)> = suspects.replicated_cases().collect();
+    cases.sort_by_key(|(fingerprint, _)| !suspects.is_held(*fingerprint));
+    let crashes = cases.iter().flat_map(|(_, case)| &case.crashes);
     let crashes: Vec<CrashUpdate> = crashes.map(|crash| CrashUpdate::new(crash, now)).collect();
     let completions = suspects
         .replicated_cases()
--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -5,6 +5,12 @@
 //! loss and repetition of messages don't matter. A complete response to the same request from any
 //! engine refutes its crashes. A request is held back from the fourth attributed crash on.
 //!
+//! So is a part that prompts share, if it crashes engines whatever else a request holds. Each part
+//! of a request that ran on a crashed engine has a case of its own, which any complete response to
+//! a request with that part refutes. As a request and its parts come together, parts are judged
+//! first and only by crashes under different requests; what they explain no longer counts against
+//! requests. Suspicion alone does not delay requests with a part, as sound ones share parts, too.
+//!
 //! ```
 //! use {
 //!     gingerpier_base::Instant,
@@ -20,7 +26,8 @@
 //! for engine in 0..4 {
 //!     let at = Instant::from_millis(engine * 500);
 //!     let engine = Incarnation(engine);
-//!     suspects.record_crash(Crash { fingerprint, account: 0, engine, version: Version(1), at }, 12);
+//!     let crash = Crash { fingerprint, carrier: None, account: 0, engine, version: Version(1), at };
+//!     suspects.record_crash(crash, 12);
 //! }
 //! assert_eq!(suspects.evaluate(Instant::from_millis(3_000)), [fingerprint]);
 //! assert_eq!(suspects.status(fingerprint), Status::Held);
@@ -55,6 +62,22 @@
 /// gateways.
 const SUSPECT_MIN_CRASHES: usize = 2;
 
+/// Separate crashes under requests with one part from which on the part is held back.
+const HOLD_PART_MIN_CRASHES: usize = 4;
+
+/// The same where other parts explain some of them, and how many have to be left then; two parts
+/// that crash the same engines would hide each other longer otherwise.
+const HOLD_SHADOWED_PART_MIN_CRASHES: usize = 5;
+const HOLD_SHADOWED_PART_MIN_LEFT: usize = 2;
+
+/// Crashes of a part that have to be under other requests than the one with most of them, as that
+/// may crash the engines by itself.
+const PART_MIN_CRASHES_OF_OTHERS: usize = 2;
+
+/// Crashes at the same moment that count for a part: more may be a common failure that strikes
+/// requests with any part.
+const MAX_SIMULTANEOUS_CRASHES: usize = 2;
+
 /// Crashes at most this far apart count as simultaneous. A common failure is noticed within a few
 /// round trips of 3 to 10 ms.
 const COMMON_FAILURE_WINDOW_MILLIS: u64 = 50;
@@ -84,8 +107,11 @@
 /// Crashes kept per request.
 const MAX_CRASHES_PER_REQUEST: usize = 16;
 
-/// Requests whose complete responses are remembered; some 60 bytes each. Covers 40 s of 100
-/// requests per second.
+/// Crashes kept per part, many of which may happen at the same moment and count once.
+const MAX_CRASHES_PER_PART: usize = 64;
+
+/// Requests, and as many parts of prompts, whose complete responses are remembered; some 60 bytes
+/// each. Covers 40 s of 100 requests per second.
 const MAX_SUCCEEDED: usize = 4_096;
 
 /// Identifies one run of an engine among gateways: a hash of its id and start time.
@@ -103,8 +129,10 @@
 /// A crash of an engine while it ran a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request, or of a part of its prompt.
     pub fingerprint: Fingerprint,
+    /// Hash of the request whose prompt has the part; `None` if the fingerprint is the request's.
+    pub carrier: Option<u64>,
     /// Hash of the client account of the request.
     pub account: u32,
     /// Engine that crashed.
@@ -140,7 +168,7 @@
     Held,
 }
 
-/// Crashes of one request and what refutes them.
+/// Crashes of one request, or of one part of prompts, and what refutes them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Case {
     /// Hash of the client account.
@@ -173,6 +201,21 @@
         })
     }
 
+    /// True for the case of a part.
+    pub fn is_part(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.carrier.is_some())
+    }
+
+    /// Returns the number of unrefuted crashes under other requests than the one with most of them.
+    fn crashes_of_others(&self) -> usize {
+        let mut by_carrier: HashMap<Option<u64>, usize> = HashMap::new();
+        for crash in self.unrefuted_crashes() {
+            *by_carrier.entry(crash.carrier).or_default() += 1;
+        }
+        let all: usize = by_carrier.values().sum();
+        all - by_carrier.into_values().max().unwrap_or_default()
+    }
+
     fn last_crash_at(&self) -> Instant {
         let times = self.crashes.iter().map(|crash| crash.at);
         times.max().unwrap_or_default()
@@ -188,26 +231,30 @@
     }
 }
 
-/// Requests that recently received a complete response, evicted in insertion order.
+/// What recently received a complete response, with the newest version that gave one. Entries move
+/// to the younger generation with each response; the older one is dropped once the younger is full.
 #[derive(Debug, Clone, Default)]
 struct Succeeded {
-    versions: HashMap<Fingerprint, Version>,
-    order: VecDeque<Fingerprint>,
+    young: HashMap<Fingerprint, Version>,
+    old: HashMap<Fingerprint, Version>,
 }
 
 impl Succeeded {
     fn record(&mut self, fingerprint: Fingerprint, version: Version) {
-        if let Some(known) = self.versions.get_mut(&fingerprint) {
+        if let Some(known) = self.young.get_mut(&fingerprint) {
             *known = version.max(*known);
             return;
         }
-        if self.order.len() >= MAX_SUCCEEDED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.versions.remove(&oldest);
+        let known = self.old.remove(&fingerprint).unwrap_or_default();
+        if self.young.len() >= MAX_SUCCEEDED / 2 {
+            self.old = std::mem::take(&mut self.young);
         }
-        self.order.push_back(fingerprint);
-        self.versions.insert(fingerprint, version);
+        self.young.insert(fingerprint, version.max(known));
+    }
+
+    fn version(&self, fingerprint: Fingerprint) -> Option<Version> {
+        let known = self.young.get(&fingerprint);
+        known.or_else(|| self.old.get(&fingerprint)).copied()
     }
 }
 
@@ -217,6 +264,8 @@
     /// Ordered, so that evaluation is deterministic.
     cases: BTreeMap<Fingerprint, Case>,
     succeeded: Succeeded,
+    /// The same for parts.
+    succeeded_parts: Succeeded,
     /// Recent engine crashes, newest first.
     recent_crashes: VecDeque<EngineCrash>,
     /// Requests held back as of the last evaluation.
@@ -248,7 +297,10 @@
                 fleet_size,
             });
         }
-        let succeeded = self.succeeded.versions.get(&crash.fingerprint).copied();
+        let succeeded = match crash.carrier {
+            None => self.succeeded.version(crash.fingerprint),
+            Some(_) => self.succeeded_parts.version(crash.fingerprint),
+        };
         let case = self.cases.get(&crash.fingerprint);
         let refuted_up_to = succeeded.max(case.and_then(|case| case.refuted_up_to));
         if let Some(version) = refuted_up_to.filter(|version| *version >= crash.version) {
@@ -266,7 +318,11 @@
         }
         let case = self.cases.entry(crash.fingerprint);
         let case = case.or_insert_with(|| Case::new(crash.account));
-        if case.crashes.len() >= MAX_CRASHES_PER_REQUEST {
+        let max_crashes = match crash.carrier {
+            None => MAX_CRASHES_PER_REQUEST,
+            Some(_) => MAX_CRASHES_PER_PART,
+        };
+        if case.crashes.len() >= max_crashes {
             return ReportOutcome::Known;
         }
         case.crashes.push(crash);
@@ -303,7 +359,7 @@
                 .is_some()
         };
         let mut requests_by_engine: BTreeMap<Incarnation, Vec<Fingerprint>> = BTreeMap::new();
-        for (fingerprint, case) in &self.cases {
+        for (fingerprint, case) in self.cases.iter().filter(|(_, case)| !case.is_part()) {
             if case
                 .unrefuted_crashes()
                 .nth(SUSPECT_MIN_CRASHES - 1)
@@ -322,14 +378,15 @@
                 .get(&crash.engine)
                 .map_or(0, |fingerprints| fingerprints.len() - 1)
         };
-        let no_engines = BTreeSet::new();
+        let (mut held, mut explained_engines) = self.held_parts(now);
         let mut candidates = Vec::new();
-        for (fingerprint, case) in self.cases.iter().filter(|(_, case)| may_be_held(case)) {
+        let requests = self.cases.iter().filter(|(_, case)| !case.is_part());
+        for (fingerprint, case) in requests.filter(|(_, case)| may_be_held(case)) {
             let sole_count = case
                 .unrefuted_crashes()
                 .filter(|crash| co_running_count(crash) == 0)
                 .count();
-            let attributed_crash_count = self.attributed_crash_count(case, &no_engines, now);
+            let attributed_crash_count = self.attributed_crash_count(case, &explained_engines, now);
             let co_running_total: usize = case.unrefuted_crashes().map(co_running_count).sum();
             candidates.push((
                 Reverse((sole_count, attributed_crash_count)),
@@ -338,8 +395,6 @@
             ));
         }
         candidates.sort_unstable();
-        let mut explained_engines = BTreeSet::new();
-        let mut held = BTreeSet::new();
         for (.., fingerprint) in candidates {
             let case = &self.cases[&fingerprint];
             let has_enough_crashes =
@@ -359,6 +414,39 @@
         new
     }
 
+    /// Returns the parts that are held back, and the engines whose crashes they explain.
+    ///
+    /// Parts that no response was ever complete for come first, then those that had enough crashes
+    /// first, so that later crashes change nothing about an earlier hold.
+    fn held_parts(&self, now: Instant) -> (BTreeSet<Fingerprint>, BTreeSet<Incarnation>) {
+        let no_engines = BTreeSet::new();
+        let mut candidates = Vec::new();
+        for (fingerprint, case) in self.cases.iter().filter(|(_, case)| case.is_part()) {
+            let crashes = separate_crashes(case, &no_engines, now);
+            let is_shared = case.crashes_of_others() >= PART_MIN_CRASHES_OF_OTHERS;
+            let Some(decisive_at) = crashes.get(HOLD_PART_MIN_CRASHES - 1) else {
+                continue;
+            };
+            if is_shared {
+                let has_succeeded = case.refuted_up_to.is_some()
+                    || self.succeeded_parts.version(*fingerprint).is_some();
+                candidates.push((has_succeeded, *decisive_at, *fingerprint, crashes.len()));
+            }
+        }
+        candidates.sort_unstable();
+        let (mut held, mut explained_engines) = (BTreeSet::new(), BTreeSet::new());
+        for (.., fingerprint, count) in candidates {
+            let case = &self.cases[&fingerprint];
+            let left = separate_crashes(case, &explained_engines, now).len();
+            let is_shadowed = count >= HOLD_SHADOWED_PART_MIN_CRASHES;
+            if left >= HOLD_PART_MIN_CRASHES || is_shadowed && left >= HOLD_SHADOWED_PART_MIN_LEFT {
+                explained_engines.extend(case.unrefuted_crashes().map(|crash| crash.engine));
+                held.insert(fingerprint);
+            }
+        }
+        (held, explained_engines)
+    }
+
     /// Makes room for a case of `account`; returns false if nothing can be evicted.
     fn make_room(&mut self, account: u32) -> bool {
         let is_of_account = |case: &Case| case.account == account;
@@ -396,6 +484,12 @@
         self.record_refutation(fingerprint, version)
     }
 
+    /// Records the same for a part of the request's prompt.
+    pub fn record_part_completion(&mut self, part: Fingerprint, version: Version) -> bool {
+        self.succeeded_parts.record(part, version);
+        self.record_refutation(part, version)
+    }
+
     /// Records a complete response that another gateway reported; returns true if that newly
     /// refutes a case.
     pub fn record_refutation(&mut self, fingerprint: Fingerprint, version: Version) -> bool {
@@ -434,8 +528,7 @@
         }
         let case = self.cases.entry(fingerprint);
         let case = case.or_insert_with(|| Case::new(account));
-        let is_new =
-            case.dismissed.len() < MAX_CRASHES_PER_REQUEST && case.dismissed.insert(engine);
+        let is_new = case.dismissed.len() < MAX_CRASHES_PER_PART && case.dismissed.insert(engine);
         if is_new {
             self.schedule_evaluation(fingerprint);
         }
@@ -452,7 +545,12 @@
         self.next_evaluation = Some(Instant::default());
     }
 
-    /// Returns the status of a request.
+    /// True if a request or part is held back.
+    pub fn is_held(&self, fingerprint: Fingerprint) -> bool {
+        self.held.contains(&fingerprint)
+    }
+
+    /// Returns the status of a request, regardless of the parts of its prompt.
     pub fn status(&self, fingerprint: Fingerprint) -> Status {
         // Fast path for nearly all requests.
         let Some(case) = self.cases.get(&fingerprint) else {
@@ -541,3 +639,29 @@
         self.cases.len()
     }
 }
+
+/// Returns the times of the settled, unrefuted crashes of `case` at other engines than
+/// `explained_engines`, of those within [`COMMON_FAILURE_WINDOW_MILLIS`] at most
+/// [`MAX_SIMULTANEOUS_CRASHES`].
+fn separate_crashes(
+    case: &Case,
+    explained_engines: &BTreeSet<Incarnation>,
+    now: Instant,
+) -> Vec<Instant> {
+    let crashes = case.unrefuted_crashes().filter(|crash| {
+        let is_settled = crash.at.after_millis(CRASH_SETTLE_MILLIS).has_passed(now);
+        is_settled && !explained_engines.contains(&crash.engine)
+    });
+    let mut times: Vec<Instant> = crashes.map(|crash| crash.at).collect();
+    times.sort_unstable();
+    let (mut moment, mut in_moment) = (Instant::default(), 0);
+    times.retain(|at| {
+        // Counted from the first crash of a moment, as crashes may follow each other closely.
+        if in_moment == 0 || at.millis_since(moment) > COMMON_FAILURE_WINDOW_MILLIS {
+            (moment, in_moment) = (*at, 0);
+        }
+        in_moment += 1;
+        in_moment <= MAX_SIMULTANEOUS_CRASHES
+    });
+    times
+}
--- a/crates/gingerpier_serving/tests/suspects/main.rs
+++ b/crates/gingerpier_serving/tests/suspects/main.rs
@@ -36,6 +36,7 @@
 fn crash_at(fingerprint: Fingerprint, engine: u64, millis: u64) -> Crash {
     Crash {
         fingerprint,
+        carrier: None,
         account: 1,
         engine: Incarnation(engine),
         version: Version(1),
--- a/crates/gingerpier_serving/tests/suspects/model.rs
+++ b/crates/gingerpier_serving/tests/suspects/model.rs
@@ -551,6 +551,7 @@
             let delay_millis = 1 + self.draw(MAX_DELAY_MILLIS);
             let crash = Crash {
                 fingerprint: run.request.fingerprint,
+                carrier: None,
                 account: 0,
                 engine: incarnation,
                 version: Version(1),
