Suspects: crashes of a released part are blamed on no other part

An operator who released a part could see what sound requests share with it on hold in its place, as dismissed crashes no longer counted as explained (seen in a process test while holds in the store were built). They stay explained, for requests as well.

--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -420,6 +420,9 @@
     /// first, so that later crashes change nothing about an earlier hold.
     fn held_parts(&self, now: Instant) -> (BTreeSet<Fingerprint>, BTreeSet<Incarnation>) {
         let no_engines = BTreeSet::new();
+        // What an operator dismissed stays explained: it is not the fault of what came with it.
+        let dismissed = self.cases.values().flat_map(|case| &case.dismissed);
+        let mut explained_engines: BTreeSet<Incarnation> = dismissed.copied().collect();
         let mut candidates = Vec::new();
         for (fingerprint, case) in self.cases.iter().filter(|(_, case)| case.is_part()) {
             let crashes = separate_crashes(case, &no_engines, now);
@@ -434,7 +437,7 @@
             }
         }
         candidates.sort_unstable();
-        let (mut held, mut explained_engines) = (BTreeSet::new(), BTreeSet::new());
+        let mut held = BTreeSet::new();
         for (.., fingerprint, count) in candidates {
             let case = &self.cases[&fingerprint];
             let left = separate_crashes(case, &explained_engines, now).len();
--- a/crates/gingerpier_serving/tests/prompt_parts.rs
+++ b/crates/gingerpier_serving/tests/prompt_parts.rs
@@ -146,6 +146,19 @@
     assert!(suspects.is_held(GUILTY) && suspects.is_held(other));
 }
 
+/// Guards against blaming what sound requests share for the crashes of a part that an operator releases.
+#[test]
+fn a_released_part_leaves_its_crashes_to_no_other_part() {
+    let mut suspects = Suspects::default();
+    crash_separately(&mut suspects, &[GUILTY, COMMON], 0..4);
+    evaluate(&mut suspects);
+    assert!(suspects.is_held(GUILTY));
+    suspects.dismiss(GUILTY);
+    evaluate(&mut suspects);
+    let held = [GUILTY, COMMON].map(|part| suspects.is_held(part));
+    assert_eq!(held, [false, false]);
+}
+
 /// Guards against forgetting what is answered each second because many other parts were answered once.
 #[test]
 fn parts_that_are_often_answered_are_remembered() {
