Gateway: holds and their dismissals are kept in the platform's store

After a power loss of all gateways nothing was known of a request or part on hold, and four more engines had to end: one more than the users allow. One gateway writes what is on hold under a key of its own when it differs from what the store has, on the schedule of manifests, and all read it with the first copy of the store or of a peer. A write names the revision that it replaces; nothing is written while nothing is on hold.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -4,7 +4,7 @@
     crate::{
         capacity_sharing, clock, discovery,
         error::{Error, Step},
-        loader_configuration, log, members, proxy, reports,
+        hold_keeper, loader_configuration, log, members, proxy, reports,
         state::State,
         store, store_sharing, suspects,
         weights::{self, peers},
@@ -95,6 +95,7 @@
     actix_rt::spawn(capacity_sharing::run(state.clone(), socket.clone()));
     actix_rt::spawn(suspects::send_updates(state.clone(), socket.clone()));
     actix_rt::spawn(suspects::send_digests(state.clone(), socket.clone()));
+    actix_rt::spawn(hold_keeper::run(state.clone()));
     actix_rt::spawn(reports::receive(state.clone(), socket));
     actix_rt::spawn(serve_readiness(state.clone(), readiness_listener));
     actix_rt::spawn(proxy::accept(state.clone(), caller_listener));
--- a/crates/gingerpier_gateway/src/items.rs
+++ b/crates/gingerpier_gateway/src/items.rs
@@ -28,7 +28,10 @@
         return item;
     };
     let is_used = match platform_api.item_kind(&item.key) {
-        ItemKind::Configuration | ItemKind::Weights(_) | ItemKind::Evacuation(_) => true,
+        ItemKind::Configuration
+        | ItemKind::Weights(_)
+        | ItemKind::Evacuation(_)
+        | ItemKind::Holds => true,
         ItemKind::Engine(_) => {
             let is_short = value.len() <= MAX_ENTRY_BYTES;
             is_short && platform_api.parse_item(&item.key, value).is_ok()
--- a/crates/gingerpier_gateway/src/loader/sync.rs
+++ b/crates/gingerpier_gateway/src/loader/sync.rs
@@ -222,7 +222,11 @@
                 loader.record_release(&model_version, LOCAL, 0)
             }
             Some(
-                Content::Engine(_) | Content::Evacuation(_) | Content::Manifest(_) | Content::Other,
+                Content::Engine(_)
+                | Content::Evacuation(_)
+                | Content::Manifest(_)
+                | Content::Holds(_)
+                | Content::Other,
             )
             | None => {}
         }
--- a/crates/gingerpier_gateway/src/message/suspects.rs
+++ b/crates/gingerpier_gateway/src/message/suspects.rs
@@ -5,11 +5,11 @@
     gingerpier_serving::{
         fingerprint::{Fingerprint, LENGTH_BYTES},
         report::Version,
-        suspects::{Crash, Incarnation},
+        suspects::{self, Crash, Incarnation},
         trials::Trial,
     },
     minicbor::{Decode, Encode},
-    std::net::SocketAddr,
+    std::{collections::BTreeSet, net::SocketAddr},
 };
 
 /// Fingerprint of a request.
@@ -170,6 +170,17 @@
 }
 
 impl Suspects {
+    /// Hashes of what the crashes and dismissals of this message put on hold or dismiss.
+    pub fn hold_entries(&self) -> BTreeSet<u64> {
+        let holds = self.crashes.iter();
+        let holds = holds.map(|crash| suspects::hold_entry(crash.fingerprint.into(), None));
+        let dismissals = self.dismissals.iter().map(|dismissal| {
+            let engine = Incarnation(dismissal.engine);
+            suspects::hold_entry(dismissal.fingerprint.into(), Some(engine))
+        });
+        holds.chain(dismissals).collect()
+    }
+
     /// True if there are no entries.
     pub const fn is_empty(&self) -> bool {
         self.crashes.is_empty()
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -264,6 +264,7 @@
             Some(Content::Weights(release)) => self.record_release(&release),
             Some(Content::Evacuation(zone)) => self.set_evacuated(&zone, true, item.revision),
             Some(Content::Manifest(manifest)) => self.record_kept_manifest(*manifest, item),
+            Some(Content::Holds(bytes)) => self.apply_holds(&bytes),
             Some(Content::Other) => {}
             None => self.drop_unreadable(item),
         }
--- a/crates/gingerpier_gateway/src/state/restored.rs
+++ b/crates/gingerpier_gateway/src/state/restored.rs
@@ -41,14 +41,17 @@
             ItemKind::Engine(_)
             | ItemKind::Evacuation(_)
             | ItemKind::Manifest(_)
+            | ItemKind::Holds
             | ItemKind::Other => return None,
         }
         match self.platform_api.parse_item(&item.key, value).ok()?.content {
             Content::Configuration(configuration) => Some(configuration.version),
             Content::Weights(release) => Some(release.version.0),
-            Content::Engine(_) | Content::Evacuation(_) | Content::Manifest(_) | Content::Other => {
-                None
-            }
+            Content::Engine(_)
+            | Content::Evacuation(_)
+            | Content::Manifest(_)
+            | Content::Holds(_)
+            | Content::Other => None,
         }
     }
 }
--- a/crates/gingerpier_gateway/src/suspects.rs
+++ b/crates/gingerpier_gateway/src/suspects.rs
@@ -75,6 +75,8 @@
     pub suspects: RefCell<Suspects>,
     /// Trials that are running on any gateway.
     pub trials: RefCell<Trials>,
+    /// Hashes of the holds and dismissals that the store has.
+    pub kept_entries: RefCell<BTreeSet<u64>>,
     /// Notified when another request is put on hold.
     pub request_held: Notify,
     outbox: RefCell<Outbox>,
@@ -428,7 +430,11 @@
 }
 
 /// Applies an update; returns the part of it that is new here, and completions that refute it.
-fn apply_update(state: &State, update: &Message, now: Instant) -> (Message, Vec<CompletionUpdate>) {
+pub fn apply_update(
+    state: &State,
+    update: &Message,
+    now: Instant,
+) -> (Message, Vec<CompletionUpdate>) {
     let mut new_updates = Message::default();
     let mut refutations: Vec<CompletionUpdate> = Vec::new();
     for report in &update.crashes {
@@ -485,6 +491,33 @@
     (new_updates, refutations)
 }
 
+/// What outlasts a crash of all gateways.
+pub fn holds_message(suspects: &Suspects, now: Instant) -> Message {
+    let mut message = Message::default();
+    for (fingerprint, case) in suspects.kept_cases() {
+        if suspects.is_held(fingerprint) {
+            let crashes = case.crashes.iter();
+            let updates = crashes.map(|crash| CrashUpdate::new(crash, now));
+            message.crashes.extend(updates);
+        }
+        message
+            .dismissals
+            .extend(dismissal_updates(fingerprint, case));
+    }
+    message
+}
+
+fn dismissal_updates(
+    fingerprint: Fingerprint,
+    case: &Case,
+) -> impl Iterator<Item = DismissalUpdate> {
+    case.dismissed.iter().map(move |engine| DismissalUpdate {
+        fingerprint: fingerprint.into(),
+        account: case.account,
+        engine: engine.0,
+    })
+}
+
 /// Messages with all serious cases, those on hold first, as only the first messages are sent.
 fn serious_cases(suspects: &Suspects, now: Instant) -> Vec<Message> {
     let mut cases: Vec<(Fingerprint, &Case)> = suspects.replicated_cases().collect();
@@ -495,13 +528,9 @@
         .replicated_cases()
         .filter_map(|(fingerprint, case)| Some((fingerprint, case.refuted_up_to?)));
     let completions: Vec<CompletionUpdate> = completions.map(completion_update).collect();
-    let dismissals = suspects.replicated_cases().flat_map(|(fingerprint, case)| {
-        case.dismissed.iter().map(move |engine| DismissalUpdate {
-            fingerprint: fingerprint.into(),
-            account: case.account,
-            engine: engine.0,
-        })
-    });
+    let dismissals = cases
+        .iter()
+        .flat_map(|(fingerprint, case)| dismissal_updates(*fingerprint, case));
     let dismissals: Vec<DismissalUpdate> = dismissals.collect();
     split_into_messages(&crashes, &completions, &dismissals, &[])
 }
--- a/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
+++ b/crates/gingerpier_gateway/src/weights/manifest_keeper.rs
@@ -6,15 +6,13 @@
     crate::{
         client::Client,
         clock,
-        error::{Error, Step},
         state::{State, configured_models},
-        store,
+        store_writes::{self, Written},
     },
     bytes::Bytes,
-    gingerpier_base::order,
     gingerpier_serving::{
         manifest_keeping::{Observed, Schedule},
-        platform_api::{Manifest, ModelVersion, PutOutcome},
+        platform_api::{Manifest, ModelVersion},
         report::Version,
     },
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
@@ -23,9 +21,6 @@
 /// Interval between checks, each of which scans the engines of services without a release.
 const POLL_INTERVAL_MILLIS: u64 = 500;
 
-/// Timeout for a write to the store.
-const WRITE_TIMEOUT_MILLIS: u64 = 1_500;
-
 /// Longest manifest that is kept: half of the longest value that the store accepts, as base64 adds
 /// a third.
 const MAX_MANIFEST_BYTES: usize = 512 * 1024;
@@ -152,7 +147,7 @@
         );
         return Attempt::TooLong;
     }
-    match write(state, model, &bytes).await {
+    match store_writes::write(state, &state.platform_api.manifest_key(model), &bytes).await {
         Ok(Written::FormerEra) => {
             tracing::info!(
                 model,
@@ -186,21 +181,11 @@
         rank: 0,
     };
     if observed.is_lacking() {
-        observed.rank = rank(state, model);
+        observed.rank = store_writes::rank(state, model);
     }
     observed
 }
 
-/// Number of live gateways of all zones that write the manifest of `model` before this one.
-fn rank(state: &State, model: &str) -> u32 {
-    let subject = order::hash(model);
-    let score = |address: SocketAddr| order::score(subject, order::hash(&address));
-    let own = score(state.settings.peers);
-    let alive = state.alive_gateways().into_iter();
-    let higher_ranked = alive.filter(|gateway| score(gateway.address) > own);
-    higher_ranked.count() as u32
-}
-
 /// Manifest of a version, from the chunk cache, an earlier copy of the store or else the origin.
 async fn obtain(
     state: &State,
@@ -216,36 +201,3 @@
     let mut client = Client::new(origin?);
     manifest::read_from_origin(&state.distributor, &mut client, model_version).await
 }
-
-/// Response to a conditional write.
-enum Written {
-    /// The store compared the revision with its own.
-    Outcome(PutOutcome),
-    /// The store rejected a revision of another era, which tells nothing of the item.
-    FormerEra,
-}
-
-/// Writes the manifest of `model`, unless another gateway has written one meanwhile.
-async fn write(state: &State, model: &str, bytes: &[u8]) -> Result<Written, Error> {
-    let key = state.platform_api.manifest_key(model);
-    let (expected, era) = {
-        let mirror = state.mirror.borrow();
-        let expected = mirror.item_revision(&key).unwrap_or_default();
-        (expected, mirror.revision().era)
-    };
-    let call = state.platform_api.put(&key, bytes, expected);
-    state.metrics.store_calls.inc();
-    let mut client = store::client(state.settings.store, state.platform_api);
-    let response = client.call(&call, WRITE_TIMEOUT_MILLIS).await?;
-    let outcome = state.platform_api.parse_put(response.head.status);
-    let outcome = outcome.map_err(|cause| Error::Response {
-        step: Step::Parse,
-        peer: client.peer(),
-        cause,
-    })?;
-    let is_other_era = store::era(state.platform_api, &response) != era;
-    Ok(match outcome {
-        PutOutcome::Conflict if is_other_era => Written::FormerEra,
-        outcome => Written::Outcome(outcome),
-    })
-}
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -114,6 +114,8 @@
     Evacuation(String),
     /// A manifest that gateways keep.
     Manifest(Box<Manifest>),
+    /// What gateways keep of requests and prompt parts on hold, as they encoded it.
+    Holds(Vec<u8>),
     /// Not relevant here.
     Other,
 }
@@ -163,6 +165,8 @@
     Evacuation(String),
     /// The manifest of a model's weights that gateways keep.
     Manifest(String),
+    /// Requests and prompt parts on hold, which gateways keep.
+    Holds,
     /// Not relevant here.
     Other,
 }
@@ -282,6 +286,9 @@
     /// Key of the item with the manifest of a model's weights.
     fn manifest_key(&self, model: &str) -> String;
 
+    /// Key under which gateways keep what is on hold.
+    fn holds_key(&self) -> &'static str;
+
     /// Returns what the key of an item identifies.
     fn item_kind(&self, key: &str) -> ItemKind;
 
--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -107,6 +107,9 @@
 /// Crashes kept per request.
 const MAX_CRASHES_PER_REQUEST: usize = 16;
 
+/// Cases that outlast a crash of all gateways, of about 3 KB each at most.
+const MAX_KEPT_CASES: usize = 128;
+
 /// Crashes kept per part, many of which may happen at the same moment and count once.
 const MAX_CRASHES_PER_PART: usize = 64;
 
@@ -617,6 +620,31 @@
         })
     }
 
+    /// Returns the cases that outlast a crash of all gateways: those on hold, and those that an
+    /// operator dismissed; [`MAX_KEPT_CASES`] at most.
+    pub fn kept_cases(&self) -> impl Iterator<Item = (Fingerprint, &Case)> {
+        let all = self
+            .cases
+            .iter()
+            .map(|(fingerprint, case)| (*fingerprint, case));
+        let kept = all
+            .filter(|(fingerprint, case)| self.is_held(*fingerprint) || !case.dismissed.is_empty());
+        kept.take(MAX_KEPT_CASES)
+    }
+
+    /// Returns hashes of the holds and dismissals among [`Self::kept_cases`].
+    pub fn hold_entries(&self) -> BTreeSet<u64> {
+        let mut entries = BTreeSet::new();
+        for (fingerprint, case) in self.kept_cases() {
+            if self.is_held(fingerprint) {
+                entries.insert(hold_entry(fingerprint, None));
+            }
+            let dismissed = case.dismissed.iter();
+            entries.extend(dismissed.map(|engine| hold_entry(fingerprint, Some(*engine))));
+        }
+        entries
+    }
+
     /// Hashes all replicated cases; equal at gateways with equal cases, 0 for none.
     pub fn digest(&self) -> u64 {
         self.replicated_cases()
@@ -668,3 +696,9 @@
     });
     times
 }
+
+/// Hash of a hold, or of the dismissal of an engine's crash.
+pub fn hold_entry(fingerprint: Fingerprint, dismissed: Option<Incarnation>) -> u64 {
+    let engine = dismissed.map_or(0, |engine| order::mix(!engine.0));
+    order::mix(order::hash(&fingerprint) ^ engine)
+}
