Gateway: an engine that sends no event refutes nothing

A stream whose engine crashed after its last event is resumed elsewhere, and the other engine has nothing to send. Its end counted as a complete response, which refutes for good that the request and its prompt parts crash engines. Only an engine that sent an event counts.

--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -301,6 +301,8 @@
     in_flight: &'r mut InFlight,
     upstream: Upstream,
     unread: Unread,
+    /// True once the engine sent an event.
+    has_events: bool,
     /// Response head, until the caller has it.
     head_bytes: Vec<u8>,
     handover: Option<Handover<'a>>,
@@ -396,6 +398,7 @@
             in_flight,
             upstream: response.into(),
             unread: Unread::default(),
+            has_events: false,
             head_bytes: Vec::new(),
             handover: None,
             confirmation: None,
@@ -435,6 +438,7 @@
     /// engine may accept the stream.
     fn handle_read(&mut self, batch: Batch, events: &mut Vec<u8>) -> Option<Batch> {
         self.is_stalled = false;
+        self.has_events |= !events.is_empty();
         if let Some(pending) = &mut self.handover
             && pending.outlasts(&batch)
             && !self.progress.is_committed
@@ -513,6 +517,7 @@
         self.confirmation = None;
         self.take_head();
         self.unread = Unread::default();
+        self.has_events = false;
         self.stall_deadline = clock::now().after_millis(EVENT_GAP_TIMEOUT_MILLIS);
     }
 
@@ -590,7 +595,10 @@
     }
 
     fn complete(self) -> AttemptOutcome {
-        self.forwarder.record_completion(&self.upstream.head);
+        // An engine that resumed after the last event has written nothing that could crash it.
+        if self.has_events {
+            self.forwarder.record_completion(&self.upstream.head);
+        }
         let mut fleet = self.forwarder.state.fleet.borrow_mut();
         fleet.engine_mut(self.in_flight.engine).record_success();
         if self.upstream.is_request_sent {
