Gateway: a hold from the store needs no times of crashes, and is written again if the store lost it

A gateway that reads holds after a power loss may count its time from then, so that crashes of minutes before all happened at its first moment, where two count. What the store holds is held until it is refuted or released. A deleted or undecodable item counts as empty, so that it is written again; before it was not, though the log said so.

--- a/crates/gingerpier_gateway/src/hold_keeper.rs
+++ b/crates/gingerpier_gateway/src/hold_keeper.rs
@@ -74,15 +74,25 @@
     /// Applies the holds that the store has.
     pub fn apply_holds(&self, bytes: &[u8]) {
         let Some(message) = message::decode::<Message>(bytes) else {
+            let bytes = bytes.len();
             tracing::warn!(
-                bytes = bytes.len(),
+                bytes,
                 "holds of the store can't be decoded; they are written again"
             );
-            return;
+            return self.forget_kept_holds();
         };
         let entries: BTreeSet<u64> = message.hold_entries();
         tracing::info!(entries = entries.len(), "holds of the store applied");
         *self.suspect_state.kept_entries.borrow_mut() = entries;
         suspects::apply_update(self, &message, clock::now());
+        let mut suspects = self.suspect_state.suspects.borrow_mut();
+        for crash in &message.crashes {
+            suspects.impose(crash.fingerprint.into());
+        }
+    }
+
+    /// Records that the store has no holds any more, so that they are written again.
+    pub fn forget_kept_holds(&self) {
+        self.suspect_state.kept_entries.borrow_mut().clear();
     }
 }
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -37,6 +37,7 @@
                     Absence::Event(_) | Absence::Listed => kept_manifests.remove(&model),
                 };
             }
+            ItemKind::Holds => return self.forget_kept_holds(),
             _ => return,
         };
         let revision = item.revision.number;
--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -273,6 +273,8 @@
     recent_crashes: VecDeque<EngineCrash>,
     /// Requests held back as of the last evaluation.
     held: BTreeSet<Fingerprint>,
+    /// Requests and parts that all gateways held back before they lost their memory.
+    imposed: BTreeSet<Fingerprint>,
     /// Time of the next evaluation; none if nothing is pending.
     next_evaluation: Option<Instant>,
 }
@@ -417,7 +419,8 @@
         new
     }
 
-    /// Returns the parts that are held back, and the engines whose crashes they explain.
+    /// Returns the parts that are held back, and what is imposed, with the engines whose crashes
+    /// they explain.
     ///
     /// Parts that no response was ever complete for come first, then those that had enough crashes
     /// first, so that later crashes change nothing about an earlier hold.
@@ -441,6 +444,17 @@
         }
         candidates.sort_unstable();
         let mut held = BTreeSet::new();
+        for fingerprint in &self.imposed {
+            let case = self.cases.get(fingerprint);
+            let mut engines = case
+                .into_iter()
+                .flat_map(Case::unrefuted_crashes)
+                .peekable();
+            if engines.peek().is_some() {
+                explained_engines.extend(engines.map(|crash| crash.engine));
+                held.insert(*fingerprint);
+            }
+        }
         for (.., fingerprint, count) in candidates {
             let case = &self.cases[&fingerprint];
             let left = separate_crashes(case, &explained_engines, now).len();
@@ -453,6 +467,16 @@
         (held, explained_engines)
     }
 
+    /// Holds a request or part back, as the store says, as long as a crash of it is unrefuted. The
+    /// times of its crashes are not known any more, so they don't decide.
+    pub fn impose(&mut self, fingerprint: Fingerprint) {
+        let case = self.cases.get(&fingerprint);
+        let is_suspect = case.is_some_and(|case| case.unrefuted_crashes().next().is_some());
+        if is_suspect && self.imposed.len() < MAX_KEPT_CASES && self.imposed.insert(fingerprint) {
+            self.next_evaluation = Some(Instant::default());
+        }
+    }
+
     /// Makes room for a case of `account`; returns false if nothing can be evicted.
     fn make_room(&mut self, account: u32) -> bool {
         let is_of_account = |case: &Case| case.account == account;
@@ -505,6 +529,7 @@
         let is_new = case.refuted_up_to < Some(version);
         case.refuted_up_to = case.refuted_up_to.max(Some(version));
         if is_new {
+            self.imposed.remove(&fingerprint);
             self.schedule_evaluation(fingerprint);
         }
         is_new
@@ -517,6 +542,7 @@
         };
         let engines: Vec<Incarnation> = case.crashes.iter().map(|crash| crash.engine).collect();
         case.dismissed.extend(&engines);
+        self.imposed.remove(&fingerprint);
         self.schedule_evaluation(fingerprint);
         engines
     }
@@ -536,6 +562,7 @@
         let case = case.or_insert_with(|| Case::new(account));
         let is_new = case.dismissed.len() < MAX_CRASHES_PER_PART && case.dismissed.insert(engine);
         if is_new {
+            self.imposed.remove(&fingerprint);
             self.schedule_evaluation(fingerprint);
         }
         is_new
--- a/crates/gingerpier_serving/tests/prompt_parts.rs
+++ b/crates/gingerpier_serving/tests/prompt_parts.rs
@@ -159,6 +159,26 @@
     assert_eq!(held, [false, false]);
 }
 
+/// Guards against a hold from the store that is lost because a process doesn't know when the crashes were.
+#[test]
+fn an_imposed_hold_lasts_until_it_is_refuted_or_released() {
+    for release in [false, true] {
+        let mut suspects = Suspects::default();
+        for engine in 0..4 {
+            suspects.record_crash(crash(GUILTY, engine, engine, 0), 12);
+        }
+        suspects.impose(GUILTY);
+        evaluate(&mut suspects);
+        assert!(suspects.is_held(GUILTY));
+        match release {
+            true => drop(suspects.dismiss(GUILTY)),
+            false => drop(suspects.record_refutation(GUILTY, VERSION)),
+        }
+        evaluate(&mut suspects);
+        assert!(!suspects.is_held(GUILTY));
+    }
+}
+
 /// Guards against forgetting what is answered each second because many other parts were answered once.
 #[test]
 fn parts_that_are_often_answered_are_remembered() {
