Gateway: an open connection does not show that an engine lives

The check of a response without length or chunks took a connection that stays open for 30 ms as a sign of life. The engine has to respond to a call for its report now. Process test with a proxy that accepts connections and says nothing: red 2 of 2 before, green after.

--- a/crates/gingerpier_gateway/src/client.rs
+++ b/crates/gingerpier_gateway/src/client.rs
@@ -202,6 +202,25 @@
     has_responded
 }
 
+/// Sends a call on an idle connection, or else on a new one, and reads the head of its response.
+///
+/// # Errors
+///
+/// If the peer can't be reached or sends no response.
+pub async fn response_head(
+    peer: SocketAddr,
+    idle: Option<Connection>,
+    call: &ApiRequest,
+) -> Result<Response, Error> {
+    if idle.is_some()
+        && let Ok((_, head)) = send_request(peer, idle, encode(call, peer)).await
+    {
+        return Ok(head);
+    }
+    let (_, head) = send_request(peer, None, encode(call, peer)).await?;
+    Ok(head)
+}
+
 /// Encodes a call as an HTTP request.
 pub fn encode(call: &ApiRequest, host: SocketAddr) -> Vec<u8> {
     let message = start_message(call, host);
--- a/crates/gingerpier_gateway/src/pool.rs
+++ b/crates/gingerpier_gateway/src/pool.rs
@@ -64,15 +64,6 @@
         None
     }
 
-    /// True if a connection to `peer` is open.
-    pub fn is_open(&mut self, peer: &K) -> bool {
-        let Some(idle) = self.idle.get_mut(peer) else {
-            return false;
-        };
-        idle.retain(|candidate| candidate.connection.is_idle());
-        !idle.is_empty()
-    }
-
     /// Adds a connection after `response`, unless it has to be closed or the limit is reached.
     pub fn put(&mut self, peer: K, connection: Connection, response: &Response) {
         let Some(millis) = idle_millis(response) else {
--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     super::request::{AttemptOptions, RoutedRequest},
-    crate::{clock, state::State},
+    crate::{client, clock, state::State},
     gingerpier_base::Instant,
     gingerpier_http1::{
         body::{Decoder, Framing},
@@ -10,7 +10,9 @@
         error::Error,
         head::Response,
     },
-    gingerpier_serving::{configuration::Repeat, fleet::EngineKey, retry::Failure},
+    gingerpier_serving::{
+        configuration::Repeat, fleet::EngineKey, platform_api::HeaderNames, retry::Failure,
+    },
     std::rc::Rc,
 };
 
@@ -230,26 +232,37 @@
 /// before its port closes.
 const PROBE_OPEN_MILLIS: u64 = 30;
 
-/// Checks whether a response is complete that ended with its connection and has no other end.
+/// Time within which an engine has to respond to show that it didn't crash.
+const CONFIRM_TIMEOUT_MILLIS: u64 = 200;
+
+/// Checks whether a response is complete that ended with its connection and has no other end: the
+/// engine has to respond to a further request, as an open connection may be that of a proxy.
 ///
 /// # Errors
 ///
 /// If the engine crashed, or nothing shows that it didn't.
 pub async fn confirm_end(state: &State, engine: EngineKey) -> Result<(), AttemptError> {
-    // An engine that crashes breaks its idle connections as well.
-    if state.pool.borrow_mut().is_open(&engine) {
-        clock::pause(PROBE_OPEN_MILLIS).await;
-        if state.pool.borrow_mut().is_open(&engine) {
-            return Ok(());
-        }
-    }
     let address = state.fleet.borrow().engine(engine).record.address;
-    match probe_engine(address).await {
-        Aftermath::Alive => Ok(()),
-        Aftermath::Ended | Aftermath::Unknown => Err(broken_connection()),
+    let idle = state.pool.borrow_mut().take(&engine);
+    // A report takes no slot of the engine. Engines without reports respond as well.
+    let call = state.platform_api.report();
+    let deadline = clock::now().after_millis(CONFIRM_TIMEOUT_MILLIS);
+    let responded = clock::before(deadline, client::response_head(address, idle, &call)).await;
+    let is_alive = responded
+        .and_then(Result::ok)
+        .is_some_and(|head| is_of_engine(&head, state.platform_api.header_names()));
+    match is_alive {
+        true => Ok(()),
+        false => Err(broken_connection()),
     }
 }
 
+/// False for a response that a proxy may send in place of an engine that it can't reach.
+fn is_of_engine(head: &Response, header_names: &HeaderNames) -> bool {
+    let may_be_of_proxy = matches!(head.status, 429 | 502 | 503 | 504);
+    !may_be_of_proxy || head.fields.get(header_names.not_run).is_some()
+}
+
 /// Probes with a new connection whether an engine still listens at `address`.
 pub async fn probe_engine(address: std::net::SocketAddr) -> Aftermath {
     let now = clock::now();
