--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -53,8 +53,8 @@
     reservation: Reservation,
     /// Engine that sends the body.
     engine: EngineKey,
-    /// True if an end of the connection says too little about the body.
-    needs_end: bool,
+    /// True if the engine has to confirm an end that only its connection shows.
+    confirms_end: bool,
 }
 
 impl Reading {
@@ -62,7 +62,7 @@
     async fn next_part(&mut self, state: &State) -> Result<Part, AttemptError> {
         let part = self.connection.part(&mut self.decoder).await;
         let part = part.map_err(attempt::from_http)?;
-        if part == Part::Closed && self.needs_end {
+        if part == Part::Closed && self.confirms_end {
             attempt::confirm_end(state, self.engine).await?;
         }
         Ok(part)
@@ -97,7 +97,7 @@
             body: BytesMut::new(),
             reservation: Reservation::new(&self.state.response_quota, Some(self.request.route)),
             engine: in_flight.engine,
-            needs_end: !is_refused,
+            confirms_end: !is_refused,
         };
         let may_pass_on = is_final(head.status) && !is_refused && !progress.has_begun();
         loop {
--- a/crates/gingerpier_serving/src/manifest_keeping.rs
+++ b/crates/gingerpier_serving/src/manifest_keeping.rs
@@ -6,7 +6,7 @@
 //!
 //! One gateway writes for all. The others wait longer by their rank, and most of them see the write
 //! in their mirror before their turn. The store rejects the write of a second one, as each write
-//! names the revision that it replaces.
+//! names the revision that it replaces. What is on hold is written on the same schedule.
 //!
 //! ```
 //! use gingerpier_base::Instant;
