Loader: lines tell how old the verification of staged chunks is at the order

Log lines could not tell whether a suspended loader orders its engine to load chunks that it verified long before, whether the verification itself takes long, or whether the engine takes the order late. The line of the verification now says how long it took, that of the order how old the first read was when the order was sent and how long the engine took to respond. No decision changes.

--- a/crates/gingerpier_gateway/src/loader/activation.rs
+++ b/crates/gingerpier_gateway/src/loader/activation.rs
@@ -49,8 +49,23 @@
     }
 }
 
-/// Stages all chunks at the engine and reads each back; true if all of them match the manifest.
-pub async fn stage_chunks(loader: &Loader, model_version: &ModelVersion) -> bool {
+/// Result of reading back all staged chunks, each of which matched the manifest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verification {
+    /// Time before the first chunk was read.
+    begun_at: Instant,
+}
+
+impl Verification {
+    fn age_millis(&self) -> u64 {
+        clock::now().millis_since(self.begun_at)
+    }
+}
+
+/// Stages all chunks at the engine and reads each back; `None` unless all of them match the
+/// manifest.
+pub async fn stage_chunks(loader: &Loader, model_version: &ModelVersion) -> Option<Verification> {
+    let begun_at = clock::now();
     let mut client = Client::new(loader.settings.engine);
     let chunk_set = {
         let chunk_cache = loader.distributor.chunk_cache.borrow();
@@ -58,25 +73,20 @@
             .get(&model_version.model, model_version.version)
             .cloned()
     };
-    let Some(chunk_set) = chunk_set else {
-        return false;
-    };
+    let chunk_set = chunk_set?;
     let mut staged_count = 0;
     // If one chunk has to be staged, the next one most likely has to be, too.
     let mut must_stage = false;
     for chunk in 0..chunk_set.manifest.digests.len() as u32 {
-        let Some(bytes) = chunk_set.chunk(chunk) else {
-            return false;
-        };
+        let bytes = chunk_set.chunk(chunk)?;
         let mut is_verified = false;
         for _ in 0..MAX_STAGE_ATTEMPTS {
             if !must_stage {
                 let read_call = loader
                     .platform_api
                     .staged_chunk(&model_version.model, chunk);
-                let Ok(response) = client.call(&read_call, ENGINE_TIMEOUT_MILLIS).await else {
-                    return false;
-                };
+                let response = client.call(&read_call, ENGINE_TIMEOUT_MILLIS).await;
+                let response = response.ok()?;
                 let is_present = response.head.status == 200;
                 is_verified =
                     is_present && cache::matches_digest(&chunk_set.manifest, chunk, &response.body);
@@ -87,23 +97,23 @@
             let mut call = loader.platform_api.stage_chunk(&model_version.model, chunk);
             call.body = bytes.to_vec();
             staged_count += 1;
-            if client.call(&call, ENGINE_TIMEOUT_MILLIS).await.is_err() {
-                return false;
-            }
+            client.call(&call, ENGINE_TIMEOUT_MILLIS).await.ok()?;
             must_stage = false;
         }
         if !is_verified {
             tracing::warn!(chunk, "staged chunk does not match its digest");
-            return false;
+            return None;
         }
         must_stage = staged_count > chunk;
     }
+    let verification = Verification { begun_at };
     tracing::info!(
         version = model_version.version.0,
         laid = staged_count,
+        took = verification.age_millis(),
         "weights staged at the engine and verified"
     );
-    true
+    Some(verification)
 }
 
 /// Outcome of an order.
@@ -122,8 +132,10 @@
     loader: &Loader,
     model_version: &ModelVersion,
     announcement: &Announcement<'_>,
+    verification: Verification,
 ) -> OrderOutcome {
     clock::until(announcement.order_at).await;
+    let age_millis = verification.age_millis();
     let sequence = loader
         .report
         .borrow()
@@ -141,6 +153,8 @@
         version = model_version.version.0,
         sequence,
         ?outcome,
+        age = age_millis,
+        took = verification.age_millis().saturating_sub(age_millis),
         "start ordered"
     );
     clock::pause(REPORT_DELAY_MILLIS).await;
--- a/crates/gingerpier_gateway/src/loader/update.rs
+++ b/crates/gingerpier_gateway/src/loader/update.rs
@@ -207,10 +207,12 @@
             continue;
         }
         let announcement = Announcement::send(&loader, &model_version).await;
-        let is_staged = activation::stage_chunks(&loader, &model_version).await;
-        let outcome = match is_staged {
-            true => activation::order_start(&loader, &model_version, &announcement).await,
-            false => OrderOutcome::NotAccepted,
+        let verification = activation::stage_chunks(&loader, &model_version).await;
+        let outcome = match verification {
+            Some(verification) => {
+                activation::order_start(&loader, &model_version, &announcement, verification).await
+            }
+            None => OrderOutcome::NotAccepted,
         };
         drop(announcement);
         match outcome {
