Loader: the verification of staged chunks expires

Cause: nothing limited the time from reading the staged chunks back to the order that has the engine load them unchecked. A loader that was suspended in between, or whose engine read slowly, ordered chunks that it had verified seconds before.

Change: a verification has a deadline, 1.5 s after its first chunk was read. No order is sent after it; the update begins its next round, which checks target, turn and announcement again as well.

--- a/crates/gingerpier_gateway/src/loader/update.rs
+++ b/crates/gingerpier_gateway/src/loader/update.rs
@@ -217,6 +217,7 @@
         drop(announcement);
         match outcome {
             OrderOutcome::Loaded => return,
+            OrderOutcome::Expired => {}
             OrderOutcome::NotAccepted => clock::pause(RETRY_PAUSE_MILLIS).await,
             OrderOutcome::Failed => {
                 let pause = FAILURE_BACKOFF_MILLIS << failures.min(MAX_BACKOFF_DOUBLINGS);
