Gateway: the connection of a caller tells what was written of its response

Lines of requests could not tell a 504 that is all that a caller gets from one that is written behind a part of another response. The connection of a caller is a type of its own now, which alone writes to it and knows whether nothing, a part or all of the response was written; the line of a request says so (sent). No decision uses it yet.

--- a/crates/gingerpier_gateway/src/proxy/body.rs
+++ b/crates/gingerpier_gateway/src/proxy/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests, which are held until the request ends, as another engine may need them.
 
 use {
+    super::caller::Caller,
     crate::{
         buffers::{LARGE_BYTES, Reservation},
         clock, log,
@@ -11,7 +12,6 @@
     gingerpier_base::Instant,
     gingerpier_http1::{
         body::{Decoder, Framing, Part},
-        connection::Connection,
         error::Error,
         head::Request,
     },
@@ -58,7 +58,7 @@
 /// If the body is invalid, or not complete in time.
 pub async fn read(
     state: &State,
-    caller: &mut Connection,
+    caller: &mut Caller,
     head: &Request,
     framing: Framing,
     max_bytes: usize,
@@ -115,12 +115,12 @@
 /// kernel holds it. A caller that stalls thus keeps no other one waiting.
 async fn wait_for_arrival(
     state: &State,
-    caller: &Connection,
+    caller: &mut Caller,
     route: Option<RouteKey>,
     length: usize,
     deadline: Instant,
 ) -> Result<(), BodyError> {
-    let missing = length.saturating_sub(caller.input.len());
+    let missing = length.saturating_sub(caller.input().len());
     let (mut progress_at, mut last, mut interval_millis) = (clock::now(), 0, 1);
     while state.request_quota.is_tight(route) {
         let arrived = caller.arrived(missing).ok_or(BodyError::Http(Error::Cut))?;
@@ -159,7 +159,7 @@
 /// Reads the next part; a caller that stalls gets less time while memory is short.
 async fn read_part(
     state: &State,
-    caller: &mut Connection,
+    caller: &mut Caller,
     decoder: &mut Decoder,
     deadline: Instant,
 ) -> Result<Part, BodyError> {
--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
-        caller::{self, WriteError},
+        caller::{Caller, WriteError},
         forward::{AttemptOutcome, Forwarder, disconnected, refused_by_engine},
         stream::{self, Progress},
     },
@@ -79,7 +79,7 @@
     /// run the request.
     pub(super) async fn forward_response(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         response: PendingResponse,
         is_refused: bool,
         progress: &mut Progress,
@@ -178,7 +178,7 @@
 
     async fn read_part(
         &self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         reading: &mut Reading,
     ) -> Result<Part, AttemptOutcome> {
         let part = tokio::select! {
@@ -195,7 +195,7 @@
     /// is read.
     async fn pass_on(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         reading: &mut Reading,
         head: &Response,
         framing: Framing,
@@ -209,7 +209,7 @@
             }
         };
         let deadline = self.request.deadline;
-        caller::write(caller, &message.end(), deadline).await?;
+        caller.write(&message.end(), deadline).await?;
         self.record_first_bytes();
         in_flight.record_first_event();
         let mut unread = stream::Unread::default();
@@ -219,9 +219,9 @@
             if is_chunked {
                 let mut chunk = Vec::with_capacity(data.len() + writer::CHUNK_FRAME_BYTES);
                 writer::chunk(&mut chunk, &data);
-                caller::write(caller, &chunk, deadline).await?;
+                caller.write(&chunk, deadline).await?;
             } else {
-                caller::write(caller, &data, deadline).await?;
+                caller.write(&data, deadline).await?;
             }
             unread.record_write(begun, clock::now());
             drop(data);
@@ -238,14 +238,15 @@
             };
         }
         if is_chunked {
-            caller::write(caller, LAST_CHUNK, deadline).await?;
+            caller.write(LAST_CHUNK, deadline).await?;
         }
+        caller.complete();
         Ok(())
     }
 
     pub(super) async fn write_buffered(
         &self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         response: &BufferedResponse,
     ) -> Result<(), WriteError> {
         let message = self.response_head(&response.head);
@@ -254,9 +255,12 @@
         let mut bytes = head.end();
         if bytes.len() + response.body.len() <= ONE_WRITE_BYTES {
             bytes.extend_from_slice(&response.body);
-            return caller::write(caller, &bytes, deadline).await;
+            caller.write(&bytes, deadline).await?;
+        } else {
+            caller.write(&bytes, deadline).await?;
+            caller.write(&response.body, deadline).await?;
         }
-        caller::write(caller, &bytes, deadline).await?;
-        caller::write(caller, &response.body, deadline).await
+        caller.complete();
+        Ok(())
     }
 }
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -5,7 +5,7 @@
         Persistence,
         attempt::{Aftermath, AttemptError, Cause},
         buffered::BufferedResponse,
-        caller,
+        caller::{Caller, Sent},
         error_response::{self, ErrorResponse},
         forward::Forwarder,
         stream::Progress,
@@ -18,7 +18,7 @@
         state::State,
     },
     gingerpier_base::Instant,
-    gingerpier_http1::{connection::Connection, head::Request},
+    gingerpier_http1::head::Request,
     gingerpier_serving::{fleet::EngineKey, retry::Action},
     std::ops::Range,
 };
@@ -99,19 +99,19 @@
     /// forwarded if its status allows it.
     pub(super) async fn finish(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         next: Action,
         progress: &Progress,
         fallback: Option<BufferedResponse>,
     ) -> Persistence {
         if progress.has_begun() {
-            self.log_ending(Ending::Failed, progress);
+            self.log_ending(Ending::Failed, caller.sent(), progress);
             return Persistence::Close;
         }
         if let Some(response) =
             fallback.filter(|response| is_forwardable_failure(response.head.status))
         {
-            self.log_ending(Ending::Answered, progress);
+            self.log_ending(Ending::Answered, caller.sent(), progress);
             return match self.write_buffered(caller, &response).await {
                 Ok(()) => Persistence::KeepAlive,
                 Err(_) => Persistence::Close,
@@ -149,7 +149,7 @@
         if ending == Ending::TimedOut {
             self.record_timeout();
         }
-        self.log_ending(ending, progress);
+        self.log_ending(ending, caller.sent(), progress);
         let header_names = self.state.platform_api.header_names();
         let bytes = error_response::encode(
             error,
@@ -157,7 +157,7 @@
             header_names,
             self.closes_connection(),
         );
-        match caller::write_own(caller, &bytes).await {
+        match caller.write_own(&bytes).await {
             true => Persistence::KeepAlive,
             false => Persistence::Close,
         }
@@ -208,23 +208,23 @@
         (start + fastrand::f64() * spread).min(max_seconds)
     }
 
-    pub(super) fn finish_completed(&self, progress: &Progress) -> Persistence {
-        self.log_ending(Ending::Answered, progress);
+    pub(super) fn finish_completed(&self, caller: &Caller, progress: &Progress) -> Persistence {
+        self.log_ending(Ending::Answered, caller.sent(), progress);
         Persistence::KeepAlive
     }
 
-    pub(super) fn finish_disconnected(&self) -> Persistence {
-        self.log_ending(Ending::Left, &Progress::default());
+    pub(super) fn finish_disconnected(&self, caller: &Caller) -> Persistence {
+        self.log_ending(Ending::Left, caller.sent(), &Progress::default());
         Persistence::Close
     }
 
     /// Ends a request whose caller stopped reading; the caller sees an incomplete response.
-    pub(super) fn finish_stalled(&self, progress: &Progress) -> Persistence {
+    pub(super) fn finish_stalled(&self, caller: &Caller, progress: &Progress) -> Persistence {
         let labels = SlowLabels {
             direction: Direction::Response,
         };
         self.state.metrics.slow_callers.get_or_create(&labels).inc();
-        self.log_ending(Ending::Stalled, progress);
+        self.log_ending(Ending::Stalled, caller.sent(), progress);
         Persistence::Close
     }
 
@@ -240,8 +240,9 @@
         endings.get_or_create(&labels).inc();
     }
 
-    /// Counts the request by its ending and logs it.
-    fn log_ending(&self, ending: Ending, progress: &Progress) {
+    /// Counts the request by its ending and logs it; `sent` is what the caller has of the response
+    /// so far.
+    fn log_ending(&self, ending: Ending, sent: Sent, progress: &Progress) {
         let requests = &self.state.metrics.requests;
         requests.get_or_create(&EndingLabels { ending }).inc();
         self.count_by_size(ending);
@@ -258,6 +259,7 @@
         tracing::info!(
             id = self.request.attempt_id(self.state.platform_api.header_names()),
             outcome = ?ending,
+            sent = ?sent,
             mark = %self.request.fingerprint,
             route = self.request.route_settings().name,
             configuration = self.request.configuration.version,
@@ -302,7 +304,7 @@
 /// Refuses a request that was not routed.
 pub async fn refuse(
     state: &State,
-    caller: &mut Connection,
+    caller: &mut Caller,
     head: &Request,
     error: ErrorResponse,
 ) -> Persistence {
@@ -331,7 +333,7 @@
     }
     let closes = state.is_stopping.get() || !head.keeps_alive();
     let bytes = error_response::encode(error, head, header_names, closes);
-    match caller::write_own(caller, &bytes).await {
+    match caller.write_own(&bytes).await {
         true => Persistence::KeepAlive,
         false => Persistence::Close,
     }
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -5,7 +5,7 @@
         Persistence,
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
         buffered::BufferedResponse,
-        caller::WriteError,
+        caller::{Caller, WriteError},
         engine_choice,
         request::{AttemptOptions, RoutedRequest},
         startup::{self, StartupWait},
@@ -17,7 +17,6 @@
     gingerpier_base::Instant,
     gingerpier_http1::{
         body::Framing,
-        connection::Connection,
         head::{self, Response},
         writer::Message,
     },
@@ -63,8 +62,8 @@
 }
 
 /// Completes once the caller closes its connection.
-pub async fn disconnected(caller: &mut Connection) {
-    while caller.input.len() < MAX_PIPELINED_BYTES {
+pub async fn disconnected(caller: &mut Caller) {
+    while caller.input().len() < MAX_PIPELINED_BYTES {
         if !matches!(caller.read().await, Ok(true)) {
             return;
         }
@@ -115,7 +114,7 @@
 /// Forwards a request to engines until its caller has a final response.
 pub async fn forward(
     state: &Rc<State>,
-    caller: &mut Connection,
+    caller: &mut Caller,
     request: &RoutedRequest<'_>,
 ) -> Persistence {
     let route_settings = request.route_settings();
@@ -150,7 +149,7 @@
 }
 
 impl Forwarder<'_, '_> {
-    async fn run(&mut self, caller: &mut Connection) -> Persistence {
+    async fn run(&mut self, caller: &mut Caller) -> Persistence {
         let mut progress = Progress::default();
         let mut fallback = None;
         loop {
@@ -168,13 +167,13 @@
                     let reason = Reason::OnTrial;
                     return self.abort(caller, reason, &progress, fallback).await;
                 }
-                Access::Disconnected => return self.finish_disconnected(),
+                Access::Disconnected => return self.finish_disconnected(caller),
             };
             let Some(engine) = engine else {
                 match self.wait_for_startup(caller).await {
                     StartupWait::Retry => continue,
                     StartupWait::Expired => {}
-                    StartupWait::Disconnected => return self.finish_disconnected(),
+                    StartupWait::Disconnected => return self.finish_disconnected(caller),
                 }
                 let next = self.retry_state.final_action();
                 return self.finish(caller, next, &progress, fallback).await;
@@ -182,9 +181,9 @@
             self.record_attempt(engine);
             let outcome = self.attempt(caller, engine, &mut progress).await;
             let error = match outcome {
-                AttemptOutcome::Completed => return self.finish_completed(&progress),
-                AttemptOutcome::Disconnected => return self.finish_disconnected(),
-                AttemptOutcome::Stalled => return self.finish_stalled(&progress),
+                AttemptOutcome::Completed => return self.finish_completed(caller, &progress),
+                AttemptOutcome::Disconnected => return self.finish_disconnected(caller),
+                AttemptOutcome::Stalled => return self.finish_stalled(caller, &progress),
                 AttemptOutcome::TimedOut => {
                     self.retry_state.may_have_run = true;
                     let next = Action::TimeOut;
@@ -228,7 +227,7 @@
     /// Ends a request that may not be sent to any further engine.
     async fn abort(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         reason: Reason,
         progress: &Progress,
         fallback: Option<BufferedResponse>,
@@ -241,7 +240,7 @@
     /// Waits one poll interval if no engine is known yet because the gateway is starting.
     ///
     /// A request that has waited before goes on waiting while engines are full.
-    async fn wait_for_startup(&mut self, caller: &mut Connection) -> StartupWait {
+    async fn wait_for_startup(&mut self, caller: &mut Caller) -> StartupWait {
         let is_first = self.retry_state.attempts == 0;
         let has_time = !self.request.deadline.has_passed(clock::now());
         if !is_first || !has_time || (self.has_candidate && !self.has_waited) {
@@ -270,7 +269,7 @@
 
     async fn attempt(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         engine: EngineKey,
         progress: &mut Progress,
     ) -> AttemptOutcome {
@@ -318,7 +317,7 @@
 
     async fn handle_response(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         response: PendingResponse,
         progress: &mut Progress,
         in_flight: &mut InFlight,
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -18,6 +18,7 @@
 use {
     crate::{clock, state::State},
     body::BodyError,
+    caller::Caller,
     error_response::ErrorResponse,
     gingerpier_base::Instant,
     gingerpier_http1::{connection::Connection, error::Error, head::Request},
@@ -49,9 +50,8 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let state = state.clone();
-                let connection = Connection::new(stream);
-                connection.limit_unsent(caller::STALL_MILLIS);
-                actix_rt::spawn(async move { serve(&state, connection).await });
+                let caller = Caller::new(Connection::new(stream));
+                actix_rt::spawn(async move { serve(&state, caller).await });
             }
             Err(_) => clock::pause(ACCEPT_RETRY_MILLIS).await,
         }
@@ -76,31 +76,32 @@
     }
 }
 
-async fn serve(state: &Rc<State>, mut connection: Connection) {
+async fn serve(state: &Rc<State>, mut caller: Caller) {
     loop {
         let limits = state
             .configuration()
             .map_or_else(Limits::default, |configuration| configuration.limits);
         let head = tokio::select! {
             biased;
-            head = read_head(&mut connection, &limits) => head,
-            () = closed(state), if connection.input.is_empty() => return,
+            head = read_head(&mut caller, &limits) => head,
+            () = closed(state), if caller.input().is_empty() => return,
         };
         let head = match head {
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => {
-                refuse_malformed(&mut connection, error).await;
+                refuse_malformed(&mut caller, error).await;
                 return;
             }
         };
         let received = clock::now();
+        caller.begin_request();
         let _active = ActiveRequest::new(state);
-        if serve_one(state, &mut connection, &head, received, &limits).await == Persistence::Close {
-            connection.shutdown().await;
+        if serve_one(state, &mut caller, &head, received, &limits).await == Persistence::Close {
+            caller.shutdown().await;
             return;
         }
-        if !connection.input.is_empty() {
+        if !caller.input().is_empty() {
             // A client that pipelines requests gets one at a time, as other connections wait.
             tokio::task::yield_now().await;
         }
@@ -116,12 +117,12 @@
 }
 
 /// Reads a request head; `None` if the caller closes the connection or a timeout passes.
-async fn read_head(connection: &mut Connection, limits: &Limits) -> Result<Option<Request>, Error> {
+async fn read_head(caller: &mut Caller, limits: &Limits) -> Result<Option<Request>, Error> {
     let mut deadline = clock::now().after_millis(limits.idle_timeout_millis);
     let mut has_begun = false;
     loop {
-        if !connection.input.is_empty() {
-            if let Some(request) = Request::parse(&mut connection.input, limits.max_head_bytes)? {
+        if !caller.input().is_empty() {
+            if let Some(request) = Request::parse(caller.input(), limits.max_head_bytes)? {
                 return Ok(Some(request));
             }
             if !has_begun {
@@ -129,61 +130,65 @@
                 deadline = clock::now().after_millis(limits.head_timeout_millis);
             }
         }
-        match clock::before(deadline, connection.read()).await {
+        match clock::before(deadline, caller.read()).await {
             Some(Ok(true)) => {}
             _ => return Ok(None),
         }
     }
 }
 
-async fn refuse_malformed(connection: &mut Connection, error: Error) {
+async fn refuse_malformed(caller: &mut Caller, error: Error) {
     let response = match error {
         Error::HeadTooLong => ErrorResponse::HeadTooLong,
         _ => ErrorResponse::Malformed,
     };
     tracing::warn!(cause = %error, "malformed request refused");
-    caller::write_own(connection, &error_response::encode_closing(response)).await;
-    connection.shutdown().await;
+    caller
+        .write_own(&error_response::encode_closing(response))
+        .await;
+    caller.shutdown().await;
 }
 
 /// Responds to a request whose body could not be read; the connection closes after it.
-async fn refuse_body(state: &State, connection: &mut Connection, head: &Request, error: BodyError) {
+async fn refuse_body(state: &State, caller: &mut Caller, head: &Request, error: BodyError) {
     let response = match error {
         BodyError::Http(Error::BodyTooLong) => ErrorResponse::BodyTooLong,
         BodyError::Http(Error::Cut) | BodyError::Stalled => return,
-        BodyError::Http(error) => return refuse_malformed(connection, error).await,
+        BodyError::Http(error) => return refuse_malformed(caller, error).await,
         BodyError::NoMemory => {
             let error = ErrorResponse::NotRun {
                 retry_after: NO_MEMORY_RETRY_SECONDS,
             };
-            completion::refuse(state, connection, head, error).await;
+            completion::refuse(state, caller, head, error).await;
             return;
         }
     };
-    caller::write_own(connection, &error_response::encode_closing(response)).await;
+    caller
+        .write_own(&error_response::encode_closing(response))
+        .await;
 }
 
 async fn serve_one(
     state: &Rc<State>,
-    connection: &mut Connection,
+    caller: &mut Caller,
     head: &Request,
     received: Instant,
     limits: &Limits,
 ) -> Persistence {
     let Ok(framing) = head.framing() else {
-        refuse_malformed(connection, Error::Framing).await;
+        refuse_malformed(caller, Error::Framing).await;
         return Persistence::Close;
     };
     if head.fields.lists("expect", "100-continue") {
-        caller::write_own(connection, b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        caller.write_own(b"HTTP/1.1 100 Continue\r\n\r\n").await;
     }
     let body_deadline = received.after_millis(limits.idle_timeout_millis);
     let max_bytes = limits.max_body_bytes;
-    let body = body::read(state, connection, head, framing, max_bytes, body_deadline).await;
+    let body = body::read(state, caller, head, framing, max_bytes, body_deadline).await;
     let body = match body {
         Ok(body) => body,
         Err(error) => {
-            refuse_body(state, connection, head, error).await;
+            refuse_body(state, caller, head, error).await;
             return Persistence::Close;
         }
     };
@@ -192,15 +197,15 @@
         if !matches!(request, Err(ErrorResponse::NoConfiguration)) {
             break request;
         }
-        match startup::wait(state, connection).await {
+        match startup::wait(state, caller).await {
             StartupWait::Retry => {}
             StartupWait::Expired => break request,
             StartupWait::Disconnected => return Persistence::Close,
         }
     };
     let persistence = match request {
-        Ok(request) => forward::forward(state, connection, &request).await,
-        Err(error) => completion::refuse(state, connection, head, error).await,
+        Ok(request) => forward::forward(state, caller, &request).await,
+        Err(error) => completion::refuse(state, caller, head, error).await,
     };
     if head.keeps_alive() && !state.is_stopping.get() {
         return persistence;
--- a/crates/gingerpier_gateway/src/proxy/startup.rs
+++ b/crates/gingerpier_gateway/src/proxy/startup.rs
@@ -5,9 +5,8 @@
 //! ones are refused at once.
 
 use {
-    super::forward::disconnected,
+    super::{caller::Caller, forward::disconnected},
     crate::{clock, state::State},
-    gingerpier_http1::connection::Connection,
 };
 
 /// Time after process start within which requests may wait; covers loading the configuration and
@@ -30,7 +29,7 @@
 }
 
 /// Waits one poll interval while the gateway is starting.
-pub async fn wait(state: &State, caller: &mut Connection) -> StartupWait {
+pub async fn wait(state: &State, caller: &mut Caller) -> StartupWait {
     let now = clock::now();
     let window_end = state.started().after_millis(STARTUP_WINDOW_MILLIS);
     if window_end.has_passed(now) || state.is_stopping.get() {
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
-        caller::{self, WriteError},
+        caller::{Caller, WriteError},
         forward::{AttemptOutcome, Forwarder, disconnected},
         handover::{self, Handover, Reason},
         request::RoutedRequest,
@@ -320,7 +320,7 @@
 /// Forwards a stream until it ends or fails.
 pub async fn forward(
     forwarder: &mut Forwarder<'_, '_>,
-    caller: &mut Connection,
+    caller: &mut Caller,
     response: PendingResponse,
     progress: &mut Progress,
     in_flight: &mut InFlight,
@@ -565,7 +565,7 @@
     /// Writes events to the caller, after the response head if it hasn't got that yet.
     async fn write(
         &mut self,
-        caller: &mut Connection,
+        caller: &mut Caller,
         batch: &Batch,
         mut events: Vec<u8>,
     ) -> Result<(), WriteError> {
@@ -587,7 +587,11 @@
         }
         self.in_flight.record_first_event();
         let begun = clock::now();
-        caller::write(caller, &events, self.forwarder.request.deadline).await?;
+        let deadline = self.forwarder.request.deadline;
+        caller.write(&events, deadline).await?;
+        if matches!(batch, Batch::End) {
+            caller.complete();
+        }
         let now = clock::now();
         self.unread.record_write(begun, now);
         self.stall_deadline = now.after_millis(EVENT_GAP_TIMEOUT_MILLIS);
--- a/crates/gingerpier_gateway/src/proxy/trial.rs
+++ b/crates/gingerpier_gateway/src/proxy/trial.rs
@@ -6,12 +6,12 @@
 use {
     super::{
         attempt::{self, Aftermath, AttemptError, Cause},
+        caller::Caller,
         forward::{Forwarder, disconnected},
         stream::Progress,
     },
     crate::{clock, state::State, suspects},
     gingerpier_base::order,
-    gingerpier_http1::connection::Connection,
     gingerpier_serving::{
         fleet::EngineKey,
         suspects::{Crash, Incarnation, Status},
@@ -91,7 +91,7 @@
 
 impl Forwarder<'_, '_> {
     /// Decides before each attempt whether the request may be sent, and starts its trial.
-    pub(super) async fn admit(&mut self, caller: &mut Connection, progress: &Progress) -> Access {
+    pub(super) async fn admit(&mut self, caller: &mut Caller, progress: &Progress) -> Access {
         let state = self.state;
         let fingerprint = self.request.fingerprint;
         let wait_millis = self.request.route_settings().target_millis / WAIT_DIVISOR;
