Gateway: no response begins behind a part of another one

Cause: a caller that had not taken its response by the end of the route's time counted as an engine that was late. The request then ended like one whose caller has nothing, as each path guessed in its own way whether a response had begun, and that for buffered responses said nothing.

Evidence: outcome=TimedOut sent=Part attempts=1 cause=None, 1.5 s after the request, for an engine that responded at once.

Change: the connection of a caller decides. A response begins only where nothing was written and goes on only behind a part; the connection serves a further request only behind a complete response. An interim response counts as well. A caller that doesn't take its response in time ends its request as Stalled, which closes the connection and says nothing of the engine. Requests whose error response isn't taken are logged as Stalled or Left instead of refused, failed or answered.

Why it works: all writes to callers go through Caller, whose connection is private.

--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -209,7 +209,7 @@
             }
         };
         let deadline = self.request.deadline;
-        caller.write(&message.end(), deadline).await?;
+        caller.begin(&message.end(), deadline).await?;
         self.record_first_bytes();
         in_flight.record_first_event();
         let mut unread = stream::Unread::default();
@@ -219,9 +219,9 @@
             if is_chunked {
                 let mut chunk = Vec::with_capacity(data.len() + writer::CHUNK_FRAME_BYTES);
                 writer::chunk(&mut chunk, &data);
-                caller.write(&chunk, deadline).await?;
+                caller.proceed(&chunk, deadline).await?;
             } else {
-                caller.write(&data, deadline).await?;
+                caller.proceed(&data, deadline).await?;
             }
             unread.record_write(begun, clock::now());
             drop(data);
@@ -238,7 +238,7 @@
             };
         }
         if is_chunked {
-            caller.write(LAST_CHUNK, deadline).await?;
+            caller.proceed(LAST_CHUNK, deadline).await?;
         }
         caller.complete();
         Ok(())
@@ -255,10 +255,10 @@
         let mut bytes = head.end();
         if bytes.len() + response.body.len() <= ONE_WRITE_BYTES {
             bytes.extend_from_slice(&response.body);
-            caller.write(&bytes, deadline).await?;
+            caller.begin(&bytes, deadline).await?;
         } else {
-            caller.write(&bytes, deadline).await?;
-            caller.write(&response.body, deadline).await?;
+            caller.begin(&bytes, deadline).await?;
+            caller.proceed(&response.body, deadline).await?;
         }
         caller.complete();
         Ok(())
--- a/crates/gingerpier_gateway/src/proxy/caller.rs
+++ b/crates/gingerpier_gateway/src/proxy/caller.rs
@@ -2,6 +2,9 @@
 //!
 //! What is written stays in memory until the caller has taken it. Nothing more is read from the
 //! engine meanwhile, so that a slow caller slows the engine down.
+//!
+//! Only the connection knows what the caller has of a response. It therefore decides whether a
+//! response may begin, and a connection with an incomplete one serves no further request.
 
 use {
     crate::clock,
@@ -31,6 +34,8 @@
     Stalled,
     /// The deadline passed.
     TimedOut,
+    /// The connection has a part of another response, or none that could go on.
+    Conflict,
 }
 
 /// What of the response to the current request was written.
@@ -103,12 +108,34 @@
         self.connection.shutdown().await;
     }
 
-    /// Writes all of `bytes` while the caller takes some of them in time.
+    /// Writes the beginning of a response.
     ///
     /// # Errors
     ///
-    /// If the caller doesn't take them.
-    pub async fn write(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), WriteError> {
+    /// If a response has begun already, or the caller doesn't take the bytes.
+    pub async fn begin(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), WriteError> {
+        if self.sent != Sent::Nothing {
+            tracing::error!(sent = ?self.sent, "response withheld, as another one has begun");
+            return Err(WriteError::Conflict);
+        }
+        self.write_all(bytes, deadline).await
+    }
+
+    /// Writes a further part of the response that has begun.
+    ///
+    /// # Errors
+    ///
+    /// If no response has begun or it is complete, or the caller doesn't take the bytes.
+    pub async fn proceed(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), WriteError> {
+        if self.sent != Sent::Part {
+            tracing::error!(sent = ?self.sent, "part of a response withheld, as none has begun");
+            return Err(WriteError::Conflict);
+        }
+        self.write_all(bytes, deadline).await
+    }
+
+    /// Writes all of `bytes` while the caller takes some of them in time.
+    async fn write_all(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), WriteError> {
         let mut rest = bytes;
         while !rest.is_empty() {
             let stall_deadline = clock::now().after_millis(STALL_MILLIS);
@@ -130,18 +157,34 @@
         Ok(())
     }
 
-    /// Records that the response was written to its end.
-    pub const fn complete(&mut self) {
-        self.sent = Sent::Complete;
+    /// Records that the response that has begun was written to its end.
+    pub fn complete(&mut self) {
+        if self.sent == Sent::Part {
+            self.sent = Sent::Complete;
+        }
     }
 
-    /// Writes a response that the gateway itself generates; false if the caller doesn't take it.
-    pub async fn write_own(&mut self, bytes: &[u8]) -> bool {
+    /// Writes a response that the gateway itself generates.
+    ///
+    /// # Errors
+    ///
+    /// If another response has begun, or the caller doesn't take this one.
+    pub async fn respond(&mut self, bytes: &[u8]) -> Result<(), WriteError> {
         let deadline = clock::now().after_millis(OWN_RESPONSE_MILLIS);
-        let is_written = self.write(bytes, deadline).await.is_ok();
-        if is_written {
-            self.complete();
-        }
-        is_written
+        self.begin(bytes, deadline).await?;
+        self.complete();
+        Ok(())
+    }
+
+    /// Writes an interim response, after which the final one begins.
+    ///
+    /// # Errors
+    ///
+    /// If a response has begun, or the caller doesn't take this one; a final response then can't
+    /// follow a part of it.
+    pub async fn respond_interim(&mut self, bytes: &[u8]) -> Result<(), WriteError> {
+        self.respond(bytes).await?;
+        self.sent = Sent::Nothing;
+        Ok(())
     }
 }
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -2,10 +2,9 @@
 
 use {
     super::{
-        Persistence,
         attempt::{Aftermath, AttemptError, Cause},
         buffered::BufferedResponse,
-        caller::{Caller, Sent},
+        caller::{Caller, Sent, WriteError},
         error_response::{self, ErrorResponse},
         forward::Forwarder,
         stream::Progress,
@@ -103,19 +102,16 @@
         next: Action,
         progress: &Progress,
         fallback: Option<BufferedResponse>,
-    ) -> Persistence {
-        if progress.has_begun() {
+    ) {
+        if caller.sent() != Sent::Nothing {
             self.log_ending(Ending::Failed, caller.sent(), progress);
-            return Persistence::Close;
+            return;
         }
         if let Some(response) =
             fallback.filter(|response| is_forwardable_failure(response.head.status))
         {
-            self.log_ending(Ending::Answered, caller.sent(), progress);
-            return match self.write_buffered(caller, &response).await {
-                Ok(()) => Persistence::KeepAlive,
-                Err(_) => Persistence::Close,
-            };
+            let written = self.write_buffered(caller, &response).await;
+            return self.finish_written(caller, written, Ending::Answered, progress);
         }
         let (error, ending) = match next {
             Action::Fail | Action::Retry => (ErrorResponse::Failed, Ending::Failed),
@@ -149,7 +145,6 @@
         if ending == Ending::TimedOut {
             self.record_timeout();
         }
-        self.log_ending(ending, caller.sent(), progress);
         let header_names = self.state.platform_api.header_names();
         let bytes = error_response::encode(
             error,
@@ -157,9 +152,24 @@
             header_names,
             self.closes_connection(),
         );
-        match caller.write_own(&bytes).await {
-            true => Persistence::KeepAlive,
-            false => Persistence::Close,
+        let written = caller.respond(&bytes).await;
+        self.finish_written(caller, written, ending, progress);
+    }
+
+    /// Ends a request with `ending` if its response was written.
+    fn finish_written(
+        &self,
+        caller: &Caller,
+        written: Result<(), WriteError>,
+        ending: Ending,
+        progress: &Progress,
+    ) {
+        match written {
+            Ok(()) => self.log_ending(ending, caller.sent(), progress),
+            Err(WriteError::Disconnected) => self.finish_disconnected(caller),
+            Err(WriteError::Stalled | WriteError::TimedOut | WriteError::Conflict) => {
+                self.finish_stalled(caller, progress);
+            }
         }
     }
 
@@ -208,24 +218,22 @@
         (start + fastrand::f64() * spread).min(max_seconds)
     }
 
-    pub(super) fn finish_completed(&self, caller: &Caller, progress: &Progress) -> Persistence {
+    pub(super) fn finish_completed(&self, caller: &Caller, progress: &Progress) {
         self.log_ending(Ending::Answered, caller.sent(), progress);
-        Persistence::KeepAlive
     }
 
-    pub(super) fn finish_disconnected(&self, caller: &Caller) -> Persistence {
+    pub(super) fn finish_disconnected(&self, caller: &Caller) {
         self.log_ending(Ending::Left, caller.sent(), &Progress::default());
-        Persistence::Close
     }
 
-    /// Ends a request whose caller stopped reading; the caller sees an incomplete response.
-    pub(super) fn finish_stalled(&self, caller: &Caller, progress: &Progress) -> Persistence {
+    /// Ends a request whose caller didn't read its response in time; the caller sees an incomplete
+    /// one.
+    pub(super) fn finish_stalled(&self, caller: &Caller, progress: &Progress) {
         let labels = SlowLabels {
             direction: Direction::Response,
         };
         self.state.metrics.slow_callers.get_or_create(&labels).inc();
         self.log_ending(Ending::Stalled, caller.sent(), progress);
-        Persistence::Close
     }
 
     /// Counts the request by route and prompt size; requests without a size class are skipped.
@@ -302,12 +310,7 @@
 }
 
 /// Refuses a request that was not routed.
-pub async fn refuse(
-    state: &State,
-    caller: &mut Caller,
-    head: &Request,
-    error: ErrorResponse,
-) -> Persistence {
+pub async fn refuse(state: &State, caller: &mut Caller, head: &Request, error: ErrorResponse) {
     let header_names = state.platform_api.header_names();
     let ending = match error {
         ErrorResponse::NoConfiguration
@@ -333,8 +336,6 @@
     }
     let closes = state.is_stopping.get() || !head.keeps_alive();
     let bytes = error_response::encode(error, head, header_names, closes);
-    match caller.write_own(&bytes).await {
-        true => Persistence::KeepAlive,
-        false => Persistence::Close,
-    }
+    // A caller that doesn't take its response has its connection closed.
+    let _ = caller.respond(&bytes).await;
 }
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{
-        Persistence,
         attempt::{self, AttemptError, Cause, InFlight, PendingResponse},
         buffered::BufferedResponse,
         caller::{Caller, WriteError},
@@ -39,9 +38,9 @@
     Completed,
     /// The caller closed its connection.
     Disconnected,
-    /// The request's deadline passed.
+    /// The request's deadline passed before its engine's response was complete.
     TimedOut,
-    /// The caller stopped reading its response.
+    /// The caller didn't read its response in time.
     Stalled,
     /// The request was put on hold meanwhile, as engines crashed while they ran it.
     Held,
@@ -55,8 +54,7 @@
     fn from(error: WriteError) -> Self {
         match error {
             WriteError::Disconnected => Self::Disconnected,
-            WriteError::Stalled => Self::Stalled,
-            WriteError::TimedOut => Self::TimedOut,
+            WriteError::Stalled | WriteError::TimedOut | WriteError::Conflict => Self::Stalled,
         }
     }
 }
@@ -112,11 +110,7 @@
 }
 
 /// Forwards a request to engines until its caller has a final response.
-pub async fn forward(
-    state: &Rc<State>,
-    caller: &mut Caller,
-    request: &RoutedRequest<'_>,
-) -> Persistence {
+pub async fn forward(state: &Rc<State>, caller: &mut Caller, request: &RoutedRequest<'_>) {
     let route_settings = request.route_settings();
     let mut forwarder = Forwarder {
         state,
@@ -145,11 +139,11 @@
         refusal: None,
         is_granted: false,
     };
-    forwarder.run(caller).await
+    forwarder.run(caller).await;
 }
 
 impl Forwarder<'_, '_> {
-    async fn run(&mut self, caller: &mut Caller) -> Persistence {
+    async fn run(&mut self, caller: &mut Caller) {
         let mut progress = Progress::default();
         let mut fallback = None;
         loop {
@@ -231,10 +225,10 @@
         reason: Reason,
         progress: &Progress,
         fallback: Option<BufferedResponse>,
-    ) -> Persistence {
+    ) {
         self.refusal_reason = Some(reason);
         let next = self.retry_state.final_action();
-        self.finish(caller, next, progress, fallback).await
+        self.finish(caller, next, progress, fallback).await;
     }
 
     /// Waits one poll interval if no engine is known yet because the gateway is starting.
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -18,7 +18,7 @@
 use {
     crate::{clock, state::State},
     body::BodyError,
-    caller::Caller,
+    caller::{Caller, Sent},
     error_response::ErrorResponse,
     gingerpier_base::Instant,
     gingerpier_http1::{connection::Connection, error::Error, head::Request},
@@ -32,6 +32,9 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_MILLIS: u64 = 5;
 
+/// Interim response to a caller that waits for it before it sends its body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// Retry delay for a request whose body found no memory.
 const NO_MEMORY_RETRY_SECONDS: f64 = 1.0;
 
@@ -78,6 +81,7 @@
 
 async fn serve(state: &Rc<State>, mut caller: Caller) {
     loop {
+        caller.begin_request();
         let limits = state
             .configuration()
             .map_or_else(Limits::default, |configuration| configuration.limits);
@@ -95,7 +99,6 @@
             }
         };
         let received = clock::now();
-        caller.begin_request();
         let _active = ActiveRequest::new(state);
         if serve_one(state, &mut caller, &head, received, &limits).await == Persistence::Close {
             caller.shutdown().await;
@@ -143,9 +146,7 @@
         _ => ErrorResponse::Malformed,
     };
     tracing::warn!(cause = %error, "malformed request refused");
-    caller
-        .write_own(&error_response::encode_closing(response))
-        .await;
+    respond_and_close(caller, response).await;
     caller.shutdown().await;
 }
 
@@ -163,9 +164,14 @@
             return;
         }
     };
-    caller
-        .write_own(&error_response::encode_closing(response))
-        .await;
+    respond_and_close(caller, response).await;
+}
+
+/// Writes an error response on a connection that closes after it, also if the caller doesn't take
+/// the response.
+async fn respond_and_close(caller: &mut Caller, response: ErrorResponse) {
+    let bytes = error_response::encode_closing(response);
+    let _ = caller.respond(&bytes).await;
 }
 
 async fn serve_one(
@@ -180,7 +186,10 @@
         return Persistence::Close;
     };
     if head.fields.lists("expect", "100-continue") {
-        caller.write_own(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        let written = caller.respond_interim(CONTINUE).await;
+        if written.is_err() {
+            return Persistence::Close;
+        }
     }
     let body_deadline = received.after_millis(limits.idle_timeout_millis);
     let max_bytes = limits.max_body_bytes;
@@ -203,12 +212,13 @@
             StartupWait::Disconnected => return Persistence::Close,
         }
     };
-    let persistence = match request {
+    match request {
         Ok(request) => forward::forward(state, caller, &request).await,
         Err(error) => completion::refuse(state, caller, head, error).await,
-    };
-    if head.keeps_alive() && !state.is_stopping.get() {
-        return persistence;
     }
-    Persistence::Close
+    let is_complete = caller.sent() == Sent::Complete;
+    match is_complete && head.keeps_alive() && !state.is_stopping.get() {
+        true => Persistence::KeepAlive,
+        false => Persistence::Close,
+    }
 }
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -577,7 +577,8 @@
         if events.is_empty() {
             return Ok(());
         }
-        if !self.head_bytes.is_empty() {
+        let is_first = !self.head_bytes.is_empty();
+        if is_first {
             // One packet carries the head and the first event.
             self.head_bytes.append(&mut events);
             events = std::mem::take(&mut self.head_bytes);
@@ -588,7 +589,10 @@
         self.in_flight.record_first_event();
         let begun = clock::now();
         let deadline = self.forwarder.request.deadline;
-        caller.write(&events, deadline).await?;
+        match is_first {
+            true => caller.begin(&events, deadline).await?,
+            false => caller.proceed(&events, deadline).await?,
+        }
         if matches!(batch, Batch::End) {
             caller.complete();
         }
