--- a/crates/gingerpier_gateway/src/loader/activation.rs
+++ b/crates/gingerpier_gateway/src/loader/activation.rs
@@ -22,7 +22,8 @@
 /// Time after an order by which the engine's reports show it.
 const REPORT_DELAY_MILLIS: u64 = 100;
 
-/// Time for which a staged chunk may have been changed when the engine loads it.
+/// Time for which a staged chunk may have been corrupt when the engine loads it. The platform
+/// allows for this much, as no loader can see each change.
 const CHANGE_TOLERANCE_MILLIS: u64 = 3_000;
 
 /// Time from the first read of a verification within which its order has to be sent. The other half
@@ -64,7 +65,7 @@
     }
 }
 
-/// Result of reading back all staged chunks, each of which matched the manifest.
+/// Statement that all staged chunks matched the manifest when they were read back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Verification {
     /// Time before the first chunk was read.
--- a/crates/gingerpier_gateway/src/proxy/caller.rs
+++ b/crates/gingerpier_gateway/src/proxy/caller.rs
@@ -34,7 +34,7 @@
     Stalled,
     /// The deadline passed.
     TimedOut,
-    /// The connection has a part of another response, or none that could go on.
+    /// The bytes have no place on the connection: a response has begun, or none that could go on.
     Conflict,
 }
 
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Starts with the next request.
+    /// Forgets the last response; a new one may begin.
     pub const fn begin_request(&mut self) {
         self.sent = Sent::Nothing;
     }
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -146,7 +146,7 @@
         _ => ErrorResponse::Malformed,
     };
     tracing::warn!(cause = %error, "malformed request refused");
-    respond_and_close(caller, response).await;
+    respond_closing(caller, response).await;
     caller.shutdown().await;
 }
 
@@ -164,12 +164,12 @@
             return;
         }
     };
-    respond_and_close(caller, response).await;
+    respond_closing(caller, response).await;
 }
 
-/// Writes an error response on a connection that closes after it, also if the caller doesn't take
-/// the response.
-async fn respond_and_close(caller: &mut Caller, response: ErrorResponse) {
+/// Writes an error response that announces the end of its connection. Whether the caller takes it
+/// makes no difference, as the connection closes.
+async fn respond_closing(caller: &mut Caller, response: ErrorResponse) {
     let bytes = error_response::encode_closing(response);
     let _ = caller.respond(&bytes).await;
 }
