--- a/review/standin-2/src/limits.rs
+++ b/review/standin-2/src/limits.rs
@@ -1,4 +1,4 @@
-//! Case 6: a configuration raises the limit of bodies; clients go on with kept connections.
+//! Case 7: a configuration raises the limit of bodies; clients go on with kept connections.
 
 use {
     crate::{
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and clients of the scripts of the second review.
 
 mod client;
+mod full;
 mod held;
 mod http;
 mod limits;
@@ -20,6 +21,7 @@
     let code = match case.as_str() {
         "uploads" => uploads::run(folder),
         "held" => held::run(folder),
+        "full" => full::run(folder),
         "limits" => limits::run(folder),
         _ => 2,
     };
--- a/review/standin-2/src/uploads.rs
+++ b/review/standin-2/src/uploads.rs
@@ -1,4 +1,4 @@
-//! Case 4: clients that send long bodies in chunks at the same time.
+//! Case 5: clients that send long bodies in chunks at the same time.
 
 use {
     crate::{
