--- a/review/standin-2/src/held.rs
+++ b/review/standin-2/src/held.rs
@@ -1,4 +1,4 @@
-//! Case 6: requests to an idle service beside many streams whose prompts came in chunks.
+//! Case 7: requests to an idle service beside many streams whose prompts came in chunks.
 
 use {
     crate::{
--- a/review/standin-2/src/limits.rs
+++ b/review/standin-2/src/limits.rs
@@ -1,4 +1,4 @@
-//! Case 7: a configuration raises the limit of bodies; clients go on with kept connections.
+//! Case 8: a configuration raises the limit of bodies; clients go on with kept connections.
 
 use {
     crate::{
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod full;
 mod held;
 mod http;
+mod late_beat;
 mod limits;
 mod rig;
 mod store;
@@ -22,6 +23,7 @@
         "uploads" => uploads::run(folder),
         "held" => held::run(folder),
         "full" => full::run(folder),
+        "late-beat" => late_beat::run(folder),
         "limits" => limits::run(folder),
         _ => 2,
     };
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -76,6 +76,16 @@
         at
     }
 
+    /// Deletes an item.
+    pub fn delete(&self, key: &str) {
+        let mut items = self.shared.0.lock().expect("not poisoned");
+        items.at += 1;
+        let at = items.at;
+        items.items.remove(key);
+        items.changes.push((at, key.to_owned(), None));
+        self.shared.1.notify_all();
+    }
+
     fn answer(&self, request: &Message, connection: &mut Connection) -> bool {
         let json = [("Content-Type", "application/json")];
         let prefix = request.query("pathPrefix").unwrap_or_default();
