Gateway: lines tell which page of a list failed, and how many pages a full copy took

No decision changes. The line now has the key at which the page starts and its number; a line for each full copy has its pages, items and skipped entries.

--- a/crates/gingerpier_gateway/src/error.rs
+++ b/crates/gingerpier_gateway/src/error.rs
@@ -53,6 +53,15 @@
         /// Cause.
         cause: platform_api::Error,
     },
+    /// list after key {key:?}, page {page}: {cause}
+    Page {
+        /// Last key of the page before; empty for the first page.
+        key: String,
+        /// Number of the page, from 1.
+        page: u32,
+        /// Cause.
+        cause: Box<Self>,
+    },
     /// {step} at {peer}: no answer in time
     Timeout {
         /// Operation.
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -71,6 +71,10 @@
     pub last_page_revision: Revision,
     /// When the first page was requested.
     started: Option<Instant>,
+    /// Pages that were read.
+    page_count: u32,
+    /// Malformed entries that were skipped.
+    skipped_count: u32,
 }
 
 impl FullCopy {
@@ -98,8 +102,12 @@
             let is_first_page = self.items.is_empty();
             let after = self.items.last().map_or("", |item| item.key.as_str());
             let request = platform_api.list(scope, after, stale);
-            let response = client.call(&request, READ_TIMEOUT_MILLIS).await?;
-            let page = read_page(client.peer(), platform_api, &response)?;
+            let page = read_page(client, platform_api, &request).await;
+            let page = page.map_err(|cause| Error::Page {
+                key: after.to_owned(),
+                page: self.page_count + 1,
+                cause: Box::new(cause),
+            })?;
             if !is_first_page && page.revision.era != self.revision.era {
                 *self = Self::default();
                 continue;
@@ -108,6 +116,8 @@
                 self.revision = page.revision;
             }
             self.last_page_revision = page.revision;
+            self.page_count += 1;
+            self.skipped_count += page.skipped_count;
             let items = page.items.into_iter();
             self.items
                 .extend(items.map(|item| strip_unused_value(platform_api, item)));
@@ -145,18 +155,19 @@
     platform_api.list(Scope::Everything, AFTER_LAST_KEY, true)
 }
 
-fn read_page(
-    peer: SocketAddr,
+async fn read_page(
+    client: &mut Client,
     platform_api: &dyn PlatformApi,
-    response: &Whole,
+    request: &ApiRequest,
 ) -> Result<Page, Error> {
+    let response = client.call(request, READ_TIMEOUT_MILLIS).await?;
     let page = platform_api.parse_list(response.head.status, &response.body);
     let page = page.map_err(|cause| Error::Response {
         step: Operation::Parse,
-        peer,
+        peer: client.peer(),
         cause,
     })?;
-    Ok(page.in_era(era(platform_api, response)))
+    Ok(page.in_era(era(platform_api, &response)))
 }
 
 /// Era of the store that sent `response`; 0 on platforms without eras.
@@ -335,6 +346,14 @@
         .read(client, state.platform_api, Scope::Everything, false)
         .await?;
     let copy = std::mem::take(&mut polling.copy);
+    tracing::info!(
+        pages = copy.page_count,
+        items = copy.items.len(),
+        skipped = copy.skipped_count,
+        revision = copy.revision.number,
+        took = clock::now().millis_since(started),
+        "full copy of the store read"
+    );
     state.record_store_response(copy.last_page_revision);
     state.replace_mirror(copy.items, copy.revision);
     polling.needs_copy = false;
@@ -440,8 +459,7 @@
     let request = state
         .platform_api
         .list(Scope::Everything, AFTER_LAST_KEY, false);
-    let response = client.call(&request, READ_TIMEOUT_MILLIS).await?;
-    let page = read_page(client.peer(), state.platform_api, &response)?;
+    let page = read_page(client, state.platform_api, &request).await?;
     state.record_store_response(page.revision);
     let known = state.mirror.borrow().revision();
     Ok(match page.revision {
