Request targets are built by one type that encodes what other programs wrote

Cause: store::list appended the last key of a page to the query unencoded, so the store rejected the request for the next page (status 400), or continued at another key. Gateways that run follow by watches, which name no key, and notice nothing; after a restart none gets a full copy, so none has a configuration, and loaders get 404 from all. Class: data of other programs put into a request as syntax. The same was so of models' names in requests to origins, engines and other gateways' weights. Change: ApiRequest has a base::target::Target, which takes constant paths as they are and encodes segments and parameters (percent-encoding), so an unencoded one can't be written down. A blank is %20 and a plus %2B, which decoders of forms and of URIs read alike.

--- a/crates/gingerpier_base/src/lib.rs
+++ b/crates/gingerpier_base/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod name;
 pub mod order;
 pub mod place;
+pub mod target;
 pub mod time;
 
 pub use digest::Digest;
--- a/crates/gingerpier_gateway/src/client.rs
+++ b/crates/gingerpier_gateway/src/client.rs
@@ -240,7 +240,7 @@
 }
 
 fn start_message(call: &ApiRequest, host: SocketAddr) -> Message {
-    let message = Message::request(call.method.as_bytes(), call.target.as_bytes())
+    let message = Message::request(call.method.as_bytes(), call.target.as_str().as_bytes())
         .field(b"host", host.to_string().as_bytes());
     let fields = call.fields.iter();
     fields.fold(message, |message, (name, value)| {
--- a/crates/gingerpier_gateway/src/loader_configuration.rs
+++ b/crates/gingerpier_gateway/src/loader_configuration.rs
@@ -15,7 +15,7 @@
         state::State,
         weights::Distributor,
     },
-    gingerpier_base::Instant,
+    gingerpier_base::{Instant, target::Target},
     gingerpier_http1::writer::Message,
     gingerpier_serving::{
         configuration::{EngineModel, Origin, Service, ServiceKind, Services},
@@ -86,7 +86,7 @@
 /// message.
 pub async fn fetch(gateway: SocketAddr) -> Result<LoaderConfiguration, Error> {
     let mut client = Client::new(gateway);
-    let request = ApiRequest::get(PATH.to_owned());
+    let request = ApiRequest::get(Target::new(PATH));
     let response = client.call(&request, RESPONSE_TIMEOUT_MILLIS).await?;
     let invalid = |cause| Error::Response {
         step: Step::Parse,
--- a/crates/gingerpier_gateway/src/store_sharing.rs
+++ b/crates/gingerpier_gateway/src/store_sharing.rs
@@ -12,7 +12,7 @@
         state::State,
     },
     futures_util::future::join_all,
-    gingerpier_base::Instant,
+    gingerpier_base::{Instant, target::Target},
     gingerpier_http1::{
         connection::{Connection, Whole},
         head::Request,
@@ -179,11 +179,10 @@
 }
 
 impl SnapshotRequest {
-    fn target(&self) -> String {
-        format!(
-            "{SNAPSHOT_PATH}?after={}&wait={}",
-            self.after.number, self.wait_millis
-        )
+    fn target(&self) -> Target {
+        Target::new(SNAPSHOT_PATH)
+            .parameter("after", self.after.number)
+            .parameter("wait", self.wait_millis)
     }
 
     /// Parses `target`, whose revision is in `era`.
--- a/crates/gingerpier_gateway/src/weights/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -4,6 +4,7 @@
     super::Distributor,
     crate::{client::Client, clock, loader_configuration, store_sharing},
     bytes::Bytes,
+    gingerpier_base::target::{self, Target},
     gingerpier_http1::{connection::Connection, head::Request, writer::Message},
     gingerpier_serving::{platform_api::ModelVersion, report::Version},
     std::rc::Rc,
@@ -65,19 +66,22 @@
 
 impl PeerRequest {
     /// URL path of the request.
-    pub fn target(&self) -> String {
+    pub fn target(&self) -> Target {
         let ModelVersion { model, version } = &self.model_version;
         let chunk = self
             .chunk
             .map_or_else(|| "m".to_owned(), |chunk| chunk.to_string());
-        let mode = self.mode.name();
-        format!("/weights/{model}/{}/{chunk}/{mode}", version.0)
+        Target::new("/weights")
+            .segment(model)
+            .segment(&version.0.to_string())
+            .segment(&chunk)
+            .segment(self.mode.name())
     }
 
     /// Parses a URL path.
     pub fn parse(target: &str) -> Option<Self> {
         let mut parts = target.strip_prefix("/weights/")?.split('/');
-        let model = parts.next()?.to_owned();
+        let model = target::decode_segment(parts.next()?)?;
         let version = Version(parts.next()?.parse().ok()?);
         let chunk = match parts.next()? {
             "m" => None,
--- a/crates/gingerpier_gateway/tests/client.rs
+++ b/crates/gingerpier_gateway/tests/client.rs
@@ -1,6 +1,7 @@
 //! A long response may take its time while data arrives, and a stalled one times out.
 
 use {
+    gingerpier_base::target::Target,
     gingerpier_gateway::{client::Client, error::Error},
     gingerpier_serving::platform_api::ApiRequest,
     std::{
@@ -44,7 +45,7 @@
 
 fn fetch(address: SocketAddr) -> Result<Vec<u8>, Error> {
     actix_rt::System::new().block_on(async move {
-        let call = ApiRequest::get("/everything".to_owned());
+        let call = ApiRequest::get(Target::new("/everything"));
         let whole = Client::new(address).call(&call, BEGIN_MILLIS).await?;
         Ok(whole.body.to_vec())
     })
@@ -98,7 +99,7 @@
             counter.fetch_add(1, Ordering::Relaxed);
         }
     });
-    let call = || ApiRequest::get("/small".to_owned());
+    let call = || ApiRequest::get(Target::new("/small"));
     let result = actix_rt::System::new().block_on(async move {
         let mut client = Client::new(address).with_probe(call());
         client.call(&call(), BEGIN_MILLIS).await
@@ -129,7 +130,7 @@
     });
     actix_rt::System::new().block_on(async move {
         let last_received = Rc::new(Cell::new(None));
-        let call = ApiRequest::get("/everything".to_owned());
+        let call = ApiRequest::get(Target::new("/everything"));
         let mut client = Client::recording(address, last_received.clone());
         client.call(&call, BEGIN_MILLIS).await.expect("a response");
         last_received.get().is_some()
--- a/crates/gingerpier_serving/src/platform_api.rs
+++ b/crates/gingerpier_serving/src/platform_api.rs
@@ -11,6 +11,7 @@
         report::{Report, Version},
     },
     displaydoc::Display,
+    gingerpier_base::target::Target,
 };
 
 /// Names of HTTP header fields, in lower case.
@@ -75,7 +76,7 @@
     /// Method.
     pub method: &'static str,
     /// Path and query.
-    pub target: String,
+    pub target: Target,
     /// Header fields in addition to those that every request has.
     pub fields: Vec<(&'static str, String)>,
     /// Body; JSON, except for chunks.
@@ -84,7 +85,7 @@
 
 impl ApiRequest {
     /// Creates a request without a body.
-    pub const fn get(target: String) -> Self {
+    pub const fn get(target: Target) -> Self {
         Self {
             method: "GET",
             target,
