Weight sources and the command line: file names and marks are encoded in URLs

A version with a file named `part 1.bin` could not be fetched (invalid uri character), and of `a#1` the source was asked for `a`. base::target encodes both, and `gingerpier release`'s mark. The stand-in of sources decodes paths, as a web server does. The test fails before: `part 1.bin: no answer came: invalid uri character`.

--- a/crates/gingerpier_cli/src/held.rs
+++ b/crates/gingerpier_cli/src/held.rs
@@ -5,6 +5,7 @@
 use {
     crate::{Error, exit::Exit},
     awc::{Client, ClientRequest},
+    gingerpier_base::target::Target,
     std::net::SocketAddr,
 };
 
@@ -26,7 +27,8 @@
 ///
 /// Where the gateway does not answer.
 pub async fn release(gateway: SocketAddr, mark: &str) -> Result<Exit, Error> {
-    let request = Client::default().post(format!("http://{gateway}/release/{mark}"));
+    let target = Target::new("/release").segment(mark);
+    let request = Client::default().post(format!("http://{gateway}{target}"));
     let (is_done, text) = send(request, gateway).await?;
     print!("{text}");
     Ok(if is_done { Exit::Done } else { Exit::Refused })
--- a/crates/gingerpier_services/src/weight_source.rs
+++ b/crates/gingerpier_services/src/weight_source.rs
@@ -12,7 +12,7 @@
         http::{StatusCode, header},
     },
     bytes::Bytes,
-    gingerpier_base::{Digest, Instant},
+    gingerpier_base::{Digest, Instant, target::Target},
     gingerpier_weights::manifest::{self, File, Manifest, Span},
     std::time::Duration,
 };
@@ -31,6 +31,11 @@
         Self { http, url, timeout }
     }
 
+    fn file_url(&self, folder: &str, path: &str) -> String {
+        let target = Target::new("").segments(folder).segments(path);
+        format!("{}{target}", self.url)
+    }
+
     /// Fetches and verifies the manifest in `folder`; returns its bytes as well, for peers.
     ///
     /// # Errors
@@ -42,7 +47,7 @@
         digest: Digest,
         now: Instant,
     ) -> Result<(Manifest, Bytes), Error> {
-        let url = format!("{}/{folder}/{}", self.url, manifest::FILE_NAME);
+        let url = self.file_url(folder, manifest::FILE_NAME);
         let call = CallContext {
             step: Step::ReadManifest,
             url: &url,
@@ -72,7 +77,7 @@
     where
         F: AsyncFnMut(Bytes),
     {
-        let url = format!("{}/{folder}/{}", self.url, file.path);
+        let url = self.file_url(folder, &file.path);
         let call = CallContext {
             step: Step::ReadWeights,
             url: &url,
--- a/crates/gingerpier_standins/src/origin.rs
+++ b/crates/gingerpier_standins/src/origin.rs
@@ -11,6 +11,7 @@
     futures_util::stream,
     gingerpier_http::{Answer, Listener, answer, body},
     gingerpier_weights::manifest,
+    percent_encoding::percent_decode_str,
     serde::{Deserialize, Serialize},
     std::{
         cell::RefCell,
@@ -139,7 +140,10 @@
 }
 
 fn file(state: &Shared, request: &Request) -> Answer {
-    let path = Path::new(request.path().trim_start_matches('/'));
+    let Ok(path) = percent_decode_str(request.path()).decode_utf8() else {
+        return answer::text(400, "the path is not UTF-8");
+    };
+    let path = Path::new(path.trim_start_matches('/'));
     if !path
         .components()
         .all(|part| matches!(part, Component::Normal(_)))
