Gateway: a list whose pages repeat is given up instead of read without end

A page that ends where an earlier one of the same copy ended is an error now, with its line and backoff; the copy starts again after the time that a partial copy may live. Only equal keys are compared, so the store's collation doesn't matter.

--- a/crates/gingerpier_gateway/src/error.rs
+++ b/crates/gingerpier_gateway/src/error.rs
@@ -58,7 +58,7 @@
         /// Last key of the page before; empty for the first page.
         key: String,
         /// Number of the page, from 1.
-        page: u32,
+        page: usize,
         /// Cause.
         cause: Box<Self>,
     },
--- a/crates/gingerpier_gateway/src/store.rs
+++ b/crates/gingerpier_gateway/src/store.rs
@@ -15,7 +15,7 @@
     gingerpier_serving::{
         mirror::{Item, Revision},
         outage::MAX_RETRY_PAUSE_MILLIS,
-        platform_api::{ApiRequest, Page, PlatformApi, Scope, WatchResponse},
+        platform_api::{self, ApiRequest, Page, PlatformApi, Scope, WatchResponse},
         watching::{Step, WatcherSelection},
     },
     std::{net::SocketAddr, rc::Rc},
@@ -71,8 +71,8 @@
     pub last_page_revision: Revision,
     /// When the first page was requested.
     started: Option<Instant>,
-    /// Pages that were read.
-    page_count: u32,
+    /// Last key of each page that was read.
+    page_ends: Vec<String>,
     /// Malformed entries that were skipped.
     skipped_count: u32,
 }
@@ -103,9 +103,10 @@
             let after = self.items.last().map_or("", |item| item.key.as_str());
             let request = platform_api.list(scope, after, stale);
             let page = read_page(client, platform_api, &request).await;
+            let page = page.and_then(|page| self.check_advance(client.peer(), page));
             let page = page.map_err(|cause| Error::Page {
                 key: after.to_owned(),
-                page: self.page_count + 1,
+                page: self.page_ends.len() + 1,
                 cause: Box::new(cause),
             })?;
             if !is_first_page && page.revision.era != self.revision.era {
@@ -116,7 +117,8 @@
                 self.revision = page.revision;
             }
             self.last_page_revision = page.revision;
-            self.page_count += 1;
+            let last_key = page.items.last().map(|item| item.key.clone());
+            self.page_ends.push(last_key.unwrap_or_default());
             self.skipped_count += page.skipped_count;
             let items = page.items.into_iter();
             self.items
@@ -126,6 +128,23 @@
             }
         }
     }
+
+    /// Rejects a page after which the list would continue where it has continued before, without end.
+    fn check_advance(&self, peer: SocketAddr, page: Page) -> Result<Page, Error> {
+        let last_key = page.items.last().map(|item| &item.key);
+        let is_repeated = last_key.is_some_and(|key| self.page_ends.contains(key));
+        match page.has_more && is_repeated {
+            true => Err(Error::Response {
+                step: Operation::Parse,
+                peer,
+                cause: platform_api::Error::Malformed {
+                    place: "range".to_owned(),
+                    what: "page ends at the same key as an earlier one".to_owned(),
+                },
+            }),
+            false => Ok(page),
+        }
+    }
 }
 
 /// Reads a full copy of `scope`.
@@ -347,7 +366,7 @@
         .await?;
     let copy = std::mem::take(&mut polling.copy);
     tracing::info!(
-        pages = copy.page_count,
+        pages = copy.page_ends.len(),
         items = copy.items.len(),
         skipped = copy.skipped_count,
         revision = copy.revision.number,
