HTTP writer: a line break in a field's value adds no field

CR, LF and NUL in a value become blanks, as RFC 9110 asks. The test fails before (a second message is left) and passes after.

--- a/crates/gingerpier_http1/src/writer.rs
+++ b/crates/gingerpier_http1/src/writer.rs
@@ -47,12 +47,18 @@
         Self(bytes)
     }
 
-    /// Adds a field.
+    /// Adds a field. Bytes that would end the value become blanks (RFC 9110, section 5.5).
     #[must_use]
     pub fn field(mut self, name: &[u8], value: &[u8]) -> Self {
         self.0.extend_from_slice(name);
         self.0.extend_from_slice(b": ");
+        let start = self.0.len();
         self.0.extend_from_slice(value);
+        for byte in &mut self.0[start..] {
+            if matches!(byte, b'\r' | b'\n' | 0) {
+                *byte = b' ';
+            }
+        }
         self.0.extend_from_slice(b"\r\n");
         self
     }
--- a/crates/gingerpier_http1/tests/messages.rs
+++ b/crates/gingerpier_http1/tests/messages.rs
@@ -129,6 +129,20 @@
     assert_eq!(&input[..], b"next");
 }
 
+/// Guards against names of other programs that add header fields, or a second request.
+#[test]
+fn a_line_break_in_a_value_adds_no_field() {
+    let bytes = Message::request(b"GET", b"/")
+        .field(b"tenant", b"a\r\n\r\nb: c\n\0d")
+        .end();
+    let mut input = BytesMut::from(&bytes[..]);
+    let request = Request::parse(&mut input, LIMIT).expect("right");
+    let request = request.expect("whole");
+    assert!(input.is_empty());
+    assert_eq!(request.fields.iter().count(), 1);
+    assert_eq!(request.fields.text("tenant"), Some("a    b: c  d"));
+}
+
 #[test]
 fn messages_are_written_as_they_are_read() {
     let bytes = Message::request(b"POST", b"/a")
