--- a/crates/gingerpier_gateway/src/metrics.rs
+++ b/crates/gingerpier_gateway/src/metrics.rs
@@ -2,13 +2,37 @@
 
 use {
     prometheus_client::{
-        encoding::{EncodeLabelSet, EncodeLabelValue, text},
+        encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::sync::atomic::AtomicU64,
+    std::{
+        fmt::{self, Write},
+        sync::atomic::AtomicU64,
+    },
 };
 
+/// Value of a label, which may hold any characters; the library doesn't escape them.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Label(String);
+
+impl From<&str> for Label {
+    fn from(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+}
+
+impl EncodeLabelValue for Label {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        self.0.chars().try_for_each(|character| match character {
+            '\\' => encoder.write_str("\\\\"),
+            '"' => encoder.write_str("\\\""),
+            '\n' => encoder.write_str("\\n"),
+            other => encoder.write_char(other),
+        })
+    }
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Ending {
@@ -39,9 +63,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteEndingLabels {
     /// Name of the route.
-    pub route: String,
+    pub route: Label,
     /// Size class of the prompt among the requests of the route.
-    pub size: String,
+    pub size: Label,
     /// How the requests ended.
     pub ending: Ending,
 }
@@ -72,16 +96,16 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct GrantLabels {
     /// Zone that may send the requests.
-    pub zone: String,
+    pub zone: Label,
     /// Name of the service.
-    pub service: String,
+    pub service: Label,
 }
 
 /// Labels of a counter by zone.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ZoneLabels {
     /// Name of the zone.
-    pub zone: String,
+    pub zone: Label,
 }
 
 /// Direction of a message between a caller and the gateway.
@@ -104,9 +128,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EngineLabels {
     /// Name of the service.
-    pub service: String,
+    pub service: Label,
     /// Availability of the engines for a usual request.
-    pub standing: String,
+    pub standing: Label,
 }
 
 /// Kind of a message between processes.
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -240,8 +240,8 @@
     fn count_by_size(&self, ending: Ending) {
         let Some(bin) = self.request.band else { return };
         let labels = RouteEndingLabels {
-            route: self.request.route_settings().name.clone(),
-            size: bin.to_string(),
+            route: self.request.route_settings().name.as_str().into(),
+            size: bin.to_string().as_str().into(),
             ending,
         };
         let endings = &self.state.metrics.endings_by_route;
--- a/crates/gingerpier_gateway/src/state/engines.rs
+++ b/crates/gingerpier_gateway/src/state/engines.rs
@@ -162,8 +162,8 @@
             let counts = selection::count_availability(&fleet, &criteria, now);
             for availability in Availability::ALL {
                 let labels = EngineLabels {
-                    service: service.name.clone(),
-                    standing: availability.label().to_owned(),
+                    service: service.name.as_str().into(),
+                    standing: availability.label().into(),
                 };
                 let gauge = self.metrics.engines.get_or_create(&labels).clone();
                 gauge.set(counts.count(availability).into());
--- a/crates/gingerpier_gateway/src/state/sharing.rs
+++ b/crates/gingerpier_gateway/src/state/sharing.rs
@@ -96,7 +96,9 @@
             };
             grantee.take(&zone, service, &share, now);
             counter.record_shortfall(service, Shortfall::Granted, now);
-            let labels = ZoneLabels { zone };
+            let labels = ZoneLabels {
+                zone: zone.as_str().into(),
+            };
             self.metrics.granted_requests.get_or_create(&labels).inc();
             return Some(choice);
         }
@@ -204,8 +206,8 @@
         issued.clear();
         for grant in &grants {
             let labels = GrantLabels {
-                zone: grant.zone.clone(),
-                service: grant.service.clone(),
+                zone: grant.zone.as_str().into(),
+                service: grant.service.as_str().into(),
             };
             issued.get_or_create(&labels).set(grant.per_second);
         }
