HTTP: a response with an invalid status is an engine failure

A 000 itself didn't reach callers, but what follows it did: any status below 200 counted as an interim response and was passed over, so a 000 without a body made the next bytes on the connection, which belong to no request, the response (status 200 with another body). Statuses from 600 on were given to the caller as they came. Change: the parser takes 100 to 599 (RFC 9110, section 15); everything else is a malformed head, as other garbage is: another engine where the request may run again, else 502.

--- a/crates/gingerpier_http1/src/error.rs
+++ b/crates/gingerpier_http1/src/error.rs
@@ -7,6 +7,8 @@
 pub enum Error {
     /// the head is not HTTP/1.1
     Head,
+    /// the status is not between 100 and 599
+    Status,
     /// the head is longer than allowed
     HeadTooLong,
     /// the length of the body is not told in exactly one way
--- a/crates/gingerpier_http1/src/head.rs
+++ b/crates/gingerpier_http1/src/head.rs
@@ -3,12 +3,15 @@
 use {
     crate::{body::Framing, error::Error},
     bytes::{Buf, Bytes, BytesMut},
-    std::ops::Range,
+    std::ops::{Range, RangeInclusive},
 };
 
 /// Most header fields of one message.
 const MAX_FIELDS: usize = 100;
 
+/// Statuses with a meaning (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Fields that concern one connection only and go no further (RFC 9110, section 7.6.1), and the
 /// length, which each hop tells anew.
 const CONNECTION_FIELDS: [&str; 8] = [
@@ -198,7 +201,7 @@
     ///
     /// # Errors
     ///
-    /// Where it is longer than `limit` bytes or no head of a response.
+    /// Where it is longer than `limit` bytes, no head of a response, or of an invalid status.
     pub fn parse(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Error> {
         loop {
             let Some(response) = Self::parse_one(input, limit)? else {
@@ -223,6 +226,9 @@
         let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
             return Err(Error::Head);
         };
+        if !VALID_STATUSES.contains(&status) {
+            return Err(Error::Status);
+        }
         let ranges = ranges_of(input, parsed.headers);
         Ok(Some(Self {
             status,
--- a/crates/gingerpier_http1/tests/messages.rs
+++ b/crates/gingerpier_http1/tests/messages.rs
@@ -76,6 +76,16 @@
     assert_eq!(&input[..], b"rest");
 }
 
+/// Guards against an invalid response that is passed over as an interim one.
+#[test]
+fn responses_with_an_invalid_status_are_refused() {
+    for status in ["000", "001", "099", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        let response = Response::parse(&mut BytesMut::from(&text[..]), LIMIT);
+        assert_eq!(response.err(), Some(Error::Status), "{status}");
+    }
+}
+
 #[test]
 fn a_response_without_a_length_ends_with_its_connection() {
     let mut input = BytesMut::from("HTTP/1.1 200 OK\r\n\r\nab");
