--- a/crates/gingerpier_services/src/exchange.rs
+++ b/crates/gingerpier_services/src/exchange.rs
@@ -22,6 +22,9 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Largest valid status (RFC 9110, section 15); hyper rejects those below 100.
+const MAX_STATUS: u16 = 599;
+
 /// HTTP client; clones share one connection pool.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -77,6 +80,10 @@
         match actix_rt::time::timeout(timeout, self.inner.request(request)).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
+                if head.status.as_u16() > MAX_STATUS {
+                    let what = format!("status {} is invalid", head.status.as_u16());
+                    return Err(Fault::Unreadable(what));
+                }
                 Ok(Answer {
                     status: head.status,
                     headers: head.headers,
