Gateway: requests in progress at the end of a planned stop get a final response

Cause: at the end of the time for a stop the process ended with the tasks of its requests, and a request whose own deadline lay behind that had no other end. The phases were fixed at 2.8 s and 1.2 s, so that a stop that may take less than 4 s was killed in the middle of the second one. Change: serving::shutdown derives all phases from the time that a stop may take (8 s: accepts for 2.8 s, as before, refuses until 4 s at least, 7.4 s as before for what runs). At the cutoff, 0.6 s before the process is killed, each request in progress ends as at its deadline: 504 if it may have run, 503 with the promise if it wasn't sent, and no further engine gets it. A stream that has begun is still cut there: its client resumes it, if its route allows it. The entry role of gingerpierd was not examined for this.

--- a/crates/gingerpier_gateway/src/gateway.rs
+++ b/crates/gingerpier_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
         zones,
     },
     gingerpier_http1::{connection::Connection, writer::Message},
-    gingerpier_serving::platform_api::PlatformApi,
+    gingerpier_serving::{platform_api::PlatformApi, shutdown::Schedule},
     gingerpier_settings::Gateway as Settings,
     std::{net::SocketAddr, rc::Rc},
     tokio::{
@@ -20,16 +20,6 @@
     },
 };
 
-/// Time for which a stopping gateway still accepts requests: covers two health checks of the load
-/// balancer, and leaves accepted requests time to finish.
-const ACCEPT_WHILE_STOPPING_MILLIS: u64 = 2_800;
-
-/// Time after that for which requests are refused instead of finding a closed port.
-const REFUSE_WHILE_STOPPING_MILLIS: u64 = 1_200;
-
-/// Margin between the last active request and the end of the time for a shutdown.
-const STOP_MARGIN_MILLIS: u64 = 600;
-
 /// Interval between checks for active requests, and delay after a failed accept.
 const POLL_INTERVAL_MILLIS: u64 = 50;
 
@@ -142,13 +132,10 @@
 }
 
 async fn stop(state: &State) {
-    let started = clock::now();
-    state.is_stopping.set(true);
+    let schedule = Schedule::new(clock::now(), state.settings.drain_within.0);
+    state.stop(schedule);
     tracing::info!(active = state.active_requests.get(), "gateway stops");
-    let settings = &state.settings;
-    let drain_deadline =
-        started.after_millis(settings.drain_within.0.saturating_sub(STOP_MARGIN_MILLIS));
-    clock::until(started.after_millis(ACCEPT_WHILE_STOPPING_MILLIS)).await;
+    clock::until(schedule.accepts_until).await;
     state.is_closed.set(true);
     state.closing.notify_waiters();
     tracing::info!(
@@ -156,8 +143,8 @@
         "no longer accepting requests"
     );
     // Callers that connect late still get an error response.
-    clock::pause(REFUSE_WHILE_STOPPING_MILLIS).await;
-    while state.active_requests.get() > 0 && !drain_deadline.has_passed(clock::now()) {
+    clock::until(schedule.refuses_until).await;
+    while state.active_requests.get() > 0 && !schedule.ends_by.has_passed(clock::now()) {
         clock::pause(POLL_INTERVAL_MILLIS).await;
     }
     tracing::info!(active = state.active_requests.get(), "gateway stopped");
--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -186,6 +186,7 @@
             part = reading.next_part(self.state) => part,
             () = disconnected(caller) => return Err(AttemptOutcome::Disconnected),
             () = clock::until(self.request.deadline) => return Err(AttemptOutcome::TimedOut),
+            () = self.state.cutoff() => return Err(AttemptOutcome::TimedOut),
             () = self.state.until_held(self.request.fingerprint, &[]) => return Err(AttemptOutcome::Held),
         };
         part.map_err(AttemptOutcome::Failed)
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -334,7 +334,7 @@
             "request denied"
         );
     }
-    let closes = state.is_stopping.get() || !head.keeps_alive();
+    let closes = state.is_stopping() || !head.keeps_alive();
     let bytes = error_response::encode(error, head, header_names, closes);
     // A caller that doesn't take its response has its connection closed.
     let _ = caller.respond(&bytes).await;
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -38,7 +38,7 @@
     Completed,
     /// The caller closed its connection.
     Disconnected,
-    /// The request's deadline passed before its engine's response was complete.
+    /// The request's deadline passed before its engine's response was complete, or the gateway stops.
     TimedOut,
     /// The caller didn't read its response in time.
     Stalled,
@@ -172,6 +172,10 @@
                 let next = self.retry_state.final_action();
                 return self.finish(caller, next, &progress, fallback).await;
             };
+            if self.state.is_cut_off() {
+                let next = self.retry_state.final_action();
+                return self.finish(caller, next, &progress, fallback).await;
+            }
             self.record_attempt(engine);
             let outcome = self.attempt(caller, engine, &mut progress).await;
             let error = match outcome {
@@ -281,13 +285,15 @@
         let withdraw_at = self.withdraw_at(engine);
         let sending = attempt::send(state, request, engine, &options);
         let held = state.until_held(request.fingerprint, &request.shared_parts);
-        tokio::pin!(sending, held);
+        let cutoff = state.cutoff();
+        tokio::pin!(sending, held, cutoff);
         let response = loop {
             tokio::select! {
                 biased;
                 response = &mut sending => break response,
                 () = disconnected(caller) => return AttemptOutcome::Disconnected,
                 () = clock::until(request.deadline) => return AttemptOutcome::TimedOut,
+                () = &mut cutoff => return AttemptOutcome::TimedOut,
                 () = &mut held => return AttemptOutcome::Held,
                 () = withdrawal(withdraw_at) => {
                     return AttemptOutcome::Failed(engine_choice::OUTDATED);
@@ -399,7 +405,7 @@
     }
 
     pub(super) fn closes_connection(&self) -> bool {
-        self.state.is_stopping.get() || !self.request.head.keeps_alive()
+        self.state.is_stopping() || !self.request.head.keeps_alive()
     }
 
     /// Records the time to the first bytes of a response and its deviation from the prediction.
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -217,7 +217,7 @@
         Err(error) => completion::refuse(state, caller, head, error).await,
     }
     let is_complete = caller.sent() == Sent::Complete;
-    match is_complete && head.keeps_alive() && !state.is_stopping.get() {
+    match is_complete && head.keeps_alive() && !state.is_stopping() {
         true => Persistence::KeepAlive,
         false => Persistence::Close,
     }
--- a/crates/gingerpier_gateway/src/proxy/startup.rs
+++ b/crates/gingerpier_gateway/src/proxy/startup.rs
@@ -32,7 +32,7 @@
 pub async fn wait(state: &State, caller: &mut Caller) -> StartupWait {
     let now = clock::now();
     let window_end = state.started().after_millis(STARTUP_WINDOW_MILLIS);
-    if window_end.has_passed(now) || state.is_stopping.get() {
+    if window_end.has_passed(now) || state.is_stopping() {
         return StartupWait::Expired;
     }
     tokio::select! {
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -329,7 +329,9 @@
     let held = forwarder
         .state
         .until_held(forwarder.request.fingerprint, &[]);
-    tokio::pin!(held);
+    let state = forwarder.state.clone();
+    let cutoff = state.cutoff();
+    tokio::pin!(held, cutoff);
     let deadline = forwarder.request.deadline;
     let mut relay = Relay::new(forwarder, response, progress, in_flight);
     let mut events = Vec::new();
@@ -341,6 +343,7 @@
                 if relay.is_reading() => step,
             () = disconnected(caller) => return AttemptOutcome::Disconnected,
             () = clock::until(deadline) => return AttemptOutcome::TimedOut,
+            () = &mut cutoff => return AttemptOutcome::TimedOut,
             () = &mut held => return AttemptOutcome::Held,
             result = confirmed(&mut relay.confirmation) => Step::Confirmed(result),
             response = handover::response(&mut relay.handover) => Step::HandoverResponse(response),
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -40,6 +40,7 @@
         region::Regions,
         release::{Freshness, Releases},
         report::Version,
+        shutdown::Schedule,
         zones::Exchange,
     },
     gingerpier_settings::Gateway as Settings,
@@ -88,8 +89,9 @@
     pub suspect_state: SuspectState,
     /// Distribution of weights through this gateway.
     pub distributor: Rc<Distributor>,
-    /// True once a termination signal arrived.
-    pub is_stopping: Cell<bool>,
+    shutdown: Cell<Option<Schedule>>,
+    /// Notified when a termination signal arrives.
+    stopping: Notify,
     /// True once the stopping gateway refuses new requests.
     pub is_closed: Cell<bool>,
     /// Notified when the stopping gateway starts to refuse new requests, which closes idle
@@ -157,7 +159,8 @@
             snapshots: Snapshots::default(),
             suspect_state: SuspectState::default(),
             distributor: Rc::new(Distributor::new(platform_api)),
-            is_stopping: Cell::new(false),
+            shutdown: Cell::new(None),
+            stopping: Notify::new(),
             is_closed: Cell::new(false),
             closing: Notify::new(),
             active_requests: Cell::new(0),
@@ -196,7 +199,7 @@
     /// True if the gateway is ready for new connections.
     pub fn is_ready(&self) -> bool {
         let is_configured = self.configuration.borrow().is_some();
-        is_configured && !self.is_stopping.get()
+        is_configured && !self.is_stopping()
     }
 
     /// Applies changes up to revision `at` from another gateway; keys may have been deleted and
@@ -329,6 +332,34 @@
         sizes.record(route, prompt_tokens)
     }
 
+    /// Begins a planned shutdown.
+    pub fn stop(&self, schedule: Schedule) {
+        self.shutdown.set(Some(schedule));
+        self.stopping.notify_waiters();
+    }
+
+    /// True once a termination signal arrived.
+    pub fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_some()
+    }
+
+    /// True once requests in progress have to end.
+    pub fn is_cut_off(&self) -> bool {
+        let schedule = self.shutdown.get();
+        schedule.is_some_and(|schedule| schedule.cutoff.has_passed(clock::now()))
+    }
+
+    /// Completes once requests in progress have to end, as the gateway stops.
+    pub async fn cutoff(&self) {
+        let stopping = self.stopping.notified();
+        if !self.is_stopping() {
+            stopping.await;
+        }
+        if let Some(schedule) = self.shutdown.get() {
+            clock::until(schedule.cutoff).await;
+        }
+    }
+
     /// Shortest retry delay after which returning callers of `route` can be distinguished from new
     /// ones; `None` while that is unknown.
     pub fn recognizable_retry_millis(&self, route: &str) -> Option<u64> {
--- a/crates/gingerpier_serving/src/lib.rs
+++ b/crates/gingerpier_serving/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod report;
 pub mod request_limit;
 pub mod retry;
+pub mod shutdown;
 pub mod signals;
 pub mod suspects;
 pub mod trials;
