Gateway: a response without end ends with its request's deadline

Shown by invalid_responses.rs: a body that an engine sends faster than the caller reads never ended: 8 of 33 cases went on at twice the deadline, when the test gave up (a body of a huge length, without framing, or in chunks; all types of route); the gateway was at 100% of a processor meanwhile and never stopped by itself. Cause: the waits list the engine's bytes before the deadline, and with bytes always ready the task only yields when its budget of operations is used up, which a timer needs as well. So the deadline was never looked at. Change: each loop that reads a response looks at the deadline, and at the cutoff of a stop, itself.

--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -181,6 +181,9 @@
         caller: &mut Caller,
         reading: &mut Reading,
     ) -> Result<Part, AttemptOutcome> {
+        if self.has_expired() {
+            return Err(AttemptOutcome::TimedOut);
+        }
         let part = tokio::select! {
             biased;
             part = reading.next_part(self.state) => part,
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -404,6 +404,11 @@
         message
     }
 
+    /// True once the request has to end. A wait with a deadline doesn't see it pass while data is always ready.
+    pub(super) fn has_expired(&self) -> bool {
+        self.request.deadline.has_passed(clock::now()) || self.state.is_cut_off()
+    }
+
     pub(super) fn closes_connection(&self) -> bool {
         self.state.is_stopping() || !self.request.head.keeps_alive()
     }
--- a/crates/gingerpier_gateway/src/proxy/stream.rs
+++ b/crates/gingerpier_gateway/src/proxy/stream.rs
@@ -336,6 +336,9 @@
     let mut relay = Relay::new(forwarder, response, progress, in_flight);
     let mut events = Vec::new();
     loop {
+        if relay.forwarder.has_expired() {
+            return AttemptOutcome::TimedOut;
+        }
         let expires_at = handover::expires_at(relay.handover.as_ref());
         let step = tokio::select! {
             biased;
