--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -38,6 +38,9 @@
 /// Longest head of a response, in bytes.
 const MAX_RESPONSE_HEAD: usize = 32 * 1024;
 
+/// Interim responses before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// A stream with the bytes that were read and not yet taken.
 #[derive(Debug)]
 pub struct Connection {
@@ -191,15 +194,22 @@
         quiet && self.input.is_empty()
     }
 
-    /// Reads the head of a response.
+    /// Reads the head of a response; a few interim responses are skipped.
     ///
     /// # Errors
     ///
     /// Where the connection ended or something else came.
     pub async fn response(&mut self) -> Result<Response, Error> {
+        let mut interim_count = 0;
         loop {
-            if let Some(response) = Response::parse(&mut self.input, MAX_RESPONSE_HEAD)? {
-                return Ok(response);
+            while let Some(response) = Response::parse_any(&mut self.input, MAX_RESPONSE_HEAD)? {
+                if !response.is_interim() {
+                    return Ok(response);
+                }
+                interim_count += 1;
+                if interim_count > MAX_INTERIM_RESPONSES {
+                    return Err(Error::HeadTooLong);
+                }
             }
             if !self.read().await.map_err(|_| Error::Cut)? {
                 return Err(Error::Cut);
--- a/crates/gingerpier_http1/src/head.rs
+++ b/crates/gingerpier_http1/src/head.rs
@@ -12,6 +12,9 @@
 /// Statuses with a meaning (RFC 9110, section 15).
 const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 
+/// Status after which no HTTP follows.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Fields that concern one connection only and go no further (RFC 9110, section 7.6.1), and the
 /// length, which each hop tells anew.
 const CONNECTION_FIELDS: [&str; 8] = [
@@ -204,19 +207,20 @@
     /// Where it is longer than `limit` bytes, no head of a response, or of an invalid status.
     pub fn parse(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Error> {
         loop {
-            let Some(response) = Self::parse_one(input, limit)? else {
-                return Ok(None);
-            };
-            if response.status >= 200 {
-                return Ok(Some(response));
-            }
-            if response.status == 101 {
-                return Err(Error::Head);
+            match Self::parse_any(input, limit)? {
+                Some(response) if response.is_interim() => {}
+                response => return Ok(response),
             }
         }
     }
 
-    fn parse_one(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Error> {
+    /// True for an interim response, after which another one follows.
+    pub(crate) const fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
+    /// Takes a head off `input` once it is whole, also that of an interim response.
+    pub(crate) fn parse_any(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Error> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut fields);
         let status = parsed.parse(input).map_err(|_| Error::Head)?;
@@ -229,6 +233,9 @@
         if !VALID_STATUSES.contains(&status) {
             return Err(Error::Status);
         }
+        if status == SWITCHING_PROTOCOLS {
+            return Err(Error::Head);
+        }
         let ranges = ranges_of(input, parsed.headers);
         Ok(Some(Self {
             status,
