--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -155,7 +155,7 @@
     }
 
     /// Writes `bytes` while it reads what comes meanwhile; true once all are written, false where
-    /// a whole response head came first.
+    /// a whole response head, or more than one may have, came first.
     ///
     /// # Errors
     ///
@@ -170,7 +170,11 @@
                 biased;
                 count = writer.write(&bytes[written..]) => written += count?,
                 count = reader.read_buf(input) => {
-                    if count? == 0 || input.windows(4).any(|end| end == b"\r\n\r\n") {
+                    let count = count?;
+                    // The end of a head may lie across two reads.
+                    let unseen = &input[(input.len() - count).saturating_sub(3)..];
+                    let has_head = unseen.windows(4).any(|end| end == b"\r\n\r\n");
+                    if count == 0 || has_head || input.len() > MAX_RESPONSE_HEAD {
                         return Ok(false);
                     }
                 }
