Serving: numbers out of range in an engine's report overflow nothing

In programs that check arithmetic the task of each request ended there, in a release the engine counted as idle.

--- a/crates/gingerpier_serving/src/engine.rs
+++ b/crates/gingerpier_serving/src/engine.rs
@@ -233,10 +233,13 @@
                     .iter()
                     .map(|request| request.prompt_tokens)
                     .sum();
-                let requests = report.active + report.queued + load.unreported.len() as u32;
+                let reported = report.active.saturating_add(report.queued);
+                let requests = reported.saturating_add(load.unreported.len() as u32);
                 EstimatedLoad {
                     requests: f64::from(requests.max(load.in_flight)),
-                    pending_prompt_tokens: (report.pending_prompt_tokens + unreported_tokens)
+                    pending_prompt_tokens: report
+                        .pending_prompt_tokens
+                        .saturating_add(unreported_tokens)
                         .max(load.waiting_tokens),
                 }
             }
@@ -253,7 +256,7 @@
         let report = self.fresh_report(now)?;
         let unreported = self.load.unreported.iter();
         let unreported_tokens: u64 = unreported.map(|request| request.prompt_tokens).sum();
-        let used_tokens = report.memory_used_tokens + unreported_tokens;
+        let used_tokens = report.memory_used_tokens.saturating_add(unreported_tokens);
         (report.memory_total_tokens > 0)
             .then(|| report.memory_total_tokens.saturating_sub(used_tokens))
     }
--- a/crates/gingerpier_serving/src/suspects.rs
+++ b/crates/gingerpier_serving/src/suspects.rs
@@ -229,7 +229,9 @@
         let crashes = self.crashes.iter().map(|crash| order::mix(crash.engine.0));
         let dismissed = self.dismissed.iter().map(|one| order::mix(!one.0));
         let all = crashes.chain(dismissed).fold(0, |all, one| all ^ one);
-        let refuted_up_to = self.refuted_up_to.map_or(0, |version| version.0 + 1);
+        let refuted_up_to = self
+            .refuted_up_to
+            .map_or(0, |version| version.0.wrapping_add(1));
         order::mix(all ^ order::hash(&fingerprint) ^ order::mix(refuted_up_to))
     }
 }
