Loader: a response of its engine that never ends doesn't stop its reports or updates

An engine that sends its report without end cost the loader beside it 17 MB of memory (8 MiB of each response were kept) and, where it sends a byte now and then, the loader's reports for good: a call goes on while data arrives, as it does for long responses of the store. Calls to the engine of the own machine end after a second in all now, and a report has 64 KiB at most. The same goes for staging, reading back and ordering.

--- a/crates/gingerpier_gateway/src/client.rs
+++ b/crates/gingerpier_gateway/src/client.rs
@@ -25,6 +25,9 @@
 /// Largest response body in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Longest time for a whole response of an engine of this machine.
+const MAX_ENGINE_RESPONSE_MILLIS: u64 = 1_000;
+
 /// Time without data after which a response counts as stalled.
 const STALL_MILLIS: u64 = 800;
 
@@ -44,6 +47,8 @@
     accepts_compression: bool,
     /// Largest response body that is accepted.
     pub max_body_bytes: usize,
+    /// Longest time for a whole response; `None` without a limit while data arrives.
+    max_response_millis: Option<u64>,
     /// Set to the time at which data of a successful response last arrived.
     last_received: Option<Rc<Cell<Option<Instant>>>>,
     /// Request that tells a dead connection from a slow path.
@@ -58,11 +63,19 @@
             connection: None,
             accepts_compression: false,
             max_body_bytes: MAX_RESPONSE_BYTES,
+            max_response_millis: None,
             last_received: None,
             probe: None,
         }
     }
 
+    /// Client of an engine of this machine, whose responses are short and may never end.
+    pub const fn of_engine(peer: SocketAddr) -> Self {
+        let mut client = Self::new(peer);
+        client.max_response_millis = Some(MAX_ENGINE_RESPONSE_MILLIS);
+        client
+    }
+
     /// Client that records in `last_received` when data of a successful response last arrived.
     pub fn recording(peer: SocketAddr, last_received: Rc<Cell<Option<Instant>>>) -> Self {
         let mut client = Self::new(peer);
@@ -99,6 +112,8 @@
         let (peer, probe) = (self.peer, self.probe.clone());
         let sent_at = clock::now();
         let last = Cell::new(None);
+        let limit = self.max_response_millis;
+        let limit = limit.map(|millis| sent_at.after_millis(millis));
         let exchange = self.exchange(call, &last);
         tokio::pin!(exchange);
         let timeout_error = Error::Timeout {
@@ -111,9 +126,13 @@
                 Some(last_received) => last_received.after_millis(STALL_MILLIS),
                 None => sent_at.after_millis(millis),
             };
+            let deadline = limit.map_or(deadline, |limit| limit.min(deadline));
             if let Some(response) = clock::before(deadline, &mut exchange).await {
                 return response;
             }
+            if limit.is_some_and(|limit| limit.has_passed(clock::now())) {
+                return Err(timeout_error);
+            }
             if last.get() != previous {
                 continue;
             }
--- a/crates/gingerpier_gateway/src/loader/activation.rs
+++ b/crates/gingerpier_gateway/src/loader/activation.rs
@@ -115,7 +115,7 @@
         let chunk_set = chunk_cache.get(&model_version.model, model_version.version)?;
         Some(Self {
             loader,
-            client: Client::new(loader.settings.engine),
+            client: Client::of_engine(loader.settings.engine),
             chunk_set: chunk_set.clone(),
         })
     }
@@ -228,7 +228,7 @@
         .as_ref()
         .map_or(0, |report| report.sequence);
     let call = loader.platform_api.start(model_version, sequence);
-    let mut client = Client::new(loader.settings.engine);
+    let mut client = Client::of_engine(loader.settings.engine);
     let result = client.call(&call, ENGINE_TIMEOUT_MILLIS).await;
     let outcome = match &result {
         Ok(response) => Some(loader.platform_api.parse_start(response.head.status)),
--- a/crates/gingerpier_gateway/src/loader/report.rs
+++ b/crates/gingerpier_gateway/src/loader/report.rs
@@ -41,6 +41,9 @@
 /// Timeout for a report from the engine.
 const ENGINE_TIMEOUT_MILLIS: u64 = 400;
 
+/// Largest report of an engine, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
 /// Time after which a subscription expires unless renewed.
 const SUBSCRIPTION_TTL_MILLIS: u64 = 2_500;
 
@@ -83,7 +86,8 @@
 
 /// Polls the engine and reports to gateways forever.
 pub async fn run(loader: Rc<Loader>, socket: Rc<UdpSocket>) {
-    let mut client = Client::new(loader.settings.engine);
+    let mut client = Client::of_engine(loader.settings.engine);
+    client.max_body_bytes = MAX_REPORT_BYTES;
     let mut round = 0;
     loop {
         let report = poll_engine(&loader, &mut client).await;
--- a/crates/gingerpier_gateway/src/weights/fetch.rs
+++ b/crates/gingerpier_gateway/src/weights/fetch.rs
@@ -138,7 +138,7 @@
     let Some(engine) = distributor.engine else {
         return;
     };
-    let mut client = Client::new(engine);
+    let mut client = Client::of_engine(engine);
     for chunk in 0..manifest.digests.len() as u32 {
         let call = distributor
             .platform_api
--- a/crates/gingerpier_gateway/src/weights/peers.rs
+++ b/crates/gingerpier_gateway/src/weights/peers.rs
@@ -192,7 +192,7 @@
     let call = distributor
         .platform_api
         .staged_chunk(&peer_request.model_version.model, chunk);
-    let mut client = Client::new(engine);
+    let mut client = Client::of_engine(engine);
     let response = client.call(&call, ENGINE_TIMEOUT_MILLIS).await.ok()?;
     (response.head.status == 200).then_some(response.body)
 }
--- a/crates/gingerpier_gateway/tests/client.rs
+++ b/crates/gingerpier_gateway/tests/client.rs
@@ -64,6 +64,25 @@
     assert_eq!(fetch(address).expect("a response"), BODY);
 }
 
+/// Guards against a loader that waits without end for an engine that sends a byte now and then.
+#[test]
+fn a_response_of_an_engine_that_never_ends_times_out() {
+    let address = serve(|stream| {
+        let mut is_open = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").is_ok();
+        while is_open {
+            sleep(Duration::from_millis(100));
+            is_open = stream.write_all(b" ").is_ok();
+        }
+    });
+    let begun = Instant::now();
+    let result = actix_rt::System::new().block_on(async move {
+        let call = ApiRequest::get(Target::new("/report"));
+        Client::of_engine(address).call(&call, BEGIN_MILLIS).await
+    });
+    assert!(matches!(result, Err(Error::Timeout { .. })), "{result:?}");
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
 #[test]
 fn a_stalled_response_times_out() {
     let address = serve(|stream| {
