--- a/crates/gingerpier_gateway/src/buffers.rs
+++ b/crates/gingerpier_gateway/src/buffers.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Reserved bytes.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// The quota that it is a part of.
+    pub fn quota(&self) -> &Quota {
+        &self.quota
+    }
+
     /// Raises the reservation to `bytes`; false if the quota doesn't allow it.
     pub fn raise(&mut self, bytes: usize, now: Instant) -> bool {
         if bytes <= self.bytes {
--- a/crates/gingerpier_gateway/src/proxy/body.rs
+++ b/crates/gingerpier_gateway/src/proxy/body.rs
@@ -146,6 +146,27 @@
     reservation: &mut Reservation,
     bytes: usize,
     deadline: Instant,
+) -> Result<(), BodyError> {
+    let begun = clock::now();
+    let result = wait_for_memory(reservation, bytes, deadline).await;
+    let waited_millis = clock::now().millis_since(begun);
+    if (waited_millis > 0 || result.is_err()) && log::allows_request_line() {
+        tracing::info!(
+            wanted = bytes,
+            own = reservation.bytes(),
+            held = reservation.quota().held(),
+            waited = waited_millis,
+            outcome = ?result,
+            "request waited for the memory of other bodies"
+        );
+    }
+    result
+}
+
+async fn wait_for_memory(
+    reservation: &mut Reservation,
+    bytes: usize,
+    deadline: Instant,
 ) -> Result<(), BodyError> {
     while !reservation.raise(bytes, clock::now()) {
         if deadline.has_passed(clock::now()) {
