Gateway: requests don't wait without a bound for the memory of other bodies

Cause: a body in chunks waited for more memory while it held a part, so that several waited for each other; no wait had a deadline but the idle time-out; a body of 8 KiB in chunks counted as 64 KiB and more; memory was kept until the response ended; and the key was looked at after the body. Class: a lock that is waited for while another part of it is held, without a deadline. Not done of that point: shares by route and account for long bodies.

--- a/crates/gingerpier_gateway/src/buffers.rs
+++ b/crates/gingerpier_gateway/src/buffers.rs
@@ -1,8 +1,8 @@
 //! Bytes that a gateway holds for callers, with a bound in total for each kind.
 //!
 //! Every connection may hold a small number of bytes without a reservation. Whatever is beyond it
-//! is reserved first. A request body is reserved as a whole before it is read, so that bodies that
-//! wait hold nothing that others wait for.
+//! is reserved first. Only a reservation that holds nothing may wait, so that none waits for one
+//! that waits itself.
 
 use {
     gingerpier_base::Instant,
@@ -139,6 +139,11 @@
         &self.quota
     }
 
+    /// True if it may wait to be raised: one that holds a part would keep others waiting for it.
+    pub const fn may_wait(&self) -> bool {
+        self.bytes == 0
+    }
+
     /// Raises the reservation to `bytes`; false if the quota doesn't allow it.
     pub fn raise(&mut self, bytes: usize, now: Instant) -> bool {
         if bytes <= self.bytes {
@@ -153,10 +158,17 @@
         true
     }
 
+    /// Lowers the reservation to `bytes`.
+    pub fn lower(&mut self, bytes: usize) {
+        if bytes < self.bytes {
+            self.quota.change(self.route, self.bytes, bytes);
+            self.bytes = bytes;
+        }
+    }
+
     /// Ends the reservation.
     pub fn release(&mut self) {
-        self.quota.change(self.route, self.bytes, 0);
-        self.bytes = 0;
+        self.lower(0);
     }
 }
 
--- a/crates/gingerpier_gateway/src/proxy/attempt.rs
+++ b/crates/gingerpier_gateway/src/proxy/attempt.rs
@@ -164,7 +164,7 @@
         Some(connection) => connection,
         None => connect(address, options.now).await?,
     };
-    let is_request_sent = write_request(&mut connection, bytes, request.body).await;
+    let is_request_sent = write_request(&mut connection, bytes, &request.body.bytes()).await;
     let is_request_sent = is_request_sent.map_err(|_| broken_connection())?;
     let expected_id = request
         .head
--- a/crates/gingerpier_gateway/src/proxy/body.rs
+++ b/crates/gingerpier_gateway/src/proxy/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests, which are held until the request ends, as another engine may need them.
 
 use {
-    super::caller::Caller,
+    super::{caller::Caller, error_response::ErrorResponse, request},
     crate::{
         buffers::{LARGE_BYTES, Reservation},
         clock, log,
@@ -15,7 +15,8 @@
         error::Error,
         head::Request,
     },
-    gingerpier_serving::configuration::RouteKey,
+    gingerpier_serving::configuration::{Limits, RouteKey},
+    std::cell::RefCell,
 };
 
 /// Bytes of a body that a connection may hold without a reservation. Most prompts fit.
@@ -30,87 +31,124 @@
 /// Longest interval between checks whether a body has arrived; each check copies what has.
 const MAX_ARRIVAL_INTERVAL_MILLIS: u64 = 256;
 
+/// Part of a request's time that it may wait for memory.
+const WAIT_DIVISOR: u64 = 2;
+
 /// Interval at which a refused reservation is tried again.
 const RETRY_INTERVAL_MILLIS: u64 = 20;
 
 /// A request body.
 pub struct Body {
-    /// The bytes.
-    pub bytes: Bytes,
-    _reservation: Reservation,
+    bytes: RefCell<Bytes>,
+    reservation: RefCell<Reservation>,
+}
+
+impl Body {
+    /// The bytes; none after the release.
+    pub fn bytes(&self) -> Bytes {
+        self.bytes.borrow().clone()
+    }
+
+    /// Gives the memory back, as the request isn't sent again.
+    pub fn release(&self) {
+        self.bytes.borrow_mut().clear();
+        self.reservation.borrow_mut().release();
+    }
 }
 
 /// Why a body is not available.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum BodyError {
     /// The body is invalid, too long or incomplete.
     Http(Error),
     /// The caller sends it too slowly.
     Stalled,
-    /// Other bodies occupied the memory until the deadline; no engine has seen the request.
+    /// Other bodies occupy the memory; no engine has seen the request.
     NoMemory,
+    /// The request is refused without its body.
+    Refused(ErrorResponse),
 }
 
-/// Reads the body of a request; `max_bytes` is the configured limit.
+/// Limits of one body.
+struct Bounds {
+    max_bytes: usize,
+    /// Time until which the caller may send it.
+    deadline: Instant,
+    /// Time until which it may wait for memory; leaves the caller time to retry.
+    wait_deadline: Instant,
+}
+
+/// Reads the body of a request whose head is complete since `received`.
 ///
 /// # Errors
 ///
-/// If the body is invalid, or not complete in time.
+/// If the body is invalid, or not complete in time, or if the request is refused without it.
 pub async fn read(
     state: &State,
     caller: &mut Caller,
     head: &Request,
     framing: Framing,
-    max_bytes: usize,
-    deadline: Instant,
+    limits: &Limits,
+    received: Instant,
 ) -> Result<Body, BodyError> {
     let declared = match framing {
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         Framing::Chunked | Framing::UntilClose => 0,
     };
-    if declared > max_bytes {
+    if declared > limits.max_body_bytes {
         return Err(BodyError::Http(Error::BodyTooLong));
     }
-    let route = route_of(state, head);
+    let claim = request::claim(state, head);
+    let millis = claim.map_or(limits.idle_timeout_millis, |claim| {
+        claim.timeout_millis.min(limits.idle_timeout_millis)
+    });
+    let bounds = Bounds {
+        max_bytes: limits.max_body_bytes,
+        deadline: received.after_millis(millis),
+        wait_deadline: received.after_millis(millis / WAIT_DIVISOR),
+    };
+    let route = claim.ok().and_then(|claim| claim.route);
     let mut reservation = Reservation::new(&state.request_quota, route);
     if declared > FREE_BYTES {
+        claim.map_err(BodyError::Refused)?;
         if declared <= LARGE_BYTES {
-            wait_for_arrival(state, caller, route, declared, deadline).await?;
+            wait_for_arrival(state, caller, route, declared, bounds.deadline).await?;
         }
-        reserve(&mut reservation, declared, deadline).await?;
+        reserve(caller, &mut reservation, declared, &bounds).await?;
     }
     let mut reserved = declared.max(FREE_BYTES);
     let mut decoder = Decoder::new(framing);
     let mut bytes = BytesMut::new();
     loop {
-        let data = match read_part(state, caller, &mut decoder, deadline).await? {
+        let data = match read_part(state, caller, &mut decoder, bounds.deadline).await? {
             // A request body never ends with its connection.
             Part::End | Part::Closed => break,
             Part::Data(data) => data,
         };
         let length = bytes.len() + data.len();
-        if length > max_bytes {
+        if length > bounds.max_bytes {
             return Err(BodyError::Http(Error::BodyTooLong));
         }
         if length > reserved {
-            // The length of a chunked body is not known in advance, so that it may be large.
-            reserved = length.max(reserved * 2).max(LARGE_BYTES + 1);
-            reserve(&mut reservation, reserved, deadline).await?;
+            claim.map_err(BodyError::Refused)?;
+            reserved = length.max((reserved * 2).min(bounds.max_bytes));
+            reserve(caller, &mut reservation, reserved, &bounds).await?;
         }
         bytes.extend_from_slice(&data);
     }
+    let is_free = bytes.len() <= FREE_BYTES;
+    reservation.lower(if is_free { 0 } else { bytes.len() });
+    // A buffer that has grown by doubling may be twice as long as what it holds.
+    let bytes = match bytes.capacity() > bytes.len() + FREE_BYTES {
+        true => Bytes::copy_from_slice(&bytes),
+        false => bytes.freeze(),
+    };
     Ok(Body {
-        bytes: bytes.freeze(),
-        _reservation: reservation,
+        bytes: RefCell::new(bytes),
+        reservation: RefCell::new(reservation),
     })
 }
 
-fn route_of(state: &State, head: &Request) -> Option<RouteKey> {
-    let target = std::str::from_utf8(head.target()).ok()?;
-    let path = target.split('?').next().unwrap_or_default();
-    state.configuration()?.find(head.fields.text("host")?, path)
-}
-
 /// Waits until a body that is not large has arrived, if others occupy much memory; until then the
 /// kernel holds it. A caller that stalls thus keeps no other one waiting.
 async fn wait_for_arrival(
@@ -143,19 +181,26 @@
 }
 
 async fn reserve(
+    caller: &Caller,
     reservation: &mut Reservation,
     bytes: usize,
-    deadline: Instant,
+    bounds: &Bounds,
 ) -> Result<(), BodyError> {
+    if reservation.raise(bytes, clock::now()) {
+        return Ok(());
+    }
     let begun = clock::now();
-    let result = wait_for_memory(reservation, bytes, deadline).await;
-    let waited_millis = clock::now().millis_since(begun);
-    if (waited_millis > 0 || result.is_err()) && log::allows_request_line() {
+    let own = reservation.bytes();
+    let result = match reservation.may_wait() {
+        true => wait_for_memory(caller, reservation, bytes, bounds.wait_deadline).await,
+        false => Err(BodyError::NoMemory),
+    };
+    if log::allows_request_line() {
         tracing::info!(
             wanted = bytes,
-            own = reservation.bytes(),
+            own,
             held = reservation.quota().held(),
-            waited = waited_millis,
+            waited = clock::now().millis_since(begun),
             outcome = ?result,
             "request waited for the memory of other bodies"
         );
@@ -163,18 +208,30 @@
     result
 }
 
+/// Waits until the reservation is raised, its deadline passes or the caller leaves.
 async fn wait_for_memory(
+    caller: &Caller,
     reservation: &mut Reservation,
     bytes: usize,
     deadline: Instant,
 ) -> Result<(), BodyError> {
-    while !reservation.raise(bytes, clock::now()) {
+    loop {
+        if caller.has_left() {
+            return Err(BodyError::Http(Error::Cut));
+        }
+        if reservation.raise(bytes, clock::now()) {
+            return Ok(());
+        }
         if deadline.has_passed(clock::now()) {
             return Err(BodyError::NoMemory);
         }
-        clock::pause(RETRY_INTERVAL_MILLIS).await;
+        clock::until(
+            clock::now()
+                .after_millis(RETRY_INTERVAL_MILLIS)
+                .min(deadline),
+        )
+        .await;
     }
-    Ok(())
 }
 
 /// Reads the next part; a caller that stalls gets less time while memory is short.
--- a/crates/gingerpier_gateway/src/proxy/buffered.rs
+++ b/crates/gingerpier_gateway/src/proxy/buffered.rs
@@ -120,6 +120,7 @@
                 });
             }
             progress.commit();
+            self.request.body.release();
             let passed_on = self.pass_on(caller, &mut reading, &head, framing, in_flight);
             if let Err(outcome) = passed_on.await {
                 return outcome;
--- a/crates/gingerpier_gateway/src/proxy/caller.rs
+++ b/crates/gingerpier_gateway/src/proxy/caller.rs
@@ -85,6 +85,11 @@
         self.connection.arrived(limit)
     }
 
+    /// True if the caller has closed its connection, whether or not all of its bytes were read.
+    pub fn has_left(&self) -> bool {
+        self.connection.has_ended()
+    }
+
     /// Reads more bytes; false if the caller closed its connection.
     ///
     /// # Errors
--- a/crates/gingerpier_gateway/src/proxy/completion.rs
+++ b/crates/gingerpier_gateway/src/proxy/completion.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        Persistence,
         attempt::{Aftermath, AttemptError, Cause},
         buffered::BufferedResponse,
         caller::{Caller, Sent, WriteError},
@@ -309,8 +310,14 @@
     !matches!(status, 408 | 421 | 429 | 503)
 }
 
-/// Refuses a request that was not routed.
-pub async fn refuse(state: &State, caller: &mut Caller, head: &Request, error: ErrorResponse) {
+/// Refuses a request that was not routed; `persistence` is what the connection allows.
+pub async fn refuse(
+    state: &State,
+    caller: &mut Caller,
+    head: &Request,
+    error: ErrorResponse,
+    persistence: Persistence,
+) {
     let header_names = state.platform_api.header_names();
     let ending = match error {
         ErrorResponse::NoConfiguration
@@ -334,7 +341,8 @@
             "request denied"
         );
     }
-    let closes = state.is_stopping() || !head.keeps_alive();
+    let may_persist = persistence == Persistence::KeepAlive && head.keeps_alive();
+    let closes = state.is_stopping() || !may_persist;
     let bytes = error_response::encode(error, head, header_names, closes);
     // A caller that doesn't take its response has its connection closed.
     let _ = caller.respond(&bytes).await;
--- a/crates/gingerpier_gateway/src/proxy/forward.rs
+++ b/crates/gingerpier_gateway/src/proxy/forward.rs
@@ -325,6 +325,9 @@
         self.framing = Some(response.framing);
         let head = &response.head;
         let is_refused = self.is_refused(head);
+        if !is_refused && !self.retry_state.repeat.is_idempotent() {
+            self.request.body.release();
+        }
         if is_success(head) {
             if is_refused || !self.is_authentic(head) {
                 return AttemptOutcome::Failed(attempt::invalid_response());
--- a/crates/gingerpier_gateway/src/proxy/mod.rs
+++ b/crates/gingerpier_gateway/src/proxy/mod.rs
@@ -160,7 +160,11 @@
             let error = ErrorResponse::NotRun {
                 retry_after: NO_MEMORY_RETRY_SECONDS,
             };
-            completion::refuse(state, caller, head, error).await;
+            completion::refuse(state, caller, head, error, Persistence::Close).await;
+            return;
+        }
+        BodyError::Refused(error) => {
+            completion::refuse(state, caller, head, error, Persistence::Close).await;
             return;
         }
     };
@@ -191,9 +195,7 @@
             return Persistence::Close;
         }
     }
-    let body_deadline = received.after_millis(limits.idle_timeout_millis);
-    let max_bytes = limits.max_body_bytes;
-    let body = body::read(state, caller, head, framing, max_bytes, body_deadline).await;
+    let body = body::read(state, caller, head, framing, limits, received).await;
     let body = match body {
         Ok(body) => body,
         Err(error) => {
@@ -202,7 +204,7 @@
         }
     };
     let request = loop {
-        let request = RoutedRequest::read(state, head, &body.bytes, received);
+        let request = RoutedRequest::read(state, head, &body, received);
         if !matches!(request, Err(ErrorResponse::NoConfiguration)) {
             break request;
         }
@@ -214,7 +216,7 @@
     };
     match request {
         Ok(request) => forward::forward(state, caller, &request).await,
-        Err(error) => completion::refuse(state, caller, head, error).await,
+        Err(error) => completion::refuse(state, caller, head, error, Persistence::KeepAlive).await,
     }
     let is_complete = caller.sent() == Sent::Complete;
     match is_complete && head.keeps_alive() && !state.is_stopping() {
--- a/crates/gingerpier_gateway/src/proxy/request.rs
+++ b/crates/gingerpier_gateway/src/proxy/request.rs
@@ -1,9 +1,8 @@
 //! Routing and authentication of a request, and its encoding for an engine.
 
 use {
-    super::error_response::ErrorResponse,
+    super::{body::Body, error_response::ErrorResponse},
     crate::state::{State, TrafficClass},
-    bytes::Bytes,
     gingerpier_admission::{priority::Rank, return_detection::Visit, sizes::Band},
     gingerpier_base::Instant,
     gingerpier_http1::{
@@ -31,7 +30,7 @@
     /// Request head.
     pub head: &'a Request,
     /// Request body.
-    pub body: &'a Bytes,
+    pub body: &'a Body,
     /// Configuration in force when the request arrived; the keys below refer to it.
     pub configuration: Rc<Configuration>,
     /// Route that matches the host and path.
@@ -73,7 +72,7 @@
     pub fn read(
         state: &State,
         head: &'a Request,
-        body: &'a Bytes,
+        body: &'a Body,
         received: Instant,
     ) -> Result<Self, ErrorResponse> {
         let header_names = state.platform_api.header_names();
@@ -84,21 +83,9 @@
             .configuration()
             .ok_or(ErrorResponse::NoConfiguration)?;
         let fields = &head.fields;
-        let target = std::str::from_utf8(head.target()).map_err(|_| ErrorResponse::Malformed)?;
-        let path = target.split('?').next().unwrap_or_default();
-        let host = fields.text("host").ok_or(ErrorResponse::Malformed)?;
-        let route = configuration
-            .find(host, path)
-            .ok_or(ErrorResponse::NoRoute)?;
+        let (route, account_key) = identify(&configuration, head, header_names)?;
         let route_settings = configuration.route(route);
-        let account_key = authenticate(
-            &configuration,
-            route_settings,
-            fields.text(header_names.key),
-        )?;
-        if fields.get(header_names.attempt).is_none() {
-            return Err(ErrorResponse::MissingAttemptId);
-        }
+        let host = fields.text("host").unwrap_or_default();
         let service = configuration
             .pick_service(route, fastrand::u64(..))
             .ok_or(ErrorResponse::NoRoute)?;
@@ -117,7 +104,7 @@
             host,
             target: head.target(),
             account: account.as_deref().unwrap_or_default(),
-            body,
+            body: &body.bytes(),
         });
         let model = fields.text(header_names.model);
         let shared_parts = fields.text(header_names.prompt_parts).map(|list| {
@@ -215,12 +202,11 @@
         if let Some(last_event_id) = last_event_id {
             message = message.field(header_names.last_event.as_bytes(), last_event_id);
         }
-        if self.body.is_empty() && head.method() == b"GET" {
+        let body = self.body.bytes();
+        if body.is_empty() && head.method() == b"GET" {
             return message.end();
         }
-        message
-            .number("content-length", self.body.len() as u64)
-            .end()
+        message.number("content-length", body.len() as u64).end()
     }
 }
 
@@ -238,6 +224,59 @@
     pub needs_new_connection: bool,
 }
 
+/// What a request may claim before its body is read.
+#[derive(Debug, Clone, Copy)]
+pub struct Claim {
+    /// Route that its memory is for; `None` if unknown.
+    pub route: Option<RouteKey>,
+    /// Time that the route and the caller give it.
+    pub timeout_millis: u64,
+}
+
+/// Checks by the head alone whether a request may hold memory for its body.
+///
+/// # Errors
+///
+/// The response for a request that is invalid or that the configuration doesn't allow.
+pub fn claim(state: &State, head: &Request) -> Result<Claim, ErrorResponse> {
+    let header_names = state.platform_api.header_names();
+    let caller_timeout_millis = head.fields.number(header_names.deadline);
+    let Some(configuration) = state.configuration() else {
+        // The request may wait for the gateway's startup.
+        return Ok(Claim {
+            route: None,
+            timeout_millis: caller_timeout_millis.unwrap_or(u64::MAX),
+        });
+    };
+    let (route, _) = identify(&configuration, head, header_names)?;
+    let timeout_millis = configuration.route(route).timeout_millis;
+    Ok(Claim {
+        route: Some(route),
+        timeout_millis: caller_timeout_millis.map_or(timeout_millis, |own| own.min(timeout_millis)),
+    })
+}
+
+/// Finds the route and the client account of a request.
+fn identify(
+    configuration: &Configuration,
+    head: &Request,
+    header_names: &HeaderNames,
+) -> Result<(RouteKey, Option<AccountKey>), ErrorResponse> {
+    let fields = &head.fields;
+    let target = std::str::from_utf8(head.target()).map_err(|_| ErrorResponse::Malformed)?;
+    let path = target.split('?').next().unwrap_or_default();
+    let host = fields.text("host").ok_or(ErrorResponse::Malformed)?;
+    let route = configuration
+        .find(host, path)
+        .ok_or(ErrorResponse::NoRoute)?;
+    let key = fields.text(header_names.key);
+    let account = authenticate(configuration, configuration.route(route), key)?;
+    if fields.get(header_names.attempt).is_none() {
+        return Err(ErrorResponse::MissingAttemptId);
+    }
+    Ok((route, account))
+}
+
 /// Finds the client account of `key`; `None` on a public route or if keys are not required.
 fn authenticate(
     configuration: &Configuration,
--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -9,16 +9,16 @@
     bytes::{Bytes, BytesMut},
     socket2::{SockRef, TcpKeepalive},
     std::{
-        future::poll_fn,
+        future::{Future, poll_fn},
         io,
         mem::MaybeUninit,
         net::SocketAddr,
-        pin::Pin,
-        task::{Poll, ready},
+        pin::{Pin, pin},
+        task::{Context, Poll, Waker, ready},
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf},
+        io::{AsyncRead, AsyncReadExt, AsyncWriteExt, Interest, ReadBuf},
         net::TcpStream,
     },
 };
@@ -136,6 +136,16 @@
         }
     }
 
+    /// True where the peer has ended its side or the connection broke, also while bytes are unread.
+    pub fn has_ended(&self) -> bool {
+        let ready = pin!(self.stream.ready(Interest::READABLE));
+        match ready.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
