--- a/crates/gingerpier_gateway/src/proxy/request.rs
+++ b/crates/gingerpier_gateway/src/proxy/request.rs
@@ -224,7 +224,7 @@
     pub needs_new_connection: bool,
 }
 
-/// What a request may claim before its body is read.
+/// What the head of a request entitles it to before its body is read.
 #[derive(Debug, Clone, Copy)]
 pub struct Claim {
     /// Route that its memory is for; `None` if unknown.
--- a/crates/gingerpier_gateway/src/state/mod.rs
+++ b/crates/gingerpier_gateway/src/state/mod.rs
@@ -89,6 +89,7 @@
     pub suspect_state: SuspectState,
     /// Distribution of weights through this gateway.
     pub distributor: Rc<Distributor>,
+    /// Phases of the planned shutdown, once one has begun.
     shutdown: Cell<Option<Schedule>>,
     /// Notified when a termination signal arrives.
     stopping: Notify,
--- a/crates/gingerpier_http1/src/connection.rs
+++ b/crates/gingerpier_http1/src/connection.rs
@@ -165,7 +165,7 @@
     }
 
     /// Writes `bytes` while it reads what comes meanwhile; true once all are written, false where
-    /// a whole response head, or more than one may have, came first.
+    /// a whole response head came first, or more bytes than it may have.
     ///
     /// # Errors
     ///
